--- a/agreement/src/main/java/org/skylarkbend/agreement/AgreementDecider.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/AgreementDecider.java
@@ -3,7 +3,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.LongUnaryOperator;
 import org.skylarkbend.agreement.AgreementInput.Confirm;
@@ -24,7 +23,6 @@
 import org.skylarkbend.agreement.EntryContent.MembershipChange;
 import org.skylarkbend.agreement.EntryContent.NoOperation;
 import org.skylarkbend.base.ErrorKind;
-import org.skylarkbend.base.ObjectName;
 import org.skylarkbend.base.SkylarkError;
 
 /**
@@ -56,14 +54,14 @@
      *
      * @param durable what the disk holds
      * @param options times and sizes
-     * @param expectedVms the VMs that the settings name as members, this one included
+     * @param rules who may found, join and stay
      * @param randomBelow a random number from 0 to below its argument
      * @param nowMilliseconds the time
      */
     public AgreementDecider(
             DurableState durable,
             AgreementOptions options,
-            Set<ObjectName> expectedVms,
+            MemberRules rules,
             LongUnaryOperator randomBelow,
             long nowMilliseconds) {
         mState = new MemberState(durable, options, randomBelow, nowMilliseconds);
@@ -72,8 +70,8 @@
         mFollowing = new Following(mState, this::applyCommitted);
         mReplication = new Replication(mState);
         mConfirmations = new Confirmations(mState, mReplication);
-        mMembershipChanges = new MembershipChanges(mState, mReplication, expectedVms);
-        mFounding = new Founding(mState, expectedVms);
+        mMembershipChanges = new MembershipChanges(mState, mReplication, rules);
+        mFounding = new Founding(mState, rules.founders());
         mAppliedIndex = mState.mCommitIndex;
         mSnapshotIndex = mState.mCommitIndex;
         durable.snapshot()
--- a/agreement/src/main/java/org/skylarkbend/agreement/AgreementTask.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/AgreementTask.java
@@ -10,7 +10,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.LongUnaryOperator;
@@ -56,7 +55,7 @@
     private static final StructuredLog LOG = StructuredLog.of(AgreementTask.class);
 
     private final ObjectName mVm;
-    private final Map<ObjectName, MemberAddress> mMembers;
+    private final MemberDirectory mDirectory;
     private final AgreementOptions mOptions;
     private final WireOptions mWireOptions;
     private final AgreementStorage mStorage;
@@ -83,7 +82,7 @@
      * A task that does not run until it is deployed.
      *
      * @param vm the VM on which it runs
-     * @param members the VMs of the log with their addresses, this one included
+     * @param directory where the members of the log are found, this one included
      * @param options times and sizes
      * @param wireOptions limits and keys of the connections
      * @param storage the open data folder, which the task closes at its end
@@ -94,7 +93,7 @@
      */
     public AgreementTask(
             ObjectName vm,
-            Map<ObjectName, MemberAddress> members,
+            MemberDirectory directory,
             AgreementOptions options,
             WireOptions wireOptions,
             AgreementStorage storage,
@@ -103,7 +102,7 @@
             MillisecondClock clock,
             LongUnaryOperator randomBelow) {
         mVm = vm;
-        mMembers = Map.copyOf(members);
+        mDirectory = directory;
         mOptions = options;
         mWireOptions = wireOptions;
         mStorage = storage;
@@ -119,18 +118,23 @@
         AgreementCodec codec = new AgreementCodec();
         mListener = new FrameListener<>(vertx, codec, mWireOptions, mClock);
         FrameDialer<Envelope> dialer = new FrameDialer<>(vertx, codec, mWireOptions, mClock);
-        Map<ObjectName, MemberAddress> others = new TreeMap<>(mMembers);
-        others.remove(mVm);
-        mLinks = new PeerLinks(vertx, dialer, others, mOptions.electionMinMilliseconds() / 2);
+        mLinks =
+                new PeerLinks(
+                        vertx,
+                        dialer,
+                        mVm,
+                        mDirectory,
+                        vm -> mDecider.membership().onVm(vm).isPresent(),
+                        mOptions.electionMinMilliseconds() / 2);
         mDisk = new DiskQueue(vertx, mStorage, this::persisted, this::persistFailed);
         mDecider =
                 new AgreementDecider(
                         mStorage.recovered(),
                         mOptions,
-                        mMembers.keySet(),
+                        mDirectory.rules(),
                         mRandomBelow,
                         mClock.nowMilliseconds());
-        MemberAddress own = mMembers.get(mVm);
+        MemberAddress own = mDirectory.addressOf().apply(mVm).orElseThrow();
         return mListener
                 .listen(own.host(), own.port(), this::accepted)
                 .onSuccess(port -> begin(port));
@@ -216,10 +220,21 @@
     private void received(Envelope envelope) {
         MemberId self = mStorage.recovered().self();
         if (envelope.to().map(self::equals).orElse(true)) {
+            passOnToLeader(envelope);
             decide(new Received(envelope.from(), envelope.message()));
         }
     }
 
+    /** A newcomer may know some members only; its announcement must reach the one that leads. */
+    private void passOnToLeader(Envelope envelope) {
+        Optional<MemberId> leader =
+                mDecider.leader().filter(known -> !known.equals(mStorage.recovered().self()));
+        if (leader.isPresent() && envelope.to().isEmpty()) {
+            mLinks.send(
+                    leader.get().vm(), new Envelope(envelope.from(), leader, envelope.message()));
+        }
+    }
+
     private void persisted(long number) {
         mSyncedNumber = number;
         while (!mHeldSends.isEmpty() && mHeldSends.peek().afterPersist() <= number) {
--- a/agreement/src/main/java/org/skylarkbend/agreement/MembershipChanges.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/MembershipChanges.java
@@ -3,10 +3,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.TreeMap;
 import org.skylarkbend.agreement.EntryContent.MembershipChange;
-import org.skylarkbend.base.ObjectName;
 
 /**
  * Lets a leader take members in, one change at a time.
@@ -18,13 +16,13 @@
 final class MembershipChanges {
     private final MemberState mState;
     private final Replication mReplication;
-    private final Set<ObjectName> mExpectedVms;
+    private final MemberRules mRules;
     private final Map<MemberId, Long> mNewcomersHeardAtMilliseconds = new TreeMap<>();
 
-    MembershipChanges(MemberState state, Replication replication, Set<ObjectName> expectedVms) {
+    MembershipChanges(MemberState state, Replication replication, MemberRules rules) {
         mState = state;
         mReplication = replication;
-        mExpectedVms = Set.copyOf(expectedVms);
+        mRules = rules;
     }
 
     /** Forgets all newcomers. */
@@ -35,7 +33,7 @@
     /** Notes a member that counts in no quorum. */
     void announced(MemberId newcomer, long nowMilliseconds) {
         boolean isCandidate =
-                mExpectedVms.contains(newcomer.vm())
+                mRules.admits().test(newcomer.vm())
                         && !mState.mLog.membership().contains(newcomer)
                         && formerMember(newcomer)
                                 .filter(former -> isLive(former, nowMilliseconds))
@@ -52,6 +50,10 @@
         if (!mayChange()) {
             return Optional.empty();
         }
+        Optional<Membership> withoutSilent = withoutSilent(nowMilliseconds);
+        if (withoutSilent.isPresent()) {
+            return withoutSilent.map(MembershipChange::new);
+        }
         return mNewcomersHeardAtMilliseconds.keySet().stream()
                 .filter(newcomer -> isUpToDate(newcomer, nowMilliseconds))
                 .findFirst()
@@ -59,6 +61,22 @@
                 .map(MembershipChange::new);
     }
 
+    /**
+     * The members without one that has been silent for too long, where their number is even: one
+     * member less then needs a smaller quorum, so that as many of the others may fail as before.
+     */
+    private Optional<Membership> withoutSilent(long nowMilliseconds) {
+        Membership membership = mState.mLog.membership();
+        if (mRules.dropSilentAfterMilliseconds().isEmpty() || membership.voters().size() % 2 != 0) {
+            return Optional.empty();
+        }
+        long silenceMilliseconds = mRules.dropSilentAfterMilliseconds().getAsLong();
+        return membership.voters().stream()
+                .filter(voter -> !mReplication.isLive(voter, nowMilliseconds, silenceMilliseconds))
+                .findFirst()
+                .map(membership::without);
+    }
+
     private Optional<Membership> changeFor(MemberId newcomer, long nowMilliseconds) {
         Membership membership = mState.mLog.membership();
         Optional<MemberId> former = formerMember(newcomer);
--- a/agreement/src/main/java/org/skylarkbend/agreement/PeerLinks.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/PeerLinks.java
@@ -2,9 +2,9 @@
 
 import io.vertx.core.Vertx;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
-import java.util.Set;
+import java.util.Optional;
+import java.util.function.Predicate;
 import org.skylarkbend.agreement.AgreementMessage.AppendRequest;
 import org.skylarkbend.agreement.AgreementMessage.SnapshotPiece;
 import org.skylarkbend.base.ObjectName;
@@ -16,33 +16,47 @@
 final class PeerLinks {
     private static final StructuredLog LOG = StructuredLog.of(PeerLinks.class);
 
+    /** A VM that is neither a contact nor a member is dialled so often, then forgotten. */
+    private static final int FAILURES_BEFORE_FORGETTING = 10;
+
     private final Vertx mVertx;
     private final FrameDialer<Envelope> mDialer;
-    private final Map<ObjectName, MemberAddress> mAddresses;
+    private final ObjectName mSelf;
+    private final MemberDirectory mDirectory;
+    private final Predicate<ObjectName> mIsMember;
     private final long mRedialMilliseconds;
     private final Map<ObjectName, FrameConnection<Envelope>> mConnections = new HashMap<>();
-    private final Set<ObjectName> mUnreachable = new HashSet<>();
+    private final Map<ObjectName, Integer> mFailuresByDialed = new HashMap<>();
     private boolean mClosed;
 
     PeerLinks(
             Vertx vertx,
             FrameDialer<Envelope> dialer,
-            Map<ObjectName, MemberAddress> addresses,
+            ObjectName self,
+            MemberDirectory directory,
+            Predicate<ObjectName> isMember,
             long redialMilliseconds) {
         mVertx = vertx;
         mDialer = dialer;
-        mAddresses = Map.copyOf(addresses);
+        mSelf = self;
+        mDirectory = directory;
+        mIsMember = isMember;
         mRedialMilliseconds = redialMilliseconds;
     }
 
     void open() {
-        mAddresses.keySet().forEach(this::dial);
+        mDirectory.contacts().forEach(this::call);
     }
 
-    /** Sends where a connection is open. Entries and pieces wait for another time if it is full. */
+    /**
+     * Sends where a connection is open, and opens one where there is none. Entries and pieces wait
+     * for another time if it is full.
+     */
     void send(ObjectName vm, Envelope envelope) {
         FrameConnection<Envelope> connection = mConnections.get(vm);
-        if (connection != null && !(connection.isCongested() && isBulk(envelope.message()))) {
+        if (connection == null) {
+            call(vm);
+        } else if (!(connection.isCongested() && isBulk(envelope.message()))) {
             connection.send(envelope);
         }
     }
@@ -62,12 +76,20 @@
                 || message instanceof AppendRequest request && !request.entries().isEmpty();
     }
 
+    /** Opens a connection to a VM unless one is open or being opened. */
+    private void call(ObjectName vm) {
+        if (!vm.equals(mSelf) && mFailuresByDialed.putIfAbsent(vm, 0) == null) {
+            dial(vm);
+        }
+    }
+
     private void dial(ObjectName vm) {
-        if (mClosed) {
+        Optional<MemberAddress> address = mDirectory.addressOf().apply(vm);
+        if (mClosed || address.isEmpty()) {
+            mFailuresByDialed.remove(vm);
             return;
         }
-        MemberAddress address = mAddresses.get(vm);
-        mDialer.dial(address.host(), address.port())
+        mDialer.dial(address.get().host(), address.get().port())
                 .onSuccess(connection -> opened(vm, connection))
                 .onFailure(cause -> failed(vm, cause));
     }
@@ -78,7 +100,7 @@
             return;
         }
         LOG.info("agreement.peer.connected", "vm", vm);
-        mUnreachable.remove(vm);
+        mFailuresByDialed.put(vm, 0);
         mConnections.put(vm, connection);
         connection.onClose(
                 () -> {
@@ -88,10 +110,16 @@
     }
 
     private void failed(ObjectName vm, Throwable cause) {
-        if (mUnreachable.add(vm)) {
+        int failures = mFailuresByDialed.merge(vm, 1, Integer::sum);
+        if (failures == 1) {
             LOG.warn("agreement.peer.unreachable", "vm", vm, "detail", cause.getMessage());
         }
-        redialLater(vm);
+        boolean isWanted = mDirectory.contacts().contains(vm) || mIsMember.test(vm);
+        if (isWanted || failures < FAILURES_BEFORE_FORGETTING) {
+            redialLater(vm);
+        } else {
+            mFailuresByDialed.remove(vm);
+        }
     }
 
     private void redialLater(ObjectName vm) {
--- a/agreement/src/test/java/org/skylarkbend/agreement/AgreementSchedule.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/AgreementSchedule.java
@@ -90,6 +90,10 @@
         return mOptions;
     }
 
+    MemberRules rules() {
+        return MemberRules.listed(vms());
+    }
+
     Set<ObjectName> vms() {
         return mMembers.keySet();
     }
--- a/agreement/src/test/java/org/skylarkbend/agreement/AgreementTaskTest.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/AgreementTaskTest.java
@@ -142,7 +142,7 @@
         AgreementTask task =
                 new AgreementTask(
                         vm,
-                        mAddresses,
+                        MemberDirectory.listed(mAddresses),
                         OPTIONS,
                         WireOptions.plain(),
                         storage,
--- a/agreement/src/test/java/org/skylarkbend/agreement/ScheduledMember.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/ScheduledMember.java
@@ -108,7 +108,7 @@
                         new AgreementDecider(
                                 mDisk.recovered(),
                                 mSchedule.options(),
-                                mSchedule.vms(),
+                                mSchedule.rules(),
                                 mSchedule.random()::nextLong,
                                 clockMilliseconds()));
         tick(mProcess);
--- /dev/null
+++ b/catalog/src/main/java/org/skylarkbend/catalog/CatalogChecker.java
@@ -0,0 +1,70 @@
+package org.skylarkbend.catalog;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/** Checks a catalog as a whole. */
+final class CatalogChecker {
+    private CatalogChecker() {}
+
+    /** The first problem of a catalog, if it has one. */
+    static Optional<String> problemOf(Catalog catalog) {
+        Set<String> places = new HashSet<>();
+        for (Route route : catalog.routes()) {
+            Optional<String> problem = problemOf(catalog, route);
+            if (problem.isPresent()) {
+                return problem;
+            }
+            if (!places.add(route.host() + " " + route.pathPrefix())) {
+                return Optional.of(
+                        "route \"" + route.name() + "\" has the host and path of another route");
+            }
+        }
+        return sharedKey(catalog);
+    }
+
+    private static Optional<String> problemOf(Catalog catalog, Route route) {
+        if (!route.pathPrefix().startsWith("/") || !route.pathPrefix().endsWith("/")) {
+            return of(route, "has a path prefix that does not begin and end with a slash");
+        }
+        if (route.timeoutMilliseconds() <= 0) {
+            return of(route, "has no timeout");
+        }
+        long weights = 0;
+        for (Route.Target target : route.targets()) {
+            if (!catalog.services().containsKey(target.service())) {
+                return of(route, "names the unknown service \"" + target.service() + "\"");
+            }
+            if (target.weight() < 0) {
+                return of(route, "has a negative weight");
+            }
+            weights += target.weight();
+        }
+        return weights > 0 ? Optional.empty() : of(route, "has weights that add up to 0");
+    }
+
+    private static Optional<String> sharedKey(Catalog catalog) {
+        Map<String, String> holders = new HashMap<>();
+        for (Customer customer : catalog.customers()) {
+            for (String digest : customer.keyDigests()) {
+                String other = holders.put(digest, customer.name());
+                if (other != null && !other.equals(customer.name())) {
+                    return Optional.of(
+                            "customers \""
+                                    + other
+                                    + "\" and \""
+                                    + customer.name()
+                                    + "\" share a key");
+                }
+            }
+        }
+        return Optional.empty();
+    }
+
+    private static Optional<String> of(Route route, String problem) {
+        return Optional.of("route \"" + route.name() + "\" " + problem);
+    }
+}
--- /dev/null
+++ b/catalog/src/main/java/org/skylarkbend/catalog/Service.java
@@ -0,0 +1,20 @@
+package org.skylarkbend.catalog;
+
+import java.util.Optional;
+
+/**
+ * Endpoints that serve the same calls.
+ *
+ * @param name its name
+ * @param maxConnections how many connections one endpoint accepts from all callers together
+ * @param engine what is known of its engines, if its endpoints are engines
+ */
+public record Service(String name, int maxConnections, Optional<Engine> engine) {
+    /**
+     * What engines of a service have in common.
+     *
+     * @param slots how many calls an engine runs at once
+     * @param cacheTokens how many tokens fit into an engine's memory
+     */
+    public record Engine(int slots, long cacheTokens) {}
+}
--- /dev/null
+++ b/catalog/src/main/java/org/skylarkbend/catalog/SiteCodec.java
@@ -0,0 +1,97 @@
+package org.skylarkbend.catalog;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.skylarkbend.base.Result;
+import org.skylarkbend.catalog.SiteMessage.ControlVms;
+import org.skylarkbend.catalog.SiteMessage.Endpoints;
+import org.skylarkbend.catalog.SiteMessage.WeightsNamed;
+import org.skylarkbend.wire.MessageCodec;
+import org.skylarkbend.wire.MessageReader;
+import org.skylarkbend.wire.MessageWriter;
+
+/** The wire form of {@link SiteMessage}. */
+public final class SiteCodec implements MessageCodec<SiteMessage> {
+    private static final int CONTROL_VMS = 1;
+    private static final int ENDPOINTS = 2;
+    private static final int WEIGHTS_NAMED = 3;
+
+    @Override
+    public byte[] encode(SiteMessage message) {
+        if (message instanceof ControlVms vms) {
+            return new MessageWriter(CONTROL_VMS)
+                    .list(vms.addresses(), MessageWriter::text)
+                    .toBytes();
+        }
+        if (message instanceof Endpoints endpoints) {
+            return new MessageWriter(ENDPOINTS)
+                    .list(endpoints.endpoints(), SiteCodec::write)
+                    .list(List.copyOf(endpoints.loading()), MessageWriter::text)
+                    .toBytes();
+        }
+        MessageWriter writer = new MessageWriter(WEIGHTS_NAMED);
+        write(writer, ((WeightsNamed) message).versions());
+        return writer.toBytes();
+    }
+
+    @Override
+    public Result<SiteMessage> decode(byte[] payload) {
+        return MessageReader.decode(payload, SiteCodec::read);
+    }
+
+    /** Writes versions of weights by model. */
+    public static void write(MessageWriter writer, Map<String, Long> versions) {
+        writer.list(
+                List.copyOf(versions.entrySet()),
+                (item, entry) -> item.text(entry.getKey()).number(entry.getValue()));
+    }
+
+    /** Reads versions of weights by model. */
+    public static Map<String, Long> readVersions(MessageReader reader) {
+        Map<String, Long> versions = new HashMap<>();
+        reader.list(item -> versions.put(item.text(), item.number()) == null);
+        return versions;
+    }
+
+    private static void write(MessageWriter writer, Endpoint endpoint) {
+        writer.text(endpoint.id())
+                .text(endpoint.service())
+                .text(endpoint.host())
+                .number(endpoint.port())
+                .text(endpoint.zone())
+                .text(endpoint.softwareVersion())
+                .number(endpoint.slots())
+                .flag(endpoint.leaving())
+                .number(endpoint.bornEpochMilliseconds());
+        write(writer, endpoint.weights());
+    }
+
+    private static SiteMessage read(MessageReader reader) {
+        int type = reader.type();
+        return switch (type) {
+            case CONTROL_VMS -> new ControlVms(reader.list(MessageReader::text));
+            case ENDPOINTS ->
+                    new Endpoints(
+                            reader.list(SiteCodec::readEndpoint),
+                            Set.copyOf(reader.list(MessageReader::text)));
+            case WEIGHTS_NAMED -> new WeightsNamed(readVersions(reader));
+            default -> MessageReader.unknownType(type);
+        };
+    }
+
+    private static Endpoint readEndpoint(MessageReader reader) {
+        return new Endpoint(
+                reader.text(),
+                reader.text(),
+                reader.text(),
+                (int) reader.number(),
+                reader.text(),
+                reader.text(),
+                (int) reader.number(),
+                reader.flag(),
+                reader.number(),
+                readVersions(reader));
+    }
+}
--- a/control/src/main/java/org/skylarkbend/control/AgreementControlLog.java
+++ b/control/src/main/java/org/skylarkbend/control/AgreementControlLog.java
@@ -12,7 +12,7 @@
 import org.skylarkbend.control.log.LogStatus;
 
 /** The replicated log of the agreement slice, as the other tasks of control see it. */
-record AgreementControlLog(Supplier<AgreementTask> agreement) implements ControlLog {
+public record AgreementControlLog(Supplier<AgreementTask> agreement) implements ControlLog {
     @Override
     public Future<Result<byte[]>> propose(ControlEntry entry) {
         return agreement
--- /dev/null
+++ b/control/src/main/java/org/skylarkbend/control/AppliedState.java
@@ -0,0 +1,26 @@
+package org.skylarkbend.control;
+
+import org.skylarkbend.agreement.StateMachine;
+import org.skylarkbend.control.log.ControlStateMachine;
+
+/**
+ * The composed state as the log applies it.
+ *
+ * @param state the slices' states
+ */
+public record AppliedState(ControlStateMachine state) implements StateMachine {
+    @Override
+    public byte[] apply(long index, byte[] command) {
+        return state.apply(command);
+    }
+
+    @Override
+    public byte[] snapshot() {
+        return state.snapshot();
+    }
+
+    @Override
+    public void restore(byte[] snapshot) {
+        state.restore(snapshot);
+    }
+}
--- a/control/src/main/java/org/skylarkbend/control/ControlProcess.java
+++ b/control/src/main/java/org/skylarkbend/control/ControlProcess.java
@@ -12,9 +12,9 @@
 import org.skylarkbend.agreement.AgreementTask;
 import org.skylarkbend.agreement.FileWriting;
 import org.skylarkbend.agreement.MemberAddress;
+import org.skylarkbend.agreement.MemberDirectory;
 import org.skylarkbend.agreement.MemberId;
 import org.skylarkbend.agreement.MemberRole;
-import org.skylarkbend.agreement.StateMachine;
 import org.skylarkbend.base.ObjectName;
 import org.skylarkbend.base.Result;
 import org.skylarkbend.base.StructuredLog;
@@ -144,7 +144,7 @@
         mAgreement =
                 new AgreementTask(
                         mParts.settings().vm(),
-                        addresses(),
+                        MemberDirectory.listed(addresses()),
                         mParts.agreement(),
                         mParts.wire(),
                         storage,
@@ -215,22 +215,4 @@
                         .map(vm -> new ControlAddress(vm.host(), vm.feedPort()));
         mFeed.post(new LeadershipChanged(leads, address));
     }
-
-    /** The composed state as the log applies it. */
-    private record AppliedState(ControlStateMachine state) implements StateMachine {
-        @Override
-        public byte[] apply(long index, byte[] command) {
-            return state.apply(command);
-        }
-
-        @Override
-        public byte[] snapshot() {
-            return state.snapshot();
-        }
-
-        @Override
-        public void restore(byte[] snapshot) {
-            state.restore(snapshot);
-        }
-    }
 }
--- a/control/src/main/java/org/skylarkbend/control/limits/LimitOwnerTask.java
+++ b/control/src/main/java/org/skylarkbend/control/limits/LimitOwnerTask.java
@@ -104,6 +104,12 @@
         mContext.runOnContext(nothing -> published(set));
     }
 
+    /** Tells the task the newest limits, all of them. */
+    public void postLimits(List<CustomerLimit> limits) {
+        List<CustomerLimit> copied = List.copyOf(limits);
+        mContext.runOnContext(nothing -> limitsChanged(copied));
+    }
+
     /** Tells the task that a router is connected. */
     public void postConnected(RouterIdentity router) {
         mContext.runOnContext(nothing -> decide(new RouterConnected(router)));
@@ -126,11 +132,15 @@
     }
 
     private void published(PublishedSet set) {
-        mLimits =
+        limitsChanged(
                 set.customers().values().stream()
                         .map(customer -> limitOf(set, customer.name()))
                         .filter(Objects::nonNull)
-                        .toList();
+                        .toList());
+    }
+
+    private void limitsChanged(List<CustomerLimit> limits) {
+        mLimits = limits;
         decide(new LimitsPublished(mLimits));
     }
 
--- /dev/null
+++ b/control/src/main/java/org/skylarkbend/control/site/SiteControlParts.java
@@ -0,0 +1,49 @@
+package org.skylarkbend.control.site;
+
+import com.codahale.metrics.MetricRegistry;
+import io.vertx.core.Vertx;
+import java.nio.file.Path;
+import java.util.Set;
+import org.skylarkbend.base.MillisecondClock;
+import org.skylarkbend.base.ObjectName;
+import org.skylarkbend.catalog.CatalogReader;
+import org.skylarkbend.catalog.EndpointSource;
+
+/**
+ * What a control process of a site is made of.
+ *
+ * @param vertx runs its tasks
+ * @param self the address of this VM, which is its name as well
+ * @param contacts the addresses of some control VMs
+ * @param founds whether the contacts begin a log together, if none of them holds one
+ * @param agreementPort where members of the log listen, the same on all VMs
+ * @param feedPort where gateways find control, the same on all VMs
+ * @param dataFolder the folder on the disk that lasts
+ * @param dropSilentAfterMilliseconds when a member that stays silent makes room for another
+ * @param takeoverMilliseconds how long a new commander waits for its predecessor's lease to end
+ * @param reader reads the documents of operators
+ * @param endpoints where the endpoints are listed
+ * @param engines how engines are ordered
+ * @param metrics where its metrics are
+ * @param monotonic a clock that never steps back
+ */
+public record SiteControlParts(
+        Vertx vertx,
+        ObjectName self,
+        Set<ObjectName> contacts,
+        boolean founds,
+        int agreementPort,
+        int feedPort,
+        Path dataFolder,
+        long dropSilentAfterMilliseconds,
+        long takeoverMilliseconds,
+        CatalogReader reader,
+        EndpointSource endpoints,
+        EngineCommands engines,
+        MetricRegistry metrics,
+        MillisecondClock monotonic) {
+    /** Copies the set. */
+    public SiteControlParts {
+        contacts = Set.copyOf(contacts);
+    }
+}
--- /dev/null
+++ b/control/src/main/java/org/skylarkbend/control/site/SiteControlProcess.java
@@ -0,0 +1,253 @@
+package org.skylarkbend.control.site;
+
+import io.vertx.core.Context;
+import io.vertx.core.Future;
+import java.security.SecureRandom;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
+import org.skylarkbend.agreement.AgreementOptions;
+import org.skylarkbend.agreement.AgreementStatus;
+import org.skylarkbend.agreement.AgreementStorage;
+import org.skylarkbend.agreement.AgreementTask;
+import org.skylarkbend.agreement.FileWriting;
+import org.skylarkbend.agreement.MemberAddress;
+import org.skylarkbend.agreement.MemberDirectory;
+import org.skylarkbend.agreement.MemberId;
+import org.skylarkbend.agreement.MemberRole;
+import org.skylarkbend.agreement.MemberRules;
+import org.skylarkbend.base.MillisecondClock;
+import org.skylarkbend.base.ObjectName;
+import org.skylarkbend.base.Result;
+import org.skylarkbend.base.StructuredLog;
+import org.skylarkbend.catalog.Catalog;
+import org.skylarkbend.catalog.SiteCodec;
+import org.skylarkbend.catalog.SiteLimits;
+import org.skylarkbend.catalog.SiteMessage;
+import org.skylarkbend.catalog.SiteMessage.ControlVms;
+import org.skylarkbend.catalog.SiteMessage.WeightsNamed;
+import org.skylarkbend.control.AgreementControlLog;
+import org.skylarkbend.control.AppliedState;
+import org.skylarkbend.control.feed.FeedDecider;
+import org.skylarkbend.control.feed.FeedEffect.Forward;
+import org.skylarkbend.control.feed.FeedEffect.ReportConnected;
+import org.skylarkbend.control.feed.FeedInput.LeadershipChanged;
+import org.skylarkbend.control.feed.FeedInput.MessageForRouter;
+import org.skylarkbend.control.feed.FeedInput.RevisionCommitted;
+import org.skylarkbend.control.feed.FeedInput.StandingChanged;
+import org.skylarkbend.control.feed.FeedOptions;
+import org.skylarkbend.control.feed.FeedTask;
+import org.skylarkbend.control.limits.LimitOwnerTask;
+import org.skylarkbend.control.limits.LimitRegistrySlice;
+import org.skylarkbend.control.log.ControlChange;
+import org.skylarkbend.control.log.ControlChange.LimitRegistryChanged;
+import org.skylarkbend.control.log.ControlLog;
+import org.skylarkbend.control.log.ControlStateMachine;
+import org.skylarkbend.control.log.Leadership;
+import org.skylarkbend.limits.CustomerLimit;
+import org.skylarkbend.limits.LimitCodec;
+import org.skylarkbend.limits.LimitPolicy;
+import org.skylarkbend.limits.RouterIdentity;
+import org.skylarkbend.orders.weights.WeightsDecider;
+import org.skylarkbend.publishing.feed.FeedMessage.ControlAddress;
+import org.skylarkbend.publishing.feed.FeedMessage.SliceMessage;
+import org.skylarkbend.wire.WireOptions;
+
+/**
+ * One control process of a site: the replicated log whose members find one another, the feed to
+ * gateways, the owner of limits, and the command over engines, each a task of its own.
+ */
+public final class SiteControlProcess {
+    private static final StructuredLog LOG = StructuredLog.of(SiteControlProcess.class);
+    private static final SecureRandom RANDOM = new SecureRandom();
+
+    /** How long a gateway serves after it last heard that its catalog is the newest. */
+    private static final long SERVING_LEASE_MILLISECONDS = 5_000;
+
+    private final SiteControlParts mParts;
+    private final SiteOperatorService mOperators;
+    private final FeedTask mFeed;
+    private final LimitOwnerTask mLimits;
+    private final EndpointsTask mEndpoints;
+    private final ControlLog mLog = new AgreementControlLog(() -> this.mAgreement);
+    private Context mOperatorContext;
+    private AgreementTask mAgreement;
+
+    /** A process that does not run yet. */
+    public SiteControlProcess(SiteControlParts parts) {
+        mParts = parts;
+        MillisecondClock wall = MillisecondClock.wall();
+        mOperators = new SiteOperatorService(mLog, parts.reader(), wall);
+        mLimits =
+                new LimitOwnerTask(
+                        mLog, LimitPolicy.standard(), parts.monotonic(), wall, this::sendLimits);
+        mFeed = feedTask(wall);
+        mEndpoints =
+                new EndpointsTask(
+                        parts.endpoints(),
+                        parts.engines(),
+                        mLog,
+                        new WeightsDecider(parts.takeoverMilliseconds()),
+                        parts.monotonic(),
+                        this::tell);
+    }
+
+    /** What operators may ask for. Call it on the context given to {@link #start}. */
+    public SiteOperatorService operators() {
+        return mOperators;
+    }
+
+    /**
+     * Opens the data folder and starts the tasks, the log last.
+     *
+     * @param operatorContext the context of the task that serves operators
+     */
+    public Future<Void> start(Context operatorContext) {
+        mOperatorContext = operatorContext;
+        Result<AgreementStorage> opened =
+                AgreementStorage.open(
+                        mParts.dataFolder(), mParts.self(), RANDOM::nextLong, FileWriting.direct());
+        return opened.fold(this::startTasks, error -> Future.failedFuture(error.detail()));
+    }
+
+    /** Ends all tasks. */
+    public Future<Void> stop() {
+        return mParts.vertx()
+                .undeploy(mEndpoints.deploymentID())
+                .eventually(() -> mParts.vertx().undeploy(mFeed.deploymentID()))
+                .eventually(() -> mParts.vertx().undeploy(mLimits.deploymentID()))
+                .eventually(() -> mParts.vertx().undeploy(mAgreement.deploymentID()));
+    }
+
+    private FeedTask feedTask(MillisecondClock wall) {
+        FeedOptions options =
+                FeedOptions.of(SERVING_LEASE_MILLISECONDS, Map.of(), Set.of(LimitCodec.SLICE));
+        return new FeedTask(
+                new FeedTask.Parts(
+                        mParts.self().value(),
+                        mParts.feedPort(),
+                        WireOptions.plain(),
+                        mParts.monotonic(),
+                        wall,
+                        mLog,
+                        mParts.metrics(),
+                        number -> {},
+                        this::forwarded,
+                        this::connected),
+                new FeedDecider(options));
+    }
+
+    private Future<Void> startTasks(AgreementStorage storage) {
+        ControlStateMachine state =
+                new ControlStateMachine(
+                        List.of(
+                                new CatalogSlice(this::documentChanged),
+                                new WeightsSlice(this::weightsChanged),
+                                new LimitRegistrySlice(this::limitsChanged)));
+        mAgreement =
+                new AgreementTask(
+                        mParts.self(),
+                        directory(),
+                        AgreementOptions.defaults(),
+                        WireOptions.plain(),
+                        storage,
+                        new AppliedState(state),
+                        this::roleChanged,
+                        mParts.monotonic(),
+                        bound -> ThreadLocalRandom.current().nextLong(bound));
+        return mParts.vertx()
+                .deployVerticle(mLimits)
+                .compose(id -> mParts.vertx().deployVerticle(mEndpoints))
+                .compose(id -> mParts.vertx().deployVerticle(mFeed))
+                .compose(id -> mParts.vertx().deployVerticle(mAgreement))
+                .onSuccess(id -> LOG.info("control.started", "vm", mParts.self()))
+                .mapEmpty();
+    }
+
+    private MemberDirectory directory() {
+        Set<ObjectName> founders = mParts.founds() ? mParts.contacts() : Set.of();
+        return new MemberDirectory(
+                mParts.contacts(),
+                vm -> Optional.of(new MemberAddress(vm.value(), mParts.agreementPort())),
+                MemberRules.open(founders, mParts.dropSilentAfterMilliseconds()));
+    }
+
+    private void documentChanged(NumberedDocument document) {
+        mOperatorContext.runOnContext(nothing -> mOperators.documentChanged(document));
+        if (!document.isPresent()) {
+            return;
+        }
+        LOG.info("site.catalog", "number", document.number(), "bytes", document.bytes().length);
+        mFeed.post(new RevisionCommitted(document.number(), document.text()));
+        mParts.reader()
+                .read(document.bytes())
+                .match(
+                        this::catalogChanged,
+                        error ->
+                                LOG.warn(
+                                        "site.catalog.unreadable",
+                                        "number",
+                                        document.number(),
+                                        "detail",
+                                        error.detail()));
+    }
+
+    private void catalogChanged(Catalog catalog) {
+        List<CustomerLimit> limits = SiteLimits.of(catalog);
+        mLimits.postLimits(limits);
+    }
+
+    private void weightsChanged(Map<String, Long> versions) {
+        mOperatorContext.runOnContext(nothing -> mOperators.weightsChanged(versions));
+        LOG.info("site.weights", "versions", versions);
+        mEndpoints.postWeights(versions);
+        tell(new WeightsNamed(versions));
+    }
+
+    private void limitsChanged(ControlChange change) {
+        if (change instanceof LimitRegistryChanged limits) {
+            mLimits.post(limits.registry());
+        }
+    }
+
+    private void connected(ReportConnected gateway) {
+        mLimits.postConnected(new RouterIdentity(gateway.vm(), gateway.incarnation()));
+    }
+
+    private void forwarded(Forward forward) {
+        mLimits.postMessage(
+                new RouterIdentity(forward.vm(), forward.incarnation()), forward.payload());
+    }
+
+    private void sendLimits(RouterIdentity gateway, byte[] payload) {
+        SliceMessage message = new SliceMessage(LimitCodec.SLICE, payload);
+        mFeed.post(new MessageForRouter(gateway.vm(), gateway.incarnation(), message));
+    }
+
+    /** Tells all gateways, and those that come later. One message of a kind replaces the other. */
+    private void tell(SiteMessage message) {
+        String slice = message.getClass().getSimpleName();
+        mFeed.post(new StandingChanged(new SliceMessage(slice, new SiteCodec().encode(message))));
+    }
+
+    private void roleChanged(AgreementStatus status) {
+        boolean leads = status.role() == MemberRole.LEADER;
+        Optional<ObjectName> leader = status.leader().map(MemberId::vm);
+        Leadership leadership = new Leadership(leads, status.term(), leader);
+        mOperatorContext.runOnContext(nothing -> mOperators.leadershipChanged(leadership));
+        mLimits.post(leadership);
+        mEndpoints.post(leadership);
+        mFeed.post(new LeadershipChanged(leads, leader.map(this::feedAddress)));
+        tell(
+                new ControlVms(
+                        status.membership().voters().stream()
+                                .map(member -> member.vm().value())
+                                .toList()));
+    }
+
+    private ControlAddress feedAddress(ObjectName vm) {
+        return new ControlAddress(vm.value(), mParts.feedPort());
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/EventRelay.java
@@ -0,0 +1,76 @@
+package org.skylarkbend.gateway.call;
+
+import io.vertx.core.buffer.Buffer;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+
+/**
+ * Cuts a stream of server-sent events at their ends, so that only whole events are passed on, and
+ * remembers the identity of the last one.
+ */
+final class EventRelay {
+    private static final byte LINE_END = '\n';
+    private static final byte CARRIAGE_RETURN = '\r';
+    private static final String ID_FIELD = "id:";
+
+    private Buffer mPending = Buffer.buffer();
+    private int mScannedBytes;
+    private Optional<String> mCandidate = Optional.empty();
+    private Optional<String> mLastEvent = Optional.empty();
+
+    /** Takes the next bytes and returns those that end whole events; maybe none. */
+    Buffer feed(Buffer chunk) {
+        mPending.appendBuffer(chunk);
+        int end = 0;
+        int lineStart = lineStartBefore(mScannedBytes);
+        for (int i = mScannedBytes; i < mPending.length(); i++) {
+            if (mPending.getByte(i) == LINE_END) {
+                String line = line(lineStart, i);
+                if (line.isEmpty()) {
+                    end = i + 1;
+                } else if (line.startsWith(ID_FIELD)) {
+                    mCandidate = Optional.of(line.substring(ID_FIELD.length()).trim());
+                }
+                if (line.isEmpty() && mCandidate.isPresent()) {
+                    mLastEvent = mCandidate;
+                    mCandidate = Optional.empty();
+                }
+                lineStart = i + 1;
+            }
+        }
+        Buffer whole = mPending.getBuffer(0, end);
+        mPending = mPending.getBuffer(end, mPending.length());
+        mScannedBytes = mPending.length();
+        return whole;
+    }
+
+    /** Whether bytes came that belong to an unfinished event. */
+    boolean hasPartial() {
+        return mPending.length() > 0;
+    }
+
+    /** Forgets an unfinished event: the run that sent it has ended. */
+    void dropPartial() {
+        mPending = Buffer.buffer();
+        mScannedBytes = 0;
+        mCandidate = Optional.empty();
+    }
+
+    /** The identity of the last whole event. */
+    Optional<String> lastEvent() {
+        return mLastEvent;
+    }
+
+    private int lineStartBefore(int position) {
+        int start = position;
+        while (start > 0 && mPending.getByte(start - 1) != LINE_END) {
+            start--;
+        }
+        return start;
+    }
+
+    private String line(int start, int end) {
+        boolean hasReturn = end > start && mPending.getByte(end - 1) == CARRIAGE_RETURN;
+        return mPending.getString(start, hasReturn ? end - 1 : end, StandardCharsets.UTF_8.name());
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/GatewayCall.java
@@ -0,0 +1,401 @@
+package org.skylarkbend.gateway.call;
+
+import io.vertx.core.MultiMap;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClientResponse;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.skylarkbend.base.ErrorKind;
+import org.skylarkbend.base.StructuredLog;
+import org.skylarkbend.catalog.CallKind;
+import org.skylarkbend.catalog.Customer;
+import org.skylarkbend.catalog.Endpoint;
+import org.skylarkbend.gateway.endpoints.Prompt;
+import org.skylarkbend.gateway.limits.TokenGate;
+
+/**
+ * One call from its admission to the end of its answer. It belongs to the task that serves the
+ * calls, and owns the timers and the exchange of the moment.
+ */
+public final class GatewayCall implements Attempt.Listener, TokenGate.Caller {
+    private static final StructuredLog LOG = StructuredLog.of(GatewayCall.class);
+
+    /** How long the opening of a connection to an endpoint may take. */
+    private static final long CONNECT_MILLISECONDS = 250;
+
+    /** A resumable stream that is silent for so long goes on elsewhere. */
+    private static final long STREAM_SILENCE_MILLISECONDS = 1_500;
+
+    /** A call that may run again is sent elsewhere when so many times its target have passed. */
+    private static final long REPEAT_AFTER_TARGETS = 3;
+
+    private static final long SHORT_RETRY_AFTER_MILLISECONDS = 100;
+    private static final int LOWEST_ERROR_STATUS = 400;
+    private static final int LOWEST_FAULT_STATUS = 500;
+    private static final String SHARED_SCOPE = "shared";
+
+    private final CallRequest mCall;
+    private final CallResources mResources;
+    private final CallerAnswer mAnswer;
+    private final Runnable mOnOver;
+    private final Set<String> mTried = new HashSet<>();
+    private final EventRelay mEvents = new EventRelay();
+    private Optional<Attempt> mAttempt = Optional.empty();
+    private OptionalLong mGateNumber = OptionalLong.empty();
+    private long mTimeoutTimer;
+    private long mSilenceTimer = -1;
+    private int mSent;
+    private int mUnconnected;
+    private boolean mMayHaveRun;
+    private boolean mStreaming;
+    private boolean mOver;
+    private HttpClientResponse mHead;
+    private Buffer mBody = Buffer.buffer();
+
+    /**
+     * A call that has not begun.
+     *
+     * @param call the call
+     * @param resources what all calls share
+     * @param answer the answer to the caller
+     * @param onOver told once, when the call is over
+     */
+    public GatewayCall(
+            CallRequest call, CallResources resources, CallerAnswer answer, Runnable onOver) {
+        mCall = call;
+        mResources = resources;
+        mAnswer = answer;
+        mOnOver = onOver;
+    }
+
+    /** Begins: asks for tokens where the customer has a limit, then sends the call. */
+    public void start() {
+        long waitMilliseconds = Math.max(1, mCall.answerByMilliseconds() - now());
+        mTimeoutTimer = mResources.vertx().setTimer(waitMilliseconds, id -> timedOut());
+        mResources.retries().called(mCall.service());
+        String customer = mCall.customer().map(Customer::name).orElse("");
+        if (mResources.gate().isLimited(customer)) {
+            long number = mResources.gate().ask(customer, mCall.units(), this, now());
+            mGateNumber = OptionalLong.of(number);
+            if (mOver) {
+                mResources.gate().end(number, mMayHaveRun, now());
+            }
+        } else {
+            admitted();
+        }
+    }
+
+    @Override
+    public void admitted() {
+        if (!mOver) {
+            sendToNext();
+        }
+    }
+
+    @Override
+    public void refused(long retryAfterMilliseconds) {
+        fail(ErrorKind.RATE_EXCEEDED, "the customer's limit is used up", retryAfterMilliseconds);
+    }
+
+    /** The caller has gone. */
+    public void callerLeft() {
+        if (!mOver) {
+            over("caller_left", 0);
+        }
+    }
+
+    private void sendToNext() {
+        Optional<Endpoint> chosen = choose();
+        if (chosen.isEmpty()) {
+            ErrorKind kind = mMayHaveRun ? ErrorKind.ENDPOINT_FAILED : ErrorKind.NO_ENDPOINT;
+            fail(kind, "no endpoint is left to try", SHORT_RETRY_AFTER_MILLISECONDS);
+            return;
+        }
+        Endpoint endpoint = chosen.get();
+        mTried.add(endpoint.incarnation());
+        long promptTokens = mCall.prompt().map(Prompt::promptTokens).orElse(0L);
+        Attempt attempt = new Attempt(endpoint, promptTokens, this);
+        mAttempt = Optional.of(attempt);
+        mBody = Buffer.buffer();
+        mEvents.dropPartial();
+        mResources.board().sent(endpoint, promptTokens);
+        long callerLeftMilliseconds =
+                mCall.arrivedMilliseconds() + mCall.callerWaitsMilliseconds() - now();
+        attempt.start(
+                mResources.client(),
+                mCall,
+                mResources.names(),
+                Urgency.of(mCall),
+                cacheScope(),
+                mEvents.lastEvent(),
+                CONNECT_MILLISECONDS,
+                Math.max(1, callerLeftMilliseconds));
+        watchSilence();
+    }
+
+    private Optional<Endpoint> choose() {
+        if (mCall.prompt().isEmpty()) {
+            return mResources.board().choose(mCall.service(), mTried, now());
+        }
+        return mResources
+                .board()
+                .choose(mCall.service(), mCall.prompt().get(), cacheScope(), mTried, now());
+    }
+
+    /** Customers that are set apart share no cached part with others. */
+    private String cacheScope() {
+        return mCall.customer()
+                .filter(Customer::isolated)
+                .map(customer -> "only-" + customer.name())
+                .orElse(SHARED_SCOPE);
+    }
+
+    @Override
+    public void head(Attempt attempt, HttpClientResponse response) {
+        mHead = response;
+        noteLoad(attempt, response);
+        watchSilence();
+        String id = response.getHeader(mResources.names().requestId());
+        boolean isOk = response.statusCode() < LOWEST_ERROR_STATUS;
+        boolean isOurs = mCall.id().equals(id) || id == null && !isOk;
+        boolean isSealed = response.getHeader(mResources.names().seal()) != null;
+        if (!isOurs || isOk && !isSealed) {
+            attempt.stop();
+            broke(attempt, AttemptOutcome.BROKEN, "the answer to another call came");
+        }
+    }
+
+    @Override
+    public void piece(Attempt attempt, Buffer piece) {
+        watchSilence();
+        if (isStreamAnswer()) {
+            Buffer events = mEvents.feed(piece);
+            if (events.length() > 0) {
+                promptRead(attempt);
+                passOn(events);
+            }
+        } else {
+            mBody.appendBuffer(piece);
+        }
+    }
+
+    private boolean isStreamAnswer() {
+        return mCall.route().kind() == CallKind.STREAM && mHead.statusCode() < LOWEST_ERROR_STATUS;
+    }
+
+    private void passOn(Buffer events) {
+        if (!mStreaming) {
+            mStreaming = true;
+            mAnswer.beginStream(mHead.statusCode(), mHead.headers());
+            mResources
+                    .metrics()
+                    .histogram("gateway_first_event_milliseconds")
+                    .update(now() - mCall.arrivedMilliseconds());
+        }
+        mAnswer.events(events);
+    }
+
+    @Override
+    public void ended(Attempt attempt) {
+        if (isStreamAnswer()) {
+            if (mEvents.hasPartial()) {
+                broke(attempt, AttemptOutcome.BROKEN, "the stream ended within an event");
+            } else {
+                endWholeStream(attempt);
+            }
+            return;
+        }
+        int status = mHead.statusCode();
+        if (status >= LOWEST_ERROR_STATUS && hasHeader(mResources.names().notRun())) {
+            broke(attempt, AttemptOutcome.NOT_RUN, "the endpoint answered " + status);
+        } else if (status >= LOWEST_FAULT_STATUS && mayRepeat()) {
+            broke(attempt, AttemptOutcome.FAILED, "the endpoint answered " + status);
+        } else {
+            attemptOver(attempt);
+            mResources.board().succeeded(attempt.endpoint());
+            mMayHaveRun = true;
+            mAnswer.whole(status, mHead.headers(), mBody);
+            over("answered", status);
+        }
+    }
+
+    private void endWholeStream(Attempt attempt) {
+        attemptOver(attempt);
+        mMayHaveRun = true;
+        mResources.board().succeeded(attempt.endpoint());
+        if (mStreaming) {
+            mAnswer.endStream();
+        } else {
+            mAnswer.whole(mHead.statusCode(), mHead.headers(), mBody);
+        }
+        over("answered", mHead.statusCode());
+    }
+
+    private boolean mayRepeat() {
+        return mCall.route().mayRunAgain()
+                && AttemptPolicy.maySendAgain(
+                        mCall.route(), mSent + 1, mUnconnected, AttemptOutcome.FAILED);
+    }
+
+    @Override
+    public void broke(Attempt attempt, AttemptOutcome outcome, String cause) {
+        if (mOver) {
+            return;
+        }
+        attemptOver(attempt);
+        mResources.board().failed(attempt.endpoint(), now());
+        mMayHaveRun |= outcome.mayHaveRun();
+        boolean unconnected = outcome == AttemptOutcome.NOT_CONNECTED;
+        mUnconnected += unconnected ? 1 : 0;
+        mSent += unconnected ? 0 : 1;
+        LOG.info(
+                "attempt.failed",
+                "id",
+                mCall.id(),
+                "endpoint",
+                attempt.endpoint().incarnation(),
+                "outcome",
+                outcome,
+                "cause",
+                cause,
+                "sent",
+                mSent,
+                "elapsed_milliseconds",
+                now() - mCall.arrivedMilliseconds());
+        boolean again =
+                AttemptPolicy.maySendAgain(mCall.route(), mSent, mUnconnected, outcome)
+                        && now() < mCall.answerByMilliseconds()
+                        && (unconnected || mResources.retries().take(mCall.service()));
+        if (again) {
+            sendToNext();
+        } else {
+            fail(
+                    AttemptPolicy.failure(outcome, mMayHaveRun),
+                    cause,
+                    SHORT_RETRY_AFTER_MILLISECONDS);
+        }
+    }
+
+    private void promptRead(Attempt attempt) {
+        if (attempt.notePromptRead()) {
+            mResources.board().promptRead(attempt.endpoint(), attempt.promptTokens());
+        }
+    }
+
+    private void attemptOver(Attempt attempt) {
+        promptRead(attempt);
+        mResources.board().ended(attempt.endpoint());
+        mAttempt = Optional.empty();
+    }
+
+    private void noteLoad(Attempt attempt, HttpClientResponse response) {
+        LoadHeader.read(response.getHeader(mResources.names().load()))
+                .ifPresent(
+                        load ->
+                                mResources
+                                        .board()
+                                        .reported(
+                                                attempt.endpoint(),
+                                                load.running(),
+                                                load.waiting(),
+                                                now()));
+    }
+
+    private boolean hasHeader(String name) {
+        MultiMap headers = mHead.headers();
+        return headers.contains(name);
+    }
+
+    /** Sends on what can be repeated elsewhere when an endpoint says nothing for too long. */
+    private void watchSilence() {
+        mResources.vertx().cancelTimer(mSilenceTimer);
+        boolean isStream = mCall.route().kind() == CallKind.STREAM;
+        if (isStream ? !mCall.route().resumable() : !mCall.route().mayRunAgain()) {
+            return;
+        }
+        long silenceMilliseconds =
+                isStream
+                        ? Math.max(STREAM_SILENCE_MILLISECONDS, mCall.route().targetMilliseconds())
+                        : REPEAT_AFTER_TARGETS * mCall.route().targetMilliseconds();
+        mSilenceTimer =
+                mResources.vertx().setTimer(Math.max(1, silenceMilliseconds), id -> silent());
+    }
+
+    private void silent() {
+        if (mOver || mAttempt.isEmpty()) {
+            return;
+        }
+        boolean mayGoOn =
+                AttemptPolicy.maySendAgain(
+                        mCall.route(), mSent + 1, mUnconnected, AttemptOutcome.SILENT);
+        if (mayGoOn) {
+            Attempt attempt = mAttempt.get();
+            attempt.stop();
+            broke(attempt, AttemptOutcome.SILENT, "the endpoint was silent");
+        }
+    }
+
+    private void timedOut() {
+        if (mOver) {
+            return;
+        }
+        boolean sent = mAttempt.map(Attempt::isSent).orElse(false) || mMayHaveRun;
+        ErrorKind kind = sent ? ErrorKind.ENDPOINT_TIMEOUT : ErrorKind.OVERLOADED;
+        fail(kind, "the time of the call is over", SHORT_RETRY_AFTER_MILLISECONDS);
+    }
+
+    private void fail(ErrorKind kind, String detail, long retryAfterMilliseconds) {
+        if (mOver) {
+            return;
+        }
+        if (mStreaming) {
+            mAnswer.cutStream();
+        } else {
+            mAnswer.failure(kind, detail, retryAfterMilliseconds);
+        }
+        over(kind.code(), kind.httpStatus());
+    }
+
+    private void over(String outcome, int status) {
+        mOver = true;
+        boolean sent = mAttempt.map(Attempt::isSent).orElse(false);
+        mAttempt.ifPresent(
+                attempt -> {
+                    attempt.stop();
+                    attemptOver(attempt);
+                });
+        mResources.vertx().cancelTimer(mTimeoutTimer);
+        mResources.vertx().cancelTimer(mSilenceTimer);
+        mGateNumber.ifPresent(number -> mResources.gate().end(number, mMayHaveRun || sent, now()));
+        mResources.metrics().counter("gateway_calls_" + outcome).inc();
+        LOG.info(
+                "call.ended",
+                "id",
+                mCall.id(),
+                "route",
+                mCall.route().name(),
+                "service",
+                mCall.service(),
+                "customer",
+                mCall.customer().map(Customer::name).orElse("-"),
+                "catalog",
+                mCall.catalogNumber(),
+                "outcome",
+                outcome,
+                "status",
+                status,
+                "sent",
+                mSent,
+                "tried",
+                mTried.size(),
+                "elapsed_milliseconds",
+                now() - mCall.arrivedMilliseconds());
+        mOnOver.run();
+    }
+
+    private long now() {
+        return mResources.clock().nowMilliseconds();
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EndpointBoard.java
@@ -0,0 +1,206 @@
+package org.skylarkbend.gateway.endpoints;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.DoubleSupplier;
+import java.util.function.ToDoubleFunction;
+import org.skylarkbend.catalog.Endpoint;
+import org.skylarkbend.catalog.SiteMessage.Endpoints;
+
+/**
+ * Knows the endpoints of all services and chooses one for each call.
+ *
+ * <p>A call without a prompt goes to the endpoint with the fewest calls for its slots. A prompt
+ * goes where reading it costs least: to the engine that all gateways alike take for the home of its
+ * shared parts, unless more waits there than reading those parts elsewhere would take. The state
+ * belongs to one task.
+ */
+public final class EndpointBoard {
+    /** The part of the shared tokens that the home of a prompt has to read, on average. */
+    private static final double HOME_MISS_SHARE = 0.15;
+
+    /** A call that waits at an engine counts as a prompt of so many tokens. */
+    private static final double TOKENS_OF_WAITING_CALL = 3_000;
+
+    /** A running call slows the reading of prompts as much as so many tokens more to read. */
+    private static final double TOKENS_OF_RUNNING_CALL = 60;
+
+    /** What an answer by older weights loses, as tokens to read. */
+    private static final double TOKENS_OF_OLDER_WEIGHTS = 6_000;
+
+    /** An endpoint that failed lately, or loads weights, comes after all others. */
+    private static final double LAST_RESORT = 1e9;
+
+    private final DoubleSupplier mRandom;
+    private final Map<String, EndpointLoad> mLoads = new HashMap<>();
+    private final Map<String, List<EndpointLoad>> mByService = new HashMap<>();
+    private Set<String> mLoading = Set.of();
+    private Map<String, Long> mNamed = Map.of();
+    private boolean mKnown;
+
+    /**
+     * A board without endpoints.
+     *
+     * @param random draws from 0 to below 1, to choose among equals
+     */
+    public EndpointBoard(DoubleSupplier random) {
+        mRandom = random;
+    }
+
+    /** Whether the endpoints were ever told. */
+    public boolean isKnown() {
+        return mKnown;
+    }
+
+    /** Takes the endpoints that are listed now. */
+    public void replace(Endpoints endpoints) {
+        mKnown = true;
+        mLoading = endpoints.loading();
+        Map<String, EndpointLoad> present = new HashMap<>();
+        mByService.clear();
+        for (Endpoint endpoint : endpoints.endpoints()) {
+            EndpointLoad load =
+                    mLoads.getOrDefault(endpoint.incarnation(), new EndpointLoad(endpoint));
+            load.update(endpoint);
+            present.put(endpoint.incarnation(), load);
+            if (!endpoint.leaving()) {
+                mByService.computeIfAbsent(endpoint.service(), name -> new ArrayList<>()).add(load);
+            }
+        }
+        mLoads.clear();
+        mLoads.putAll(present);
+    }
+
+    /** Takes the newest versions of weights. */
+    public void name(Map<String, Long> versions) {
+        mNamed = Map.copyOf(versions);
+    }
+
+    /** Chooses an endpoint for a call without a prompt. */
+    public Optional<Endpoint> choose(String service, Set<String> tried, long nowMilliseconds) {
+        return least(
+                service,
+                tried,
+                load ->
+                        (double) load.calls(nowMilliseconds) / Math.max(1, load.endpoint().slots())
+                                + lastResort(load, nowMilliseconds));
+    }
+
+    /** Chooses an engine for a prompt. */
+    public Optional<Endpoint> choose(
+            String service, Prompt prompt, String scope, Set<String> tried, long nowMilliseconds) {
+        String key = prompt.sharedKey();
+        String home = key.isEmpty() ? "" : homeOf(service, prompt.model(), scope + key);
+        return least(
+                service,
+                tried,
+                load -> {
+                    if (!serves(load, prompt.model())) {
+                        return Double.POSITIVE_INFINITY;
+                    }
+                    boolean isHome = load.endpoint().incarnation().equals(home);
+                    double share = isHome ? HOME_MISS_SHARE : 1;
+                    return share * prompt.sharedTokens()
+                            + load.promptTokens()
+                            + load.waiting(nowMilliseconds) * TOKENS_OF_WAITING_CALL
+                            + load.calls(nowMilliseconds) * TOKENS_OF_RUNNING_CALL
+                            + (isOutdated(load, prompt.model()) ? TOKENS_OF_OLDER_WEIGHTS : 0)
+                            + lastResort(load, nowMilliseconds);
+                });
+    }
+
+    /** A call was sent to an endpoint, with so many prompt tokens to read. */
+    public void sent(Endpoint endpoint, long promptTokens) {
+        known(endpoint).ifPresent(load -> load.begin(promptTokens));
+    }
+
+    /** An engine has read the prompt of a call. */
+    public void promptRead(Endpoint endpoint, long promptTokens) {
+        known(endpoint).ifPresent(load -> load.promptRead(promptTokens));
+    }
+
+    /** A call at an endpoint has ended, well or not. */
+    public void ended(Endpoint endpoint) {
+        known(endpoint).ifPresent(EndpointLoad::end);
+    }
+
+    /** An endpoint answered properly. */
+    public void succeeded(Endpoint endpoint) {
+        known(endpoint).ifPresent(EndpointLoad::succeeded);
+    }
+
+    /** An endpoint failed a call, refused it or could not be reached. */
+    public void failed(Endpoint endpoint, long nowMilliseconds) {
+        known(endpoint).ifPresent(load -> load.failed(nowMilliseconds));
+    }
+
+    /** An endpoint said what it has to do. */
+    public void reported(Endpoint endpoint, int running, int waiting, long nowMilliseconds) {
+        known(endpoint).ifPresent(load -> load.report(running, waiting, nowMilliseconds));
+    }
+
+    private Optional<EndpointLoad> known(Endpoint endpoint) {
+        return Optional.ofNullable(mLoads.get(endpoint.incarnation()));
+    }
+
+    private Optional<Endpoint> least(
+            String service, Set<String> tried, ToDoubleFunction<EndpointLoad> cost) {
+        EndpointLoad best = null;
+        double bestCost = Double.POSITIVE_INFINITY;
+        int equals = 0;
+        for (EndpointLoad load : mByService.getOrDefault(service, List.of())) {
+            if (tried.contains(load.endpoint().incarnation())) {
+                continue;
+            }
+            double own = cost.applyAsDouble(load);
+            equals = own == bestCost ? equals + 1 : 1;
+            if (own < bestCost || own == bestCost && mRandom.getAsDouble() * equals < 1) {
+                best = own < Double.POSITIVE_INFINITY ? load : best;
+                bestCost = own;
+            }
+        }
+        return Optional.ofNullable(best).map(EndpointLoad::endpoint);
+    }
+
+    /** The engine with the highest score for a key: the same one at every gateway. */
+    private String homeOf(String service, String model, String key) {
+        String home = "";
+        long highest = Long.MIN_VALUE;
+        for (EndpointLoad load : mByService.getOrDefault(service, List.of())) {
+            String incarnation = load.endpoint().incarnation();
+            long score = mix(key.hashCode() * 31L + incarnation.hashCode());
+            if (serves(load, model) && (home.isEmpty() || score > highest)) {
+                home = incarnation;
+                highest = score;
+            }
+        }
+        return home;
+    }
+
+    private static boolean serves(EndpointLoad load, String model) {
+        Map<String, Long> weights = load.endpoint().weights();
+        return weights.isEmpty() || model.isEmpty() || weights.containsKey(model);
+    }
+
+    private boolean isOutdated(EndpointLoad load, String model) {
+        return load.endpoint().weights().getOrDefault(model, Long.MAX_VALUE)
+                < mNamed.getOrDefault(model, 0L);
+    }
+
+    private double lastResort(EndpointLoad load, long nowMilliseconds) {
+        boolean isLast =
+                load.isPaused(nowMilliseconds) || mLoading.contains(load.endpoint().incarnation());
+        return isLast ? LAST_RESORT : 0;
+    }
+
+    /** The finalizer of SplitMix64. */
+    private static long mix(long value) {
+        long mixed = (value ^ (value >>> 30)) * 0xBF58476D1CE4E5B9L;
+        mixed = (mixed ^ (mixed >>> 27)) * 0x94D049BB133111EBL;
+        return mixed ^ (mixed >>> 31);
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EndpointLoad.java
@@ -0,0 +1,88 @@
+package org.skylarkbend.gateway.endpoints;
+
+import org.skylarkbend.catalog.Endpoint;
+
+/** What a gateway knows of one endpoint's load. Owned by the board. */
+final class EndpointLoad {
+    /** How long an endpoint's own report of its load says something. */
+    private static final long REPORT_LIFE_MILLISECONDS = 1_000;
+
+    private static final long FIRST_PAUSE_MILLISECONDS = 250;
+    private static final long MAX_PAUSE_MILLISECONDS = 4_000;
+    private static final int MAX_DOUBLINGS = 4;
+
+    private Endpoint mEndpoint;
+    private int mCalls;
+    private long mPromptTokens;
+    private int mOtherRunning;
+    private int mWaiting;
+    private long mReportedMilliseconds = Long.MIN_VALUE / 2;
+    private int mFailures;
+    private long mPausedUntilMilliseconds = Long.MIN_VALUE / 2;
+
+    EndpointLoad(Endpoint endpoint) {
+        mEndpoint = endpoint;
+    }
+
+    Endpoint endpoint() {
+        return mEndpoint;
+    }
+
+    void update(Endpoint endpoint) {
+        mEndpoint = endpoint;
+    }
+
+    void begin(long promptTokens) {
+        mCalls++;
+        mPromptTokens += promptTokens;
+    }
+
+    void promptRead(long promptTokens) {
+        mPromptTokens -= promptTokens;
+    }
+
+    void end() {
+        mCalls--;
+    }
+
+    void report(int running, int waiting, long nowMilliseconds) {
+        mOtherRunning = Math.max(0, running - mCalls);
+        mWaiting = waiting;
+        mReportedMilliseconds = nowMilliseconds;
+    }
+
+    void succeeded() {
+        mFailures = 0;
+    }
+
+    /** Leaves the endpoint alone for a while, longer with each failure in a row. */
+    void failed(long nowMilliseconds) {
+        int doublings = Math.min(mFailures, MAX_DOUBLINGS);
+        long pauseMilliseconds =
+                Math.min(MAX_PAUSE_MILLISECONDS, FIRST_PAUSE_MILLISECONDS << doublings);
+        mFailures++;
+        mPausedUntilMilliseconds = nowMilliseconds + pauseMilliseconds;
+    }
+
+    boolean isPaused(long nowMilliseconds) {
+        return nowMilliseconds < mPausedUntilMilliseconds;
+    }
+
+    /** The calls that it runs or holds in its queue, as far as is known. */
+    int calls(long nowMilliseconds) {
+        return mCalls + (isReported(nowMilliseconds) ? mOtherRunning + mWaiting : 0);
+    }
+
+    int waiting(long nowMilliseconds) {
+        return isReported(nowMilliseconds) ? mWaiting : 0;
+    }
+
+    /** The prompt tokens of this gateway's calls that it has not read yet. */
+    long promptTokens() {
+        return mPromptTokens;
+    }
+
+    private boolean isReported(long nowMilliseconds) {
+        return nowMilliseconds - mReportedMilliseconds < REPORT_LIFE_MILLISECONDS;
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/skylarkbend/gateway/front/CallHeadReader.java
@@ -0,0 +1,128 @@
+package org.skylarkbend.gateway.front;
+
+import io.vertx.core.MultiMap;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.skylarkbend.base.Sha256;
+import org.skylarkbend.gateway.HeaderNames;
+import org.skylarkbend.gateway.endpoints.Prompt;
+
+/** Reads what a gateway needs out of the head of a request, and what it passes on. */
+final class CallHeadReader {
+    private static final String BEARER = "Bearer ";
+    private static final long MAX_WAIT_MILLISECONDS = 600_000;
+
+    /** Headers that concern one connection only, or that the gateway writes itself. */
+    private static final Set<String> NOT_PASSED_ON =
+            Set.of(
+                    "connection",
+                    "keep-alive",
+                    "proxy-connection",
+                    "proxy-authenticate",
+                    "proxy-authorization",
+                    "te",
+                    "trailer",
+                    "transfer-encoding",
+                    "upgrade",
+                    "expect",
+                    "content-length",
+                    "host",
+                    "authorization");
+
+    private final HeaderNames mNames;
+
+    CallHeadReader(HeaderNames names) {
+        mNames = names;
+    }
+
+    /** The digest of the caller's key. */
+    Optional<String> keyDigest(MultiMap headers) {
+        String value = headers.get("Authorization");
+        if (value == null || !value.regionMatches(true, 0, BEARER, 0, BEARER.length())) {
+            return Optional.empty();
+        }
+        String key = value.substring(BEARER.length()).trim();
+        return Optional.of(Sha256.hexOf(key));
+    }
+
+    /** How long the caller waits; very long where it does not say. */
+    long waitMilliseconds(MultiMap headers) {
+        String value = headers.get(mNames.deadline());
+        boolean isNumber = value != null && value.matches("\\d{1,9}");
+        return isNumber ? Long.parseLong(value) : MAX_WAIT_MILLISECONDS;
+    }
+
+    /** What the call says of its prompt. Garbled numbers count as none. */
+    Optional<Prompt> prompt(MultiMap headers) {
+        String tokens = headers.get(mNames.tokens());
+        if (tokens == null || !tokens.matches("\\d{1,9}\\s*,\\s*\\d{1,9}")) {
+            return Optional.empty();
+        }
+        String[] counts = tokens.split(",");
+        String model = headers.get(mNames.model());
+        return Optional.of(
+                new Prompt(
+                        model == null ? "" : model,
+                        parts(headers.get(mNames.promptParts())),
+                        Long.parseLong(counts[0].trim()),
+                        Long.parseLong(counts[1].trim())));
+    }
+
+    private static List<Prompt.Part> parts(String value) {
+        List<Prompt.Part> parts = new ArrayList<>();
+        if (value != null) {
+            for (String entry : value.split(",")) {
+                String[] fields = entry.trim().split(":");
+                if (fields.length == 2 && fields[1].matches("\\d{1,9}")) {
+                    parts.add(new Prompt.Part(fields[0], Long.parseLong(fields[1])));
+                }
+            }
+        }
+        return parts;
+    }
+
+    /** The headers that go on to the endpoint. */
+    MultiMap passedOn(MultiMap headers) {
+        Set<String> perConnection = namedByConnection(headers.get("Connection"));
+        MultiMap passedOn = MultiMap.caseInsensitiveMultiMap();
+        for (Map.Entry<String, String> header : headers) {
+            String name = header.getKey().toLowerCase(Locale.ROOT);
+            boolean kept =
+                    !NOT_PASSED_ON.contains(name)
+                            && !mNames.reserved().contains(name)
+                            && !perConnection.contains(name);
+            if (kept) {
+                passedOn.add(header.getKey(), header.getValue());
+            }
+        }
+        return passedOn;
+    }
+
+    /** The headers of an endpoint's answer that go on to the caller. */
+    static MultiMap answerPassedOn(MultiMap headers) {
+        Set<String> perConnection = namedByConnection(headers.get("Connection"));
+        MultiMap passedOn = MultiMap.caseInsensitiveMultiMap();
+        for (Map.Entry<String, String> header : headers) {
+            String name = header.getKey().toLowerCase(Locale.ROOT);
+            if (!NOT_PASSED_ON.contains(name) && !perConnection.contains(name)) {
+                passedOn.add(header.getKey(), header.getValue());
+            }
+        }
+        return passedOn;
+    }
+
+    private static Set<String> namedByConnection(String value) {
+        Set<String> names = new HashSet<>();
+        if (value != null) {
+            for (String name : value.split(",")) {
+                names.add(name.trim().toLowerCase(Locale.ROOT));
+            }
+        }
+        return names;
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/skylarkbend/gateway/front/HttpCallerAnswer.java
@@ -0,0 +1,94 @@
+package org.skylarkbend.gateway.front;
+
+import io.vertx.core.MultiMap;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.HttpServerResponse;
+import java.util.Locale;
+import java.util.function.BooleanSupplier;
+import org.skylarkbend.base.ErrorKind;
+import org.skylarkbend.gateway.call.CallerAnswer;
+
+/** Writes the answer to one request of a caller. */
+final class HttpCallerAnswer implements CallerAnswer {
+    private static final double MILLISECONDS_PER_SECOND = 1_000.0;
+
+    private final HttpServerRequest mRequest;
+    private final BooleanSupplier mIsDraining;
+
+    /**
+     * An answer that is not begun.
+     *
+     * @param request the request
+     * @param isDraining whether the caller should open another connection next time
+     */
+    HttpCallerAnswer(HttpServerRequest request, BooleanSupplier isDraining) {
+        mRequest = request;
+        mIsDraining = isDraining;
+    }
+
+    @Override
+    public void whole(int httpStatus, MultiMap headers, Buffer body) {
+        if (isOpen()) {
+            begin(httpStatus, headers).end(body);
+        }
+    }
+
+    @Override
+    public void beginStream(int httpStatus, MultiMap headers) {
+        if (isOpen()) {
+            begin(httpStatus, headers).setChunked(true);
+        }
+    }
+
+    @Override
+    public void events(Buffer events) {
+        if (isOpen()) {
+            mRequest.response().write(events);
+        }
+    }
+
+    @Override
+    public void endStream() {
+        if (isOpen()) {
+            mRequest.response().end();
+        }
+    }
+
+    @Override
+    public void cutStream() {
+        mRequest.connection().close();
+    }
+
+    @Override
+    public void failure(ErrorKind kind, String detail, long retryAfterMilliseconds) {
+        if (!isOpen()) {
+            return;
+        }
+        HttpServerResponse response = begin(kind.httpStatus(), MultiMap.caseInsensitiveMultiMap());
+        if (kind.retryable()) {
+            double seconds = Math.max(1, retryAfterMilliseconds) / MILLISECONDS_PER_SECOND;
+            response.putHeader("Retry-After", String.format(Locale.ROOT, "%.3f", seconds));
+        }
+        response.putHeader("Content-Type", "application/json");
+        response.end(
+                "{\"error\":\""
+                        + kind.code()
+                        + "\",\"run_state\":\""
+                        + kind.runState().name().toLowerCase(Locale.ROOT)
+                        + "\"}\n");
+    }
+
+    private boolean isOpen() {
+        return !mRequest.response().ended() && !mRequest.response().closed();
+    }
+
+    private HttpServerResponse begin(int httpStatus, MultiMap headers) {
+        HttpServerResponse response = mRequest.response().setStatusCode(httpStatus);
+        response.headers().addAll(CallHeadReader.answerPassedOn(headers));
+        if (mIsDraining.getAsBoolean()) {
+            response.putHeader("Connection", "close");
+        }
+        return response;
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/skylarkbend/gateway/limits/TokenGate.java
@@ -0,0 +1,139 @@
+package org.skylarkbend.gateway.limits;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.LongConsumer;
+import java.util.stream.Collectors;
+import org.skylarkbend.base.ObjectName;
+import org.skylarkbend.limits.CustomerLimit;
+import org.skylarkbend.limits.LimitMessage;
+import org.skylarkbend.limits.LimitShareDecider;
+import org.skylarkbend.limits.LimitShareEffect;
+import org.skylarkbend.limits.LimitShareMessage;
+
+/**
+ * Lets calls of limited customers through while this gateway holds tokens for them.
+ *
+ * <p>What a call counts is spent when it is let through, and given back if it did not run. It
+ * belongs to the task that serves the calls.
+ */
+public final class TokenGate {
+    /**
+     * What becomes of a call. Exactly one method is called, once, maybe before the call returns.
+     */
+    public interface Caller {
+        /** The call may go on. */
+        void admitted();
+
+        /** The customer has no tokens for the call. */
+        void refused(long retryAfterMilliseconds);
+    }
+
+    private final LimitShareDecider mDecider;
+    private final Consumer<LimitMessage> mOwner;
+    private final LongConsumer mWakeAt;
+    private final Map<Long, Caller> mWaiting = new HashMap<>();
+    private final Map<Long, Long> mTokens = new HashMap<>();
+    private Set<ObjectName> mLimited = Set.of();
+    private long mLastNumber;
+
+    /**
+     * A gate that holds nothing yet.
+     *
+     * @param decider decides upon the shares
+     * @param owner sends a message to the owner of the limits
+     * @param wakeAt asks for {@link #wake} at a time
+     */
+    public TokenGate(LimitShareDecider decider, Consumer<LimitMessage> owner, LongConsumer wakeAt) {
+        mDecider = decider;
+        mOwner = owner;
+        mWakeAt = wakeAt;
+    }
+
+    /** Takes the limits of a new catalog. */
+    public void publish(List<CustomerLimit> limits, long nowMilliseconds) {
+        mLimited = limits.stream().map(CustomerLimit::customer).collect(Collectors.toSet());
+        take(new LimitShareMessage.LimitsPublished(limits), nowMilliseconds);
+    }
+
+    /** Whether a customer has a limit. */
+    public boolean isLimited(String customer) {
+        return ObjectName.isValid(customer) && mLimited.contains(ObjectName.of(customer));
+    }
+
+    /** Asks for the tokens of a call. The answer is the number by which the call is ended. */
+    public long ask(String customer, long tokens, Caller caller, long nowMilliseconds) {
+        long number = ++mLastNumber;
+        mWaiting.put(number, caller);
+        mTokens.put(number, tokens);
+        take(
+                new LimitShareMessage.Reserve(number, ObjectName.of(customer), tokens),
+                nowMilliseconds);
+        return number;
+    }
+
+    /**
+     * Ends a call.
+     *
+     * @param number the number that {@link #ask} answered
+     * @param mayHaveRun whether its tokens may have been used
+     */
+    public void end(long number, boolean mayHaveRun, long nowMilliseconds) {
+        mWaiting.remove(number);
+        Long tokens = mTokens.remove(number);
+        if (tokens == null) {
+            return;
+        }
+        if (mayHaveRun) {
+            take(new LimitShareMessage.Spend(number, tokens), nowMilliseconds);
+        }
+        take(new LimitShareMessage.Release(number), nowMilliseconds);
+    }
+
+    /** The owner of the limits said something. */
+    public void ownerSaid(LimitMessage message, long nowMilliseconds) {
+        take(new LimitShareMessage.OwnerSaid(message), nowMilliseconds);
+    }
+
+    /** The time that was asked for has come. */
+    public void wake(long nowMilliseconds) {
+        take(new LimitShareMessage.Wake(), nowMilliseconds);
+    }
+
+    /** Gives back all that no call needs. */
+    public void shutDown(long nowMilliseconds) {
+        take(new LimitShareMessage.ShutDown(), nowMilliseconds);
+    }
+
+    private void take(LimitShareMessage message, long nowMilliseconds) {
+        List.copyOf(mDecider.decide(message, nowMilliseconds)).forEach(this::carryOut);
+    }
+
+    private void carryOut(LimitShareEffect effect) {
+        if (effect instanceof LimitShareEffect.Admit admit) {
+            Caller caller = mWaiting.remove(admit.callId());
+            if (caller != null) {
+                caller.admitted();
+            }
+        } else if (effect instanceof LimitShareEffect.Refuse refuse) {
+            refuse(refuse.callId(), refuse.retryAfterMilliseconds());
+        } else if (effect instanceof LimitShareEffect.RefuseTooLarge refuse) {
+            refuse(refuse.callId(), 0);
+        } else if (effect instanceof LimitShareEffect.SendToOwner send) {
+            mOwner.accept(send.message());
+        } else if (effect instanceof LimitShareEffect.WakeAt wake) {
+            mWakeAt.accept(wake.atMilliseconds());
+        }
+    }
+
+    private void refuse(long number, long retryAfterMilliseconds) {
+        mTokens.remove(number);
+        Caller caller = mWaiting.remove(number);
+        if (caller != null) {
+            caller.refused(retryAfterMilliseconds);
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/skylarkbend/gateway/link/SiteLinkDecider.java
@@ -0,0 +1,125 @@
+package org.skylarkbend.gateway.link;
+
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.skylarkbend.publishing.feed.FeedMessage;
+import org.skylarkbend.publishing.feed.FeedMessage.ControlAddress;
+import org.skylarkbend.publishing.feed.FeedMessage.NotLeader;
+import org.skylarkbend.publishing.feed.FeedMessage.RouterBeat;
+import org.skylarkbend.publishing.feed.FeedMessage.RouterHello;
+import org.skylarkbend.publishing.feed.FeedMessage.ServingLease;
+import org.skylarkbend.publishing.feed.FeedMessage.SetDocument;
+import org.skylarkbend.publishing.feed.FeedMessage.SetRequest;
+import org.skylarkbend.publishing.feed.FeedMessage.SliceMessage;
+
+/**
+ * Decides which control VM to follow, and when to fetch the catalog.
+ *
+ * <p>A gateway starts with some control VMs and learns the others from the leader. Nothing under
+ * the highest number that was ever seen is taken. The state belongs to one task.
+ */
+public final class SiteLinkDecider {
+    private static final long REDIAL_MILLISECONDS = 150;
+    private static final long LEADER_SILENCE_MILLISECONDS = 1_500;
+
+    private final RouterHello mHello;
+    private final List<ControlAddress> mSeeds;
+    private final int mFeedPort;
+    private Set<ControlAddress> mLearned = Set.of();
+    private Optional<ControlAddress> mLeaderHint = Optional.empty();
+    private int mNextAddress;
+    private boolean mConnected;
+    private long mSequence;
+    private long mNumber;
+    private long mLastConfirmedMilliseconds;
+
+    /**
+     * A link that knows these control VMs.
+     *
+     * @param hello how the gateway introduces itself
+     * @param seeds some control VMs
+     * @param feedPort where every control VM listens for gateways
+     */
+    public SiteLinkDecider(RouterHello hello, List<String> seeds, int feedPort) {
+        mHello = hello;
+        mFeedPort = feedPort;
+        mSeeds = seeds.stream().map(host -> new ControlAddress(host, feedPort)).toList();
+    }
+
+    /** Takes one message. */
+    public List<SiteLinkEffect> decide(SiteLinkMessage message, long nowMilliseconds) {
+        List<SiteLinkEffect> effects = new ArrayList<>();
+        if (message instanceof SiteLinkMessage.Started) {
+            effects.add(new SiteLinkEffect.Dial(nextAddress(), 0));
+        } else if (message instanceof SiteLinkMessage.Connected) {
+            mConnected = true;
+            mLastConfirmedMilliseconds = nowMilliseconds;
+            effects.add(new SiteLinkEffect.Send(mHello));
+            beat(nowMilliseconds, effects);
+        } else if (message instanceof SiteLinkMessage.Disconnected) {
+            mConnected = false;
+            boolean hinted = mLeaderHint.isPresent();
+            effects.add(new SiteLinkEffect.Dial(nextAddress(), hinted ? 0 : REDIAL_MILLISECONDS));
+        } else if (message instanceof SiteLinkMessage.BeatDue && mConnected) {
+            beat(nowMilliseconds, effects);
+        } else if (message instanceof SiteLinkMessage.Received received) {
+            receive(received.message(), nowMilliseconds, effects);
+        } else if (message instanceof SiteLinkMessage.SliceToSend slice && mConnected) {
+            effects.add(new SiteLinkEffect.Send(slice.message()));
+        } else if (message instanceof SiteLinkMessage.ControlVmsKnown known) {
+            learn(known.hosts());
+        }
+        return effects;
+    }
+
+    private void beat(long nowMilliseconds, List<SiteLinkEffect> effects) {
+        if (nowMilliseconds - mLastConfirmedMilliseconds > LEADER_SILENCE_MILLISECONDS) {
+            effects.add(new SiteLinkEffect.Close("the leader confirmed nothing for too long"));
+            return;
+        }
+        mSequence++;
+        effects.add(new SiteLinkEffect.Send(new RouterBeat(mSequence, mNumber)));
+    }
+
+    private void receive(FeedMessage message, long nowMilliseconds, List<SiteLinkEffect> effects) {
+        if (message instanceof ServingLease lease) {
+            mLastConfirmedMilliseconds = nowMilliseconds;
+            if (lease.revision() > mNumber) {
+                effects.add(new SiteLinkEffect.Send(new SetRequest(mNumber)));
+            } else {
+                effects.add(new SiteLinkEffect.Confirmed());
+            }
+        } else if (message instanceof SetDocument document && document.revision() > mNumber) {
+            mNumber = document.revision();
+            effects.add(new SiteLinkEffect.TakeDocument(mNumber, document.yaml()));
+            effects.add(new SiteLinkEffect.Confirmed());
+        } else if (message instanceof NotLeader notLeader) {
+            mLeaderHint = notLeader.leader();
+            effects.add(new SiteLinkEffect.Close("not the leader"));
+        } else if (message instanceof SliceMessage slice) {
+            effects.add(new SiteLinkEffect.HandToSlice(slice));
+        }
+    }
+
+    private void learn(List<String> hosts) {
+        Set<ControlAddress> learned = new LinkedHashSet<>();
+        hosts.forEach(host -> learned.add(new ControlAddress(host, mFeedPort)));
+        mLearned = learned;
+    }
+
+    /** The leader where one was named, or else the control VMs by turns. */
+    private ControlAddress nextAddress() {
+        if (mLeaderHint.isPresent()) {
+            ControlAddress leader = mLeaderHint.get();
+            mLeaderHint = Optional.empty();
+            return leader;
+        }
+        Set<ControlAddress> known = new LinkedHashSet<>(mSeeds);
+        known.addAll(mLearned);
+        List<ControlAddress> all = List.copyOf(known);
+        return all.get(mNextAddress++ % all.size());
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/skylarkbend/gateway/link/SiteLinkTask.java
@@ -0,0 +1,209 @@
+package org.skylarkbend.gateway.link;
+
+import io.vertx.core.Context;
+import io.vertx.core.Future;
+import io.vertx.core.VerticleBase;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.skylarkbend.base.MillisecondClock;
+import org.skylarkbend.base.StructuredLog;
+import org.skylarkbend.catalog.CatalogReader;
+import org.skylarkbend.catalog.Endpoint;
+import org.skylarkbend.catalog.EndpointSource;
+import org.skylarkbend.catalog.SiteCodec;
+import org.skylarkbend.catalog.SiteMessage;
+import org.skylarkbend.catalog.SiteMessage.ControlVms;
+import org.skylarkbend.catalog.SiteMessage.Endpoints;
+import org.skylarkbend.catalog.SiteMessage.WeightsNamed;
+import org.skylarkbend.limits.LimitCodec;
+import org.skylarkbend.limits.LimitMessage;
+import org.skylarkbend.publishing.feed.FeedCodec;
+import org.skylarkbend.publishing.feed.FeedMessage;
+import org.skylarkbend.publishing.feed.FeedMessage.SliceMessage;
+import org.skylarkbend.wire.FrameConnection;
+import org.skylarkbend.wire.FrameDialer;
+import org.skylarkbend.wire.WireOptions;
+
+/**
+ * Owns the connection to control and tells the gateway what to serve by.
+ *
+ * <p>While control is out of reach it reads the platform's list of endpoints itself.
+ */
+public final class SiteLinkTask extends VerticleBase {
+    private static final StructuredLog LOG = StructuredLog.of(SiteLinkTask.class);
+    private static final long BEAT_MILLISECONDS = 400;
+
+    /** After so long without control the list is read directly, and as often. */
+    private static final long OWN_LIST_MILLISECONDS = 1_600;
+
+    private final SiteLinkDecider mDecider;
+    private final SiteListener mListener;
+    private final CatalogReader mReader;
+    private final EndpointSource mEndpoints;
+    private final MillisecondClock mClock;
+    private final LimitCodec mLimitCodec = new LimitCodec();
+    private final SiteCodec mSiteCodec = new SiteCodec();
+    private Context mContext;
+    private FrameDialer<FeedMessage> mDialer;
+    private FrameConnection<FeedMessage> mConnection;
+    private long mConfirmedMilliseconds;
+    private boolean mInTouch;
+    private boolean mStopped;
+
+    /** A task that tells the listener, on its own context, of all that it learns. */
+    public SiteLinkTask(
+            SiteLinkDecider decider,
+            SiteListener listener,
+            CatalogReader reader,
+            EndpointSource endpoints,
+            MillisecondClock clock) {
+        mDecider = decider;
+        mListener = listener;
+        mReader = reader;
+        mEndpoints = endpoints;
+        mClock = clock;
+    }
+
+    @Override
+    public Future<?> start() {
+        mContext = context;
+        mDialer = new FrameDialer<>(vertx, new FeedCodec(), WireOptions.plain(), mClock);
+        mConfirmedMilliseconds = mClock.nowMilliseconds();
+        vertx.setPeriodic(BEAT_MILLISECONDS, id -> take(new SiteLinkMessage.BeatDue()));
+        vertx.setPeriodic(OWN_LIST_MILLISECONDS, id -> listWithoutControl());
+        take(new SiteLinkMessage.Started());
+        return Future.succeededFuture();
+    }
+
+    @Override
+    public Future<?> stop() {
+        mStopped = true;
+        return mDialer.close();
+    }
+
+    /** Sends a message to the owner of the limits. It may be lost. */
+    public void sendToLimitOwner(LimitMessage message) {
+        SliceMessage slice = new SliceMessage(LimitCodec.SLICE, mLimitCodec.encode(message));
+        mContext.runOnContext(nothing -> take(new SiteLinkMessage.SliceToSend(slice)));
+    }
+
+    private void take(SiteLinkMessage message) {
+        if (!mStopped) {
+            mDecider.decide(message, mClock.nowMilliseconds()).forEach(this::carryOut);
+        }
+    }
+
+    private void carryOut(SiteLinkEffect effect) {
+        if (effect instanceof SiteLinkEffect.Dial dial) {
+            dial(dial);
+        } else if (effect instanceof SiteLinkEffect.Send send && mConnection != null) {
+            mConnection.send(send.message());
+        } else if (effect instanceof SiteLinkEffect.Close close && mConnection != null) {
+            LOG.debug("link.closed", "cause", close.cause());
+            mConnection.close();
+        } else if (effect instanceof SiteLinkEffect.TakeDocument document) {
+            takeDocument(document);
+        } else if (effect instanceof SiteLinkEffect.HandToSlice slice) {
+            takeSlice(slice.message());
+        } else if (effect instanceof SiteLinkEffect.Confirmed) {
+            confirmed();
+        }
+    }
+
+    private void confirmed() {
+        mConfirmedMilliseconds = mClock.nowMilliseconds();
+        if (!mInTouch) {
+            mInTouch = true;
+            LOG.info("link.control.reached");
+        }
+    }
+
+    private void takeDocument(SiteLinkEffect.TakeDocument document) {
+        mReader.read(document.text().getBytes(StandardCharsets.UTF_8))
+                .match(
+                        mListener::catalogChanged,
+                        error ->
+                                LOG.warn(
+                                        "catalog.refused",
+                                        "number",
+                                        document.number(),
+                                        "detail",
+                                        error.detail()));
+    }
+
+    private void takeSlice(SliceMessage message) {
+        if (message.slice().equals(LimitCodec.SLICE)) {
+            mLimitCodec
+                    .decode(message.payload())
+                    .match(mListener::limitOwnerSaid, error -> garbled(message, error.detail()));
+        } else {
+            mSiteCodec
+                    .decode(message.payload())
+                    .match(this::takeSite, error -> garbled(message, error.detail()));
+        }
+    }
+
+    private void takeSite(SiteMessage message) {
+        if (message instanceof ControlVms vms) {
+            take(new SiteLinkMessage.ControlVmsKnown(vms.addresses()));
+        } else if (message instanceof Endpoints endpoints) {
+            mListener.endpointsChanged(endpoints);
+        } else if (message instanceof WeightsNamed named) {
+            mListener.weightsNamed(named.versions());
+        }
+    }
+
+    private static void garbled(SliceMessage message, String detail) {
+        LOG.warn("link.message.garbled", "slice", message.slice(), "detail", detail);
+    }
+
+    private void listWithoutControl() {
+        long silentMilliseconds = mClock.nowMilliseconds() - mConfirmedMilliseconds;
+        if (silentMilliseconds < OWN_LIST_MILLISECONDS || mStopped) {
+            return;
+        }
+        if (mInTouch) {
+            mInTouch = false;
+            LOG.warn("link.control.lost", "silent_milliseconds", silentMilliseconds);
+        }
+        mEndpoints
+                .list()
+                .onSuccess(
+                        result ->
+                                result.match(
+                                        this::listed,
+                                        error -> LOG.warn("link.list", "detail", error.detail())));
+    }
+
+    private void listed(List<Endpoint> endpoints) {
+        mListener.endpointsChanged(new Endpoints(endpoints, java.util.Set.of()));
+    }
+
+    private void dial(SiteLinkEffect.Dial dial) {
+        if (dial.delayMilliseconds() == 0) {
+            connect(dial);
+        } else {
+            vertx.setTimer(dial.delayMilliseconds(), id -> connect(dial));
+        }
+    }
+
+    private void connect(SiteLinkEffect.Dial dial) {
+        if (mStopped) {
+            return;
+        }
+        mDialer.dial(dial.address().host(), dial.address().port())
+                .onSuccess(this::connected)
+                .onFailure(e -> take(new SiteLinkMessage.Disconnected()));
+    }
+
+    private void connected(FrameConnection<FeedMessage> connection) {
+        mConnection = connection;
+        connection.onMessage(message -> take(new SiteLinkMessage.Received(message)));
+        connection.onClose(
+                () -> {
+                    mConnection = null;
+                    take(new SiteLinkMessage.Disconnected());
+                });
+        take(new SiteLinkMessage.Connected());
+    }
+}
--- /dev/null
+++ b/orders/src/main/java/org/skylarkbend/orders/weights/WeightsDecider.java
@@ -0,0 +1,204 @@
+package org.skylarkbend.orders.weights;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.TreeMap;
+import org.skylarkbend.orders.weights.EngineLoad.Step;
+import org.skylarkbend.orders.weights.WeightsEffect.AskReport;
+import org.skylarkbend.orders.weights.WeightsEffect.Load;
+import org.skylarkbend.orders.weights.WeightsEffect.LoadingChanged;
+import org.skylarkbend.orders.weights.WeightsMessage.Answered;
+import org.skylarkbend.orders.weights.WeightsMessage.Engine;
+import org.skylarkbend.orders.weights.WeightsMessage.Listed;
+import org.skylarkbend.orders.weights.WeightsMessage.LostCommand;
+import org.skylarkbend.orders.weights.WeightsMessage.Named;
+import org.skylarkbend.orders.weights.WeightsMessage.ReportFailed;
+import org.skylarkbend.orders.weights.WeightsMessage.Reported;
+import org.skylarkbend.orders.weights.WeightsMessage.TookCommand;
+
+/**
+ * Decides which engine loads which weights when.
+ *
+ * <p>Every order names the number of orders that the engine has accepted before. An order whose
+ * answer was lost can then not be carried out after a later one. After an order without an answer
+ * the engine is asked what it has before it gets the next.
+ *
+ * <p>A new commander leaves engines alone until the orders of its predecessor have certainly ended.
+ * The state belongs to one task.
+ */
+public final class WeightsDecider {
+    /** How soon after an accepted order an engine is asked whether it is done. */
+    static final long FIRST_QUESTION_MILLISECONDS = 500;
+
+    /** How often it is asked from then on, and after a failure. */
+    static final long QUESTION_MILLISECONDS = 250;
+
+    /** Loads slow one another down when more than two in seven engines load (users' sheets). */
+    private static final int LOADING_SHARE_DIVISOR = 7;
+
+    private static final int LOADING_SHARE = 2;
+    private static final int LEAST_AT_ONCE = 2;
+
+    private final long mTakeoverMilliseconds;
+    private final Map<String, EngineLoad> mEngines = new TreeMap<>();
+    private Map<String, Long> mNamed = Map.of();
+    private OptionalLong mFencingNumber = OptionalLong.empty();
+    private long mCommandsFromMilliseconds;
+
+    /**
+     * A commander without command.
+     *
+     * @param takeoverMilliseconds how long a new commander waits for its predecessor's lease to end
+     */
+    public WeightsDecider(long takeoverMilliseconds) {
+        mTakeoverMilliseconds = takeoverMilliseconds;
+    }
+
+    /** Takes one message. */
+    public List<WeightsEffect> decide(WeightsMessage message, long nowMilliseconds) {
+        List<WeightsEffect> effects = new ArrayList<>();
+        Set<String> loadingBefore = loading();
+        take(message, nowMilliseconds);
+        if (mFencingNumber.isPresent() && nowMilliseconds >= mCommandsFromMilliseconds) {
+            startMore(nowMilliseconds);
+            for (String engine : List.copyOf(mEngines.keySet())) {
+                advance(engine, nowMilliseconds, effects);
+            }
+        }
+        if (!loading().equals(loadingBefore) || message instanceof Reported) {
+            effects.add(new LoadingChanged());
+        }
+        return effects;
+    }
+
+    /** The engines that load weights now, or may. */
+    public Set<String> loading() {
+        Set<String> loading = new HashSet<>();
+        mEngines.forEach(
+                (engine, load) -> {
+                    if (load.step() != Step.IDLE) {
+                        loading.add(engine);
+                    }
+                });
+        return loading;
+    }
+
+    /** The newest versions that an engine is known to have. */
+    public Map<String, Long> weightsOf(String engine) {
+        EngineLoad load = mEngines.get(engine);
+        if (load == null) {
+            return Map.of();
+        }
+        Map<String, Long> versions = new HashMap<>();
+        load.listed().keySet().forEach(model -> versions.put(model, load.version(model)));
+        return versions;
+    }
+
+    private void take(WeightsMessage message, long nowMilliseconds) {
+        if (message instanceof TookCommand took) {
+            mFencingNumber = OptionalLong.of(took.fencingNumber());
+            mCommandsFromMilliseconds = nowMilliseconds + mTakeoverMilliseconds;
+            mEngines.replaceAll((engine, load) -> EngineLoad.met(load.listed()));
+        } else if (message instanceof LostCommand) {
+            mFencingNumber = OptionalLong.empty();
+            mEngines.replaceAll((engine, load) -> EngineLoad.met(load.listed()));
+        } else if (message instanceof Named named) {
+            mNamed = named.versions();
+        } else if (message instanceof Listed listed) {
+            list(listed.engines());
+        } else if (message instanceof Reported reported) {
+            mEngines.computeIfPresent(
+                    reported.engine(), (engine, load) -> reported(load, reported, nowMilliseconds));
+        } else if (message instanceof ReportFailed failed) {
+            mEngines.computeIfPresent(
+                    failed.engine(),
+                    (engine, load) -> load.uncounted(nowMilliseconds + QUESTION_MILLISECONDS));
+        } else if (message instanceof Answered answered) {
+            answered(answered, nowMilliseconds);
+        }
+    }
+
+    private void list(List<Engine> engines) {
+        Set<String> present = new HashSet<>();
+        for (Engine engine : engines) {
+            present.add(engine.incarnation());
+            mEngines.merge(
+                    engine.incarnation(),
+                    EngineLoad.met(engine.weights()),
+                    (known, met) -> known.listedAs(engine.weights()));
+        }
+        mEngines.keySet().retainAll(present);
+    }
+
+    private EngineLoad reported(EngineLoad load, Reported reported, long nowMilliseconds) {
+        EngineLoad next = load.reported(reported.weights(), reported.acceptedOrders());
+        if (reported.busy()) {
+            return next.at(Step.CHECKING, nowMilliseconds + QUESTION_MILLISECONDS);
+        }
+        Step step = wanted(next).isPresent() ? Step.CHECKING : Step.IDLE;
+        return next.at(step, nowMilliseconds);
+    }
+
+    private void answered(Answered answered, long nowMilliseconds) {
+        EngineLoad load = mEngines.get(answered.engine());
+        if (load == null || load.step() != Step.ORDERED) {
+            return;
+        }
+        if (answered.answer() == LoadAnswer.FENCED) {
+            mFencingNumber = OptionalLong.empty();
+        }
+        boolean accepted = answered.answer() == LoadAnswer.ACCEPTED;
+        EngineLoad next =
+                load.uncounted(
+                        nowMilliseconds
+                                + (accepted ? FIRST_QUESTION_MILLISECONDS : QUESTION_MILLISECONDS));
+        mEngines.put(answered.engine(), next);
+    }
+
+    /** Takes in as many engines as may load at once, the most outdated first. */
+    private void startMore(long nowMilliseconds) {
+        int atOnce =
+                Math.max(LEAST_AT_ONCE, mEngines.size() * LOADING_SHARE / LOADING_SHARE_DIVISOR);
+        int free = atOnce - loading().size();
+        for (Map.Entry<String, EngineLoad> entry : mEngines.entrySet()) {
+            EngineLoad load = entry.getValue();
+            if (free > 0 && load.step() == Step.IDLE && wanted(load).isPresent()) {
+                entry.setValue(load.at(Step.CHECKING, nowMilliseconds));
+                free--;
+            }
+        }
+    }
+
+    private void advance(String engine, long nowMilliseconds, List<WeightsEffect> effects) {
+        EngineLoad load = mEngines.get(engine);
+        if (load.step() != Step.CHECKING || nowMilliseconds < load.nextAtMilliseconds()) {
+            return;
+        }
+        Optional<String> model = wanted(load);
+        if (model.isPresent() && load.acceptedOrders().isPresent()) {
+            mEngines.put(engine, load.at(Step.ORDERED, nowMilliseconds));
+            effects.add(
+                    new Load(
+                            engine,
+                            model.get(),
+                            mNamed.get(model.get()),
+                            mFencingNumber.getAsLong(),
+                            load.acceptedOrders().getAsLong()));
+        } else {
+            mEngines.put(engine, load.at(Step.ASKED, nowMilliseconds));
+            effects.add(new AskReport(engine));
+        }
+    }
+
+    private Optional<String> wanted(EngineLoad load) {
+        return load.listed().keySet().stream()
+                .filter(model -> mNamed.getOrDefault(model, 0L) > load.version(model))
+                .findFirst();
+    }
+}
