--- /dev/null
+++ b/catalog/src/test/java/org/skylarkbend/catalog/SiteCodecTest.java
@@ -0,0 +1,40 @@
+package org.skylarkbend.catalog;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.skylarkbend.base.Result;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** The wire form of what control tells gateways. */
+public class SiteCodecTest {
+    private final SiteCodec mCodec = new SiteCodec();
+
+    @DataProvider
+    private Object[] messages() {
+        Endpoint endpoint =
+                new Endpoint("i-1", "desk", "10.0.0.1", 80, "a", "v1", 6, true, 5, Map.of("m", 3L));
+        return new Object[] {
+            new SiteMessage.ControlVms(List.of("10.0.0.1", "10.0.0.2")),
+            new SiteMessage.Endpoints(List.of(endpoint), Set.of(endpoint.incarnation())),
+            new SiteMessage.WeightsNamed(Map.of("m", 2L, "n", 1L))
+        };
+    }
+
+    @Test(dataProvider = "messages")
+    public void aMessageIsReadAsItWasWritten(SiteMessage message) {
+        assertThat(mCodec.decode(mCodec.encode(message))).isEqualTo(Result.success(message));
+    }
+
+    @Test(dataProvider = "messages")
+    public void aMessageCutShortIsRefused(SiteMessage message) {
+        byte[] whole = mCodec.encode(message);
+        for (int lengthBytes = 0; lengthBytes < whole.length; lengthBytes++) {
+            byte[] cut = java.util.Arrays.copyOf(whole, lengthBytes);
+            assertThat(mCodec.decode(cut).isSuccess()).isFalse();
+        }
+    }
+}
--- /dev/null
+++ b/control/src/test/java/org/skylarkbend/control/site/SiteControlProcessTest.java
@@ -0,0 +1,207 @@
+package org.skylarkbend.control.site;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.codahale.metrics.MetricRegistry;
+import io.vertx.core.Context;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import org.skylarkbend.base.ErrorKind;
+import org.skylarkbend.base.MillisecondClock;
+import org.skylarkbend.base.ObjectName;
+import org.skylarkbend.base.Result;
+import org.skylarkbend.catalog.CallerLimits;
+import org.skylarkbend.catalog.Catalog;
+import org.skylarkbend.catalog.Endpoint;
+import org.skylarkbend.orders.weights.LoadAnswer;
+import org.skylarkbend.orders.weights.WeightsEffect.Load;
+import org.skylarkbend.orders.weights.WeightsMessage.Reported;
+import org.skylarkbend.testing.LoopbackPorts;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Control VMs that know three addresses and nothing else, on real sockets and files. */
+public class SiteControlProcessTest {
+    private static final long LIMIT_SECONDS = 60;
+    private static final Set<ObjectName> SEEDS = Set.of(vm(1), vm(2), vm(3));
+
+    private final Map<ObjectName, Running> mRunning = new TreeMap<>();
+    private SiteControlParts.Ports mPorts;
+    private Path mFolder;
+    private Vertx mVertx;
+
+    /** A control process with the context of its operators. */
+    private record Running(SiteControlProcess process, Context operators) {}
+
+    @BeforeMethod
+    public void prepare() throws Exception {
+        mVertx = Vertx.vertx();
+        mFolder = Files.createTempDirectory("site-control");
+        mPorts = new SiteControlParts.Ports(LoopbackPorts.next(), LoopbackPorts.next());
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void stopAll() throws Exception {
+        mRunning.clear();
+        await(mVertx.close());
+    }
+
+    @Test
+    public void fiveVmsThatKnowThreeAddressesBecomeOneGroupAndKeepADocumentOverRestarts()
+            throws Exception {
+        for (int i = 1; i <= 5; i++) {
+            start(vm(i), true);
+        }
+        publish("7");
+        publish("5");
+        assertThat(current()).isEqualTo("7");
+        for (int i = 1; i <= 5; i++) {
+            stop(vm(i));
+        }
+        for (int i = 1; i <= 5; i++) {
+            start(vm(i), false);
+        }
+        assertThat(current()).isEqualTo("7");
+    }
+
+    @Test
+    public void aVmThatStartsEmptyLaterThanTheOthersBeginsNoGroupOfItsOwn() throws Exception {
+        for (int i = 1; i <= 3; i++) {
+            start(vm(i), true);
+        }
+        publish("7");
+        start(vm(4), false);
+        publish("9");
+        stop(vm(1));
+        assertThat(current()).isEqualTo("9");
+    }
+
+    @Test
+    public void whatCannotBeReadOrHasAProblemIsRefusedAndChangesNothing() throws Exception {
+        for (int i = 1; i <= 3; i++) {
+            start(vm(i), true);
+        }
+        publish("7");
+        for (Running running : mRunning.values()) {
+            Result<Long> refused = ask(running, service -> service.publish("no number"));
+            ErrorKind kind = refused.fold(number -> null, error -> error.kind());
+            assertThat(kind).isEqualTo(ErrorKind.SET_INVALID);
+        }
+        assertThat(current()).isEqualTo("7");
+    }
+
+    private void start(ObjectName vm, boolean founds) throws Exception {
+        SiteControlProcess process = new SiteControlProcess(parts(vm, founds));
+        Context operators = mVertx.getOrCreateContext();
+        await(process.start(operators));
+        mRunning.put(vm, new Running(process, operators));
+    }
+
+    private void stop(ObjectName vm) throws Exception {
+        await(mRunning.remove(vm).process().stop());
+    }
+
+    private SiteControlParts parts(ObjectName vm, boolean founds) {
+        return new SiteControlParts(
+                mVertx,
+                vm,
+                SEEDS,
+                founds,
+                mPorts,
+                mFolder.resolve(vm.value()),
+                1_000,
+                0,
+                0,
+                SiteControlProcessTest::read,
+                () -> Future.succeededFuture(Result.success(List.of())),
+                new NoEngines(),
+                new MetricRegistry(),
+                MillisecondClock.monotonic());
+    }
+
+    /** A document is its own number. */
+    private static Result<Catalog> read(byte[] document) {
+        String text = new String(document, StandardCharsets.UTF_8);
+        if (!text.matches("\\d+")) {
+            return Result.failure(ErrorKind.SET_INVALID, "no number");
+        }
+        return Result.success(
+                new Catalog(
+                        Long.parseLong(text),
+                        List.of(),
+                        Map.of(),
+                        List.of(),
+                        CallerLimits.defaults()));
+    }
+
+    /** Publishes a document and checks that it was acknowledged under its own number. */
+    private void publish(String text) throws Exception {
+        Long number = eventually(service -> service.publish(text));
+        assertThat(number).isEqualTo(Long.parseLong(text));
+    }
+
+    private String current() throws Exception {
+        return eventually(SiteOperatorService::current).text();
+    }
+
+    /** Asks all VMs by turns until one answers. */
+    private <T> T eventually(Function<SiteOperatorService, Future<Result<T>>> question)
+            throws Exception {
+        long untilNanoseconds = System.nanoTime() + TimeUnit.SECONDS.toNanos(LIMIT_SECONDS);
+        while (System.nanoTime() < untilNanoseconds) {
+            for (Running running : List.copyOf(mRunning.values())) {
+                Result<T> answer = ask(running, question);
+                if (answer.isSuccess()) {
+                    return answer.fold(value -> value, error -> null);
+                }
+            }
+            await(mVertx.timer(20, TimeUnit.MILLISECONDS));
+        }
+        throw new AssertionError("no VM answered");
+    }
+
+    private <T> Result<T> ask(
+            Running running, Function<SiteOperatorService, Future<Result<T>>> question)
+            throws Exception {
+        Promise<Result<T>> answer = Promise.promise();
+        Supplier<Future<Result<T>>> asking = () -> question.apply(running.process().operators());
+        running.operators().runOnContext(nothing -> asking.get().onComplete(answer));
+        return await(answer.future());
+    }
+
+    private static ObjectName vm(int number) {
+        return ObjectName.of("127.0.0." + number);
+    }
+
+    private static <T> T await(Future<T> future) throws Exception {
+        return future.toCompletionStage()
+                .toCompletableFuture()
+                .get(LIMIT_SECONDS, TimeUnit.SECONDS);
+    }
+
+    /** A site without engines. */
+    private static final class NoEngines implements EngineCommands {
+        @Override
+        public Future<Result<Reported>> report(Endpoint engine) {
+            return Future.succeededFuture(
+                    Result.failure(ErrorKind.NO_ENDPOINT, "there are no engines"));
+        }
+
+        @Override
+        public Future<LoadAnswer> load(Endpoint engine, Load load) {
+            return Future.succeededFuture(LoadAnswer.REFUSED);
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/test/java/org/skylarkbend/gateway/call/AttemptPolicyTest.java
@@ -0,0 +1,64 @@
+package org.skylarkbend.gateway.call;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.skylarkbend.base.ErrorKind;
+import org.skylarkbend.base.RunState;
+import org.skylarkbend.catalog.CallKind;
+import org.skylarkbend.catalog.Route;
+import org.skylarkbend.gateway.Routes;
+import org.testng.annotations.Test;
+
+/** When a call is sent again, and what its caller is told. */
+public class AttemptPolicyTest {
+    @Test
+    public void aCallThatMayRunOnceIsNeverSentAgainWhenItMayHaveRun() {
+        Route once = Routes.of(CallKind.ONCE, 3, false);
+        Route stream = Routes.of(CallKind.STREAM, 3, false);
+        for (AttemptOutcome outcome : AttemptOutcome.values()) {
+            boolean again = !outcome.mayHaveRun();
+            assertThat(AttemptPolicy.maySendAgain(once, 1, 0, outcome)).isEqualTo(again);
+            assertThat(AttemptPolicy.maySendAgain(stream, 1, 0, outcome)).isEqualTo(again);
+        }
+    }
+
+    @Test
+    public void repeatableCallsAndResumableStreamsAreSentAgain() {
+        Route repeatable = Routes.of(CallKind.REPEATABLE, 2, false);
+        Route stream = Routes.of(CallKind.STREAM, 2, true);
+        assertThat(AttemptPolicy.maySendAgain(repeatable, 1, 0, AttemptOutcome.BROKEN)).isTrue();
+        assertThat(AttemptPolicy.maySendAgain(stream, 1, 0, AttemptOutcome.SILENT)).isTrue();
+    }
+
+    @Test
+    public void noCallIsSentToMoreEndpointsThanItsRouteAllows() {
+        Route route = Routes.of(CallKind.REPEATABLE, 2, false);
+        for (AttemptOutcome outcome : AttemptOutcome.values()) {
+            boolean unconnected = outcome == AttemptOutcome.NOT_CONNECTED;
+            assertThat(AttemptPolicy.maySendAgain(route, 2, 0, outcome)).isEqualTo(unconnected);
+        }
+    }
+
+    @Test
+    public void unreachableEndpointsAreNotTriedWithoutEnd() {
+        Route route = Routes.of(CallKind.ONCE, 1, false);
+        assertThat(
+                        AttemptPolicy.maySendAgain(
+                                route,
+                                0,
+                                AttemptPolicy.MAX_UNCONNECTED,
+                                AttemptOutcome.NOT_CONNECTED))
+                .isFalse();
+    }
+
+    @Test
+    public void theCallerIsToldNotRunOnlyWhereThatIsTrue() {
+        for (AttemptOutcome outcome : AttemptOutcome.values()) {
+            ErrorKind kind = AttemptPolicy.failure(outcome, true);
+            assertThat(kind.runState()).isEqualTo(RunState.MAY_HAVE_RUN);
+            assertThat(kind.httpStatus()).isIn(502, 504);
+        }
+        assertThat(AttemptPolicy.failure(AttemptOutcome.NOT_RUN, false).httpStatus())
+                .isEqualTo(503);
+    }
+}
--- /dev/null
+++ b/gateway/src/test/java/org/skylarkbend/gateway/endpoints/EndpointBoardTest.java
@@ -0,0 +1,117 @@
+package org.skylarkbend.gateway.endpoints;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.skylarkbend.catalog.Endpoint;
+import org.skylarkbend.catalog.SiteMessage.Endpoints;
+import org.testng.annotations.Test;
+
+/** Which endpoint serves a call. */
+public class EndpointBoardTest {
+    private static final long WEIGHTS_LIFE_MILLISECONDS = 7_000;
+
+    @Test
+    public void aCallGoesToTheEndpointWithTheFewestCallsForItsSlots() {
+        EndpointBoard board = board(Set.of(), plain("a", 6), plain("b", 6));
+        Endpoint first = board.choose("desk", Set.of(), 0).orElseThrow();
+        board.sent(first, 0);
+        assertThat(board.choose("desk", Set.of(), 0)).isPresent().get().isNotEqualTo(first);
+    }
+
+    @Test
+    public void endpointsThatLeaveOrWereTriedAreNotChosen() {
+        Endpoint leaving =
+                new Endpoint("a", "desk", "10.0.0.1", 80, "z", "v1", 6, true, 1, Map.of());
+        EndpointBoard board = board(Set.of(), leaving, plain("b", 6));
+        assertThat(board.choose("desk", Set.of("b@1"), 0)).isEmpty();
+        assertThat(board.choose("desk", Set.of(), 0).map(Endpoint::id)).contains("b");
+    }
+
+    @Test
+    public void anEndpointThatFailedComesAfterAllOthersForAWhile() {
+        Endpoint failed = plain("a", 6);
+        EndpointBoard board = board(Set.of(), failed, plain("b", 6));
+        board.failed(failed, 0);
+        for (int i = 0; i < 20; i++) {
+            assertThat(board.choose("desk", Set.of(), 10).map(Endpoint::id)).contains("b");
+        }
+        assertThat(board.choose("desk", Set.of("b@1"), 10).map(Endpoint::id)).contains("a");
+    }
+
+    @Test
+    public void everyGatewayTakesTheSameEngineForTheHomeOfAPrompt() {
+        Endpoint[] engines = {engine("a", 1), engine("b", 1), engine("c", 1)};
+        for (int key = 0; key < 20; key++) {
+            Prompt prompt = prompt("shared-" + key, 6_300);
+            String one = chosen(board(Set.of(), engines), prompt, 0);
+            Endpoint[] reversed = {engines[2], engines[1], engines[0]};
+            assertThat(chosen(board(Set.of(), reversed), prompt, 0)).isEqualTo(one);
+        }
+    }
+
+    @Test
+    public void aPromptLeavesAHomeWhereMoreWaitsThanItsSharedPartsTakeElsewhere() {
+        EndpointBoard board = board(Set.of(), engine("a", 1), engine("b", 1));
+        Prompt prompt = prompt("shared", 2_000);
+        String home = chosen(board, prompt, 0);
+        Endpoint endpoint = home.equals("a") ? engine("a", 1) : engine("b", 1);
+        board.sent(endpoint, 40_000);
+        assertThat(chosen(board, prompt, 0)).isNotEqualTo(home);
+    }
+
+    @Test
+    public void anEngineThatLoadsWeightsIsTheLastResort() {
+        EndpointBoard board = board(Set.of("a@1"), engine("a", 1), engine("b", 1));
+        for (int key = 0; key < 20; key++) {
+            assertThat(chosen(board, prompt("shared-" + key, 6_300), 0)).isEqualTo("b");
+        }
+    }
+
+    @Test
+    public void noCallBeginsOnWeightsWhoseTimeIsOver() {
+        EndpointBoard board = board(Set.of(), engine("a", 1));
+        board.name(Map.of("m", 2L), 1_000);
+        Prompt prompt = prompt("shared", 6_300);
+        long stillMilliseconds = 1_000 + WEIGHTS_LIFE_MILLISECONDS;
+        assertThat(board.choose("desk", prompt, "s", Set.of(), stillMilliseconds)).isPresent();
+        assertThat(board.choose("desk", prompt, "s", Set.of(), stillMilliseconds + 1)).isEmpty();
+    }
+
+    @Test
+    public void anEngineOfAnotherModelIsNotChosen() {
+        EndpointBoard board = board(Set.of(), engine("a", 1));
+        Prompt other = new Prompt("other", List.of(), 100, 10);
+        assertThat(board.choose("desk", other, "s", Set.of(), 0)).isEmpty();
+    }
+
+    private static String chosen(EndpointBoard board, Prompt prompt, long nowMilliseconds) {
+        return board.choose("desk", prompt, "s", Set.of(), nowMilliseconds).orElseThrow().id();
+    }
+
+    private static EndpointBoard board(Set<String> loading, Endpoint... endpoints) {
+        EndpointBoard board = new EndpointBoard(() -> 0.5, WEIGHTS_LIFE_MILLISECONDS);
+        board.replace(new Endpoints(new ArrayList<>(List.of(endpoints)), loading));
+        return board;
+    }
+
+    private static Endpoint plain(String id, int slots) {
+        return new Endpoint(id, "desk", "10.0.0.1", 80, "z", "v1", slots, false, 1, Map.of());
+    }
+
+    private static Endpoint engine(String id, long version) {
+        return new Endpoint(
+                id, "desk", "10.0.0.1", 80, "z", "v1", 64, false, 1, Map.of("m", version));
+    }
+
+    private static Prompt prompt(String shared, long sharedTokens) {
+        return new Prompt(
+                "m",
+                List.of(new Prompt.Part(shared, sharedTokens), new Prompt.Part("own", 500)),
+                sharedTokens + 500,
+                20);
+    }
+}
--- /dev/null
+++ b/gateway/src/test/java/org/skylarkbend/gateway/link/SiteLinkDeciderTest.java
@@ -0,0 +1,85 @@
+package org.skylarkbend.gateway.link;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Optional;
+import org.skylarkbend.base.ObjectName;
+import org.skylarkbend.publishing.feed.FeedMessage;
+import org.skylarkbend.publishing.feed.FeedMessage.ControlAddress;
+import org.skylarkbend.publishing.feed.FeedMessage.NotLeader;
+import org.skylarkbend.publishing.feed.FeedMessage.RouterHello;
+import org.skylarkbend.publishing.feed.FeedMessage.ServingLease;
+import org.skylarkbend.publishing.feed.FeedMessage.SetDocument;
+import org.skylarkbend.publishing.feed.FeedMessage.SetRequest;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Which control VM a gateway follows, and which catalog it takes. */
+public class SiteLinkDeciderTest {
+    private static final int PORT = 7_601;
+
+    private SiteLinkDecider mLink;
+
+    @BeforeMethod
+    public void connectToTheFirstSeed() {
+        RouterHello hello = new RouterHello(ObjectName.of("front-1"), ObjectName.of("z"), 1);
+        mLink = new SiteLinkDecider(hello, List.of("10.0.0.1", "10.0.0.2"), PORT);
+        assertThat(decide(new SiteLinkMessage.Started()))
+                .containsExactly(new SiteLinkEffect.Dial(address("10.0.0.1"), 0));
+        decide(new SiteLinkMessage.Connected());
+    }
+
+    @Test
+    public void theNextSeedIsCalledWhenOneCannotBeReached() {
+        assertThat(dialed(decide(new SiteLinkMessage.Disconnected()))).isEqualTo("10.0.0.2");
+        assertThat(dialed(decide(new SiteLinkMessage.Disconnected()))).isEqualTo("10.0.0.1");
+    }
+
+    @Test
+    public void aLeaderThatIsNoSeedIsFollowedAtOnce() {
+        List<SiteLinkEffect> effects = receive(new NotLeader(Optional.of(address("10.0.0.9"))));
+        assertThat(effects).anyMatch(SiteLinkEffect.Close.class::isInstance);
+        assertThat(decide(new SiteLinkMessage.Disconnected()))
+                .containsExactly(new SiteLinkEffect.Dial(address("10.0.0.9"), 0));
+    }
+
+    @Test
+    public void controlVmsThatWereLearntAreCalledWhenAllSeedsAreGone() {
+        decide(new SiteLinkMessage.ControlVmsKnown(List.of("10.0.0.5")));
+        assertThat(dialed(decide(new SiteLinkMessage.Disconnected()))).isEqualTo("10.0.0.2");
+        assertThat(dialed(decide(new SiteLinkMessage.Disconnected()))).isEqualTo("10.0.0.5");
+    }
+
+    @Test
+    public void aNewerCatalogIsFetchedAndAnOlderOneIsNeverTaken() {
+        assertThat(receive(new ServingLease(1, 8, 1)))
+                .containsExactly(new SiteLinkEffect.Send(new SetRequest(0)));
+        assertThat(receive(new SetDocument(8, "eight")))
+                .contains(new SiteLinkEffect.TakeDocument(8, "eight"));
+        assertThat(receive(new SetDocument(4, "four"))).isEmpty();
+        assertThat(receive(new SetDocument(8, "other"))).isEmpty();
+    }
+
+    @Test
+    public void aLeaderThatConfirmsNothingIsLeft() {
+        List<SiteLinkEffect> effects = mLink.decide(new SiteLinkMessage.BeatDue(), 1_000_000);
+        assertThat(effects).hasOnlyElementsOfType(SiteLinkEffect.Close.class);
+    }
+
+    private List<SiteLinkEffect> receive(FeedMessage message) {
+        return decide(new SiteLinkMessage.Received(message));
+    }
+
+    private List<SiteLinkEffect> decide(SiteLinkMessage message) {
+        return mLink.decide(message, 0);
+    }
+
+    private static String dialed(List<SiteLinkEffect> effects) {
+        return ((SiteLinkEffect.Dial) effects.get(0)).address().host();
+    }
+
+    private static ControlAddress address(String host) {
+        return new ControlAddress(host, PORT);
+    }
+}
--- /dev/null
+++ b/orders/src/test/java/org/skylarkbend/orders/weights/WeightsDeciderTest.java
@@ -0,0 +1,130 @@
+package org.skylarkbend.orders.weights;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.IntStream;
+import org.skylarkbend.orders.weights.WeightsEffect.AskReport;
+import org.skylarkbend.orders.weights.WeightsEffect.Load;
+import org.skylarkbend.orders.weights.WeightsMessage.Answered;
+import org.skylarkbend.orders.weights.WeightsMessage.Engine;
+import org.skylarkbend.orders.weights.WeightsMessage.Listed;
+import org.skylarkbend.orders.weights.WeightsMessage.Named;
+import org.skylarkbend.orders.weights.WeightsMessage.Reported;
+import org.skylarkbend.orders.weights.WeightsMessage.Tick;
+import org.skylarkbend.orders.weights.WeightsMessage.TookCommand;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Which engine is ordered to load which weights, and when. */
+public class WeightsDeciderTest {
+    private static final long TAKEOVER_MILLISECONDS = 3_000;
+
+    private WeightsDecider mDecider;
+    private long mNowMilliseconds;
+
+    @BeforeMethod
+    public void commandEightEngines() {
+        mNowMilliseconds = 0;
+        mDecider = new WeightsDecider(TAKEOVER_MILLISECONDS);
+        decide(new Listed(IntStream.range(0, 8).mapToObj(i -> engine("e" + i, 1)).toList()));
+        decide(new TookCommand(7));
+        mNowMilliseconds = TAKEOVER_MILLISECONDS;
+    }
+
+    @Test
+    public void aNewCommanderLeavesEnginesAloneUntilItsPredecessorsLeaseHasEnded() {
+        mNowMilliseconds = TAKEOVER_MILLISECONDS - 1;
+        assertThat(decide(new Named(Map.of("m", 2L)))).isEmpty();
+        mNowMilliseconds = TAKEOVER_MILLISECONDS;
+        assertThat(decide(new Tick())).isNotEmpty();
+    }
+
+    @Test
+    public void threeInEightEnginesLoadAtOnceAndNamesTheOrdersThatCameBefore() {
+        assertThat(asked(decide(new Named(Map.of("m", 2L))))).containsExactly("e0", "e1", "e2");
+        List<WeightsEffect> effects = decide(new Reported("e1", Map.of("m", 1L), false, 4));
+        assertThat(effects).contains(new Load("e1", "m", 2, 7, 4));
+    }
+
+    @Test
+    public void anEngineThatIsBusyIsAskedAgainAndNotOrderedAgain() {
+        order("e0");
+        decide(new Answered("e0", LoadAnswer.ACCEPTED));
+        mNowMilliseconds += WeightsDecider.FIRST_QUESTION_MILLISECONDS;
+        assertThat(asked(decide(new Tick()))).contains("e0");
+        assertThat(loads(decide(new Reported("e0", Map.of("m", 1L), true, 1)))).isEmpty();
+        mNowMilliseconds += WeightsDecider.QUESTION_MILLISECONDS;
+        assertThat(asked(decide(new Tick()))).contains("e0");
+    }
+
+    @Test
+    public void anotherEngineFollowsWhenOneIsDone() {
+        order("e0");
+        decide(new Answered("e0", LoadAnswer.ACCEPTED));
+        mNowMilliseconds += WeightsDecider.FIRST_QUESTION_MILLISECONDS;
+        decide(new Tick());
+        assertThat(asked(decide(new Reported("e0", Map.of("m", 2L), false, 1)))).contains("e3");
+        assertThat(mDecider.weightsOf("e0")).containsEntry("m", 2L);
+        assertThat(mDecider.loading()).doesNotContain("e0");
+    }
+
+    @Test
+    public void afterAnOrderWithoutAnswerTheEngineIsAskedBeforeItIsOrderedAgain() {
+        order("e0");
+        assertThat(loads(decide(new Answered("e0", LoadAnswer.UNKNOWN)))).isEmpty();
+        mNowMilliseconds += WeightsDecider.QUESTION_MILLISECONDS;
+        assertThat(asked(decide(new Tick()))).contains("e0");
+        assertThat(loads(decide(new Reported("e0", Map.of("m", 1L), false, 0))))
+                .containsExactly(new Load("e0", "m", 2, 7, 0));
+    }
+
+    @Test
+    public void aCommanderWhoseNumberIsTooLowOrdersNoMore() {
+        order("e0");
+        decide(new Answered("e0", LoadAnswer.FENCED));
+        mNowMilliseconds += 10_000;
+        assertThat(decide(new Tick())).isEmpty();
+    }
+
+    @Test
+    public void theMostOutdatedEngineGoesFirst() {
+        List<Engine> engines = new ArrayList<>(List.of(engine("a", 2), engine("b", 2)));
+        engines.add(engine("z", 1));
+        decide(new Listed(engines));
+        assertThat(asked(decide(new Named(Map.of("m", 3L))))).containsExactly("a", "z");
+    }
+
+    @Test
+    public void anEngineThatIsListedNoMoreIsForgotten() {
+        order("e0");
+        decide(new Listed(List.of(engine("e5", 1))));
+        assertThat(mDecider.loading()).containsExactly("e5");
+    }
+
+    private void order(String engine) {
+        decide(new Named(Map.of("m", 2L)));
+        assertThat(loads(decide(new Reported(engine, Map.of("m", 1L), false, 0)))).hasSize(1);
+    }
+
+    private List<WeightsEffect> decide(WeightsMessage message) {
+        return mDecider.decide(message, mNowMilliseconds);
+    }
+
+    private static Engine engine(String name, long version) {
+        return new Engine(name, Map.of("m", version));
+    }
+
+    private static List<String> asked(List<WeightsEffect> effects) {
+        return effects.stream()
+                .filter(AskReport.class::isInstance)
+                .map(effect -> ((AskReport) effect).engine())
+                .toList();
+    }
+
+    private static List<WeightsEffect> loads(List<WeightsEffect> effects) {
+        return effects.stream().filter(Load.class::isInstance).toList();
+    }
+}
