--- a/agreement/src/main/java/org/skylarkbend/agreement/AgreementOptions.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/AgreementOptions.java
@@ -48,6 +48,12 @@
                 100, 600, 1_200, false, 10, 1_000, 8 * 1024 * 1024, 200, 512 * 1024);
     }
 
+    /** For members one millisecond apart whose callers wait a second: elections take 0.6 s. */
+    public static AgreementOptions quick() {
+        return new AgreementOptions(
+                60, 300, 600, false, 10, 1_000, 8 * 1024 * 1024, 200, 512 * 1024);
+    }
+
     /** How long a lease runs from the sending of the heartbeat that a quorum answered. */
     public long leaseMilliseconds() {
         return electionMinMilliseconds * (WHOLE_PERCENT - driftMarginPercent) / WHOLE_PERCENT;
--- a/control/src/main/java/org/skylarkbend/control/site/SiteControlProcess.java
+++ b/control/src/main/java/org/skylarkbend/control/site/SiteControlProcess.java
@@ -154,7 +154,7 @@
                 new AgreementTask(
                         mParts.self(),
                         directory(),
-                        AgreementOptions.defaults(),
+                        AgreementOptions.quick(),
                         WireOptions.plain(),
                         storage,
                         new AppliedState(state),
--- a/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EndpointBoard.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EndpointBoard.java
@@ -24,8 +24,11 @@
     /** The part of the shared tokens that the home of a prompt has to read, on average. */
     private static final double HOME_MISS_SHARE = 0.15;
 
+    /** Reading shared parts elsewhere also takes cache and time from the prompts at home there. */
+    private static final double ELSEWHERE_SHARE = 2;
+
     /** A call that waits at an engine counts as a prompt of so many tokens. */
-    private static final double TOKENS_OF_WAITING_CALL = 3_000;
+    private static final double TOKENS_OF_WAITING_CALL = 1_500;
 
     /** A running call slows the reading of prompts as much as so many tokens more to read. */
     private static final double TOKENS_OF_RUNNING_CALL = 60;
@@ -115,7 +118,7 @@
                         return Double.POSITIVE_INFINITY;
                     }
                     boolean isHome = load.endpoint().incarnation().equals(home);
-                    double share = isHome ? HOME_MISS_SHARE : 1;
+                    double share = isHome ? HOME_MISS_SHARE : ELSEWHERE_SHARE;
                     return share * prompt.sharedTokens()
                             + load.promptTokens()
                             + load.waiting(nowMilliseconds) * TOKENS_OF_WAITING_CALL
--- a/gateway/src/main/java/org/skylarkbend/gateway/link/SiteLinkDecider.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/link/SiteLinkDecider.java
@@ -22,8 +22,8 @@
  * the highest number that was ever seen is taken. The state belongs to one task.
  */
 public final class SiteLinkDecider {
-    private static final long REDIAL_MILLISECONDS = 150;
-    private static final long LEADER_SILENCE_MILLISECONDS = 1_500;
+    private static final long REDIAL_MILLISECONDS = 50;
+    private static final long LEADER_SILENCE_MILLISECONDS = 700;
 
     private final RouterHello mHello;
     private final List<ControlAddress> mSeeds;
--- a/gateway/src/main/java/org/skylarkbend/gateway/link/SiteLinkTask.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/link/SiteLinkTask.java
@@ -32,7 +32,7 @@
  */
 public final class SiteLinkTask extends VerticleBase {
     private static final StructuredLog LOG = StructuredLog.of(SiteLinkTask.class);
-    private static final long BEAT_MILLISECONDS = 400;
+    private static final long BEAT_MILLISECONDS = 250;
 
     /** After so long without control the list is read directly, and as often. */
     private static final long OWN_LIST_MILLISECONDS = 1_600;
--- a/orders/src/main/java/org/skylarkbend/orders/weights/WeightsDecider.java
+++ b/orders/src/main/java/org/skylarkbend/orders/weights/WeightsDecider.java
@@ -40,10 +40,11 @@
     /** How often it is asked from then on, and after a failure. */
     static final long QUESTION_MILLISECONDS = 250;
 
-    /** Three in eight at once bring all engines up in three turns of some 2.6 s (played days). */
-    private static final int LOADING_SHARE = 3;
+    /** Loads slow one another down when more than two in seven engines load (users' sheets). */
+    private static final int LOADING_SHARE = 2;
 
-    private static final int LOADING_DIVISOR = 8;
+    private static final int LOADING_DIVISOR = 7;
+    private static final int LEAST_AT_ONCE = 2;
 
     private final long mTakeoverMilliseconds;
     private final Map<String, EngineLoad> mEngines = new TreeMap<>();
@@ -168,7 +169,7 @@
      * They let their runs finish before they load, so that fewer load at the same moment.
      */
     private void startMore(long nowMilliseconds) {
-        int atOnce = (mEngines.size() * LOADING_SHARE + LOADING_DIVISOR - 1) / LOADING_DIVISOR;
+        int atOnce = Math.max(LEAST_AT_ONCE, mEngines.size() * LOADING_SHARE / LOADING_DIVISOR);
         int free = atOnce - loading().size();
         List<String> outdated = new ArrayList<>();
         mEngines.forEach(
