--- a/gateway/src/main/java/org/skylarkbend/gateway/GatewayProcess.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/GatewayProcess.java
@@ -16,7 +16,7 @@
 /** One gateway process: the link to control, the calls, and the answers about itself. */
 public final class GatewayProcess {
     /** The balancer notices within two questions, one a second, that a gateway is not ready. */
-    private static final long LEAST_DRAIN_MILLISECONDS = 3_000;
+    private static final long LEAST_DRAIN_MILLISECONDS = 2_800;
 
     private static final long END_MARGIN_MILLISECONDS = 500;
 
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/GatewayCall.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/GatewayCall.java
@@ -106,6 +106,17 @@
         }
     }
 
+    /** An endpoint takes no connections any more. */
+    public void endpointLost(Endpoint endpoint) {
+        boolean isAffected =
+                mAttempt.map(Attempt::endpoint)
+                        .filter(own -> own.incarnation().equals(endpoint.incarnation()))
+                        .isPresent();
+        if (isAffected) {
+            silent();
+        }
+    }
+
     private void sendToNext() {
         Optional<Endpoint> chosen = choose();
         if (chosen.isEmpty()) {
@@ -120,9 +131,7 @@
         mAttempt = Optional.of(attempt);
         mBody = Buffer.buffer();
         mEvents.dropPartial();
-        mResources.board().sent(endpoint, promptTokens);
-        long callerLeftMilliseconds =
-                mCall.arrivedMilliseconds() + mCall.callerWaitsMilliseconds() - now();
+        mResources.board().sent(endpoint, promptTokens, now());
         attempt.start(
                 mResources.client(),
                 mCall,
@@ -131,7 +140,7 @@
                 cacheScope(),
                 mEvents.lastEvent(),
                 CONNECT_MILLISECONDS,
-                Math.max(1, callerLeftMilliseconds));
+                Math.max(1, mCall.answerByMilliseconds() - now()));
         watchSilence();
     }
 
@@ -155,6 +164,7 @@
     @Override
     public void head(Attempt attempt, HttpClientResponse response) {
         mHead = response;
+        mResources.board().heard(attempt.endpoint(), now());
         noteLoad(attempt, response);
         watchSilence();
         String id = response.getHeader(mResources.names().requestId());
@@ -169,6 +179,7 @@
 
     @Override
     public void piece(Attempt attempt, Buffer piece) {
+        mResources.board().heard(attempt.endpoint(), now());
         watchSilence();
         if (isStreamAnswer()) {
             Buffer events = mEvents.feed(piece);
--- a/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EndpointBoard.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EndpointBoard.java
@@ -36,9 +36,18 @@
     /** What an answer by older weights loses, a fifth of its worth, as tokens to read. */
     private static final double TOKENS_OF_OLDER_WEIGHTS = 3_000;
 
+    /** A token of an answer keeps an engine from loading as long as reading so many takes. */
+    private static final double TOKENS_OF_AWAITED_TOKEN = 2;
+
+    /** A call may wait so long in an engine's queue before it begins. */
+    private static final long QUEUE_MILLISECONDS = 1_500;
+
     /** How long after newer weights were named older ones still earn all (users' rules). */
     private static final long FULL_WORTH_MILLISECONDS = 1_300;
 
+    /** An engine at work sends something every 50 ms, and reads the largest prompts in a second. */
+    private static final long QUIET_MILLISECONDS = 600;
+
     /** An endpoint that failed lately, or loads weights, comes after all others. */
     private static final double LAST_RESORT = 1e9;
 
@@ -123,14 +132,14 @@
                             + load.promptTokens()
                             + load.waiting(nowMilliseconds) * TOKENS_OF_WAITING_CALL
                             + load.calls(nowMilliseconds) * TOKENS_OF_RUNNING_CALL
-                            + tokensOfAge(load, prompt.model(), nowMilliseconds)
+                            + tokensOfAge(load, prompt, nowMilliseconds)
                             + lastResort(load, nowMilliseconds);
                 });
     }
 
     /** A call was sent to an endpoint, with so many prompt tokens to read. */
-    public void sent(Endpoint endpoint, long promptTokens) {
-        known(endpoint).ifPresent(load -> load.begin(promptTokens));
+    public void sent(Endpoint endpoint, long promptTokens, long nowMilliseconds) {
+        known(endpoint).ifPresent(load -> load.begin(promptTokens, nowMilliseconds));
     }
 
     /** An engine has read the prompt of a call. */
@@ -143,6 +152,24 @@
         known(endpoint).ifPresent(EndpointLoad::end);
     }
 
+    /** An endpoint sent something, or took a connection. */
+    public void heard(Endpoint endpoint, long nowMilliseconds) {
+        known(endpoint).ifPresent(load -> load.heard(nowMilliseconds));
+    }
+
+    /** An endpoint took no connection: no call goes there while there are others. */
+    public void unreachable(Endpoint endpoint) {
+        known(endpoint).ifPresent(EndpointLoad::unreachable);
+    }
+
+    /** The endpoints that should be asked whether they are there: those that are quiet or lost. */
+    public List<Endpoint> quiet(long nowMilliseconds) {
+        return mLoads.values().stream()
+                .filter(load -> load.isQuiet(nowMilliseconds, QUIET_MILLISECONDS))
+                .map(EndpointLoad::endpoint)
+                .toList();
+    }
+
     /** An endpoint answered properly. */
     public void succeeded(Endpoint endpoint) {
         known(endpoint).ifPresent(EndpointLoad::succeeded);
@@ -205,10 +232,14 @@
         return weights.isEmpty() || model.isEmpty() || weights.containsKey(model);
     }
 
-    /** What older weights cost: nothing at first, then a part of the answer, at last all of it. */
-    private double tokensOfAge(EndpointLoad load, String model, long nowMilliseconds) {
-        long version = load.endpoint().weights().getOrDefault(model, Long.MAX_VALUE);
-        TreeMap<Long, Long> named = mNamedMilliseconds.get(model);
+    /**
+     * What older weights cost. An engine with older weights will load soon and waits for its runs
+     * first, so long answers go elsewhere at once; after a while every answer loses a part, and at
+     * last all of it.
+     */
+    private double tokensOfAge(EndpointLoad load, Prompt prompt, long nowMilliseconds) {
+        TreeMap<Long, Long> named = mNamedMilliseconds.get(prompt.model());
+        long version = load.endpoint().weights().getOrDefault(prompt.model(), Long.MAX_VALUE);
         if (named == null || named.higherEntry(version) == null) {
             return 0;
         }
@@ -216,12 +247,17 @@
         if (ageMilliseconds > mWeightsLifeMilliseconds) {
             return Double.POSITIVE_INFINITY;
         }
-        return ageMilliseconds > FULL_WORTH_MILLISECONDS ? TOKENS_OF_OLDER_WEIGHTS : 0;
+        boolean isNearEnd = ageMilliseconds > mWeightsLifeMilliseconds - QUEUE_MILLISECONDS;
+        return prompt.maxAnswerTokens() * TOKENS_OF_AWAITED_TOKEN
+                + (ageMilliseconds > FULL_WORTH_MILLISECONDS ? TOKENS_OF_OLDER_WEIGHTS : 0)
+                + (isNearEnd ? LAST_RESORT / 2 : 0);
     }
 
     private double lastResort(EndpointLoad load, long nowMilliseconds) {
         boolean isLast =
-                load.isPaused(nowMilliseconds) || mLoading.contains(load.endpoint().incarnation());
+                load.isPaused(nowMilliseconds)
+                        || load.isUnreachable()
+                        || mLoading.contains(load.endpoint().incarnation());
         return isLast ? LAST_RESORT : 0;
     }
 
--- a/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EndpointLoad.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EndpointLoad.java
@@ -19,6 +19,8 @@
     private long mReportedMilliseconds = Long.MIN_VALUE / 2;
     private int mFailures;
     private long mPausedUntilMilliseconds = Long.MIN_VALUE / 2;
+    private long mHeardMilliseconds = Long.MIN_VALUE / 2;
+    private boolean mUnreachable;
 
     EndpointLoad(Endpoint endpoint) {
         mEndpoint = endpoint;
@@ -32,7 +34,10 @@
         mEndpoint = endpoint;
     }
 
-    void begin(long promptTokens) {
+    void begin(long promptTokens, long nowMilliseconds) {
+        if (mCalls == 0) {
+            mHeardMilliseconds = nowMilliseconds;
+        }
         mCalls++;
         mPromptTokens += promptTokens;
     }
@@ -51,6 +56,27 @@
         mReportedMilliseconds = nowMilliseconds;
     }
 
+    /** The endpoint sent something, or took a connection. */
+    void heard(long nowMilliseconds) {
+        mHeardMilliseconds = nowMilliseconds;
+        mUnreachable = false;
+    }
+
+    /** The endpoint took no connection. */
+    void unreachable() {
+        mUnreachable = true;
+    }
+
+    boolean isUnreachable() {
+        return mUnreachable;
+    }
+
+    /** Whether it has calls and has sent nothing for any of them for a while. */
+    boolean isQuiet(long nowMilliseconds, long quietMilliseconds) {
+        return mUnreachable
+                || mCalls > 0 && nowMilliseconds - mHeardMilliseconds > quietMilliseconds;
+    }
+
     void succeeded() {
         mFailures = 0;
     }
--- a/gateway/src/main/java/org/skylarkbend/gateway/front/GatewayTask.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/front/GatewayTask.java
@@ -12,6 +12,7 @@
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.PoolOptions;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -24,6 +25,7 @@
 import org.skylarkbend.base.StructuredLog;
 import org.skylarkbend.catalog.CallerLimits;
 import org.skylarkbend.catalog.Catalog;
+import org.skylarkbend.catalog.Endpoint;
 import org.skylarkbend.catalog.SiteLimits;
 import org.skylarkbend.catalog.SiteMessage.Endpoints;
 import org.skylarkbend.gateway.GatewaySettings;
@@ -32,6 +34,7 @@
 import org.skylarkbend.gateway.call.GatewayCall;
 import org.skylarkbend.gateway.call.RetryAllowance;
 import org.skylarkbend.gateway.endpoints.EndpointBoard;
+import org.skylarkbend.gateway.endpoints.EndpointProbes;
 import org.skylarkbend.gateway.limits.TokenGate;
 import org.skylarkbend.gateway.link.SiteListener;
 import org.skylarkbend.limits.LimitMessage;
@@ -52,6 +55,7 @@
     private static final int KEEP_ALIVE_SECONDS = 4;
 
     private static final int MAX_REQUEST_LINE_BYTES = 8 * 1024;
+    private static final long PROBE_MILLISECONDS = 250;
     private static final long DRAIN_CHECK_MILLISECONDS = 50;
 
     private final GatewaySettings mSettings;
@@ -61,6 +65,7 @@
     private final Consumer<Boolean> mOnReady;
     private final CallHeadReader mHeads;
     private final Set<GatewayCall> mCalls = new HashSet<>();
+    private final CallerConnections mConnections = new CallerConnections();
     private final EndpointBoard mBoard;
     private Context mContext;
     private Optional<ServingState> mState = Optional.empty();
@@ -71,6 +76,7 @@
     private boolean mOwnerSpoke;
     private boolean mReady;
     private boolean mDraining;
+    private boolean mRefusing;
 
     /**
      * A task that listens once it is deployed.
@@ -123,6 +129,8 @@
                                 mSettings.budgets().mostSavedRetries()),
                         mMetrics,
                         mClock);
+        EndpointProbes probes = new EndpointProbes(vertx, mBoard, mClock, this::endpointLost);
+        vertx.setPeriodic(PROBE_MILLISECONDS, id -> probes.probe());
         HttpServerOptions options =
                 new HttpServerOptions()
                         .setTcpNoDelay(true)
@@ -133,6 +141,7 @@
                         .setIdleTimeout(IDLE_SECONDS)
                         .setIdleTimeoutUnit(TimeUnit.SECONDS);
         mServer = vertx.createHttpServer(options);
+        mServer.connectionHandler(mConnections::opened);
         mServer.requestHandler(this::take);
         return mServer.listen(mSettings.callers().port(), mSettings.callers().host());
     }
@@ -185,7 +194,13 @@
                 });
     }
 
-    /** Turns unready and serves on until no call is left, but at least and at most so long. */
+    /**
+     * Turns unready and serves on until the balancer has noticed; then closes idle connections,
+     * refuses what still comes, and ends when no call is left.
+     *
+     * @param leastMilliseconds how long the balancer needs
+     * @param mostMilliseconds when the calls that are left are given up
+     */
     public Future<Void> drain(long leastMilliseconds, long mostMilliseconds) {
         Promise<Void> drained = Promise.promise();
         mContext.runOnContext(
@@ -194,11 +209,21 @@
                     mGate.shutDown(now());
                     LOG.info("gateway.draining", "calls", mCalls.size());
                     tellReady();
+                    vertx.setTimer(leastMilliseconds, id -> refuseFromNowOn());
                     waitForCalls(now(), leastMilliseconds, mostMilliseconds, drained);
                 });
         return drained.future();
     }
 
+    private void endpointLost(Endpoint endpoint) {
+        List.copyOf(mCalls).forEach(call -> call.endpointLost(endpoint));
+    }
+
+    private void refuseFromNowOn() {
+        mRefusing = true;
+        mConnections.closeIdle();
+    }
+
     private void waitForCalls(
             long sinceMilliseconds,
             long leastMilliseconds,
@@ -237,6 +262,8 @@
 
     private void take(HttpServerRequest request) {
         long arrivedMilliseconds = now();
+        mConnections.begun(request.connection());
+        request.response().endHandler(nothing -> mConnections.ended(request.connection()));
         int mostBytes =
                 mState.map(state -> state.catalog().callerLimits())
                         .orElse(CallerLimits.defaults())
@@ -263,7 +290,9 @@
 
     private void begin(HttpServerRequest request, Buffer body, long arrivedMilliseconds) {
         String host = request.getHeader("Host");
-        if (mState.isEmpty()) {
+        if (mRefusing) {
+            refuse(request, new SkylarkError(ErrorKind.ROUTER_DRAINING, "this VM is leaving"));
+        } else if (mState.isEmpty()) {
             refuse(
                     request,
                     new SkylarkError(ErrorKind.ROUTER_STALE, "no catalog is known here yet"));
--- a/gateway/src/test/java/org/skylarkbend/gateway/endpoints/EndpointBoardTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/endpoints/EndpointBoardTest.java
@@ -18,7 +18,7 @@
     public void aCallGoesToTheEndpointWithTheFewestCallsForItsSlots() {
         EndpointBoard board = board(Set.of(), plain("a", 6), plain("b", 6));
         Endpoint first = board.choose("desk", Set.of(), 0).orElseThrow();
-        board.sent(first, 0);
+        board.sent(first, 0, 0);
         assertThat(board.choose("desk", Set.of(), 0)).isPresent().get().isNotEqualTo(first);
     }
 
@@ -42,6 +42,29 @@
         assertThat(board.choose("desk", Set.of("b@1"), 10).map(Endpoint::id)).contains("a");
     }
 
+    @Test
+    public void anEndpointThatHasCallsAndSendsNothingIsQuiet() {
+        Endpoint endpoint = plain("a", 6);
+        EndpointBoard board = board(Set.of(), endpoint, plain("b", 6));
+        assertThat(board.quiet(10_000)).isEmpty();
+        board.sent(endpoint, 0, 10_000);
+        assertThat(board.quiet(10_600)).isEmpty();
+        assertThat(board.quiet(10_601)).containsExactly(endpoint);
+        board.heard(endpoint, 10_601);
+        assertThat(board.quiet(10_700)).isEmpty();
+    }
+
+    @Test
+    public void anUnreachableEndpointIsAskedForUntilItIsHeardAgain() {
+        Endpoint endpoint = plain("a", 6);
+        EndpointBoard board = board(Set.of(), endpoint, plain("b", 6));
+        board.unreachable(endpoint);
+        assertThat(board.quiet(0)).containsExactly(endpoint);
+        assertThat(board.choose("desk", Set.of(), 0).map(Endpoint::id)).contains("b");
+        board.heard(endpoint, 5);
+        assertThat(board.quiet(5)).isEmpty();
+    }
+
     @Test
     public void everyGatewayTakesTheSameEngineForTheHomeOfAPrompt() {
         Endpoint[] engines = {engine("a", 1), engine("b", 1), engine("c", 1)};
@@ -59,7 +82,7 @@
         Prompt prompt = prompt("shared", 2_000);
         String home = chosen(board, prompt, 0);
         Endpoint endpoint = home.equals("a") ? engine("a", 1) : engine("b", 1);
-        board.sent(endpoint, 40_000);
+        board.sent(endpoint, 40_000, 0);
         assertThat(chosen(board, prompt, 0)).isNotEqualTo(home);
     }
 
--- /dev/null
+++ b/gateway/src/test/java/org/skylarkbend/gateway/front/GatewayTaskTest.java
@@ -0,0 +1,301 @@
+package org.skylarkbend.gateway.front;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.skylarkbend.gateway.FakeEndpoint.answering;
+import static org.skylarkbend.gateway.FakeEndpoint.breaking;
+import static org.skylarkbend.gateway.FakeEndpoint.refusing;
+import static org.skylarkbend.gateway.FakeEndpoint.streaming;
+
+import com.codahale.metrics.MetricRegistry;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpMethod;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.skylarkbend.base.MillisecondClock;
+import org.skylarkbend.base.ObjectName;
+import org.skylarkbend.base.Sha256;
+import org.skylarkbend.catalog.CallKind;
+import org.skylarkbend.catalog.CallerLimits;
+import org.skylarkbend.catalog.Catalog;
+import org.skylarkbend.catalog.Customer;
+import org.skylarkbend.catalog.Service;
+import org.skylarkbend.catalog.SiteMessage.Endpoints;
+import org.skylarkbend.gateway.FakeEndpoint;
+import org.skylarkbend.gateway.GatewaySettings;
+import org.skylarkbend.gateway.Routes;
+import org.skylarkbend.testing.LoopbackPorts;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Calls through a gateway to endpoints that answer, refuse, break and fall silent. */
+public class GatewayTaskTest {
+    private static final long LIMIT_SECONDS = 30;
+    private static final String KEY = "secret";
+
+    private Vertx mVertx;
+    private HttpClient mClient;
+    private GatewayTask mGateway;
+    private int mPort;
+
+    /** What a caller got. */
+    private record Answer(int status, Map<String, String> head, Optional<String> body) {}
+
+    @BeforeMethod
+    public void startGateway() throws Exception {
+        mVertx = Vertx.vertx();
+        mClient = mVertx.createHttpClient();
+        mPort = LoopbackPorts.next();
+        GatewaySettings settings =
+                new GatewaySettings(
+                        ObjectName.of("front-1"),
+                        ObjectName.of("z"),
+                        new GatewaySettings.Listening("127.0.0.1", mPort),
+                        new GatewaySettings.Listening("127.0.0.1", 1),
+                        "/ready",
+                        1,
+                        List.of("127.0.0.1"),
+                        1,
+                        FakeEndpoint.NAMES,
+                        new GatewaySettings.Budgets(1, 10, 0, 60_000),
+                        5_000);
+        mGateway =
+                new GatewayTask(
+                        settings,
+                        new MetricRegistry(),
+                        MillisecondClock.monotonic(),
+                        message -> {},
+                        ready -> {});
+        await(mVertx.deployVerticle(mGateway));
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void stopAll() throws Exception {
+        await(mVertx.close());
+    }
+
+    @Test
+    public void beforeACatalogIsKnownACallIsRefusedAsNotRun() throws Exception {
+        Answer answer = call(Map.of());
+        assertThat(answer.status()).isEqualTo(503);
+        assertThat(answer.head()).containsKey("retry-after");
+        assertThat(answer.body()).hasValueSatisfying(b -> assertThat(b).contains("not_run"));
+    }
+
+    @Test
+    public void anAnswerIsPassedOnWithItsSealAndTheKeyStaysHere() throws Exception {
+        FakeEndpoint endpoint = serve(CallKind.ONCE, 1, false, answering(200, "done"))[0];
+        Answer answer = call(Map.of("Customer", "forged", "Cache-Scope", "forged", "X-Own", "1"));
+        assertThat(answer.status()).isEqualTo(200);
+        assertThat(answer.body()).contains("done");
+        assertThat(answer.head()).containsEntry("seal", "seal");
+        Map<String, String> sent = endpoint.heads().get(0);
+        assertThat(sent)
+                .containsEntry("customer", "one")
+                .containsEntry("expect-instance", "e0")
+                .containsEntry("x-own", "1")
+                .containsEntry("call-id", "c1")
+                .doesNotContainKeys("authorization", "cache-scope");
+        assertThat(Long.parseLong(sent.get("wait-milliseconds"))).isBetween(1L, 2_000L);
+    }
+
+    @Test
+    public void aCallThatMayRunOnceIsNotRepeatedAfterAConnectionBroke() throws Exception {
+        FakeEndpoint[] endpoints = serve(CallKind.ONCE, 2, false, breaking(), breaking());
+        Answer answer = call(Map.of());
+        assertThat(answer.status()).isEqualTo(502);
+        assertThat(sent(endpoints)).isEqualTo(1);
+    }
+
+    @Test
+    public void aCallThatMayRunOnceGoesElsewhereWhenItWasNotRun() throws Exception {
+        FakeEndpoint[] endpoints = serve(CallKind.ONCE, 2, false, refusing(), refusing());
+        endpoints[1].behave(answering(200, "done"));
+        assertThat(call(Map.of()).status()).isEqualTo(200);
+    }
+
+    @Test
+    public void aCallThatNoEndpointRanIsRefusedAsNotRun() throws Exception {
+        serve(CallKind.ONCE, 2, false, refusing(), refusing());
+        Answer answer = call(Map.of());
+        assertThat(answer.status()).isEqualTo(503);
+        assertThat(answer.head()).containsKey("retry-after").doesNotContainKey("seal");
+    }
+
+    @Test
+    public void aRepeatableCallIsRepeatedAfterAFaultAndTheLastAnswerIsPassedOn() throws Exception {
+        FakeEndpoint[] endpoints =
+                serve(CallKind.REPEATABLE, 2, false, answering(500, "a"), answering(500, "b"));
+        Answer answer = call(Map.of());
+        assertThat(answer.status()).isEqualTo(500);
+        assertThat(answer.head()).containsEntry("seal", "seal");
+        assertThat(sent(endpoints)).isEqualTo(2);
+    }
+
+    @Test
+    public void anAnswerToAnotherCallNeverReachesTheCaller() throws Exception {
+        serve(
+                CallKind.ONCE,
+                1,
+                false,
+                request ->
+                        request.response()
+                                .putHeader("Call-Id", "other")
+                                .putHeader("Seal", "seal")
+                                .end("not yours"));
+        Answer answer = call(Map.of());
+        assertThat(answer.status()).isEqualTo(502);
+        assertThat(answer.body()).hasValueSatisfying(b -> assertThat(b).doesNotContain("yours"));
+    }
+
+    @Test
+    public void aStreamThatCanBeResumedGoesOnElsewhereWithoutGapOrRepetition() throws Exception {
+        FakeEndpoint[] endpoints =
+                serve(CallKind.STREAM, 2, true, streaming(3, false), streaming(3, false));
+        endpoints[1].behave(streaming(5, true));
+        endpoints[0].behave(
+                request ->
+                        (request.getHeader("Last-Event-Id") == null
+                                        ? streaming(3, false)
+                                        : streaming(5, true))
+                                .accept(request));
+        Answer answer = call(Map.of());
+        assertThat(answer.body())
+                .hasValueSatisfying(
+                        body -> {
+                            for (int event = 1; event <= 5; event++) {
+                                assertThat(body).containsOnlyOnce("id: " + event + "\n");
+                            }
+                        });
+    }
+
+    @Test
+    public void aStreamThatCannotBeResumedIsCutSoThatTheCallerSeesIt() throws Exception {
+        serve(CallKind.STREAM, 2, false, streaming(3, false), streaming(3, false));
+        Answer answer = call(Map.of());
+        assertThat(answer.status()).isEqualTo(200);
+        assertThat(answer.body()).isEmpty();
+    }
+
+    @Test
+    public void aCallThatIsNeverAnsweredEndsWhenItsRouteSaysSo() throws Exception {
+        serve(CallKind.ONCE, 1, false, request -> {});
+        long beganNanoseconds = System.nanoTime();
+        Answer answer = call(Map.of());
+        long tookMilliseconds = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - beganNanoseconds);
+        assertThat(answer.status()).isEqualTo(504);
+        assertThat(tookMilliseconds).isGreaterThanOrEqualTo(1_990);
+    }
+
+    @Test
+    public void anEndpointSeesItsConnectionCloseWhenTheCallerLeaves() throws Exception {
+        Promise<Void> closed = Promise.promise();
+        Promise<Void> arrived = Promise.promise();
+        serve(
+                CallKind.REPEATABLE,
+                1,
+                false,
+                request -> {
+                    request.connection().closeHandler(nothing -> closed.tryComplete());
+                    arrived.tryComplete();
+                });
+        Future<Answer> answer = send(Map.of());
+        await(arrived.future());
+        await(mClient.close());
+        await(closed.future());
+        assertThat(answer.failed() || !answer.isComplete() || answer.result().status() != 200)
+                .isTrue();
+    }
+
+    @Test
+    public void aGatewayThatLeavesServesOnUntilTheBalancerHasNoticedAndRefusesThen()
+            throws Exception {
+        serve(CallKind.ONCE, 1, false, answering(200, "done"));
+        Future<Void> drained = mGateway.drain(500, 5_000);
+        Answer served = call(Map.of());
+        assertThat(served.status()).isEqualTo(200);
+        assertThat(served.head()).containsEntry("connection", "close");
+        await(drained);
+        assertThat(call(Map.of()).status()).isEqualTo(503);
+    }
+
+    @SafeVarargs
+    private FakeEndpoint[] serve(
+            CallKind kind,
+            int maxAttempts,
+            boolean resumable,
+            java.util.function.Consumer<io.vertx.core.http.HttpServerRequest>... behaviours)
+            throws Exception {
+        FakeEndpoint[] endpoints = new FakeEndpoint[behaviours.length];
+        for (int i = 0; i < behaviours.length; i++) {
+            endpoints[i] = new FakeEndpoint("e" + i, behaviours[i]);
+            await(endpoints[i].listen(mVertx));
+        }
+        Customer customer =
+                new Customer(
+                        "one", List.of(Sha256.hexOf(KEY)), OptionalInt.empty(), false, 0, 0, 1);
+        mGateway.catalogChanged(
+                new Catalog(
+                        1,
+                        List.of(Routes.of(kind, maxAttempts, resumable)),
+                        Map.of("desk", new Service("desk", 10, Optional.empty())),
+                        List.of(customer),
+                        CallerLimits.defaults()));
+        mGateway.endpointsChanged(
+                new Endpoints(
+                        java.util.Arrays.stream(endpoints).map(FakeEndpoint::listed).toList(),
+                        Set.of()));
+        return endpoints;
+    }
+
+    private static int sent(FakeEndpoint... endpoints) {
+        return java.util.Arrays.stream(endpoints).mapToInt(e -> e.heads().size()).sum();
+    }
+
+    private Answer call(Map<String, String> headers) throws Exception {
+        return await(send(headers));
+    }
+
+    private Future<Answer> send(Map<String, String> headers) {
+        return mClient.request(HttpMethod.POST, mPort, "127.0.0.1", "/x/y")
+                .compose(
+                        request -> {
+                            request.putHeader("Host", "a.example");
+                            request.putHeader("Authorization", "Bearer " + KEY);
+                            request.putHeader("Call-Id", "c1");
+                            headers.forEach(request::putHeader);
+                            return request.send(Buffer.buffer("body"));
+                        })
+                .compose(
+                        response ->
+                                response.body()
+                                        .map(body -> Optional.of(body.toString()))
+                                        .otherwise(Optional.empty())
+                                        .map(
+                                                body ->
+                                                        new Answer(
+                                                                response.statusCode(),
+                                                                lowerCase(response.headers()),
+                                                                body)));
+    }
+
+    private static Map<String, String> lowerCase(io.vertx.core.MultiMap headers) {
+        Map<String, String> names = new java.util.TreeMap<>();
+        headers.forEach(header -> names.put(header.getKey().toLowerCase(), header.getValue()));
+        return names;
+    }
+
+    private static <T> T await(Future<T> future) throws Exception {
+        return future.toCompletionStage()
+                .toCompletableFuture()
+                .get(LIMIT_SECONDS, TimeUnit.SECONDS);
+    }
+}
--- a/limits/src/main/java/org/skylarkbend/limits/LimitPolicy.java
+++ b/limits/src/main/java/org/skylarkbend/limits/LimitPolicy.java
@@ -32,7 +32,7 @@
      * 0.8 s.
      */
     public static LimitPolicy countedWhenSent() {
-        return new LimitPolicy(2, 200, 64, 30, 1_000, 100, 256, 250);
+        return new LimitPolicy(3, 1_000, 64, 30, 1_000, 100, 256, 250);
     }
 
     /** The most that one router may hold of a customer's burst. */
--- a/orders/src/main/java/org/skylarkbend/orders/weights/EngineLoad.java
+++ b/orders/src/main/java/org/skylarkbend/orders/weights/EngineLoad.java
@@ -58,4 +58,10 @@
         return new EngineLoad(
                 listed, confirmed, OptionalLong.empty(), Step.CHECKING, askAtMilliseconds);
     }
+
+    /** It did not answer: it waits for another turn. */
+    EngineLoad unreached(long againAtMilliseconds) {
+        return new EngineLoad(
+                listed, confirmed, OptionalLong.empty(), Step.IDLE, againAtMilliseconds);
+    }
 }
--- a/orders/src/main/java/org/skylarkbend/orders/weights/WeightsDecider.java
+++ b/orders/src/main/java/org/skylarkbend/orders/weights/WeightsDecider.java
@@ -40,6 +40,9 @@
     /** How often it is asked from then on, and after a failure. */
     static final long QUESTION_MILLISECONDS = 250;
 
+    /** An engine that does not answer makes room for others for so long. */
+    static final long UNREACHED_MILLISECONDS = 700;
+
     /** Loads slow one another down when more than two in seven engines load (users' sheets). */
     private static final int LOADING_SHARE = 2;
 
@@ -119,7 +122,7 @@
         } else if (message instanceof ReportFailed failed) {
             mEngines.computeIfPresent(
                     failed.engine(),
-                    (engine, load) -> load.uncounted(nowMilliseconds + QUESTION_MILLISECONDS));
+                    (engine, load) -> load.unreached(nowMilliseconds + UNREACHED_MILLISECONDS));
         } else if (message instanceof Answered answered) {
             answered(answered, nowMilliseconds);
         }
@@ -174,7 +177,8 @@
         List<String> outdated = new ArrayList<>();
         mEngines.forEach(
                 (engine, load) -> {
-                    if (load.step() == Step.IDLE && wanted(load).isPresent()) {
+                    boolean isDue = nowMilliseconds >= load.nextAtMilliseconds();
+                    if (load.step() == Step.IDLE && isDue && wanted(load).isPresent()) {
                         outdated.add(engine);
                     }
                 });
--- a/orders/src/test/java/org/skylarkbend/orders/weights/WeightsDeciderTest.java
+++ b/orders/src/test/java/org/skylarkbend/orders/weights/WeightsDeciderTest.java
@@ -81,6 +81,15 @@
                 .containsExactly(new Load("e0", "m", 2, 7, 0));
     }
 
+    @Test
+    public void enginesThatDoNotAnswerMakeRoomForOthers() {
+        assertThat(asked(decide(new Named(Map.of("m", 2L))))).containsExactly("e0", "e1");
+        decide(new WeightsMessage.ReportFailed("e0"));
+        assertThat(mDecider.loading()).containsExactlyInAnyOrder("e1", "e2");
+        decide(new WeightsMessage.ReportFailed("e1"));
+        assertThat(mDecider.loading()).containsExactlyInAnyOrder("e2", "e3");
+    }
+
     @Test
     public void aCommanderWhoseNumberIsTooLowOrdersNoMore() {
         order("e0");
