Fetch shared parts of a prompt from another home with the same weights

Change: cached parts are scoped by version, the engine must have that version to run the call, and the next home with the same weights is named as source; an engine may have 2.8 s for the first event.

--- a/gateway/src/main/java/org/skylarkbend/gateway/HeaderNames.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/HeaderNames.java
@@ -13,11 +13,7 @@
  * @param customer the customer of the call
  * @param load what the endpoint has to do: running, waiting, slots
  * @param lastEvent after which event a stream goes on
- * @param model the model that the call asks
- * @param tokens prompt tokens and the most answer tokens
- * @param promptParts the parts of the prompt with their tokens
- * @param urgency how urgent the call is to the engine, 0 to 9
- * @param cacheScope which cached parts the engine may use
+ * @param engine the headers of calls to engines
  * @param reserved lower-case names that callers may not set
  */
 public record HeaderNames(
@@ -29,12 +25,28 @@
         String customer,
         String load,
         String lastEvent,
-        String model,
-        String tokens,
-        String promptParts,
-        String urgency,
-        String cacheScope,
+        Engine engine,
         Set<String> reserved) {
+    /**
+     * The headers of calls to engines.
+     *
+     * @param model the model that the call asks
+     * @param tokens prompt tokens and the most answer tokens
+     * @param promptParts the parts of the prompt with their tokens
+     * @param urgency how urgent the call is to the engine, 0 to 9
+     * @param cacheScope which cached parts the engine may use
+     * @param expectVersion the only version of weights that may run the call
+     * @param cacheSource another engine from which cached parts may be fetched
+     */
+    public record Engine(
+            String model,
+            String tokens,
+            String promptParts,
+            String urgency,
+            String cacheScope,
+            String expectVersion,
+            String cacheSource) {}
+
     /** Copies the set. */
     public HeaderNames {
         reserved = Set.copyOf(reserved);
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/Attempt.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/Attempt.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import org.skylarkbend.catalog.Endpoint;
 import org.skylarkbend.gateway.HeaderNames;
+import org.skylarkbend.gateway.endpoints.EngineChoice;
 
 /**
  * One exchange of a call with an endpoint. It belongs to the task of the call, and tells its
@@ -30,6 +31,7 @@
         void broke(Attempt attempt, AttemptOutcome outcome, String cause);
     }
 
+    private final EngineChoice mChoice;
     private final Endpoint mEndpoint;
     private final long mPromptTokens;
     private final Listener mListener;
@@ -38,8 +40,9 @@
     private boolean mSent;
     private boolean mPromptRead;
 
-    Attempt(Endpoint endpoint, long promptTokens, Listener listener) {
-        mEndpoint = endpoint;
+    Attempt(EngineChoice choice, long promptTokens, Listener listener) {
+        mChoice = choice;
+        mEndpoint = choice.endpoint();
         mPromptTokens = promptTokens;
         mListener = listener;
     }
@@ -99,14 +102,34 @@
                             call.customer()
                                     .ifPresent(c -> request.putHeader(names.customer(), c.name()));
                             if (call.prompt().isPresent()) {
-                                request.putHeader(names.urgency(), urgency.header());
-                                request.putHeader(names.cacheScope(), cacheScope);
+                                putEngineHeaders(request, names.engine(), urgency, cacheScope);
                             }
                             lastEvent.ifPresent(id -> request.putHeader(names.lastEvent(), id));
                             send(request, call.body());
                         });
     }
 
+    /**
+     * Cached parts are made and found under the version that the engine must have to run the call,
+     * so that parts of other weights are never used, whatever engine they come from.
+     */
+    private void putEngineHeaders(
+            HttpClientRequest request,
+            HeaderNames.Engine names,
+            Urgency urgency,
+            String cacheScope) {
+        request.putHeader(names.urgency(), urgency.header());
+        if (mChoice.weights().isEmpty()) {
+            request.putHeader(names.cacheScope(), cacheScope);
+            return;
+        }
+        String version = Long.toString(mChoice.weights().getAsLong());
+        request.putHeader(names.cacheScope(), cacheScope + "-" + version);
+        request.putHeader(names.expectVersion(), version);
+        mChoice.cacheSource()
+                .ifPresent(source -> request.putHeader(names.cacheSource(), source.address()));
+    }
+
     private void send(HttpClientRequest request, Buffer body) {
         mSent = true;
         request.response()
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/GatewayCall.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/GatewayCall.java
@@ -12,6 +12,7 @@
 import org.skylarkbend.catalog.CallKind;
 import org.skylarkbend.catalog.Customer;
 import org.skylarkbend.catalog.Endpoint;
+import org.skylarkbend.gateway.endpoints.EngineChoice;
 import org.skylarkbend.gateway.endpoints.Prompt;
 import org.skylarkbend.gateway.limits.TokenGate;
 
@@ -25,9 +26,12 @@
     /** How long the opening of a connection to an endpoint may take. */
     private static final long CONNECT_MILLISECONDS = 250;
 
-    /** A resumable stream that is silent for so long goes on elsewhere. */
+    /** A resumable stream that is silent for so long between its events goes on elsewhere. */
     private static final long STREAM_SILENCE_MILLISECONDS = 1_500;
 
+    /** An engine may have prompts to read before this one; a lost engine is found by probes. */
+    private static final long FIRST_EVENT_SILENCE_MILLISECONDS = 2_800;
+
     /** A call that may run again is sent elsewhere when so many times its target have passed. */
     private static final long REPEAT_AFTER_TARGETS = 3;
 
@@ -118,16 +122,16 @@
     }
 
     private void sendToNext() {
-        Optional<Endpoint> chosen = choose();
+        Optional<EngineChoice> chosen = choose();
         if (chosen.isEmpty()) {
             ErrorKind kind = mMayHaveRun ? ErrorKind.ENDPOINT_FAILED : ErrorKind.NO_ENDPOINT;
             fail(kind, "no endpoint is left to try", SHORT_RETRY_AFTER_MILLISECONDS);
             return;
         }
-        Endpoint endpoint = chosen.get();
+        Endpoint endpoint = chosen.get().endpoint();
         mTried.add(endpoint.incarnation());
         long promptTokens = mCall.prompt().map(Prompt::promptTokens).orElse(0L);
-        Attempt attempt = new Attempt(endpoint, promptTokens, this);
+        Attempt attempt = new Attempt(chosen.get(), promptTokens, this);
         mAttempt = Optional.of(attempt);
         mBody = Buffer.buffer();
         mEvents.dropPartial();
@@ -144,7 +148,7 @@
         watchSilence();
     }
 
-    private Optional<Endpoint> choose() {
+    private Optional<EngineChoice> choose() {
         if (mCall.prompt().isEmpty()) {
             return mResources.board().choose(mCall.service(), mTried, now());
         }
@@ -328,7 +332,9 @@
         }
         long silenceMilliseconds =
                 isStream
-                        ? Math.max(STREAM_SILENCE_MILLISECONDS, mCall.route().targetMilliseconds())
+                        ? (mStreaming
+                                ? STREAM_SILENCE_MILLISECONDS
+                                : FIRST_EVENT_SILENCE_MILLISECONDS)
                         : REPEAT_AFTER_TARGETS * mCall.route().targetMilliseconds();
         mSilenceTimer =
                 mResources.vertx().setTimer(Math.max(1, silenceMilliseconds), id -> silent());
--- a/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EndpointBoard.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EndpointBoard.java
@@ -1,10 +1,12 @@
 package org.skylarkbend.gateway.endpoints;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.DoubleSupplier;
@@ -105,36 +107,40 @@
     }
 
     /** Chooses an endpoint for a call without a prompt. */
-    public Optional<Endpoint> choose(String service, Set<String> tried, long nowMilliseconds) {
+    public Optional<EngineChoice> choose(String service, Set<String> tried, long nowMilliseconds) {
         return least(
-                service,
-                tried,
-                load ->
-                        (double) load.calls(nowMilliseconds) / Math.max(1, load.endpoint().slots())
-                                + lastResort(load, nowMilliseconds));
+                        service,
+                        tried,
+                        load ->
+                                (double) load.calls(nowMilliseconds)
+                                                / Math.max(1, load.endpoint().slots())
+                                        + lastResort(load, nowMilliseconds))
+                .map(EngineChoice::plain);
     }
 
     /** Chooses an engine for a prompt. */
-    public Optional<Endpoint> choose(
+    public Optional<EngineChoice> choose(
             String service, Prompt prompt, String scope, Set<String> tried, long nowMilliseconds) {
         String key = prompt.sharedKey();
-        String home = key.isEmpty() ? "" : homeOf(service, prompt.model(), scope + key);
+        List<EndpointLoad> homes =
+                key.isEmpty() ? List.of() : homesOf(service, prompt.model(), scope + key);
         return least(
-                service,
-                tried,
-                load -> {
-                    if (!serves(load, prompt.model())) {
-                        return Double.POSITIVE_INFINITY;
-                    }
-                    boolean isHome = load.endpoint().incarnation().equals(home);
-                    double share = isHome ? HOME_MISS_SHARE : ELSEWHERE_SHARE;
-                    return share * prompt.sharedTokens()
-                            + load.promptTokens()
-                            + load.waiting(nowMilliseconds) * TOKENS_OF_WAITING_CALL
-                            + load.calls(nowMilliseconds) * TOKENS_OF_RUNNING_CALL
-                            + tokensOfAge(load, prompt, nowMilliseconds)
-                            + lastResort(load, nowMilliseconds);
-                });
+                        service,
+                        tried,
+                        load -> {
+                            if (!serves(load, prompt.model())) {
+                                return Double.POSITIVE_INFINITY;
+                            }
+                            boolean isHome = !homes.isEmpty() && load == homes.get(0);
+                            double share = isHome ? HOME_MISS_SHARE : ELSEWHERE_SHARE;
+                            return share * prompt.sharedTokens()
+                                    + load.promptTokens()
+                                    + load.waiting(nowMilliseconds) * TOKENS_OF_WAITING_CALL
+                                    + load.calls(nowMilliseconds) * TOKENS_OF_RUNNING_CALL
+                                    + tokensOfAge(load, prompt, nowMilliseconds)
+                                    + lastResort(load, nowMilliseconds);
+                        })
+                .map(endpoint -> asChoice(endpoint, prompt.model(), homes));
     }
 
     /** A call was sent to an endpoint, with so many prompt tokens to read. */
@@ -208,23 +214,39 @@
         return Optional.ofNullable(best).map(EndpointLoad::endpoint);
     }
 
+    /** Another home with the same weights may hold the shared parts and hand them over. */
+    private static EngineChoice asChoice(
+            Endpoint endpoint, String model, List<EndpointLoad> homes) {
+        Long version = endpoint.weights().get(model);
+        if (version == null) {
+            return EngineChoice.plain(endpoint);
+        }
+        Optional<Endpoint> source =
+                homes.stream()
+                        .map(EndpointLoad::endpoint)
+                        .filter(home -> !home.incarnation().equals(endpoint.incarnation()))
+                        .filter(home -> version.equals(home.weights().get(model)))
+                        .findFirst();
+        return new EngineChoice(endpoint, OptionalLong.of(version), source);
+    }
+
     /**
-     * The engine with the highest score for a key: the same one at every gateway. An engine that
-     * loads weights is no home, so that its prompts have one other home meanwhile.
+     * The engines by their score for a key: in the same order at every gateway. The first is the
+     * home of the prompt. An engine that loads weights or cannot be reached is no home, so that its
+     * prompts have one other home meanwhile.
      */
-    private String homeOf(String service, String model, String key) {
-        String home = "";
-        long highest = Long.MIN_VALUE;
+    private List<EndpointLoad> homesOf(String service, String model, String key) {
+        Map<EndpointLoad, Long> scores = new HashMap<>();
         for (EndpointLoad load : mByService.getOrDefault(service, List.of())) {
             String incarnation = load.endpoint().incarnation();
-            long score = mix(key.hashCode() * 31L + incarnation.hashCode());
-            boolean serves = serves(load, model) && !mLoading.contains(incarnation);
-            if (serves && (home.isEmpty() || score > highest)) {
-                home = incarnation;
-                highest = score;
+            boolean isAway = mLoading.contains(incarnation) || load.isUnreachable();
+            if (serves(load, model) && !isAway) {
+                scores.put(load, mix(key.hashCode() * 31L + incarnation.hashCode()));
             }
         }
-        return home;
+        List<EndpointLoad> homes = new ArrayList<>(scores.keySet());
+        homes.sort(Comparator.comparing(scores::get, Comparator.reverseOrder()));
+        return homes;
     }
 
     private static boolean serves(EndpointLoad load, String model) {
--- a/gateway/src/main/java/org/skylarkbend/gateway/front/CallHeadReader.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/front/CallHeadReader.java
@@ -59,16 +59,16 @@
 
     /** What the call says of its prompt. Garbled numbers count as none. */
     Optional<Prompt> prompt(MultiMap headers) {
-        String tokens = headers.get(mNames.tokens());
+        String tokens = headers.get(mNames.engine().tokens());
         if (tokens == null || !tokens.matches("\\d{1,9}\\s*,\\s*\\d{1,9}")) {
             return Optional.empty();
         }
         String[] counts = tokens.split(",");
-        String model = headers.get(mNames.model());
+        String model = headers.get(mNames.engine().model());
         return Optional.of(
                 new Prompt(
                         model == null ? "" : model,
-                        parts(headers.get(mNames.promptParts())),
+                        parts(headers.get(mNames.engine().promptParts())),
                         Long.parseLong(counts[0].trim()),
                         Long.parseLong(counts[1].trim())));
     }
--- a/gateway/src/test/java/org/skylarkbend/gateway/FakeEndpoint.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/FakeEndpoint.java
@@ -23,11 +23,14 @@
                     "Customer",
                     "Load",
                     "Last-Event-Id",
-                    "Model",
-                    "Tokens",
-                    "Parts",
-                    "Urgency",
-                    "Cache-Scope",
+                    new HeaderNames.Engine(
+                            "Model",
+                            "Tokens",
+                            "Parts",
+                            "Urgency",
+                            "Cache-Scope",
+                            "Expect-Version",
+                            "Cache-Source"),
                     java.util.Set.of("cache-scope", "customer"));
 
     private final String mId;
--- a/gateway/src/test/java/org/skylarkbend/gateway/endpoints/EndpointBoardTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/endpoints/EndpointBoardTest.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.skylarkbend.catalog.Endpoint;
 import org.skylarkbend.catalog.SiteMessage.Endpoints;
@@ -17,9 +18,9 @@
     @Test
     public void aCallGoesToTheEndpointWithTheFewestCallsForItsSlots() {
         EndpointBoard board = board(Set.of(), plain("a", 6), plain("b", 6));
-        Endpoint first = board.choose("desk", Set.of(), 0).orElseThrow();
+        Endpoint first = board.choose("desk", Set.of(), 0).orElseThrow().endpoint();
         board.sent(first, 0, 0);
-        assertThat(board.choose("desk", Set.of(), 0)).isPresent().get().isNotEqualTo(first);
+        assertThat(id(board.choose("desk", Set.of(), 0))).isNotEqualTo(first.id());
     }
 
     @Test
@@ -28,7 +29,7 @@
                 new Endpoint("a", "desk", "10.0.0.1", 80, "z", "v1", 6, true, 1, Map.of());
         EndpointBoard board = board(Set.of(), leaving, plain("b", 6));
         assertThat(board.choose("desk", Set.of("b@1"), 0)).isEmpty();
-        assertThat(board.choose("desk", Set.of(), 0).map(Endpoint::id)).contains("b");
+        assertThat(id(board.choose("desk", Set.of(), 0))).isEqualTo("b");
     }
 
     @Test
@@ -37,9 +38,9 @@
         EndpointBoard board = board(Set.of(), failed, plain("b", 6));
         board.failed(failed, 0);
         for (int i = 0; i < 20; i++) {
-            assertThat(board.choose("desk", Set.of(), 10).map(Endpoint::id)).contains("b");
+            assertThat(id(board.choose("desk", Set.of(), 10))).isEqualTo("b");
         }
-        assertThat(board.choose("desk", Set.of("b@1"), 10).map(Endpoint::id)).contains("a");
+        assertThat(id(board.choose("desk", Set.of("b@1"), 10))).isEqualTo("a");
     }
 
     @Test
@@ -60,7 +61,7 @@
         EndpointBoard board = board(Set.of(), endpoint, plain("b", 6));
         board.unreachable(endpoint);
         assertThat(board.quiet(0)).containsExactly(endpoint);
-        assertThat(board.choose("desk", Set.of(), 0).map(Endpoint::id)).contains("b");
+        assertThat(id(board.choose("desk", Set.of(), 0))).isEqualTo("b");
         board.heard(endpoint, 5);
         assertThat(board.quiet(5)).isEmpty();
     }
@@ -111,8 +112,32 @@
         assertThat(board.choose("desk", other, "s", Set.of(), 0)).isEmpty();
     }
 
+    @Test
+    public void sharedPartsMayComeFromAnotherHomeWithTheSameWeightsOnly() {
+        Prompt prompt = prompt("shared", 6_300);
+        EngineChoice same =
+                board(Set.of(), engine("a", 2), engine("b", 2))
+                        .choose("desk", prompt, "s", Set.of(), 0)
+                        .orElseThrow();
+        assertThat(same.weights()).hasValue(2);
+        assertThat(same.cacheSource()).isPresent();
+        assertThat(same.cacheSource()).isNotEqualTo(Optional.of(same.endpoint()));
+        EngineChoice other =
+                board(Set.of(), engine("a", 2), engine("b", 1))
+                        .choose("desk", prompt, "s", Set.of(), 0)
+                        .orElseThrow();
+        assertThat(other.cacheSource()).isEmpty();
+    }
+
+    private static String id(Optional<EngineChoice> choice) {
+        return choice.map(chosen -> chosen.endpoint().id()).orElse("none");
+    }
+
     private static String chosen(EndpointBoard board, Prompt prompt, long nowMilliseconds) {
-        return board.choose("desk", prompt, "s", Set.of(), nowMilliseconds).orElseThrow().id();
+        return board.choose("desk", prompt, "s", Set.of(), nowMilliseconds)
+                .orElseThrow()
+                .endpoint()
+                .id();
     }
 
     private static EndpointBoard board(Set<String> loading, Endpoint... endpoints) {
