Keep the parts of prompts that engines read in the site's store

Cause: what one engine had read was out of reach for the others unless it was the next home. Change: engines save to and fetch from the store, in the scope of their version; each gateway holds one idle connection to the store and names it only while that is open.

--- a/catalog/src/main/java/org/skylarkbend/catalog/Catalog.java
+++ b/catalog/src/main/java/org/skylarkbend/catalog/Catalog.java
@@ -36,6 +36,11 @@
         return byDigest;
     }
 
+    /** The store of cached parts of prompts, if the site has one. */
+    public Optional<Service.Store> store() {
+        return services.values().stream().flatMap(service -> service.store().stream()).findFirst();
+    }
+
     /** What is wrong with it, if anything. */
     public Optional<String> problem() {
         return CatalogChecker.problemOf(this);
--- a/catalog/src/main/java/org/skylarkbend/catalog/Service.java
+++ b/catalog/src/main/java/org/skylarkbend/catalog/Service.java
@@ -8,8 +8,18 @@
  * @param name its name
  * @param maxConnections how many connections one endpoint accepts from all callers together
  * @param engine what is known of its engines, if its endpoints are engines
+ * @param store where it keeps cached parts of prompts, if it is a store of these
  */
-public record Service(String name, int maxConnections, Optional<Engine> engine) {
+public record Service(
+        String name, int maxConnections, Optional<Engine> engine, Optional<Store> store) {
+    /** The address of a store. */
+    public record Store(String host, int port) {
+        /** The address as engines are told it. */
+        public String address() {
+            return host + ":" + port;
+        }
+    }
+
     /**
      * What engines of a service have in common.
      *
--- a/gateway/src/main/java/org/skylarkbend/gateway/HeaderNames.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/HeaderNames.java
@@ -36,7 +36,8 @@
      * @param urgency how urgent the call is to the engine, 0 to 9
      * @param cacheScope which cached parts the engine may use
      * @param expectVersion the only version of weights that may run the call
-     * @param cacheSource another engine from which cached parts may be fetched
+     * @param cacheSource the engine or store from which cached parts may be fetched
+     * @param cacheStore the store that keeps what the engine reads
      */
     public record Engine(
             String model,
@@ -45,7 +46,8 @@
             String urgency,
             String cacheScope,
             String expectVersion,
-            String cacheSource) {}
+            String cacheSource,
+            String cacheStore) {}
 
     /** Copies the set. */
     public HeaderNames {
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/Attempt.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/Attempt.java
@@ -126,8 +126,8 @@
         String version = Long.toString(mChoice.weights().getAsLong());
         request.putHeader(names.cacheScope(), cacheScope + "-" + version);
         request.putHeader(names.expectVersion(), version);
-        mChoice.cacheSource()
-                .ifPresent(source -> request.putHeader(names.cacheSource(), source.address()));
+        mChoice.cacheSource().ifPresent(source -> request.putHeader(names.cacheSource(), source));
+        mChoice.store().ifPresent(store -> request.putHeader(names.cacheStore(), store));
     }
 
     private void send(HttpClientRequest request, Buffer body) {
--- a/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EndpointBoard.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EndpointBoard.java
@@ -59,6 +59,7 @@
     private final Map<String, List<EndpointLoad>> mByService = new HashMap<>();
     private Set<String> mLoading = Set.of();
     private final Map<String, TreeMap<Long, Long>> mNamedMilliseconds = new HashMap<>();
+    private Optional<String> mStore = Optional.empty();
     private boolean mKnown;
 
     /**
@@ -97,6 +98,11 @@
         mLoads.putAll(present);
     }
 
+    /** Takes the address of the store of cached parts, while there is one that can be reached. */
+    public void useStore(Optional<String> address) {
+        mStore = address;
+    }
+
     /** Takes the newest versions of weights. */
     public void name(Map<String, Long> versions, long nowMilliseconds) {
         versions.forEach(
@@ -214,20 +220,26 @@
         return Optional.ofNullable(best).map(EndpointLoad::endpoint);
     }
 
-    /** Another home with the same weights may hold the shared parts and hand them over. */
-    private static EngineChoice asChoice(
-            Endpoint endpoint, String model, List<EndpointLoad> homes) {
+    /**
+     * The store keeps what any engine has read. Without it, another home with the same weights may
+     * hold the shared parts and hand them over.
+     */
+    private EngineChoice asChoice(Endpoint endpoint, String model, List<EndpointLoad> homes) {
         Long version = endpoint.weights().get(model);
         if (version == null) {
             return EngineChoice.plain(endpoint);
         }
-        Optional<Endpoint> source =
+        if (mStore.isPresent()) {
+            return new EngineChoice(endpoint, OptionalLong.of(version), mStore, mStore);
+        }
+        Optional<String> source =
                 homes.stream()
                         .map(EndpointLoad::endpoint)
                         .filter(home -> !home.incarnation().equals(endpoint.incarnation()))
                         .filter(home -> version.equals(home.weights().get(model)))
+                        .map(Endpoint::address)
                         .findFirst();
-        return new EngineChoice(endpoint, OptionalLong.of(version), source);
+        return new EngineChoice(endpoint, OptionalLong.of(version), source, Optional.empty());
     }
 
     /**
--- a/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EngineChoice.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EngineChoice.java
@@ -9,12 +9,17 @@
  *
  * @param endpoint the endpoint
  * @param weights the version of the model's weights that it has, if it is an engine
- * @param cacheSource an engine with the same weights that may hold the shared parts of the prompt
+ * @param cacheSource the address of a store, or of an engine with the same weights, that may hold
+ *     the shared parts of the prompt
+ * @param store the address of the store that keeps what the engine reads
  */
 public record EngineChoice(
-        Endpoint endpoint, OptionalLong weights, Optional<Endpoint> cacheSource) {
+        Endpoint endpoint,
+        OptionalLong weights,
+        Optional<String> cacheSource,
+        Optional<String> store) {
     /** A choice of an endpoint that is no engine. */
     static EngineChoice plain(Endpoint endpoint) {
-        return new EngineChoice(endpoint, OptionalLong.empty(), Optional.empty());
+        return new EngineChoice(endpoint, OptionalLong.empty(), Optional.empty(), Optional.empty());
     }
 }
--- /dev/null
+++ b/gateway/src/main/java/org/skylarkbend/gateway/endpoints/StoreProbe.java
@@ -0,0 +1,83 @@
+package org.skylarkbend.gateway.endpoints;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.net.NetClient;
+import io.vertx.core.net.NetClientOptions;
+import io.vertx.core.net.NetSocket;
+import java.util.Optional;
+import org.skylarkbend.base.StructuredLog;
+import org.skylarkbend.catalog.Service.Store;
+
+/**
+ * Keeps a connection open to the store of cached parts, and tells the board whether it is there:
+ * engines lose time with a store that is gone.
+ *
+ * <p>It belongs to the task that serves the calls.
+ */
+public final class StoreProbe {
+    private static final StructuredLog LOG = StructuredLog.of(StoreProbe.class);
+    private static final int CONNECT_MILLISECONDS = 300;
+
+    private final EndpointBoard mBoard;
+    private final NetClient mClient;
+    private Optional<Store> mStore = Optional.empty();
+    private Optional<NetSocket> mSocket = Optional.empty();
+    private boolean mConnecting;
+
+    /** A probe of no store. */
+    public StoreProbe(Vertx vertx, EndpointBoard board) {
+        mBoard = board;
+        mClient =
+                vertx.createNetClient(
+                        new NetClientOptions().setConnectTimeout(CONNECT_MILLISECONDS));
+    }
+
+    /** Follows the store of a new catalog. */
+    public void follow(Optional<Store> store) {
+        if (!store.equals(mStore)) {
+            mStore = store;
+            mSocket.ifPresent(NetSocket::close);
+            mSocket = Optional.empty();
+            mBoard.useStore(Optional.empty());
+            connect();
+        }
+    }
+
+    /** Connects where no connection is open. Call it from time to time. */
+    public void connect() {
+        if (mStore.isEmpty() || mSocket.isPresent() || mConnecting) {
+            return;
+        }
+        Store store = mStore.get();
+        mConnecting = true;
+        mClient.connect(store.port(), store.host())
+                .onComplete(
+                        done -> {
+                            mConnecting = false;
+                            if (done.succeeded()) {
+                                connected(store, done.result());
+                            }
+                        });
+    }
+
+    private void connected(Store store, NetSocket socket) {
+        if (!mStore.equals(Optional.of(store))) {
+            socket.close();
+            return;
+        }
+        LOG.info("store.reached", "address", store.address());
+        mSocket = Optional.of(socket);
+        mBoard.useStore(Optional.of(store.address()));
+        socket.handler(ignored -> {});
+        socket.closeHandler(nothing -> closed(store, socket));
+    }
+
+    private void closed(Store store, NetSocket socket) {
+        if (mSocket.equals(Optional.of(socket))) {
+            LOG.info("store.closed", "address", store.address());
+            mSocket = Optional.empty();
+            mBoard.useStore(Optional.empty());
+            connect();
+        }
+    }
+}
--- a/gateway/src/main/java/org/skylarkbend/gateway/front/GatewayTask.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/front/GatewayTask.java
@@ -35,6 +35,7 @@
 import org.skylarkbend.gateway.call.RetryAllowance;
 import org.skylarkbend.gateway.endpoints.EndpointBoard;
 import org.skylarkbend.gateway.endpoints.EndpointProbes;
+import org.skylarkbend.gateway.endpoints.StoreProbe;
 import org.skylarkbend.gateway.limits.TokenGate;
 import org.skylarkbend.gateway.link.SiteListener;
 import org.skylarkbend.limits.LimitMessage;
@@ -71,6 +72,7 @@
     private Optional<ServingState> mState = Optional.empty();
     private CallResources mResources;
     private TokenGate mGate;
+    private StoreProbe mStoreProbe;
     private HttpServer mServer;
     private long mGateTimer = -1;
     private boolean mOwnerSpoke;
@@ -130,7 +132,13 @@
                         mMetrics,
                         mClock);
         EndpointProbes probes = new EndpointProbes(vertx, mBoard, mClock, this::endpointLost);
-        vertx.setPeriodic(PROBE_MILLISECONDS, id -> probes.probe());
+        mStoreProbe = new StoreProbe(vertx, mBoard);
+        vertx.setPeriodic(
+                PROBE_MILLISECONDS,
+                id -> {
+                    probes.probe();
+                    mStoreProbe.connect();
+                });
         HttpServerOptions options =
                 new HttpServerOptions()
                         .setTcpNoDelay(true)
@@ -156,6 +164,7 @@
         mContext.runOnContext(
                 nothing -> {
                     mState = Optional.of(ServingState.of(catalog));
+                    mStoreProbe.follow(catalog.store());
                     mGate.publish(
                             SiteLimits.of(catalog, mSettings.budgets().limitSlackUnits()), now());
                     LOG.info(
