Reread settings on a hang-up or a changed file, bound the log, serve metrics, and share slack over rate and burst

Cause: a hang-up signal ended a process; a flood of calls could flood the log; a gateway chose other calls than one exact bucket would, so that calls below the limit were refused while others ran.

--- a/base/src/main/java/org/skylarkbend/base/StructuredLog.java
+++ b/base/src/main/java/org/skylarkbend/base/StructuredLog.java
@@ -9,6 +9,12 @@
  * and value. Values with spaces, quotes or line breaks are quoted, so that a line stays a line.
  */
 public final class StructuredLog {
+    /** Ten times what a gateway writes at the peak of the sites that we know. */
+    private static final int LINES_PER_SECOND = 400;
+
+    private static final LineBudget BUDGET = new LineBudget(LINES_PER_SECOND);
+    private static final MillisecondClock CLOCK = MillisecondClock.monotonic();
+
     private final String mSource;
 
     private StructuredLog(String source) {
@@ -27,9 +33,12 @@
         }
     }
 
-    /** Writes what happened in the ordinary course. */
+    /** Writes what happened in the ordinary course, unless there is too much of it. */
     public void info(String event, Object... fields) {
-        Logger.info((Object) line(event, fields));
+        if (BUDGET.take(CLOCK.nowMilliseconds())) {
+            noteDropped();
+            Logger.info((Object) line(event, fields));
+        }
     }
 
     /** Writes what an operator should look at. */
@@ -42,6 +51,13 @@
         Logger.error(cause, line(event, fields));
     }
 
+    private void noteDropped() {
+        long dropped = BUDGET.takeDropped();
+        if (dropped > 0) {
+            Logger.warn((Object) line("log.dropped", "lines", dropped));
+        }
+    }
+
     private String line(String event, Object... fields) {
         StringBuilder line = new StringBuilder("event=").append(event);
         line.append(" source=").append(mSource);
--- a/control/src/main/java/org/skylarkbend/control/site/SiteControlParts.java
+++ b/control/src/main/java/org/skylarkbend/control/site/SiteControlParts.java
@@ -8,6 +8,7 @@
 import org.skylarkbend.base.ObjectName;
 import org.skylarkbend.catalog.CatalogReader;
 import org.skylarkbend.catalog.EndpointSource;
+import org.skylarkbend.catalog.SiteLimits;
 
 /**
  * What a control process of a site is made of.
@@ -20,7 +21,7 @@
  * @param dataFolder the folder on the disk that lasts
  * @param dropSilentAfterMilliseconds when a member that stays silent makes room for another
  * @param takeoverMilliseconds how long a new commander waits for its predecessor's lease to end
- * @param limitSlackUnits by how much a customer may exceed its burst
+ * @param limitSlack by how much customers may exceed their limits
  * @param reader reads the documents of operators
  * @param endpoints where the endpoints are listed
  * @param engines how engines are ordered
@@ -36,7 +37,7 @@
         Path dataFolder,
         long dropSilentAfterMilliseconds,
         long takeoverMilliseconds,
-        long limitSlackUnits,
+        SiteLimits.Slack limitSlack,
         CatalogReader reader,
         EndpointSource endpoints,
         EngineCommands engines,
--- a/control/src/main/java/org/skylarkbend/control/site/SiteControlProcess.java
+++ b/control/src/main/java/org/skylarkbend/control/site/SiteControlProcess.java
@@ -199,7 +199,7 @@
     }
 
     private void catalogChanged(Catalog catalog) {
-        List<CustomerLimit> limits = SiteLimits.of(catalog, mParts.limitSlackUnits());
+        List<CustomerLimit> limits = SiteLimits.of(catalog, mParts.limitSlack());
         mLimits.postLimits(limits);
     }
 
--- a/control/src/test/java/org/skylarkbend/control/site/SiteControlProcessTest.java
+++ b/control/src/test/java/org/skylarkbend/control/site/SiteControlProcessTest.java
@@ -24,6 +24,7 @@
 import org.skylarkbend.catalog.CallerLimits;
 import org.skylarkbend.catalog.Catalog;
 import org.skylarkbend.catalog.Endpoint;
+import org.skylarkbend.catalog.SiteLimits;
 import org.skylarkbend.orders.weights.LoadAnswer;
 import org.skylarkbend.orders.weights.WeightsEffect.Load;
 import org.skylarkbend.orders.weights.WeightsMessage.Reported;
@@ -123,7 +124,7 @@
                 mFolder.resolve(vm.value()),
                 1_000,
                 0,
-                0,
+                SiteLimits.Slack.none(),
                 SiteControlProcessTest::read,
                 () -> Future.succeededFuture(Result.success(List.of())),
                 new NoEngines(),
--- a/gateway/src/main/java/org/skylarkbend/gateway/GatewayProcess.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/GatewayProcess.java
@@ -3,6 +3,7 @@
 import com.codahale.metrics.MetricRegistry;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import java.util.List;
 import org.skylarkbend.base.MillisecondClock;
 import org.skylarkbend.catalog.CatalogReader;
 import org.skylarkbend.catalog.EndpointSource;
@@ -12,6 +13,7 @@
 import org.skylarkbend.gateway.link.SiteLinkTask;
 import org.skylarkbend.limits.LimitMessage;
 import org.skylarkbend.publishing.feed.FeedMessage.RouterHello;
+import org.skylarkbend.wire.MetricsTask;
 
 /** One gateway process: the link to control, the calls, and the answers about itself. */
 public final class GatewayProcess {
@@ -24,6 +26,7 @@
     private final GatewaySettings mSettings;
     private final GatewayTask mGateway;
     private final StatusTask mStatus;
+    private final MetricsTask mMetrics;
     private final SiteLinkTask mLink;
 
     /**
@@ -40,7 +43,8 @@
         mSettings = settings;
         MillisecondClock clock = MillisecondClock.monotonic();
         MetricRegistry metrics = new MetricRegistry();
-        mStatus = new StatusTask(settings, metrics);
+        mMetrics = new MetricsTask(settings.callers().host(), settings.metricsPort(), metrics);
+        mStatus = new StatusTask(settings);
         mGateway =
                 new GatewayTask(
                         settings, metrics, clock, this::sendToLimitOwner, mStatus::postReady);
@@ -65,11 +69,17 @@
     /** Starts the tasks, the link last. */
     public Future<Void> start() {
         return mVertx.deployVerticle(mStatus)
+                .compose(id -> mVertx.deployVerticle(mMetrics))
                 .compose(id -> mVertx.deployVerticle(mGateway))
                 .compose(id -> mVertx.deployVerticle(mLink))
                 .mapEmpty();
     }
 
+    /** Takes the control VMs of changed settings. */
+    public void changeControlHosts(List<String> hosts) {
+        mLink.postSeeds(hosts);
+    }
+
     /** Serves on until callers have gone elsewhere, then ends. */
     public Future<Void> drain() {
         return mGateway.drain(
--- a/gateway/src/main/java/org/skylarkbend/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/GatewaySettings.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.skylarkbend.base.ObjectName;
+import org.skylarkbend.catalog.SiteLimits;
 
 /**
  * The settings of a gateway.
@@ -37,14 +38,14 @@
      *
      * @param retriesPerCall which part of a retry each call adds
      * @param mostSavedRetries how many retries may be saved up
-     * @param limitSlackUnits by how much a customer may exceed its burst
+     * @param limitSlack by how much customers may exceed their limits
      * @param weightsLifeMilliseconds how long calls may begin on weights after newer ones were
      *     named
      */
     public record Budgets(
             double retriesPerCall,
             double mostSavedRetries,
-            long limitSlackUnits,
+            SiteLimits.Slack limitSlack,
             long weightsLifeMilliseconds) {}
 
     /** An address to listen on. */
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/GatewayCall.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/GatewayCall.java
@@ -47,6 +47,7 @@
     private final Set<String> mTried = new HashSet<>();
     private final EventRelay mEvents = new EventRelay();
     private Optional<Attempt> mAttempt = Optional.empty();
+    private Optional<EngineChoice> mLast = Optional.empty();
     private OptionalLong mGateNumber = OptionalLong.empty();
     private long mTimeoutTimer;
     private long mSilenceTimer = -1;
@@ -129,6 +130,7 @@
             return;
         }
         Endpoint endpoint = chosen.get().endpoint();
+        mLast = chosen;
         mTried.add(endpoint.incarnation());
         long promptTokens = mCall.prompt().map(Prompt::promptTokens).orElse(0L);
         Attempt attempt = new Attempt(chosen.get(), promptTokens, this);
@@ -406,11 +408,23 @@
                 mSent,
                 "tried",
                 mTried.size(),
+                "endpoint",
+                mLast.map(last -> last.endpoint().incarnation()).orElse("-"),
+                "weights",
+                mLast.map(EngineChoice::weights).map(GatewayCall::shown).orElse("-"),
+                "cache_source",
+                mLast.flatMap(EngineChoice::cacheSource).orElse("-"),
+                "endpoints_age_milliseconds",
+                mResources.board().ageMilliseconds(now()),
                 "elapsed_milliseconds",
                 now() - mCall.arrivedMilliseconds());
         mOnOver.run();
     }
 
+    private static String shown(OptionalLong version) {
+        return version.isPresent() ? Long.toString(version.getAsLong()) : "-";
+    }
+
     private long now() {
         return mResources.clock().nowMilliseconds();
     }
--- a/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EndpointBoard.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EndpointBoard.java
@@ -61,6 +61,7 @@
     private final Map<String, TreeMap<Long, Long>> mNamedMilliseconds = new HashMap<>();
     private Optional<String> mStore = Optional.empty();
     private boolean mKnown;
+    private long mToldMilliseconds;
 
     /**
      * A board without endpoints.
@@ -79,9 +80,15 @@
         return mKnown;
     }
 
+    /** How long ago the endpoints last changed, as far as this gateway was told. */
+    public long ageMilliseconds(long nowMilliseconds) {
+        return nowMilliseconds - mToldMilliseconds;
+    }
+
     /** Takes the endpoints that are listed now. */
-    public void replace(Endpoints endpoints) {
+    public void replace(Endpoints endpoints, long nowMilliseconds) {
         mKnown = true;
+        mToldMilliseconds = nowMilliseconds;
         mLoading = endpoints.loading();
         Map<String, EndpointLoad> present = new HashMap<>();
         mByService.clear();
--- a/gateway/src/main/java/org/skylarkbend/gateway/front/GatewayTask.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/front/GatewayTask.java
@@ -165,8 +165,7 @@
                 nothing -> {
                     mState = Optional.of(ServingState.of(catalog));
                     mStoreProbe.follow(catalog.store());
-                    mGate.publish(
-                            SiteLimits.of(catalog, mSettings.budgets().limitSlackUnits()), now());
+                    mGate.publish(SiteLimits.of(catalog, mSettings.budgets().limitSlack()), now());
                     LOG.info(
                             "catalog.in_force",
                             "number",
@@ -183,7 +182,7 @@
     public void endpointsChanged(Endpoints endpoints) {
         mContext.runOnContext(
                 nothing -> {
-                    mBoard.replace(endpoints);
+                    mBoard.replace(endpoints, now());
                     tellReady();
                 });
     }
--- a/gateway/src/main/java/org/skylarkbend/gateway/link/SiteLinkDecider.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/link/SiteLinkDecider.java
@@ -26,8 +26,8 @@
     private static final long LEADER_SILENCE_MILLISECONDS = 700;
 
     private final RouterHello mHello;
-    private final List<ControlAddress> mSeeds;
     private final int mFeedPort;
+    private List<ControlAddress> mSeeds;
     private Set<ControlAddress> mLearned = Set.of();
     private Optional<ControlAddress> mLeaderHint = Optional.empty();
     private int mNextAddress;
@@ -46,7 +46,7 @@
     public SiteLinkDecider(RouterHello hello, List<String> seeds, int feedPort) {
         mHello = hello;
         mFeedPort = feedPort;
-        mSeeds = seeds.stream().map(host -> new ControlAddress(host, feedPort)).toList();
+        mSeeds = addresses(seeds);
     }
 
     /** Takes one message. */
@@ -70,11 +70,17 @@
         } else if (message instanceof SiteLinkMessage.SliceToSend slice && mConnected) {
             effects.add(new SiteLinkEffect.Send(slice.message()));
         } else if (message instanceof SiteLinkMessage.ControlVmsKnown known) {
-            learn(known.hosts());
+            mLearned = new LinkedHashSet<>(addresses(known.hosts()));
+        } else if (message instanceof SiteLinkMessage.SeedsChanged changed) {
+            mSeeds = addresses(changed.hosts());
         }
         return effects;
     }
 
+    private List<ControlAddress> addresses(List<String> hosts) {
+        return hosts.stream().map(host -> new ControlAddress(host, mFeedPort)).toList();
+    }
+
     private void beat(long nowMilliseconds, List<SiteLinkEffect> effects) {
         if (nowMilliseconds - mLastConfirmedMilliseconds > LEADER_SILENCE_MILLISECONDS) {
             effects.add(new SiteLinkEffect.Close("the leader confirmed nothing for too long"));
@@ -104,12 +110,6 @@
         }
     }
 
-    private void learn(List<String> hosts) {
-        Set<ControlAddress> learned = new LinkedHashSet<>();
-        hosts.forEach(host -> learned.add(new ControlAddress(host, mFeedPort)));
-        mLearned = learned;
-    }
-
     /** The leader where one was named, or else the control VMs by turns. */
     private ControlAddress nextAddress() {
         if (mLeaderHint.isPresent()) {
--- a/gateway/src/main/java/org/skylarkbend/gateway/link/SiteLinkMessage.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/link/SiteLinkMessage.java
@@ -1,5 +1,6 @@
 package org.skylarkbend.gateway.link;
 
+import java.util.List;
 import org.skylarkbend.publishing.feed.FeedMessage;
 
 /** What the link to control decides upon. */
@@ -22,11 +23,19 @@
     /** A slice has a message for its owner at control. */
     record SliceToSend(FeedMessage.SliceMessage message) implements SiteLinkMessage {}
 
+    /** The settings name other control VMs now. */
+    record SeedsChanged(List<String> hosts) implements SiteLinkMessage {
+        /** Copies the list. */
+        public SeedsChanged {
+            hosts = List.copyOf(hosts);
+        }
+    }
+
     /** Control VMs are known beside those of the settings. */
-    record ControlVmsKnown(java.util.List<String> hosts) implements SiteLinkMessage {
+    record ControlVmsKnown(List<String> hosts) implements SiteLinkMessage {
         /** Copies the list. */
         public ControlVmsKnown {
-            hosts = java.util.List.copyOf(hosts);
+            hosts = List.copyOf(hosts);
         }
     }
 }
--- a/gateway/src/main/java/org/skylarkbend/gateway/link/SiteLinkTask.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/link/SiteLinkTask.java
@@ -88,6 +88,11 @@
         mContext.runOnContext(nothing -> take(new SiteLinkMessage.SliceToSend(slice)));
     }
 
+    /** Tells the task that the settings name other control VMs. */
+    public void postSeeds(List<String> hosts) {
+        mContext.runOnContext(nothing -> take(new SiteLinkMessage.SeedsChanged(hosts)));
+    }
+
     private void take(SiteLinkMessage message) {
         if (!mStopped) {
             mDecider.decide(message, mClock.nowMilliseconds()).forEach(this::carryOut);
--- a/gateway/src/test/java/org/skylarkbend/gateway/endpoints/EndpointBoardTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/endpoints/EndpointBoardTest.java
@@ -151,7 +151,7 @@
 
     private static EndpointBoard board(Set<String> loading, Endpoint... endpoints) {
         EndpointBoard board = new EndpointBoard(() -> 0.5, WEIGHTS_LIFE_MILLISECONDS);
-        board.replace(new Endpoints(new ArrayList<>(List.of(endpoints)), loading));
+        board.replace(new Endpoints(new ArrayList<>(List.of(endpoints)), loading), 0);
         return board;
     }
 
--- a/gateway/src/test/java/org/skylarkbend/gateway/front/GatewayTaskTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/front/GatewayTaskTest.java
@@ -27,6 +27,7 @@
 import org.skylarkbend.catalog.Catalog;
 import org.skylarkbend.catalog.Customer;
 import org.skylarkbend.catalog.Service;
+import org.skylarkbend.catalog.SiteLimits;
 import org.skylarkbend.catalog.SiteMessage.Endpoints;
 import org.skylarkbend.gateway.FakeEndpoint;
 import org.skylarkbend.gateway.GatewaySettings;
@@ -65,7 +66,7 @@
                         List.of("127.0.0.1"),
                         1,
                         FakeEndpoint.NAMES,
-                        new GatewaySettings.Budgets(1, 10, 0, 60_000),
+                        new GatewaySettings.Budgets(1, 10, SiteLimits.Slack.none(), 60_000),
                         5_000);
         mGateway =
                 new GatewayTask(
--- a/gateway/src/test/java/org/skylarkbend/gateway/link/SiteLinkDeciderTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/link/SiteLinkDeciderTest.java
@@ -51,6 +51,13 @@
         assertThat(dialed(decide(new SiteLinkMessage.Disconnected()))).isEqualTo("10.0.0.5");
     }
 
+    @Test
+    public void seedsOfChangedSettingsAreCalledInPlaceOfTheOldOnes() {
+        decide(new SiteLinkMessage.SeedsChanged(List.of("10.0.0.7")));
+        assertThat(dialed(decide(new SiteLinkMessage.Disconnected()))).isEqualTo("10.0.0.7");
+        assertThat(dialed(decide(new SiteLinkMessage.Disconnected()))).isEqualTo("10.0.0.7");
+    }
+
     @Test
     public void aNewerCatalogIsFetchedAndAnOlderOneIsNeverTaken() {
         assertThat(receive(new ServingLease(1, 8, 1)))
