--- a/agreement/src/test/java/org/skylarkbend/agreement/AgreementSchedule.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/AgreementSchedule.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.stream.IntStream;
 import org.skylarkbend.base.ObjectName;
 
@@ -17,6 +18,8 @@
     private static final long FAULTS_MILLISECONDS = 4_000;
     private static final long RECOVERY_MILLISECONDS = 30_000;
     private static final long CALM_MILLISECONDS = 2_000;
+    private static final int CONTACTS = 3;
+    private static final long DROP_SILENT_MILLISECONDS = 700;
 
     private final SplittableRandom mRandom;
     private final ScheduleChecks mChecks = new ScheduleChecks();
@@ -36,6 +39,7 @@
     private long mIdentities;
     private long mQuestions;
     private boolean mCalm;
+    private final boolean mOpen;
 
     /** Something that happens at a time. */
     private record Event(long atMilliseconds, long sequence, Runnable work) {}
@@ -43,14 +47,25 @@
     /** A direction in which no message passes. */
     private record Cut(ObjectName from, ObjectName to) {}
 
-    AgreementSchedule(long seed) {
+    /** Members that are named in the settings of all. */
+    static AgreementSchedule listed(long seed) {
+        return new AgreementSchedule(seed, false);
+    }
+
+    /** Five members that know three contacts, take one another in and drop who is silent. */
+    static AgreementSchedule open(long seed) {
+        return new AgreementSchedule(seed, true);
+    }
+
+    private AgreementSchedule(long seed, boolean open) {
+        mOpen = open;
         mRandom = new SplittableRandom(seed);
         mOptions = new AgreementOptions(50, 150, 300, mRandom.nextBoolean(), 10, 8, 10_000, 3, 64);
         mDropRate = mRandom.nextDouble(0, 0.2);
         mRepeatRate = mRandom.nextDouble(0, 0.2);
         mSlowSyncMilliseconds = mRandom.nextLong(1, 60);
         mFaultGapMilliseconds = mRandom.nextLong(100, 700);
-        int count = mRandom.nextInt(4) == 0 ? 5 : 3;
+        int count = open || mRandom.nextInt(4) == 0 ? 5 : 3;
         List<ObjectName> vms =
                 IntStream.rangeClosed(1, count).mapToObj(i -> ObjectName.of("vm-" + i)).toList();
         vms.forEach(vm -> mMembers.put(vm, null));
@@ -90,8 +105,14 @@
         return mOptions;
     }
 
+    /** Nobody may begin a log once there is one. */
     MemberRules rules() {
-        return MemberRules.listed(vms());
+        if (!mOpen) {
+            return MemberRules.listed(vms());
+        }
+        boolean isFirstStart = mChecks.committedMembership().voters().isEmpty();
+        Set<ObjectName> contacts = new TreeSet<>(vms().stream().limit(CONTACTS).toList());
+        return MemberRules.open(isFirstStart ? contacts : Set.of(), DROP_SILENT_MILLISECONDS);
     }
 
     Set<ObjectName> vms() {
