--- a/control/src/test/java/org/skylarkbend/control/ControlFleetTest.java
+++ b/control/src/test/java/org/skylarkbend/control/ControlFleetTest.java
@@ -207,15 +207,20 @@
         assertThat(reserve("a1")).isEqualTo(ReserveVerdict.RESERVED);
     }
 
+    /** A late answer to an earlier question, which was sent on each beat, is not the answer. */
     private ReserveVerdict reserve(String attempt) throws Exception {
         LedgerCodec codec = new LedgerCodec();
         CallIdentity call =
                 new CallIdentity(Optional.empty(), ObjectName.of("bookings"), "order-17");
         byte[] question = codec.encode(new ReserveCall(call, attempt, "digest"));
-        SliceMessage answer = mRouter.ask(new SliceMessage(LedgerMessage.SLICE, question));
-        LedgerMessage decoded =
-                codec.decode(answer.payload()).fold(message -> message, error -> null);
-        return ((ReserveAnswered) decoded).verdict();
+        ReserveAnswered answered;
+        do {
+            SliceMessage answer = mRouter.ask(new SliceMessage(LedgerMessage.SLICE, question));
+            LedgerMessage decoded =
+                    codec.decode(answer.payload()).fold(message -> message, error -> null);
+            answered = (ReserveAnswered) decoded;
+        } while (!answered.reservationId().equals(attempt));
+        return answered.verdict();
     }
 
     /** The router asks again on each beat, so every report arrives many times. */
