Let gateways learn of one another's work at the engines

Cause: a gateway saw its own calls only. Change: each gateway tells the control leader what it has under way at each endpoint, ten times a second, and learns the sum of the others. Prompt tokens count as unread only as far as the engine will probably have to read them.

--- a/catalog/src/main/java/org/skylarkbend/catalog/SiteCodec.java
+++ b/catalog/src/main/java/org/skylarkbend/catalog/SiteCodec.java
@@ -8,15 +8,20 @@
 import org.skylarkbend.catalog.SiteMessage.ControlVms;
 import org.skylarkbend.catalog.SiteMessage.Endpoints;
 import org.skylarkbend.catalog.SiteMessage.WeightsNamed;
+import org.skylarkbend.catalog.SiteMessage.WorkUnderWay;
 import org.skylarkbend.wire.MessageCodec;
 import org.skylarkbend.wire.MessageReader;
 import org.skylarkbend.wire.MessageWriter;
 
 /** The wire form of {@link SiteMessage}. */
 public final class SiteCodec implements MessageCodec<SiteMessage> {
+    /** The name under which gateways and control exchange {@link WorkUnderWay}. */
+    public static final String WORK_SLICE = "work";
+
     private static final int CONTROL_VMS = 1;
     private static final int ENDPOINTS = 2;
     private static final int WEIGHTS_NAMED = 3;
+    private static final int WORK_UNDER_WAY = 4;
 
     @Override
     public byte[] encode(SiteMessage message) {
@@ -31,6 +36,11 @@
                     .list(List.copyOf(endpoints.loading()), MessageWriter::text)
                     .toBytes();
         }
+        if (message instanceof WorkUnderWay work) {
+            return new MessageWriter(WORK_UNDER_WAY)
+                    .list(List.copyOf(work.byIncarnation().entrySet()), SiteCodec::writeWork)
+                    .toBytes();
+        }
         MessageWriter writer = new MessageWriter(WEIGHTS_NAMED);
         write(writer, ((WeightsNamed) message).versions());
         return writer.toBytes();
@@ -55,6 +65,21 @@
         return versions;
     }
 
+    private static void writeWork(MessageWriter writer, Map.Entry<String, EndpointWork> endpoint) {
+        writer.text(endpoint.getKey())
+                .number(endpoint.getValue().promptTokens())
+                .number(endpoint.getValue().calls());
+    }
+
+    private static Map<String, EndpointWork> readWork(MessageReader reader) {
+        Map<String, EndpointWork> work = new HashMap<>();
+        reader.list(
+                item ->
+                        work.put(item.text(), new EndpointWork(item.number(), item.number()))
+                                == null);
+        return work;
+    }
+
     private static void write(MessageWriter writer, Endpoint endpoint) {
         writer.text(endpoint.id())
                 .text(endpoint.service())
@@ -77,6 +102,7 @@
                             reader.list(SiteCodec::readEndpoint),
                             Set.copyOf(reader.list(MessageReader::text)));
             case WEIGHTS_NAMED -> new WeightsNamed(readVersions(reader));
+            case WORK_UNDER_WAY -> new WorkUnderWay(readWork(reader));
             default -> MessageReader.unknownType(type);
         };
     }
--- a/catalog/src/main/java/org/skylarkbend/catalog/SiteMessage.java
+++ b/catalog/src/main/java/org/skylarkbend/catalog/SiteMessage.java
@@ -4,7 +4,7 @@
 import java.util.Map;
 import java.util.Set;
 
-/** What control tells every gateway of a site. */
+/** What control and the gateways of a site tell one another. */
 public sealed interface SiteMessage {
     /** The control VMs, as host and port of their feed. */
     record ControlVms(List<String> addresses) implements SiteMessage {
@@ -35,4 +35,15 @@
             versions = Map.copyOf(versions);
         }
     }
+
+    /**
+     * The work under way at endpoints. A gateway tells control of its own; control tells a gateway
+     * of that of all others.
+     */
+    record WorkUnderWay(Map<String, EndpointWork> byIncarnation) implements SiteMessage {
+        /** Copies the map. */
+        public WorkUnderWay {
+            byIncarnation = Map.copyOf(byIncarnation);
+        }
+    }
 }
--- a/catalog/src/test/java/org/skylarkbend/catalog/SiteCodecTest.java
+++ b/catalog/src/test/java/org/skylarkbend/catalog/SiteCodecTest.java
@@ -20,7 +20,8 @@
         return new Object[] {
             new SiteMessage.ControlVms(List.of("10.0.0.1", "10.0.0.2")),
             new SiteMessage.Endpoints(List.of(endpoint), Set.of(endpoint.incarnation())),
-            new SiteMessage.WeightsNamed(Map.of("m", 2L, "n", 1L))
+            new SiteMessage.WeightsNamed(Map.of("m", 2L, "n", 1L)),
+            new SiteMessage.WorkUnderWay(Map.of("i-1@5", new EndpointWork(9_190, 3)))
         };
     }
 
--- a/control/src/main/java/org/skylarkbend/control/site/SiteControlProcess.java
+++ b/control/src/main/java/org/skylarkbend/control/site/SiteControlProcess.java
@@ -46,6 +46,8 @@
 import org.skylarkbend.control.log.ControlLog;
 import org.skylarkbend.control.log.ControlStateMachine;
 import org.skylarkbend.control.log.Leadership;
+import org.skylarkbend.control.work.WorkDecider;
+import org.skylarkbend.control.work.WorkTask;
 import org.skylarkbend.limits.CustomerLimit;
 import org.skylarkbend.limits.LimitCodec;
 import org.skylarkbend.limits.LimitPolicy;
@@ -71,6 +73,7 @@
     private final FeedTask mFeed;
     private final LimitOwnerTask mLimits;
     private final EndpointsTask mEndpoints;
+    private final WorkTask mWork;
     private final ControlLog mLog = new AgreementControlLog(() -> this.mAgreement);
     private Context mOperatorContext;
     private AgreementTask mAgreement;
@@ -88,6 +91,7 @@
                         wall,
                         this::sendLimits);
         mFeed = feedTask(wall);
+        mWork = new WorkTask(new WorkDecider(), parts.monotonic(), this::sendWork);
         mEndpoints =
                 new EndpointsTask(
                         parts.endpoints(),
@@ -121,13 +125,17 @@
         return mParts.vertx()
                 .undeploy(mEndpoints.deploymentID())
                 .eventually(() -> mParts.vertx().undeploy(mFeed.deploymentID()))
+                .eventually(() -> mParts.vertx().undeploy(mWork.deploymentID()))
                 .eventually(() -> mParts.vertx().undeploy(mLimits.deploymentID()))
                 .eventually(() -> mParts.vertx().undeploy(mAgreement.deploymentID()));
     }
 
     private FeedTask feedTask(MillisecondClock wall) {
         FeedOptions options =
-                FeedOptions.of(SERVING_LEASE_MILLISECONDS, Map.of(), Set.of(LimitCodec.SLICE));
+                FeedOptions.of(
+                        SERVING_LEASE_MILLISECONDS,
+                        Map.of(),
+                        Set.of(LimitCodec.SLICE, SiteCodec.WORK_SLICE));
         return new FeedTask(
                 new FeedTask.Parts(
                         mParts.self().value(),
@@ -164,6 +172,7 @@
         return mParts.vertx()
                 .deployVerticle(mLimits)
                 .compose(id -> mParts.vertx().deployVerticle(mEndpoints))
+                .compose(id -> mParts.vertx().deployVerticle(mWork))
                 .compose(id -> mParts.vertx().deployVerticle(mFeed))
                 .compose(id -> mParts.vertx().deployVerticle(mAgreement))
                 .onSuccess(id -> LOG.info("control.started", "vm", mParts.self()))
@@ -221,12 +230,23 @@
     }
 
     private void forwarded(Forward forward) {
-        mLimits.postMessage(
-                new RouterIdentity(forward.vm(), forward.incarnation()), forward.payload());
+        RouterIdentity gateway = new RouterIdentity(forward.vm(), forward.incarnation());
+        if (forward.slice().equals(SiteCodec.WORK_SLICE)) {
+            mWork.postMessage(gateway, forward.payload());
+        } else {
+            mLimits.postMessage(gateway, forward.payload());
+        }
     }
 
     private void sendLimits(RouterIdentity gateway, byte[] payload) {
-        SliceMessage message = new SliceMessage(LimitCodec.SLICE, payload);
+        send(gateway, new SliceMessage(LimitCodec.SLICE, payload));
+    }
+
+    private void sendWork(RouterIdentity gateway, byte[] payload) {
+        send(gateway, new SliceMessage(SiteCodec.WORK_SLICE, payload));
+    }
+
+    private void send(RouterIdentity gateway, SliceMessage message) {
         mFeed.post(new MessageForRouter(gateway.vm(), gateway.incarnation(), message));
     }
 
@@ -243,6 +263,7 @@
         mOperatorContext.runOnContext(nothing -> mOperators.leadershipChanged(leadership));
         mLimits.post(leadership);
         mEndpoints.post(leadership);
+        mWork.post(leadership);
         mFeed.post(new LeadershipChanged(leads, leader.map(this::feedAddress)));
         tell(
                 new ControlVms(
--- a/gateway/src/main/java/org/skylarkbend/gateway/GatewayProcess.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/GatewayProcess.java
@@ -7,6 +7,7 @@
 import org.skylarkbend.base.MillisecondClock;
 import org.skylarkbend.catalog.CatalogReader;
 import org.skylarkbend.catalog.EndpointSource;
+import org.skylarkbend.catalog.SiteMessage.WorkUnderWay;
 import org.skylarkbend.gateway.front.GatewayTask;
 import org.skylarkbend.gateway.front.StatusTask;
 import org.skylarkbend.gateway.link.SiteLinkDecider;
@@ -47,7 +48,12 @@
         mStatus = new StatusTask(settings);
         mGateway =
                 new GatewayTask(
-                        settings, metrics, clock, this::sendToLimitOwner, mStatus::postReady);
+                        settings,
+                        metrics,
+                        clock,
+                        this::sendToLimitOwner,
+                        this::sendWork,
+                        mStatus::postReady);
         RouterHello hello =
                 new RouterHello(
                         settings.vm(),
@@ -66,6 +72,10 @@
         mLink.sendToLimitOwner(message);
     }
 
+    private void sendWork(WorkUnderWay work) {
+        mLink.sendWork(work);
+    }
+
     /** Starts the tasks, the link last. */
     public Future<Void> start() {
         return mVertx.deployVerticle(mStatus)
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/Attempt.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/Attempt.java
@@ -33,17 +33,15 @@
 
     private final EngineChoice mChoice;
     private final Endpoint mEndpoint;
-    private final long mPromptTokens;
     private final Listener mListener;
     private Optional<HttpClientRequest> mRequest = Optional.empty();
     private boolean mOver;
     private boolean mSent;
     private boolean mPromptRead;
 
-    Attempt(EngineChoice choice, long promptTokens, Listener listener) {
+    Attempt(EngineChoice choice, Listener listener) {
         mChoice = choice;
         mEndpoint = choice.endpoint();
-        mPromptTokens = promptTokens;
         mListener = listener;
     }
 
@@ -51,8 +49,9 @@
         return mEndpoint;
     }
 
-    long promptTokens() {
-        return mPromptTokens;
+    /** The tokens that count as unread until the first event comes. */
+    long tokensToRead() {
+        return mChoice.tokensToRead();
     }
 
     /** Whether the call was handed to the connection. */
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/GatewayCall.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/GatewayCall.java
@@ -13,7 +13,6 @@
 import org.skylarkbend.catalog.Customer;
 import org.skylarkbend.catalog.Endpoint;
 import org.skylarkbend.gateway.endpoints.EngineChoice;
-import org.skylarkbend.gateway.endpoints.Prompt;
 import org.skylarkbend.gateway.limits.TokenGate;
 
 /**
@@ -132,12 +131,11 @@
         Endpoint endpoint = chosen.get().endpoint();
         mLast = chosen;
         mTried.add(endpoint.incarnation());
-        long promptTokens = mCall.prompt().map(Prompt::promptTokens).orElse(0L);
-        Attempt attempt = new Attempt(chosen.get(), promptTokens, this);
+        Attempt attempt = new Attempt(chosen.get(), this);
         mAttempt = Optional.of(attempt);
         mBody = Buffer.buffer();
         mEvents.dropPartial();
-        mResources.board().sent(endpoint, promptTokens, now());
+        mResources.board().sent(endpoint, attempt.tokensToRead(), now());
         attempt.start(
                 mResources.client(),
                 mCall,
@@ -297,7 +295,7 @@
 
     private void promptRead(Attempt attempt) {
         if (attempt.notePromptRead()) {
-            mResources.board().promptRead(attempt.endpoint(), attempt.promptTokens());
+            mResources.board().promptRead(attempt.endpoint(), attempt.tokensToRead());
         }
     }
 
--- a/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EndpointBoard.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EndpointBoard.java
@@ -12,6 +12,7 @@
 import java.util.function.DoubleSupplier;
 import java.util.function.ToDoubleFunction;
 import org.skylarkbend.catalog.Endpoint;
+import org.skylarkbend.catalog.EndpointWork;
 import org.skylarkbend.catalog.SiteMessage.Endpoints;
 
 /**
@@ -119,6 +120,27 @@
                                 .putIfAbsent(version, nowMilliseconds));
     }
 
+    /** What this gateway has under way, without endpoints at which it has nothing. */
+    public Map<String, EndpointWork> ownWork() {
+        Map<String, EndpointWork> work = new HashMap<>();
+        mLoads.forEach(
+                (incarnation, load) -> {
+                    if (!load.own().equals(EndpointWork.none())) {
+                        work.put(incarnation, load.own());
+                    }
+                });
+        return work;
+    }
+
+    /** Takes what all other gateways have under way. */
+    public void othersHave(Map<String, EndpointWork> work, long nowMilliseconds) {
+        mLoads.forEach(
+                (incarnation, load) ->
+                        load.othersHave(
+                                work.getOrDefault(incarnation, EndpointWork.none()),
+                                nowMilliseconds));
+    }
+
     /** Chooses an endpoint for a call without a prompt. */
     public Optional<EngineChoice> choose(String service, Set<String> tried, long nowMilliseconds) {
         return least(
@@ -144,16 +166,21 @@
                             if (!serves(load, prompt.model())) {
                                 return Double.POSITIVE_INFINITY;
                             }
-                            boolean isHome = !homes.isEmpty() && load == homes.get(0);
+                            boolean isHome = isHome(load.endpoint(), homes);
                             double share = isHome ? HOME_MISS_SHARE : ELSEWHERE_SHARE;
                             return share * prompt.sharedTokens()
-                                    + load.promptTokens()
+                                    + load.promptTokens(nowMilliseconds)
                                     + load.waiting(nowMilliseconds) * TOKENS_OF_WAITING_CALL
                                     + load.calls(nowMilliseconds) * TOKENS_OF_RUNNING_CALL
                                     + tokensOfAge(load, prompt, nowMilliseconds)
                                     + lastResort(load, nowMilliseconds);
                         })
-                .map(endpoint -> asChoice(endpoint, prompt.model(), homes));
+                .map(endpoint -> asChoice(endpoint, prompt, homes));
+    }
+
+    private static boolean isHome(Endpoint endpoint, List<EndpointLoad> homes) {
+        return !homes.isEmpty()
+                && homes.get(0).endpoint().incarnation().equals(endpoint.incarnation());
     }
 
     /** A call was sent to an endpoint, with so many prompt tokens to read. */
@@ -231,22 +258,27 @@
      * The store keeps what any engine has read. Without it, another home with the same weights may
      * hold the shared parts and hand them over.
      */
-    private EngineChoice asChoice(Endpoint endpoint, String model, List<EndpointLoad> homes) {
-        Long version = endpoint.weights().get(model);
+    private EngineChoice asChoice(Endpoint endpoint, Prompt prompt, List<EndpointLoad> homes) {
+        Long version = endpoint.weights().get(prompt.model());
         if (version == null) {
             return EngineChoice.plain(endpoint);
         }
+        double missShare = isHome(endpoint, homes) ? HOME_MISS_SHARE : 1;
+        long ownTokens = prompt.promptTokens() - prompt.sharedTokens();
+        long tokensToRead = ownTokens + (long) (missShare * prompt.sharedTokens());
         if (mStore.isPresent()) {
-            return new EngineChoice(endpoint, OptionalLong.of(version), mStore, mStore);
+            return new EngineChoice(
+                    endpoint, OptionalLong.of(version), mStore, mStore, tokensToRead);
         }
         Optional<String> source =
                 homes.stream()
                         .map(EndpointLoad::endpoint)
                         .filter(home -> !home.incarnation().equals(endpoint.incarnation()))
-                        .filter(home -> version.equals(home.weights().get(model)))
+                        .filter(home -> version.equals(home.weights().get(prompt.model())))
                         .map(Endpoint::address)
                         .findFirst();
-        return new EngineChoice(endpoint, OptionalLong.of(version), source, Optional.empty());
+        return new EngineChoice(
+                endpoint, OptionalLong.of(version), source, Optional.empty(), tokensToRead);
     }
 
     /**
--- a/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EndpointLoad.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EndpointLoad.java
@@ -1,12 +1,16 @@
 package org.skylarkbend.gateway.endpoints;
 
 import org.skylarkbend.catalog.Endpoint;
+import org.skylarkbend.catalog.EndpointWork;
 
 /** What a gateway knows of one endpoint's load. Owned by the board. */
 final class EndpointLoad {
     /** How long an endpoint's own report of its load says something. */
     private static final long REPORT_LIFE_MILLISECONDS = 1_000;
 
+    /** What other gateways have under way is told several times a second. */
+    private static final long OTHERS_LIFE_MILLISECONDS = 1_500;
+
     private static final long FIRST_PAUSE_MILLISECONDS = 250;
     private static final long MAX_PAUSE_MILLISECONDS = 4_000;
     private static final int MAX_DOUBLINGS = 4;
@@ -14,6 +18,8 @@
     private Endpoint mEndpoint;
     private int mCalls;
     private long mPromptTokens;
+    private EndpointWork mOthers = EndpointWork.none();
+    private long mOthersMilliseconds = Long.MIN_VALUE / 2;
     private int mOtherRunning;
     private int mWaiting;
     private long mReportedMilliseconds = Long.MIN_VALUE / 2;
@@ -94,8 +100,22 @@
         return nowMilliseconds < mPausedUntilMilliseconds;
     }
 
+    /** What this gateway has under way there. */
+    EndpointWork own() {
+        return new EndpointWork(mPromptTokens, mCalls);
+    }
+
+    /** Control told what all other gateways have under way there. */
+    void othersHave(EndpointWork work, long nowMilliseconds) {
+        mOthers = work;
+        mOthersMilliseconds = nowMilliseconds;
+    }
+
     /** The calls that it runs or holds in its queue, as far as is known. */
-    int calls(long nowMilliseconds) {
+    long calls(long nowMilliseconds) {
+        if (isTold(nowMilliseconds)) {
+            return mCalls + mOthers.calls();
+        }
         return mCalls + (isReported(nowMilliseconds) ? mOtherRunning + mWaiting : 0);
     }
 
@@ -103,9 +123,13 @@
         return isReported(nowMilliseconds) ? mWaiting : 0;
     }
 
-    /** The prompt tokens of this gateway's calls that it has not read yet. */
-    long promptTokens() {
-        return mPromptTokens;
+    /** The prompt tokens that it has not read yet, as far as is known. */
+    long promptTokens(long nowMilliseconds) {
+        return mPromptTokens + (isTold(nowMilliseconds) ? mOthers.promptTokens() : 0);
+    }
+
+    private boolean isTold(long nowMilliseconds) {
+        return nowMilliseconds - mOthersMilliseconds < OTHERS_LIFE_MILLISECONDS;
     }
 
     private boolean isReported(long nowMilliseconds) {
--- a/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EngineChoice.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EngineChoice.java
@@ -12,14 +12,17 @@
  * @param cacheSource the address of a store, or of an engine with the same weights, that may hold
  *     the shared parts of the prompt
  * @param store the address of the store that keeps what the engine reads
+ * @param tokensToRead the tokens of the prompt that the engine will probably have to read
  */
 public record EngineChoice(
         Endpoint endpoint,
         OptionalLong weights,
         Optional<String> cacheSource,
-        Optional<String> store) {
+        Optional<String> store,
+        long tokensToRead) {
     /** A choice of an endpoint that is no engine. */
     static EngineChoice plain(Endpoint endpoint) {
-        return new EngineChoice(endpoint, OptionalLong.empty(), Optional.empty(), Optional.empty());
+        return new EngineChoice(
+                endpoint, OptionalLong.empty(), Optional.empty(), Optional.empty(), 0);
     }
 }
--- a/gateway/src/main/java/org/skylarkbend/gateway/front/GatewayTask.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/front/GatewayTask.java
@@ -26,8 +26,10 @@
 import org.skylarkbend.catalog.CallerLimits;
 import org.skylarkbend.catalog.Catalog;
 import org.skylarkbend.catalog.Endpoint;
+import org.skylarkbend.catalog.EndpointWork;
 import org.skylarkbend.catalog.SiteLimits;
 import org.skylarkbend.catalog.SiteMessage.Endpoints;
+import org.skylarkbend.catalog.SiteMessage.WorkUnderWay;
 import org.skylarkbend.gateway.GatewaySettings;
 import org.skylarkbend.gateway.call.CallRequest;
 import org.skylarkbend.gateway.call.CallResources;
@@ -57,12 +59,20 @@
 
     private static final int MAX_REQUEST_LINE_BYTES = 8 * 1024;
     private static final long PROBE_MILLISECONDS = 250;
+
+    /** How often the other gateways learn what this one has under way. */
+    private static final long WORK_MILLISECONDS = 100;
+
+    /** Unchanged work is told again after so long: control may have another leader. */
+    private static final long WORK_AGAIN_MILLISECONDS = 500;
+
     private static final long DRAIN_CHECK_MILLISECONDS = 50;
 
     private final GatewaySettings mSettings;
     private final MetricRegistry mMetrics;
     private final MillisecondClock mClock;
     private final Consumer<LimitMessage> mLimitOwner;
+    private final Consumer<WorkUnderWay> mOnWork;
     private final Consumer<Boolean> mOnReady;
     private final CallHeadReader mHeads;
     private final Set<GatewayCall> mCalls = new HashSet<>();
@@ -75,6 +85,8 @@
     private StoreProbe mStoreProbe;
     private HttpServer mServer;
     private long mGateTimer = -1;
+    private WorkUnderWay mWorkTold = new WorkUnderWay(Map.of());
+    private long mWorkToldMilliseconds;
     private boolean mOwnerSpoke;
     private boolean mReady;
     private boolean mDraining;
@@ -87,6 +99,7 @@
      * @param metrics where calls are counted
      * @param clock a clock that never steps back
      * @param limitOwner sends a message to the owner of the limits
+     * @param onWork told on the task's context what is under way at endpoints
      * @param onReady told on the task's context whether callers should come
      */
     public GatewayTask(
@@ -94,11 +107,13 @@
             MetricRegistry metrics,
             MillisecondClock clock,
             Consumer<LimitMessage> limitOwner,
+            Consumer<WorkUnderWay> onWork,
             Consumer<Boolean> onReady) {
         mSettings = settings;
         mMetrics = metrics;
         mClock = clock;
         mLimitOwner = limitOwner;
+        mOnWork = onWork;
         mOnReady = onReady;
         mHeads = new CallHeadReader(settings.headers());
         mBoard =
@@ -139,6 +154,7 @@
                     probes.probe();
                     mStoreProbe.connect();
                 });
+        vertx.setPeriodic(WORK_MILLISECONDS, id -> tellWork());
         HttpServerOptions options =
                 new HttpServerOptions()
                         .setTcpNoDelay(true)
@@ -192,6 +208,21 @@
         mContext.runOnContext(nothing -> mBoard.name(versions, now()));
     }
 
+    @Override
+    public void othersHave(Map<String, EndpointWork> work) {
+        mContext.runOnContext(nothing -> mBoard.othersHave(work, now()));
+    }
+
+    private void tellWork() {
+        WorkUnderWay work = new WorkUnderWay(mBoard.ownWork());
+        boolean isDue = now() - mWorkToldMilliseconds >= WORK_AGAIN_MILLISECONDS;
+        if (isDue || !work.equals(mWorkTold)) {
+            mWorkTold = work;
+            mWorkToldMilliseconds = now();
+            mOnWork.accept(work);
+        }
+    }
+
     @Override
     public void limitOwnerSaid(LimitMessage message) {
         mContext.runOnContext(
--- a/gateway/src/main/java/org/skylarkbend/gateway/link/SiteLinkTask.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/link/SiteLinkTask.java
@@ -16,6 +16,7 @@
 import org.skylarkbend.catalog.SiteMessage.ControlVms;
 import org.skylarkbend.catalog.SiteMessage.Endpoints;
 import org.skylarkbend.catalog.SiteMessage.WeightsNamed;
+import org.skylarkbend.catalog.SiteMessage.WorkUnderWay;
 import org.skylarkbend.limits.LimitCodec;
 import org.skylarkbend.limits.LimitMessage;
 import org.skylarkbend.publishing.feed.FeedCodec;
@@ -88,6 +89,12 @@
         mContext.runOnContext(nothing -> take(new SiteLinkMessage.SliceToSend(slice)));
     }
 
+    /** Tells control what this gateway has under way. It may be lost. */
+    public void sendWork(WorkUnderWay work) {
+        SliceMessage slice = new SliceMessage(SiteCodec.WORK_SLICE, mSiteCodec.encode(work));
+        mContext.runOnContext(nothing -> take(new SiteLinkMessage.SliceToSend(slice)));
+    }
+
     /** Tells the task that the settings name other control VMs. */
     public void postSeeds(List<String> hosts) {
         mContext.runOnContext(nothing -> take(new SiteLinkMessage.SeedsChanged(hosts)));
@@ -156,6 +163,8 @@
             mListener.endpointsChanged(endpoints);
         } else if (message instanceof WeightsNamed named) {
             mListener.weightsNamed(named.versions());
+        } else if (message instanceof WorkUnderWay work) {
+            mListener.othersHave(work.byIncarnation());
         }
     }
 
--- a/gateway/src/main/java/org/skylarkbend/gateway/link/SiteListener.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/link/SiteListener.java
@@ -2,6 +2,7 @@
 
 import java.util.Map;
 import org.skylarkbend.catalog.Catalog;
+import org.skylarkbend.catalog.EndpointWork;
 import org.skylarkbend.catalog.SiteMessage.Endpoints;
 import org.skylarkbend.limits.LimitMessage;
 
@@ -16,6 +17,9 @@
     /** Newer weights were named. */
     void weightsNamed(Map<String, Long> versions);
 
+    /** The other gateways have this under way at endpoints. */
+    void othersHave(Map<String, EndpointWork> work);
+
     /** The owner of the limits said something. */
     void limitOwnerSaid(LimitMessage message);
 }
--- a/gateway/src/test/java/org/skylarkbend/gateway/endpoints/EndpointBoardTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/endpoints/EndpointBoardTest.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.skylarkbend.catalog.Endpoint;
+import org.skylarkbend.catalog.EndpointWork;
 import org.skylarkbend.catalog.SiteMessage.Endpoints;
 import org.testng.annotations.Test;
 
@@ -87,6 +88,33 @@
         assertThat(chosen(board, prompt, 0)).isNotEqualTo(home);
     }
 
+    @Test
+    public void aPromptLeavesAHomeWhereTheCallsOfOtherGatewaysWait() {
+        EndpointBoard board = board(Set.of(), engine("a", 1), engine("b", 1));
+        Prompt prompt = prompt("shared", 2_000);
+        String home = chosen(board, prompt, 0);
+        board.othersHave(Map.of(home + "@1", new EndpointWork(40_000, 10)), 0);
+        assertThat(chosen(board, prompt, 0)).isNotEqualTo(home);
+        assertThat(chosen(board, prompt, 10_000)).isEqualTo(home);
+    }
+
+    @Test
+    public void aCallGoesWhereAllGatewaysTogetherHaveTheFewestCalls() {
+        EndpointBoard board = board(Set.of(), plain("a", 6), plain("b", 6));
+        board.othersHave(Map.of("a@1", new EndpointWork(0, 3)), 0);
+        for (int i = 0; i < 20; i++) {
+            assertThat(id(board.choose("desk", Set.of(), 10))).isEqualTo("b");
+        }
+    }
+
+    @Test
+    public void theGatewayTellsOnlyOfEndpointsAtWhichItHasSomething() {
+        Endpoint endpoint = plain("a", 6);
+        EndpointBoard board = board(Set.of(), endpoint, plain("b", 6));
+        board.sent(endpoint, 700, 0);
+        assertThat(board.ownWork()).isEqualTo(Map.of("a@1", new EndpointWork(700, 1)));
+    }
+
     @Test
     public void anEngineThatLoadsWeightsIsTheLastResort() {
         EndpointBoard board = board(Set.of("a@1"), engine("a", 1), engine("b", 1));
--- a/gateway/src/test/java/org/skylarkbend/gateway/front/GatewayTaskTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/front/GatewayTaskTest.java
@@ -74,6 +74,7 @@
                         new MetricRegistry(),
                         MillisecondClock.monotonic(),
                         message -> {},
+                        work -> {},
                         ready -> {});
         await(mVertx.deployVerticle(mGateway));
     }
