Give a new owner of the limits a head start, and let early calls wait for the gateway

The bucket of a new owner was empty, and dead runs of gateways held it empty for another 250 ms. Change: the bucket starts with what came in during the time in which nobody can have owned the limits; silent gateways keep it from giving, but take nothing away; a run that died leaves nothing to count. Calls that come before the gateway is ready wait up to 0.7 s.

--- a/gateway/src/main/java/org/skylarkbend/gateway/front/GatewayTask.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/front/GatewayTask.java
@@ -60,24 +60,18 @@
     private static final int MAX_REQUEST_LINE_BYTES = 8 * 1024;
     private static final long PROBE_MILLISECONDS = 250;
 
-    /** How often the other gateways learn what this one has under way. */
-    private static final long WORK_MILLISECONDS = 100;
-
-    /** Unchanged work is told again after so long: control may have another leader. */
-    private static final long WORK_AGAIN_MILLISECONDS = 500;
-
     private static final long DRAIN_CHECK_MILLISECONDS = 50;
 
     private final GatewaySettings mSettings;
     private final MetricRegistry mMetrics;
     private final MillisecondClock mClock;
     private final Consumer<LimitMessage> mLimitOwner;
-    private final Consumer<WorkUnderWay> mOnWork;
     private final Consumer<Boolean> mOnReady;
     private final CallHeadReader mHeads;
     private final Set<GatewayCall> mCalls = new HashSet<>();
     private final CallerConnections mConnections = new CallerConnections();
     private final EndpointBoard mBoard;
+    private final WorkReport mWork;
     private Context mContext;
     private Optional<ServingState> mState = Optional.empty();
     private CallResources mResources;
@@ -85,8 +79,7 @@
     private StoreProbe mStoreProbe;
     private HttpServer mServer;
     private long mGateTimer = -1;
-    private WorkUnderWay mWorkTold = new WorkUnderWay(Map.of());
-    private long mWorkToldMilliseconds;
+    private EarlyCalls mEarly;
     private boolean mOwnerSpoke;
     private boolean mReady;
     private boolean mDraining;
@@ -113,18 +106,19 @@
         mMetrics = metrics;
         mClock = clock;
         mLimitOwner = limitOwner;
-        mOnWork = onWork;
         mOnReady = onReady;
         mHeads = new CallHeadReader(settings.headers());
         mBoard =
                 new EndpointBoard(
                         () -> ThreadLocalRandom.current().nextDouble(),
                         settings.budgets().weightsLifeMilliseconds());
+        mWork = new WorkReport(mBoard, onWork);
     }
 
     @Override
     public Future<?> start() {
         mContext = context;
+        mEarly = new EarlyCalls(vertx);
         mGate =
                 new TokenGate(
                         new LimitShareDecider(LimitPolicy.countedWhenSent(), now()),
@@ -154,22 +148,24 @@
                     probes.probe();
                     mStoreProbe.connect();
                 });
-        vertx.setPeriodic(WORK_MILLISECONDS, id -> tellWork());
-        HttpServerOptions options =
-                new HttpServerOptions()
-                        .setTcpNoDelay(true)
-                        .setHandle100ContinueAutomatically(true)
-                        .setHttp2ClearTextEnabled(false)
-                        .setMaxHeaderSize(CallerLimits.defaults().headerBytes())
-                        .setMaxInitialLineLength(MAX_REQUEST_LINE_BYTES)
-                        .setIdleTimeout(IDLE_SECONDS)
-                        .setIdleTimeoutUnit(TimeUnit.SECONDS);
-        mServer = vertx.createHttpServer(options);
+        vertx.setPeriodic(WorkReport.PERIOD_MILLISECONDS, id -> mWork.tell(now()));
+        mServer = vertx.createHttpServer(serverOptions());
         mServer.connectionHandler(mConnections::opened);
         mServer.requestHandler(this::take);
         return mServer.listen(mSettings.callers().port(), mSettings.callers().host());
     }
 
+    private static HttpServerOptions serverOptions() {
+        return new HttpServerOptions()
+                .setTcpNoDelay(true)
+                .setHandle100ContinueAutomatically(true)
+                .setHttp2ClearTextEnabled(false)
+                .setMaxHeaderSize(CallerLimits.defaults().headerBytes())
+                .setMaxInitialLineLength(MAX_REQUEST_LINE_BYTES)
+                .setIdleTimeout(IDLE_SECONDS)
+                .setIdleTimeoutUnit(TimeUnit.SECONDS);
+    }
+
     @Override
     public Future<?> stop() {
         return mServer.close();
@@ -213,16 +209,6 @@
         mContext.runOnContext(nothing -> mBoard.othersHave(work, now()));
     }
 
-    private void tellWork() {
-        WorkUnderWay work = new WorkUnderWay(mBoard.ownWork());
-        boolean isDue = now() - mWorkToldMilliseconds >= WORK_AGAIN_MILLISECONDS;
-        if (isDue || !work.equals(mWorkTold)) {
-            mWorkTold = work;
-            mWorkToldMilliseconds = now();
-            mOnWork.accept(work);
-        }
-    }
-
     @Override
     public void limitOwnerSaid(LimitMessage message) {
         mContext.runOnContext(
@@ -285,8 +271,15 @@
         }
     }
 
+    private boolean knowsAll() {
+        return mState.isPresent() && mBoard.isKnown() && mOwnerSpoke;
+    }
+
     private void tellReady() {
-        boolean ready = mState.isPresent() && mBoard.isKnown() && mOwnerSpoke && !mDraining;
+        if (knowsAll()) {
+            mEarly.releaseAll();
+        }
+        boolean ready = knowsAll() && !mDraining;
         if (ready != mReady) {
             mReady = ready;
             LOG.info("gateway.ready", "ready", ready);
@@ -321,15 +314,18 @@
         request.exceptionHandler(e -> LOG.debug("caller.broke", "cause", e.getMessage()));
         request.endHandler(
                 nothing -> {
-                    if (!request.response().ended()) {
-                        begin(request, body, arrivedMilliseconds);
+                    Runnable begin = () -> begin(request, body, arrivedMilliseconds);
+                    if (knowsAll() || mDraining || !mEarly.keep(begin)) {
+                        begin.run();
                     }
                 });
     }
 
     private void begin(HttpServerRequest request, Buffer body, long arrivedMilliseconds) {
         String host = request.getHeader("Host");
-        if (mRefusing) {
+        if (request.response().ended() || request.response().closed()) {
+            LOG.info("caller.gone", "id", request.getHeader(mSettings.headers().requestId()));
+        } else if (mRefusing) {
             refuse(request, new SkylarkError(ErrorKind.ROUTER_DRAINING, "this VM is leaving"));
         } else if (mState.isEmpty()) {
             refuse(
--- a/gateway/src/test/java/org/skylarkbend/gateway/front/GatewayTaskTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/front/GatewayTaskTest.java
@@ -32,6 +32,7 @@
 import org.skylarkbend.gateway.FakeEndpoint;
 import org.skylarkbend.gateway.GatewaySettings;
 import org.skylarkbend.gateway.Routes;
+import org.skylarkbend.limits.LimitMessage;
 import org.skylarkbend.testing.LoopbackPorts;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -92,6 +93,13 @@
         assertThat(answer.body()).hasValueSatisfying(b -> assertThat(b).contains("not_run"));
     }
 
+    @Test
+    public void aCallThatComesAMomentBeforeTheGatewayIsReadyIsServed() throws Exception {
+        Future<Answer> answer = send(Map.of());
+        serve(CallKind.ONCE, 1, false, answering(200, "done"));
+        assertThat(await(answer).status()).isEqualTo(200);
+    }
+
     @Test
     public void anAnswerIsPassedOnWithItsSealAndTheKeyStaysHere() throws Exception {
         FakeEndpoint endpoint = serve(CallKind.ONCE, 1, false, answering(200, "done"))[0];
@@ -255,6 +263,7 @@
                 new Endpoints(
                         java.util.Arrays.stream(endpoints).map(FakeEndpoint::listed).toList(),
                         Set.of()));
+        mGateway.limitOwnerSaid(new LimitMessage.TermBegan(1));
         return endpoints;
     }
 
--- a/gateway/src/test/java/org/skylarkbend/gateway/limits/TokenGateTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/limits/TokenGateTest.java
@@ -68,6 +68,19 @@
         assertThat(outcomeOf(9_000)).contains(true);
     }
 
+    @Test
+    public void afterARestartOfTheWholeSiteCallsAreAdmittedAtOnce() {
+        LimitRegistry before = LimitRegistry.empty();
+        for (int vm = 1; vm <= 8; vm++) {
+            before = before.register(new RouterIdentity(ObjectName.of("front-" + vm), 1));
+        }
+        begin(before);
+        for (int vm = 2; vm <= 8; vm++) {
+            connect(new RouterIdentity(ObjectName.of("front-" + vm), 9));
+        }
+        assertThat(outcomeOf(9_000)).contains(true);
+    }
+
     @Test
     public void aCallWithoutTokensIsRefusedWithinAnEighthOfItsTarget() {
         begin(LimitRegistry.empty());
--- a/limits/src/main/java/org/skylarkbend/limits/CustomerBucket.java
+++ b/limits/src/main/java/org/skylarkbend/limits/CustomerBucket.java
@@ -18,13 +18,19 @@
     private final Map<RouterIdentity, Want> mWants = new LinkedHashMap<>();
     private CustomerLimit mLimit;
     private long mLevelThousandths;
+    private long mMostThousandths;
     private long mFilledAtMilliseconds;
     private long mHeldTokens;
     private boolean mShort;
 
-    /** An empty bucket, since whoever filled it before may have given everything away. */
-    CustomerBucket(CustomerLimit limit, long nowMilliseconds) {
+    /**
+     * A bucket that holds no more than what came in since nobody owned it: whoever filled it before
+     * may have given everything away.
+     */
+    CustomerBucket(CustomerLimit limit, long headStartTokens, long nowMilliseconds) {
         mLimit = limit;
+        mLevelThousandths = headStartTokens * THOUSANDTHS;
+        mMostThousandths = mLevelThousandths;
         mFilledAtMilliseconds = nowMilliseconds;
     }
 
@@ -36,34 +42,41 @@
         mLimit = limit;
     }
 
-    /** Fills the bucket up to now, as far as the burst leaves room beside all that is held. */
+    /**
+     * Fills the bucket up to now, as far as the burst leaves room beside all that is held. What
+     * silent routers may hold keeps the bucket from filling and from giving, but takes nothing away
+     * that it has.
+     */
     void fill(long nowMilliseconds, long silentHeldTokens) {
         long elapsedMilliseconds = Math.max(0, nowMilliseconds - mFilledAtMilliseconds);
         mFilledAtMilliseconds = Math.max(mFilledAtMilliseconds, nowMilliseconds);
-        long roomTokens = mLimit.burstTokens() - mHeldTokens - silentHeldTokens;
-        long mostThousandths = Math.max(0, roomTokens * THOUSANDTHS);
-        long missingThousandths = mostThousandths - mLevelThousandths;
+        long roomThousandths = Math.max(0, (mLimit.burstTokens() - mHeldTokens) * THOUSANDTHS);
+        mMostThousandths = Math.max(0, roomThousandths - silentHeldTokens * THOUSANDTHS);
+        mLevelThousandths = Math.min(mLevelThousandths, roomThousandths);
+        long missingThousandths = mMostThousandths - mLevelThousandths;
         long rate = mLimit.tokensPerSecond();
-        if (missingThousandths <= 0 || elapsedMilliseconds > missingThousandths / rate) {
-            mLevelThousandths = mostThousandths;
-        } else {
-            mLevelThousandths += rate * elapsedMilliseconds;
+        if (missingThousandths > 0) {
+            boolean isFull = elapsedMilliseconds > missingThousandths / rate;
+            mLevelThousandths += isFull ? missingThousandths : rate * elapsedMilliseconds;
         }
     }
 
+    /** The tokens that may be given away. */
     long levelTokens() {
-        return mLevelThousandths / THOUSANDTHS;
+        return Math.min(mLevelThousandths, mMostThousandths) / THOUSANDTHS;
     }
 
     /** Moves tokens from the bucket to a router. */
     void grant(long tokens) {
         mLevelThousandths -= tokens * THOUSANDTHS;
+        mMostThousandths -= tokens * THOUSANDTHS;
         mHeldTokens += tokens;
     }
 
     /** Tokens came back unused: the bucket holds them again. */
     void takeBack(long tokens) {
         mLevelThousandths += tokens * THOUSANDTHS;
+        mMostThousandths += tokens * THOUSANDTHS;
     }
 
     /** What known routers hold has changed. */
--- a/limits/src/test/java/org/skylarkbend/limits/LimitWorld.java
+++ b/limits/src/test/java/org/skylarkbend/limits/LimitWorld.java
@@ -53,7 +53,7 @@
         long rate = 1 + burst * 1_000 / (300 + mRandom.nextLong(4_000));
         mLimit = new CustomerLimit(ObjectName.of("atelier"), rate, burst);
         mQuick = mRandom.nextBoolean();
-        mPolicy = new LimitPolicy(2 + mRandom.nextInt(4), 200, 64, 20, 1_000, 300, 16, 500);
+        mPolicy = new LimitPolicy(2 + mRandom.nextInt(4), 200, 64, 20, 1_000, 300, 16, 500, 0);
     }
 
     /**
