Announce orders in the log, so that a new commander waits only for engines ordered lately

Cause: a new leader left all engines alone for a whole lease of 3 s. With a leader that froze just after new weights were named, six of eight engines still had the old ones when their time was over, and the other two took all calls. Change: an order is put into the replicated log before it is given. A new commander leaves only those engines alone that another announced within the lease.

--- a/control/src/main/java/org/skylarkbend/control/site/EndpointsTask.java
+++ b/control/src/main/java/org/skylarkbend/control/site/EndpointsTask.java
@@ -15,6 +15,7 @@
 import org.skylarkbend.catalog.Endpoint;
 import org.skylarkbend.catalog.EndpointSource;
 import org.skylarkbend.catalog.SiteMessage.Endpoints;
+import org.skylarkbend.control.log.ControlEntry;
 import org.skylarkbend.control.log.ControlLog;
 import org.skylarkbend.control.log.Leadership;
 import org.skylarkbend.orders.weights.LoadAnswer;
@@ -23,6 +24,8 @@
 import org.skylarkbend.orders.weights.WeightsEffect.AskReport;
 import org.skylarkbend.orders.weights.WeightsEffect.Load;
 import org.skylarkbend.orders.weights.WeightsMessage;
+import org.skylarkbend.orders.weights.WeightsMessage.Announced;
+import org.skylarkbend.orders.weights.WeightsMessage.AnnouncementsMissed;
 import org.skylarkbend.orders.weights.WeightsMessage.Answered;
 import org.skylarkbend.orders.weights.WeightsMessage.Engine;
 import org.skylarkbend.orders.weights.WeightsMessage.Listed;
@@ -49,6 +52,7 @@
     private final ControlLog mLog;
     private final WeightsDecider mWeights;
     private final MillisecondClock mClock;
+    private final MillisecondClock mWall;
     private final Consumer<Endpoints> mOnChange;
     private final Map<String, Endpoint> mEndpoints = new HashMap<>();
     private Context mContext;
@@ -62,9 +66,10 @@
      *
      * @param source where the endpoints are listed
      * @param commands how engines are ordered
-     * @param log confirms the command before an order
+     * @param log announces each order before it is given
      * @param weights decides upon orders
      * @param clock a clock that never steps back
+     * @param wall the clock that stamps entries of the log
      * @param onChange told on the task's context when what gateways should know has changed
      */
     public EndpointsTask(
@@ -73,18 +78,21 @@
             ControlLog log,
             WeightsDecider weights,
             MillisecondClock clock,
+            MillisecondClock wall,
             Consumer<Endpoints> onChange) {
         mSource = source;
         mCommands = commands;
         mLog = log;
         mWeights = weights;
         mClock = clock;
+        mWall = wall;
         mOnChange = onChange;
     }
 
     @Override
     public Future<?> start() {
         mContext = context;
+        decide(new AnnouncementsMissed());
         vertx.setPeriodic(LIST_MILLISECONDS, id -> list());
         vertx.setPeriodic(TICK_MILLISECONDS, id -> tick());
         return Future.succeededFuture();
@@ -100,6 +108,11 @@
         mContext.runOnContext(nothing -> decide(new Named(versions)));
     }
 
+    /** Tells the task of announced orders. */
+    public void postAnnounced(WeightsMessage announced) {
+        mContext.runOnContext(nothing -> decide(announced));
+    }
+
     private void leadershipChanged(Leadership leadership) {
         boolean goesOn =
                 mLeadership.leads()
@@ -211,24 +224,28 @@
                                                 error -> new ReportFailed(engine))));
     }
 
-    /** A process that was suspended must not order by what it believed before. */
+    /**
+     * Announces an order, and gives it when the log holds the announcement: this member led then,
+     * and knows of all that others have announced before.
+     */
     private void order(Load load) {
+        byte[] announced = OrdersSlice.encode(new Announced(load.engine(), load.fencingNumber()));
+        mLog.propose(new ControlEntry(OrdersSlice.NAME, mWall.nowMilliseconds(), announced))
+                .onSuccess(result -> mContext.runOnContext(nothing -> order(load, result)));
+    }
+
+    private void order(Load load, Result<byte[]> announcement) {
         Endpoint endpoint = mEndpoints.get(load.engine());
-        mLog.confirmLeadership()
-                .onSuccess(
-                        result -> {
-                            boolean commands =
-                                    result.isSuccess()
-                                            && mLeadership.leads()
-                                            && mLeadership.term() == load.fencingNumber();
-                            if (endpoint == null || !commands) {
-                                answered(load, LoadAnswer.REFUSED);
-                            } else {
-                                mCommands
-                                        .load(endpoint, load)
-                                        .onSuccess(answer -> answered(load, answer));
-                            }
-                        });
+        boolean commands =
+                announcement.isSuccess()
+                        && mLeadership.leads()
+                        && mLeadership.term() == load.fencingNumber()
+                        && mWeights.mayOrder(load.engine(), mClock.nowMilliseconds());
+        if (endpoint == null || !commands) {
+            answered(load, LoadAnswer.REFUSED);
+        } else {
+            mCommands.load(endpoint, load).onSuccess(answer -> answered(load, answer));
+        }
     }
 
     private void answered(Load load, LoadAnswer answer) {
--- a/control/src/main/java/org/skylarkbend/control/site/SiteControlProcess.java
+++ b/control/src/main/java/org/skylarkbend/control/site/SiteControlProcess.java
@@ -99,6 +99,7 @@
                         mLog,
                         new WeightsDecider(parts.takeoverMilliseconds()),
                         parts.monotonic(),
+                        wall,
                         this::tell);
     }
 
@@ -157,6 +158,7 @@
                         List.of(
                                 new CatalogSlice(this::documentChanged),
                                 new WeightsSlice(this::weightsChanged),
+                                new OrdersSlice(mEndpoints::postAnnounced),
                                 new LimitRegistrySlice(this::limitsChanged)));
         mAgreement =
                 new AgreementTask(
--- a/orders/src/main/java/org/skylarkbend/orders/weights/WeightsDecider.java
+++ b/orders/src/main/java/org/skylarkbend/orders/weights/WeightsDecider.java
@@ -14,6 +14,8 @@
 import org.skylarkbend.orders.weights.WeightsEffect.AskReport;
 import org.skylarkbend.orders.weights.WeightsEffect.Load;
 import org.skylarkbend.orders.weights.WeightsEffect.LoadingChanged;
+import org.skylarkbend.orders.weights.WeightsMessage.Announced;
+import org.skylarkbend.orders.weights.WeightsMessage.AnnouncementsMissed;
 import org.skylarkbend.orders.weights.WeightsMessage.Answered;
 import org.skylarkbend.orders.weights.WeightsMessage.Engine;
 import org.skylarkbend.orders.weights.WeightsMessage.Listed;
@@ -30,8 +32,8 @@
  * answer was lost can then not be carried out after a later one. After an order without an answer
  * the engine is asked what it has before it gets the next.
  *
- * <p>A new commander leaves engines alone until the orders of its predecessor have certainly ended.
- * The state belongs to one task.
+ * <p>Each order is announced to all control VMs before it is given. A new commander leaves those
+ * engines alone that another may have ordered within the lease. The state belongs to one task.
  */
 public final class WeightsDecider {
     /** How soon after an accepted order an engine is asked whether it is done. */
@@ -48,17 +50,20 @@
 
     private static final int LOADING_DIVISOR = 7;
     private static final int LEAST_AT_ONCE = 2;
+    private static final long NEVER_MILLISECONDS = Long.MIN_VALUE / 2;
 
     private final long mTakeoverMilliseconds;
     private final Map<String, EngineLoad> mEngines = new TreeMap<>();
     private Map<String, Long> mNamed = Map.of();
     private OptionalLong mFencingNumber = OptionalLong.empty();
-    private long mCommandsFromMilliseconds;
+    private final Map<String, Long> mAnnouncedMilliseconds = new HashMap<>();
+    private long mMissedMilliseconds = NEVER_MILLISECONDS;
 
     /**
      * A commander without command.
      *
-     * @param takeoverMilliseconds how long a new commander waits for its predecessor's lease to end
+     * @param takeoverMilliseconds how long an engine is left alone after another commander may have
+     *     ordered it
      */
     public WeightsDecider(long takeoverMilliseconds) {
         mTakeoverMilliseconds = takeoverMilliseconds;
@@ -69,7 +74,7 @@
         List<WeightsEffect> effects = new ArrayList<>();
         Set<String> loadingBefore = loading();
         take(message, nowMilliseconds);
-        if (mFencingNumber.isPresent() && nowMilliseconds >= mCommandsFromMilliseconds) {
+        if (mFencingNumber.isPresent()) {
             startMore(nowMilliseconds);
             for (String engine : List.copyOf(mEngines.keySet())) {
                 advance(engine, nowMilliseconds, effects);
@@ -81,6 +86,14 @@
         return effects;
     }
 
+    /** Whether no other commander can have ordered an engine within the lease. */
+    public boolean mayOrder(String engine, long nowMilliseconds) {
+        long announcedMilliseconds =
+                mAnnouncedMilliseconds.getOrDefault(engine, NEVER_MILLISECONDS);
+        long lastMilliseconds = Math.max(mMissedMilliseconds, announcedMilliseconds);
+        return nowMilliseconds >= lastMilliseconds + mTakeoverMilliseconds;
+    }
+
     /** The engines that load weights now, or may. */
     public Set<String> loading() {
         Set<String> loading = new HashSet<>();
@@ -107,15 +120,20 @@
     private void take(WeightsMessage message, long nowMilliseconds) {
         if (message instanceof TookCommand took) {
             mFencingNumber = OptionalLong.of(took.fencingNumber());
-            mCommandsFromMilliseconds = nowMilliseconds + mTakeoverMilliseconds;
             mEngines.replaceAll((engine, load) -> EngineLoad.met(load.listed()));
+        } else if (message instanceof Announced announced) {
+            if (!mFencingNumber.equals(OptionalLong.of(announced.fencingNumber()))) {
+                mAnnouncedMilliseconds.put(announced.engine(), nowMilliseconds);
+            }
+        } else if (message instanceof AnnouncementsMissed) {
+            mMissedMilliseconds = nowMilliseconds;
         } else if (message instanceof LostCommand) {
             mFencingNumber = OptionalLong.empty();
             mEngines.replaceAll((engine, load) -> EngineLoad.met(load.listed()));
         } else if (message instanceof Named named) {
             mNamed = named.versions();
         } else if (message instanceof Listed listed) {
-            list(listed.engines());
+            list(listed.engines(), nowMilliseconds);
         } else if (message instanceof Reported reported) {
             mEngines.computeIfPresent(
                     reported.engine(), (engine, load) -> reported(load, reported, nowMilliseconds));
@@ -128,7 +146,7 @@
         }
     }
 
-    private void list(List<Engine> engines) {
+    private void list(List<Engine> engines, long nowMilliseconds) {
         Set<String> present = new HashSet<>();
         for (Engine engine : engines) {
             present.add(engine.incarnation());
@@ -138,6 +156,9 @@
                     (known, met) -> known.listedAs(engine.weights()));
         }
         mEngines.keySet().retainAll(present);
+        mAnnouncedMilliseconds
+                .values()
+                .removeIf(at -> at + mTakeoverMilliseconds < nowMilliseconds);
     }
 
     private EngineLoad reported(EngineLoad load, Reported reported, long nowMilliseconds) {
@@ -177,7 +198,9 @@
         List<String> outdated = new ArrayList<>();
         mEngines.forEach(
                 (engine, load) -> {
-                    boolean isDue = nowMilliseconds >= load.nextAtMilliseconds();
+                    boolean isDue =
+                            nowMilliseconds >= load.nextAtMilliseconds()
+                                    && mayOrder(engine, nowMilliseconds);
                     if (load.step() == Step.IDLE && isDue && wanted(load).isPresent()) {
                         outdated.add(engine);
                     }
--- a/orders/src/main/java/org/skylarkbend/orders/weights/WeightsMessage.java
+++ b/orders/src/main/java/org/skylarkbend/orders/weights/WeightsMessage.java
@@ -12,6 +12,17 @@
      */
     record TookCommand(long fencingNumber) implements WeightsMessage {}
 
+    /**
+     * A commander may order an engine from now on.
+     *
+     * @param engine the engine
+     * @param fencingNumber the number of the commander
+     */
+    record Announced(String engine, long fencingNumber) implements WeightsMessage {}
+
+    /** Orders that were announced up to now may be unknown here. */
+    record AnnouncementsMissed() implements WeightsMessage {}
+
     /** This control VM commands no more. */
     record LostCommand() implements WeightsMessage {}
 
