--- a/control/src/main/java/org/skylarkbend/control/site/EndpointsTask.java
+++ b/control/src/main/java/org/skylarkbend/control/site/EndpointsTask.java
@@ -25,7 +25,6 @@
 import org.skylarkbend.orders.weights.WeightsEffect.Load;
 import org.skylarkbend.orders.weights.WeightsMessage;
 import org.skylarkbend.orders.weights.WeightsMessage.Announced;
-import org.skylarkbend.orders.weights.WeightsMessage.AnnouncementsMissed;
 import org.skylarkbend.orders.weights.WeightsMessage.Answered;
 import org.skylarkbend.orders.weights.WeightsMessage.Engine;
 import org.skylarkbend.orders.weights.WeightsMessage.Listed;
@@ -92,7 +91,6 @@
     @Override
     public Future<?> start() {
         mContext = context;
-        decide(new AnnouncementsMissed());
         vertx.setPeriodic(LIST_MILLISECONDS, id -> list());
         vertx.setPeriodic(TICK_MILLISECONDS, id -> tick());
         return Future.succeededFuture();
@@ -108,8 +106,8 @@
         mContext.runOnContext(nothing -> decide(new Named(versions)));
     }
 
-    /** Tells the task of announced orders. */
-    public void postAnnounced(WeightsMessage announced) {
+    /** Tells the task of an announced order. */
+    public void postAnnounced(Announced announced) {
         mContext.runOnContext(nothing -> decide(announced));
     }
 
--- a/control/src/main/java/org/skylarkbend/control/site/SiteControlParts.java
+++ b/control/src/main/java/org/skylarkbend/control/site/SiteControlParts.java
@@ -20,7 +20,7 @@
  * @param ports where control VMs listen, the same on all of them
  * @param dataFolder the folder on the disk that lasts
  * @param dropSilentAfterMilliseconds when a member that stays silent makes room for another
- * @param takeoverMilliseconds how long a new commander waits for its predecessor's lease to end
+ * @param command how engines are commanded
  * @param limitSlack by how much customers may exceed their limits
  * @param reader reads the documents of operators
  * @param endpoints where the endpoints are listed
@@ -36,7 +36,7 @@
         Ports ports,
         Path dataFolder,
         long dropSilentAfterMilliseconds,
-        long takeoverMilliseconds,
+        Command command,
         SiteLimits.Slack limitSlack,
         CatalogReader reader,
         EndpointSource endpoints,
@@ -51,6 +51,15 @@
      */
     public record Ports(int agreement, int feed) {}
 
+    /**
+     * How engines are commanded.
+     *
+     * @param takeoverMilliseconds how long an engine is left alone after another commander may have
+     *     ordered it
+     * @param enginesCheckFencing whether engines refuse orders of former commanders
+     */
+    public record Command(long takeoverMilliseconds, boolean enginesCheckFencing) {}
+
     /** Copies the set. */
     public SiteControlParts {
         contacts = Set.copyOf(contacts);
--- a/control/src/main/java/org/skylarkbend/control/site/SiteControlProcess.java
+++ b/control/src/main/java/org/skylarkbend/control/site/SiteControlProcess.java
@@ -53,6 +53,7 @@
 import org.skylarkbend.limits.LimitPolicy;
 import org.skylarkbend.limits.RouterIdentity;
 import org.skylarkbend.orders.weights.WeightsDecider;
+import org.skylarkbend.orders.weights.WeightsMessage.Announced;
 import org.skylarkbend.publishing.feed.FeedMessage.ControlAddress;
 import org.skylarkbend.publishing.feed.FeedMessage.SliceMessage;
 import org.skylarkbend.wire.WireOptions;
@@ -77,6 +78,7 @@
     private final ControlLog mLog = new AgreementControlLog(() -> this.mAgreement);
     private Context mOperatorContext;
     private AgreementTask mAgreement;
+    private long mTermAtStart;
 
     /** A process that does not run yet. */
     public SiteControlProcess(SiteControlParts parts) {
@@ -97,7 +99,7 @@
                         parts.endpoints(),
                         parts.engines(),
                         mLog,
-                        new WeightsDecider(parts.takeoverMilliseconds()),
+                        new WeightsDecider(parts.command().takeoverMilliseconds()),
                         parts.monotonic(),
                         wall,
                         this::tell);
@@ -153,12 +155,13 @@
     }
 
     private Future<Void> startTasks(AgreementStorage storage) {
+        mTermAtStart = storage.recovered().hardState().term();
         ControlStateMachine state =
                 new ControlStateMachine(
                         List.of(
                                 new CatalogSlice(this::documentChanged),
                                 new WeightsSlice(this::weightsChanged),
-                                new OrdersSlice(mEndpoints::postAnnounced),
+                                new OrdersSlice(this::announced),
                                 new LimitRegistrySlice(this::limitsChanged)));
         mAgreement =
                 new AgreementTask(
@@ -221,6 +224,16 @@
         tell(new WeightsNamed(versions));
     }
 
+    /**
+     * Engines that check fencing numbers refuse what commanders from before this process started
+     * may still send; only those of its own time have to be waited for.
+     */
+    private void announced(Announced order) {
+        if (!mParts.command().enginesCheckFencing() || order.fencingNumber() > mTermAtStart) {
+            mEndpoints.postAnnounced(order);
+        }
+    }
+
     private void limitsChanged(ControlChange change) {
         if (change instanceof LimitRegistryChanged limits) {
             mLimits.post(limits.registry());
--- a/control/src/test/java/org/skylarkbend/control/site/SiteControlProcessTest.java
+++ b/control/src/test/java/org/skylarkbend/control/site/SiteControlProcessTest.java
@@ -123,7 +123,7 @@
                 mPorts,
                 mFolder.resolve(vm.value()),
                 1_000,
-                0,
+                new SiteControlParts.Command(0, true),
                 SiteLimits.Slack.none(),
                 SiteControlProcessTest::read,
                 () -> Future.succeededFuture(Result.success(List.of())),
--- a/orders/src/main/java/org/skylarkbend/orders/weights/WeightsDecider.java
+++ b/orders/src/main/java/org/skylarkbend/orders/weights/WeightsDecider.java
@@ -15,7 +15,6 @@
 import org.skylarkbend.orders.weights.WeightsEffect.Load;
 import org.skylarkbend.orders.weights.WeightsEffect.LoadingChanged;
 import org.skylarkbend.orders.weights.WeightsMessage.Announced;
-import org.skylarkbend.orders.weights.WeightsMessage.AnnouncementsMissed;
 import org.skylarkbend.orders.weights.WeightsMessage.Answered;
 import org.skylarkbend.orders.weights.WeightsMessage.Engine;
 import org.skylarkbend.orders.weights.WeightsMessage.Listed;
@@ -57,7 +56,6 @@
     private Map<String, Long> mNamed = Map.of();
     private OptionalLong mFencingNumber = OptionalLong.empty();
     private final Map<String, Long> mAnnouncedMilliseconds = new HashMap<>();
-    private long mMissedMilliseconds = NEVER_MILLISECONDS;
 
     /**
      * A commander without command.
@@ -90,8 +88,7 @@
     public boolean mayOrder(String engine, long nowMilliseconds) {
         long announcedMilliseconds =
                 mAnnouncedMilliseconds.getOrDefault(engine, NEVER_MILLISECONDS);
-        long lastMilliseconds = Math.max(mMissedMilliseconds, announcedMilliseconds);
-        return nowMilliseconds >= lastMilliseconds + mTakeoverMilliseconds;
+        return nowMilliseconds >= announcedMilliseconds + mTakeoverMilliseconds;
     }
 
     /** The engines that load weights now, or may. */
@@ -125,8 +122,6 @@
             if (!mFencingNumber.equals(OptionalLong.of(announced.fencingNumber()))) {
                 mAnnouncedMilliseconds.put(announced.engine(), nowMilliseconds);
             }
-        } else if (message instanceof AnnouncementsMissed) {
-            mMissedMilliseconds = nowMilliseconds;
         } else if (message instanceof LostCommand) {
             mFencingNumber = OptionalLong.empty();
             mEngines.replaceAll((engine, load) -> EngineLoad.met(load.listed()));
--- a/orders/src/main/java/org/skylarkbend/orders/weights/WeightsMessage.java
+++ b/orders/src/main/java/org/skylarkbend/orders/weights/WeightsMessage.java
@@ -20,9 +20,6 @@
      */
     record Announced(String engine, long fencingNumber) implements WeightsMessage {}
 
-    /** Orders that were announced up to now may be unknown here. */
-    record AnnouncementsMissed() implements WeightsMessage {}
-
     /** This control VM commands no more. */
     record LostCommand() implements WeightsMessage {}
 
