Keep the last try of a call from engines that refuse

Change: an engine that refused a call and has answered none since gets no call's last try, if there is another.

--- a/gateway/src/main/java/org/skylarkbend/gateway/call/GatewayCall.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/GatewayCall.java
@@ -13,6 +13,7 @@
 import org.skylarkbend.catalog.Customer;
 import org.skylarkbend.catalog.Endpoint;
 import org.skylarkbend.gateway.endpoints.EngineChoice;
+import org.skylarkbend.gateway.endpoints.Tries;
 import org.skylarkbend.gateway.limits.TokenGate;
 
 /**
@@ -149,12 +150,13 @@
     }
 
     private Optional<EngineChoice> choose() {
+        Tries tries = new Tries(mTried, mSent + 1 >= mCall.route().maxAttempts());
         if (mCall.prompt().isEmpty()) {
-            return mResources.board().choose(mCall.service(), mTried, now());
+            return mResources.board().choose(mCall.service(), tries, now());
         }
         return mResources
                 .board()
-                .choose(mCall.service(), mCall.prompt().get(), cacheScope(), mTried, now());
+                .choose(mCall.service(), mCall.prompt().get(), cacheScope(), tries, now());
     }
 
     /** Customers that are set apart share no cached part with others. */
@@ -260,7 +262,11 @@
             return;
         }
         attemptOver(attempt);
-        mResources.board().failed(attempt.endpoint(), now());
+        if (outcome == AttemptOutcome.NOT_RUN) {
+            mResources.board().refused(attempt.endpoint(), now());
+        } else {
+            mResources.board().failed(attempt.endpoint(), now());
+        }
         mMayHaveRun |= outcome.mayHaveRun();
         boolean unconnected = outcome == AttemptOutcome.NOT_CONNECTED;
         mUnconnected += unconnected ? 1 : 0;
--- a/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EndpointBoard.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EndpointBoard.java
@@ -142,10 +142,10 @@
     }
 
     /** Chooses an endpoint for a call without a prompt. */
-    public Optional<EngineChoice> choose(String service, Set<String> tried, long nowMilliseconds) {
+    public Optional<EngineChoice> choose(String service, Tries tries, long nowMilliseconds) {
         return least(
                         service,
-                        tried,
+                        tries,
                         load ->
                                 (double) load.calls(nowMilliseconds)
                                                 / Math.max(1, load.endpoint().slots())
@@ -155,13 +155,13 @@
 
     /** Chooses an engine for a prompt. */
     public Optional<EngineChoice> choose(
-            String service, Prompt prompt, String scope, Set<String> tried, long nowMilliseconds) {
+            String service, Prompt prompt, String scope, Tries tries, long nowMilliseconds) {
         String key = prompt.sharedKey();
         List<EndpointLoad> homes =
                 key.isEmpty() ? List.of() : homesOf(service, prompt.model(), scope + key);
         return least(
                         service,
-                        tried,
+                        tries,
                         load -> {
                             if (!serves(load, prompt.model())) {
                                 return Double.POSITIVE_INFINITY;
@@ -226,6 +226,11 @@
         known(endpoint).ifPresent(load -> load.failed(nowMilliseconds));
     }
 
+    /** An endpoint refused a call without running it. */
+    public void refused(Endpoint endpoint, long nowMilliseconds) {
+        known(endpoint).ifPresent(load -> load.refused(nowMilliseconds));
+    }
+
     /** An endpoint said what it has to do. */
     public void reported(Endpoint endpoint, int running, int waiting, long nowMilliseconds) {
         known(endpoint).ifPresent(load -> load.report(running, waiting, nowMilliseconds));
@@ -236,15 +241,16 @@
     }
 
     private Optional<Endpoint> least(
-            String service, Set<String> tried, ToDoubleFunction<EndpointLoad> cost) {
+            String service, Tries tries, ToDoubleFunction<EndpointLoad> cost) {
         EndpointLoad best = null;
         double bestCost = Double.POSITIVE_INFINITY;
         int equals = 0;
         for (EndpointLoad load : mByService.getOrDefault(service, List.of())) {
-            if (tried.contains(load.endpoint().incarnation())) {
+            if (tries.incarnations().contains(load.endpoint().incarnation())) {
                 continue;
             }
             double own = cost.applyAsDouble(load);
+            own += tries.isLast() && load.isRefusing() ? LAST_RESORT : 0;
             equals = own == bestCost ? equals + 1 : 1;
             if (own < bestCost || own == bestCost && mRandom.getAsDouble() * equals < 1) {
                 best = own < Double.POSITIVE_INFINITY ? load : best;
--- a/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EndpointLoad.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EndpointLoad.java
@@ -24,6 +24,7 @@
     private int mWaiting;
     private long mReportedMilliseconds = Long.MIN_VALUE / 2;
     private int mFailures;
+    private boolean mRefusing;
     private long mPausedUntilMilliseconds = Long.MIN_VALUE / 2;
     private long mHeardMilliseconds = Long.MIN_VALUE / 2;
     private boolean mUnreachable;
@@ -85,6 +86,18 @@
 
     void succeeded() {
         mFailures = 0;
+        mRefusing = false;
+    }
+
+    /** It refused a call without running it, and may refuse all others for a while. */
+    void refused(long nowMilliseconds) {
+        mRefusing = true;
+        failed(nowMilliseconds);
+    }
+
+    /** Whether it refused a call and has answered none since. */
+    boolean isRefusing() {
+        return mRefusing;
     }
 
     /** Leaves the endpoint alone for a while, longer with each failure in a row. */
--- a/gateway/src/test/java/org/skylarkbend/gateway/endpoints/EndpointBoardTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/endpoints/EndpointBoardTest.java
@@ -19,9 +19,9 @@
     @Test
     public void aCallGoesToTheEndpointWithTheFewestCallsForItsSlots() {
         EndpointBoard board = board(Set.of(), plain("a", 6), plain("b", 6));
-        Endpoint first = board.choose("desk", Set.of(), 0).orElseThrow().endpoint();
+        Endpoint first = board.choose("desk", Tries.none(), 0).orElseThrow().endpoint();
         board.sent(first, 0, 0);
-        assertThat(id(board.choose("desk", Set.of(), 0))).isNotEqualTo(first.id());
+        assertThat(id(board.choose("desk", Tries.none(), 0))).isNotEqualTo(first.id());
     }
 
     @Test
@@ -29,8 +29,8 @@
         Endpoint leaving =
                 new Endpoint("a", "desk", "10.0.0.1", 80, "z", "v1", 6, true, 1, Map.of());
         EndpointBoard board = board(Set.of(), leaving, plain("b", 6));
-        assertThat(board.choose("desk", Set.of("b@1"), 0)).isEmpty();
-        assertThat(id(board.choose("desk", Set.of(), 0))).isEqualTo("b");
+        assertThat(board.choose("desk", new Tries(Set.of("b@1"), false), 0)).isEmpty();
+        assertThat(id(board.choose("desk", Tries.none(), 0))).isEqualTo("b");
     }
 
     @Test
@@ -39,9 +39,24 @@
         EndpointBoard board = board(Set.of(), failed, plain("b", 6));
         board.failed(failed, 0);
         for (int i = 0; i < 20; i++) {
-            assertThat(id(board.choose("desk", Set.of(), 10))).isEqualTo("b");
+            assertThat(id(board.choose("desk", Tries.none(), 10))).isEqualTo("b");
         }
-        assertThat(id(board.choose("desk", Set.of("b@1"), 10))).isEqualTo("a");
+        assertThat(id(board.choose("desk", new Tries(Set.of("b@1"), false), 10))).isEqualTo("a");
+    }
+
+    @Test
+    public void theLastTryOfACallGoesToNoEngineThatRefusedAndHasAnsweredNothingSince() {
+        Endpoint refusing = engine("a", 1);
+        EndpointBoard board = board(Set.of(), refusing, engine("b", 1));
+        board.refused(refusing, 0);
+        board.sent(engine("b", 1), 90_000, 0);
+        Prompt prompt = prompt("shared", 2_000);
+        long laterMilliseconds = 10_000;
+        Tries last = new Tries(Set.of(), true);
+        assertThat(id(board.choose("desk", prompt, "s", last, laterMilliseconds))).isEqualTo("b");
+        assertThat(chosen(board, prompt, laterMilliseconds)).isEqualTo("a");
+        board.succeeded(refusing);
+        assertThat(id(board.choose("desk", prompt, "s", last, laterMilliseconds))).isEqualTo("a");
     }
 
     @Test
@@ -62,7 +77,7 @@
         EndpointBoard board = board(Set.of(), endpoint, plain("b", 6));
         board.unreachable(endpoint);
         assertThat(board.quiet(0)).containsExactly(endpoint);
-        assertThat(id(board.choose("desk", Set.of(), 0))).isEqualTo("b");
+        assertThat(id(board.choose("desk", Tries.none(), 0))).isEqualTo("b");
         board.heard(endpoint, 5);
         assertThat(board.quiet(5)).isEmpty();
     }
@@ -103,7 +118,7 @@
         EndpointBoard board = board(Set.of(), plain("a", 6), plain("b", 6));
         board.othersHave(Map.of("a@1", new EndpointWork(0, 3)), 0);
         for (int i = 0; i < 20; i++) {
-            assertThat(id(board.choose("desk", Set.of(), 10))).isEqualTo("b");
+            assertThat(id(board.choose("desk", Tries.none(), 10))).isEqualTo("b");
         }
     }
 
@@ -129,15 +144,16 @@
         board.name(Map.of("m", 2L), 1_000);
         Prompt prompt = prompt("shared", 6_300);
         long stillMilliseconds = 1_000 + WEIGHTS_LIFE_MILLISECONDS;
-        assertThat(board.choose("desk", prompt, "s", Set.of(), stillMilliseconds)).isPresent();
-        assertThat(board.choose("desk", prompt, "s", Set.of(), stillMilliseconds + 1)).isEmpty();
+        assertThat(board.choose("desk", prompt, "s", Tries.none(), stillMilliseconds)).isPresent();
+        assertThat(board.choose("desk", prompt, "s", Tries.none(), stillMilliseconds + 1))
+                .isEmpty();
     }
 
     @Test
     public void anEngineOfAnotherModelIsNotChosen() {
         EndpointBoard board = board(Set.of(), engine("a", 1));
         Prompt other = new Prompt("other", List.of(), 100, 10);
-        assertThat(board.choose("desk", other, "s", Set.of(), 0)).isEmpty();
+        assertThat(board.choose("desk", other, "s", Tries.none(), 0)).isEmpty();
     }
 
     @Test
@@ -145,13 +161,13 @@
         Prompt prompt = prompt("shared", 6_300);
         EngineChoice same =
                 board(Set.of(), engine("a", 2), engine("b", 2))
-                        .choose("desk", prompt, "s", Set.of(), 0)
+                        .choose("desk", prompt, "s", Tries.none(), 0)
                         .orElseThrow();
         assertThat(same.weights()).hasValue(2);
         assertThat(same.cacheSource()).isPresent();
         EngineChoice other =
                 board(Set.of(), engine("a", 2), engine("b", 1))
-                        .choose("desk", prompt, "s", Set.of(), 0)
+                        .choose("desk", prompt, "s", Tries.none(), 0)
                         .orElseThrow();
         assertThat(other.cacheSource()).isEmpty();
     }
@@ -161,7 +177,7 @@
         EndpointBoard board = board(Set.of(), engine("a", 2), engine("b", 1));
         board.useStore(Optional.of("10.0.0.9:80"));
         EngineChoice choice =
-                board.choose("desk", prompt("shared", 6_300), "s", Set.of(), 0).orElseThrow();
+                board.choose("desk", prompt("shared", 6_300), "s", Tries.none(), 0).orElseThrow();
         assertThat(choice.cacheSource()).contains("10.0.0.9:80");
         assertThat(choice.store()).contains("10.0.0.9:80");
     }
@@ -171,7 +187,7 @@
     }
 
     private static String chosen(EndpointBoard board, Prompt prompt, long nowMilliseconds) {
-        return board.choose("desk", prompt, "s", Set.of(), nowMilliseconds)
+        return board.choose("desk", prompt, "s", Tries.none(), nowMilliseconds)
                 .orElseThrow()
                 .endpoint()
                 .id();
