--- a/orders/src/main/java/org/skylarkbend/orders/weights/EngineLoad.java
+++ b/orders/src/main/java/org/skylarkbend/orders/weights/EngineLoad.java
@@ -11,13 +11,17 @@
  * @param acceptedOrders how many orders it has accepted, if that is known
  * @param step what is under way
  * @param nextAtMilliseconds when to do the next thing
+ * @param misses how many questions in a row it did not answer
  */
 record EngineLoad(
         Map<String, Long> listed,
         Map<String, Long> confirmed,
         OptionalLong acceptedOrders,
         Step step,
-        long nextAtMilliseconds) {
+        long nextAtMilliseconds,
+        int misses) {
+    private static final int MAX_DOUBLINGS = 2;
+
     /** What is under way with an engine. */
     enum Step {
         /** Nothing. */
@@ -31,7 +35,7 @@
     }
 
     static EngineLoad met(Map<String, Long> listed) {
-        return new EngineLoad(listed, Map.of(), OptionalLong.empty(), Step.IDLE, 0);
+        return new EngineLoad(listed, Map.of(), OptionalLong.empty(), Step.IDLE, 0, 0);
     }
 
     /** The newest version that it is known to have of a model. */
@@ -41,27 +45,38 @@
     }
 
     EngineLoad listedAs(Map<String, Long> versions) {
-        return new EngineLoad(versions, confirmed, acceptedOrders, step, nextAtMilliseconds);
+        return new EngineLoad(
+                versions, confirmed, acceptedOrders, step, nextAtMilliseconds, misses);
     }
 
     EngineLoad reported(Map<String, Long> versions, long orders) {
         return new EngineLoad(
-                listed, versions, OptionalLong.of(orders), Step.CHECKING, nextAtMilliseconds);
+                listed, versions, OptionalLong.of(orders), Step.CHECKING, nextAtMilliseconds, 0);
     }
 
     EngineLoad at(Step next, long atMilliseconds) {
-        return new EngineLoad(listed, confirmed, acceptedOrders, next, atMilliseconds);
+        return new EngineLoad(listed, confirmed, acceptedOrders, next, atMilliseconds, misses);
     }
 
     /** Its count of orders must be asked for again. */
     EngineLoad uncounted(long askAtMilliseconds) {
         return new EngineLoad(
-                listed, confirmed, OptionalLong.empty(), Step.CHECKING, askAtMilliseconds);
+                listed, confirmed, OptionalLong.empty(), Step.CHECKING, askAtMilliseconds, misses);
     }
 
-    /** It did not answer: it waits for another turn. */
-    EngineLoad unreached(long againAtMilliseconds) {
+    /** It did not answer: it is asked again later, longer after each question in a row. */
+    EngineLoad unreached(long nowMilliseconds, long pauseMilliseconds) {
         return new EngineLoad(
-                listed, confirmed, OptionalLong.empty(), Step.IDLE, againAtMilliseconds);
+                listed,
+                confirmed,
+                OptionalLong.empty(),
+                Step.IDLE,
+                nowMilliseconds + (pauseMilliseconds << Math.min(misses, MAX_DOUBLINGS)),
+                misses + 1);
+    }
+
+    /** Whether something is under way with it, and it answers. */
+    boolean isLoading() {
+        return step != Step.IDLE && misses == 0;
     }
 }
--- a/orders/src/main/java/org/skylarkbend/orders/weights/WeightsDecider.java
+++ b/orders/src/main/java/org/skylarkbend/orders/weights/WeightsDecider.java
@@ -41,7 +41,7 @@
     /** How often it is asked from then on, and after a failure. */
     static final long QUESTION_MILLISECONDS = 250;
 
-    /** An engine that does not answer makes room for others for so long. */
+    /** An engine that did not answer is asked again after so long. */
     static final long UNREACHED_MILLISECONDS = 700;
 
     /** Loads slow one another down when more than two in seven engines load (users' sheets). */
@@ -96,7 +96,7 @@
         Set<String> loading = new HashSet<>();
         mEngines.forEach(
                 (engine, load) -> {
-                    if (load.step() != Step.IDLE) {
+                    if (load.isLoading()) {
                         loading.add(engine);
                     }
                 });
@@ -135,7 +135,7 @@
         } else if (message instanceof ReportFailed failed) {
             mEngines.computeIfPresent(
                     failed.engine(),
-                    (engine, load) -> load.unreached(nowMilliseconds + UNREACHED_MILLISECONDS));
+                    (engine, load) -> load.unreached(nowMilliseconds, UNREACHED_MILLISECONDS));
         } else if (message instanceof Answered answered) {
             answered(answered, nowMilliseconds);
         }
@@ -161,7 +161,8 @@
         if (reported.busy()) {
             return next.uncounted(nowMilliseconds + QUESTION_MILLISECONDS);
         }
-        if (wanted(next).isPresent()) {
+        boolean isBack = load.misses() > 0;
+        if (wanted(next).isPresent() && !isBack) {
             return next.at(Step.CHECKING, nowMilliseconds);
         }
         return next.at(Step.IDLE, nowMilliseconds);
@@ -185,7 +186,8 @@
 
     /**
      * Takes in some of the engines, the most outdated first, while the others take all new calls.
-     * They let their runs finish before they load, so that fewer load at the same moment.
+     * They let their runs finish before they load, so that fewer load at the same moment. An engine
+     * that did not answer is only asked, beside them, until it does.
      */
     private void startMore(long nowMilliseconds) {
         int atOnce = Math.max(LEAST_AT_ONCE, mEngines.size() * LOADING_SHARE / LOADING_DIVISOR);
@@ -201,8 +203,12 @@
                     }
                 });
         outdated.sort(Comparator.comparing(engine -> oldestVersion(mEngines.get(engine))));
-        for (String engine : outdated.subList(0, Math.max(0, Math.min(free, outdated.size())))) {
-            mEngines.put(engine, mEngines.get(engine).at(Step.CHECKING, nowMilliseconds));
+        for (String engine : outdated) {
+            EngineLoad load = mEngines.get(engine);
+            if (load.misses() > 0 || free > 0) {
+                mEngines.put(engine, load.at(Step.CHECKING, nowMilliseconds));
+                free -= load.misses() > 0 ? 0 : 1;
+            }
         }
     }
 
--- a/orders/src/test/java/org/skylarkbend/orders/weights/WeightsDeciderTest.java
+++ b/orders/src/test/java/org/skylarkbend/orders/weights/WeightsDeciderTest.java
@@ -102,6 +102,18 @@
         assertThat(mDecider.loading()).containsExactlyInAnyOrder("e2", "e3");
     }
 
+    @Test
+    public void anEngineThatDidNotAnswerTakesNoPlaceFromOthersUntilItDoes() {
+        decide(new Named(Map.of("m", 2L)));
+        decide(new WeightsMessage.ReportFailed("e0"));
+        assertThat(mDecider.loading()).containsExactlyInAnyOrder("e1", "e2");
+        mNowMilliseconds += WeightsDecider.UNREACHED_MILLISECONDS;
+        assertThat(asked(decide(new Tick()))).contains("e0");
+        assertThat(mDecider.loading()).containsExactlyInAnyOrder("e1", "e2");
+        decide(new Reported("e0", Map.of("m", 1L), false, 0));
+        assertThat(mDecider.loading()).containsExactlyInAnyOrder("e1", "e2");
+    }
+
     @Test
     public void aCommanderWhoseNumberIsTooLowOrdersNoMore() {
         order("e0");
