Keep long answers from engines whose turn to load comes soon

Cause: an engine that is ordered to load lets its answers finish first; with long ones that took up to 5 s, during which it takes no calls. Change: gateways know the order in which engines load, and send long answers to those that load last.

--- a/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EndpointBoard.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EndpointBoard.java
@@ -8,7 +8,6 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
-import java.util.TreeMap;
 import java.util.function.DoubleSupplier;
 import java.util.function.ToDoubleFunction;
 import org.skylarkbend.catalog.Endpoint;
@@ -36,30 +35,17 @@
     /** A running call slows the reading of prompts as much as so many tokens more to read. */
     private static final double TOKENS_OF_RUNNING_CALL = 60;
 
-    /** What an answer by older weights loses, a fifth of its worth, as tokens to read. */
-    private static final double TOKENS_OF_OLDER_WEIGHTS = 3_000;
-
-    /** A token of an answer keeps an engine from loading as long as reading so many takes. */
-    private static final double TOKENS_OF_AWAITED_TOKEN = 2;
-
-    /** A call may wait so long in an engine's queue before it begins. */
-    private static final long QUEUE_MILLISECONDS = 1_500;
-
-    /** How long after newer weights were named older ones still earn all (users' rules). */
-    private static final long FULL_WORTH_MILLISECONDS = 1_300;
-
     /** An engine at work sends something every 50 ms, and reads the largest prompts in a second. */
     private static final long QUIET_MILLISECONDS = 600;
 
     /** An endpoint that failed lately, or loads weights, comes after all others. */
-    private static final double LAST_RESORT = 1e9;
+    static final double LAST_RESORT = 1e9;
 
     private final DoubleSupplier mRandom;
-    private final long mWeightsLifeMilliseconds;
+    private final WeightsOutlook mWeights;
     private final Map<String, EndpointLoad> mLoads = new HashMap<>();
     private final Map<String, List<EndpointLoad>> mByService = new HashMap<>();
     private Set<String> mLoading = Set.of();
-    private final Map<String, TreeMap<Long, Long>> mNamedMilliseconds = new HashMap<>();
     private Optional<String> mStore = Optional.empty();
     private boolean mKnown;
     private long mToldMilliseconds;
@@ -73,7 +59,7 @@
      */
     public EndpointBoard(DoubleSupplier random, long weightsLifeMilliseconds) {
         mRandom = random;
-        mWeightsLifeMilliseconds = weightsLifeMilliseconds;
+        mWeights = new WeightsOutlook(weightsLifeMilliseconds);
     }
 
     /** Whether the endpoints were ever told. */
@@ -113,11 +99,7 @@
 
     /** Takes the newest versions of weights. */
     public void name(Map<String, Long> versions, long nowMilliseconds) {
-        versions.forEach(
-                (model, version) ->
-                        mNamedMilliseconds
-                                .computeIfAbsent(model, name -> new TreeMap<>())
-                                .putIfAbsent(version, nowMilliseconds));
+        mWeights.name(versions, nowMilliseconds);
     }
 
     /** What this gateway has under way, without endpoints at which it has nothing. */
@@ -159,6 +141,8 @@
         String key = prompt.sharedKey();
         List<EndpointLoad> homes =
                 key.isEmpty() ? List.of() : homesOf(service, prompt.model(), scope + key);
+        Map<EndpointLoad, Integer> turns =
+                mWeights.turns(mByService.getOrDefault(service, List.of()), prompt.model());
         return least(
                         service,
                         tries,
@@ -172,7 +156,7 @@
                                     + load.promptTokens(nowMilliseconds)
                                     + load.waiting(nowMilliseconds) * TOKENS_OF_WAITING_CALL
                                     + load.calls(nowMilliseconds) * TOKENS_OF_RUNNING_CALL
-                                    + tokensOfAge(load, prompt, nowMilliseconds)
+                                    + mWeights.cost(load, turns, prompt, nowMilliseconds)
                                     + lastResort(load, nowMilliseconds);
                         })
                 .map(endpoint -> asChoice(endpoint, prompt, homes));
@@ -311,27 +295,6 @@
         return weights.isEmpty() || model.isEmpty() || weights.containsKey(model);
     }
 
-    /**
-     * What older weights cost. An engine with older weights will load soon and waits for its runs
-     * first, so long answers go elsewhere at once; after a while every answer loses a part, and at
-     * last all of it.
-     */
-    private double tokensOfAge(EndpointLoad load, Prompt prompt, long nowMilliseconds) {
-        TreeMap<Long, Long> named = mNamedMilliseconds.get(prompt.model());
-        long version = load.endpoint().weights().getOrDefault(prompt.model(), Long.MAX_VALUE);
-        if (named == null || named.higherEntry(version) == null) {
-            return 0;
-        }
-        long ageMilliseconds = nowMilliseconds - named.higherEntry(version).getValue();
-        if (ageMilliseconds > mWeightsLifeMilliseconds) {
-            return Double.POSITIVE_INFINITY;
-        }
-        boolean isNearEnd = ageMilliseconds > mWeightsLifeMilliseconds - QUEUE_MILLISECONDS;
-        return prompt.maxAnswerTokens() * TOKENS_OF_AWAITED_TOKEN
-                + (ageMilliseconds > FULL_WORTH_MILLISECONDS ? TOKENS_OF_OLDER_WEIGHTS : 0)
-                + (isNearEnd ? LAST_RESORT / 2 : 0);
-    }
-
     private double lastResort(EndpointLoad load, long nowMilliseconds) {
         boolean isLast =
                 load.isPaused(nowMilliseconds)
--- /dev/null
+++ b/gateway/src/test/java/org/skylarkbend/gateway/endpoints/WeightsOutlookTest.java
@@ -0,0 +1,67 @@
+package org.skylarkbend.gateway.endpoints;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Map;
+import org.skylarkbend.catalog.Endpoint;
+import org.testng.annotations.Test;
+
+/** What the weights of engines cost a prompt. */
+public class WeightsOutlookTest {
+    private static final long LIFE_MILLISECONDS = 7_000;
+    private static final Prompt LONG_ANSWER = new Prompt("m", List.of(), 800, 240);
+    private static final Prompt SHORT_ANSWER = new Prompt("m", List.of(), 800, 10);
+
+    private final EndpointLoad mFirst = engine("a", 1);
+    private final EndpointLoad mSecond = engine("b", 1);
+    private final EndpointLoad mNewest = engine("c", 2);
+
+    @Test
+    public void enginesLoadInTurnTheMostOutdatedFirst() {
+        WeightsOutlook outlook = new WeightsOutlook(LIFE_MILLISECONDS);
+        assertThat(outlook.turns(List.of(mNewest, mSecond, mFirst), "m"))
+                .containsEntry(mFirst, 0)
+                .containsEntry(mSecond, 1)
+                .containsEntry(mNewest, 2);
+    }
+
+    @Test
+    public void aLongAnswerCostsMostAtTheEngineThatLoadsNext() {
+        WeightsOutlook outlook = new WeightsOutlook(LIFE_MILLISECONDS);
+        outlook.name(Map.of("m", 2L), 0);
+        assertThat(cost(outlook, mFirst, LONG_ANSWER, 0))
+                .isGreaterThan(cost(outlook, mSecond, LONG_ANSWER, 0));
+        assertThat(cost(outlook, mSecond, LONG_ANSWER, 0))
+                .isGreaterThan(cost(outlook, mNewest, LONG_ANSWER, 0));
+        assertThat(cost(outlook, mSecond, SHORT_ANSWER, 0)).isZero();
+    }
+
+    @Test
+    public void olderWeightsCostMoreTheLongerNewerOnesAreNamedAndAtLastEverything() {
+        WeightsOutlook outlook = new WeightsOutlook(LIFE_MILLISECONDS);
+        outlook.name(Map.of("m", 2L), 0);
+        double fresh = cost(outlook, mSecond, SHORT_ANSWER, 1_000);
+        double old = cost(outlook, mSecond, SHORT_ANSWER, 2_000);
+        double nearEnd = cost(outlook, mSecond, SHORT_ANSWER, LIFE_MILLISECONDS);
+        assertThat(fresh).isLessThan(old);
+        assertThat(old).isLessThan(nearEnd);
+        assertThat(cost(outlook, mSecond, SHORT_ANSWER, LIFE_MILLISECONDS + 1))
+                .isEqualTo(Double.POSITIVE_INFINITY);
+    }
+
+    private double cost(
+            WeightsOutlook outlook, EndpointLoad load, Prompt prompt, long nowMilliseconds) {
+        return outlook.cost(
+                load,
+                outlook.turns(List.of(mFirst, mSecond, mNewest), "m"),
+                prompt,
+                nowMilliseconds);
+    }
+
+    private static EndpointLoad engine(String id, long version) {
+        return new EndpointLoad(
+                new Endpoint(
+                        id, "desk", "10.0.0.1", 80, "z", "v1", 64, false, 1, Map.of("m", version)));
+    }
+}
