Trial: keep every second long prompt in the store

Cause looked for: with each prompt the store gets parts that nobody shares, 65,000 tokens a second, which push the shared ones out within 7 s and fill half of the store's link.

--- a/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EndpointBoard.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EndpointBoard.java
@@ -29,6 +29,15 @@
     /** Reading shared parts elsewhere also takes cache and time from the prompts at home there. */
     private static final double ELSEWHERE_SHARE = 2;
 
+    /** Fewer shared tokens are read as fast as they are fetched. */
+    private static final long LEAST_SHARED_TOKENS = 1_000;
+
+    /**
+     * The store gets the parts of every second prompt. With a prompt come the parts that nobody
+     * shares; all of them would push the shared ones out within seconds and fill the store's link.
+     */
+    private static final double KEPT_SHARE = 0.5;
+
     /** A call that waits at an engine counts as a prompt of so many tokens. */
     private static final double TOKENS_OF_WAITING_CALL = 1_500;
 
@@ -256,9 +265,22 @@
         double missShare = isHome(endpoint, homes) ? HOME_MISS_SHARE : 1;
         long ownTokens = prompt.promptTokens() - prompt.sharedTokens();
         long tokensToRead = ownTokens + (long) (missShare * prompt.sharedTokens());
+        if (prompt.sharedTokens() < LEAST_SHARED_TOKENS) {
+            return new EngineChoice(
+                    endpoint,
+                    OptionalLong.of(version),
+                    Optional.empty(),
+                    Optional.empty(),
+                    tokensToRead);
+        }
         if (mStore.isPresent()) {
+            boolean isKept = mRandom.getAsDouble() < KEPT_SHARE;
             return new EngineChoice(
-                    endpoint, OptionalLong.of(version), mStore, mStore, tokensToRead);
+                    endpoint,
+                    OptionalLong.of(version),
+                    mStore,
+                    isKept ? mStore : Optional.empty(),
+                    tokensToRead);
         }
         Optional<String> source =
                 homes.stream()
