--- a/gateway/src/main/java/org/skylarkbend/gateway/call/GatewayCall.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/GatewayCall.java
@@ -8,7 +8,6 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import org.skylarkbend.base.ErrorKind;
-import org.skylarkbend.base.StructuredLog;
 import org.skylarkbend.catalog.CallKind;
 import org.skylarkbend.catalog.Customer;
 import org.skylarkbend.catalog.Endpoint;
@@ -21,8 +20,6 @@
  * calls, and owns the timers and the exchange of the moment.
  */
 public final class GatewayCall implements Attempt.Listener, TokenGate.Caller {
-    private static final StructuredLog LOG = StructuredLog.of(GatewayCall.class);
-
     /** How long the opening of a connection to an endpoint may take. */
     private static final long CONNECT_MILLISECONDS = 250;
 
@@ -44,6 +41,7 @@
     private final CallResources mResources;
     private final CallerAnswer mAnswer;
     private final Runnable mOnOver;
+    private final CallLog mLog;
     private final Set<String> mTried = new HashSet<>();
     private final EventRelay mEvents = new EventRelay();
     private Optional<Attempt> mAttempt = Optional.empty();
@@ -73,6 +71,7 @@
         mResources = resources;
         mAnswer = answer;
         mOnOver = onOver;
+        mLog = new CallLog(call);
     }
 
     /** Begins: asks for tokens where the customer has a limit, then sends the call. */
@@ -271,20 +270,7 @@
         boolean unconnected = outcome == AttemptOutcome.NOT_CONNECTED;
         mUnconnected += unconnected ? 1 : 0;
         mSent += unconnected ? 0 : 1;
-        LOG.info(
-                "attempt.failed",
-                "id",
-                mCall.id(),
-                "endpoint",
-                attempt.endpoint().incarnation(),
-                "outcome",
-                outcome,
-                "cause",
-                cause,
-                "sent",
-                mSent,
-                "elapsed_milliseconds",
-                now() - mCall.arrivedMilliseconds());
+        mLog.attemptFailed(attempt.endpoint(), outcome, cause, mSent, now());
         boolean again =
                 AttemptPolicy.maySendAgain(mCall.route(), mSent, mUnconnected, outcome)
                         && now() < mCall.answerByMilliseconds()
@@ -392,43 +378,18 @@
         mResources.vertx().cancelTimer(mSilenceTimer);
         mGateNumber.ifPresent(number -> mResources.gate().giveUp(number, now()));
         mResources.metrics().counter("gateway_calls_" + outcome).inc();
-        LOG.info(
-                "call.ended",
-                "id",
-                mCall.id(),
-                "route",
-                mCall.route().name(),
-                "service",
-                mCall.service(),
-                "customer",
-                mCall.customer().map(Customer::name).orElse("-"),
-                "catalog",
-                mCall.catalogNumber(),
-                "outcome",
-                outcome,
-                "status",
-                status,
-                "sent",
-                mSent,
-                "tried",
-                mTried.size(),
-                "endpoint",
-                mLast.map(last -> last.endpoint().incarnation()).orElse("-"),
-                "weights",
-                mLast.map(EngineChoice::weights).map(GatewayCall::shown).orElse("-"),
-                "cache_source",
-                mLast.flatMap(EngineChoice::cacheSource).orElse("-"),
-                "endpoints_age_milliseconds",
-                mResources.board().ageMilliseconds(now()),
-                "elapsed_milliseconds",
-                now() - mCall.arrivedMilliseconds());
+        mLog.ended(
+                new CallLog.End(
+                        outcome,
+                        status,
+                        mSent,
+                        mTried.size(),
+                        mLast,
+                        mResources.board().ageMilliseconds(now())),
+                now());
         mOnOver.run();
     }
 
-    private static String shown(OptionalLong version) {
-        return version.isPresent() ? Long.toString(version.getAsLong()) : "-";
-    }
-
     private long now() {
         return mResources.clock().nowMilliseconds();
     }
