--- a/gateway/src/main/java/org/skylarkbend/gateway/endpoints/WeightsOutlook.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/endpoints/WeightsOutlook.java
@@ -22,13 +22,13 @@
     private static final double TOKENS_OF_IDLE_MILLISECOND = 8;
 
     /** The same while no newer weights are named, but may be. */
-    private static final double TOKENS_OF_IDLE_MILLISECOND_IN_ADVANCE = 2;
+    private static final double TOKENS_OF_IDLE_MILLISECOND_IN_ADVANCE = 1;
 
-    /** How long one token of an answer takes beside the prompts of others (played calm days). */
-    private static final long MILLISECONDS_OF_TOKEN = 28;
+    /** How long one token of an answer takes at an engine that reads few prompts. */
+    private static final long MILLISECONDS_OF_TOKEN = 12;
 
     /** All engines of a site load within so long. */
-    private static final long ALL_LOADED_MILLISECONDS = 7_000;
+    private static final long ALL_LOADED_MILLISECONDS = 4_000;
 
     /** A call may wait so long in an engine's queue before it begins. */
     private static final long QUEUE_MILLISECONDS = 1_500;
