--- a/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EndpointLoad.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EndpointLoad.java
@@ -132,8 +132,10 @@
         return mCalls + (isReported(nowMilliseconds) ? mOtherRunning + mWaiting : 0);
     }
 
-    int waiting(long nowMilliseconds) {
-        return isReported(nowMilliseconds) ? mWaiting : 0;
+    /** The calls that wait there: more than it has slots, or those that it reports. */
+    long waiting(long nowMilliseconds) {
+        long beyondSlots = Math.max(0, calls(nowMilliseconds) - mEndpoint.slots() + 1);
+        return isReported(nowMilliseconds) ? Math.max(beyondSlots, mWaiting) : beyondSlots;
     }
 
     /** The prompt tokens that it has not read yet, as far as is known. */
--- a/gateway/src/test/java/org/skylarkbend/gateway/endpoints/EndpointBoardTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/endpoints/EndpointBoardTest.java
@@ -114,6 +114,16 @@
         assertThat(chosen(board, prompt, 10_000)).isEqualTo(home);
     }
 
+    @Test
+    public void aPromptLeavesAHomeWhoseSlotsAreTakenByTheCallsOfAllGateways() {
+        EndpointBoard board = board(Set.of(), engine("a", 1), engine("b", 1));
+        Prompt prompt = prompt("shared", 2_000);
+        String home = chosen(board, prompt, 0);
+        board.othersHave(Map.of(home + "@1", new EndpointWork(0, 63)), 0);
+        board.sent(home.equals("a") ? engine("a", 1) : engine("b", 1), 0, 0);
+        assertThat(chosen(board, prompt, 0)).isNotEqualTo(home);
+    }
+
     @Test
     public void aCallGoesWhereAllGatewaysTogetherHaveTheFewestCalls() {
         EndpointBoard board = board(Set.of(), plain("a", 6), plain("b", 6));
