Let calls that will miss their target come after the others at the engines

Gateways know from one another how many tokens wait at an engine. Change: a call with more than three quarters of its target ahead of it is sent with a low urgency. The trial of keeping every second long prompt in the store is taken back; prompts that share little still pass it by.

--- a/gateway/src/main/java/org/skylarkbend/gateway/call/GatewayCall.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/GatewayCall.java
@@ -140,7 +140,7 @@
                 mResources.client(),
                 mCall,
                 mResources.names(),
-                Urgency.of(mCall),
+                Urgency.of(mCall, chosen.get()),
                 cacheScope(),
                 mEvents.lastEvent(),
                 CONNECT_MILLISECONDS,
--- a/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EndpointBoard.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EndpointBoard.java
@@ -32,12 +32,6 @@
     /** Fewer shared tokens are read as fast as they are fetched. */
     private static final long LEAST_SHARED_TOKENS = 1_000;
 
-    /**
-     * The store gets the parts of every second prompt. With a prompt come the parts that nobody
-     * shares; all of them would push the shared ones out within seconds and fill the store's link.
-     */
-    private static final double KEPT_SHARE = 0.5;
-
     /** A call that waits at an engine counts as a prompt of so many tokens. */
     private static final double TOKENS_OF_WAITING_CALL = 1_500;
 
@@ -168,7 +162,7 @@
                                     + mWeights.cost(load, turns, prompt, nowMilliseconds)
                                     + lastResort(load, nowMilliseconds);
                         })
-                .map(endpoint -> asChoice(endpoint, prompt, homes));
+                .map(endpoint -> asChoice(endpoint, prompt, homes, nowMilliseconds));
     }
 
     private static boolean isHome(Endpoint endpoint, List<EndpointLoad> homes) {
@@ -257,40 +251,37 @@
      * The store keeps what any engine has read. Without it, another home with the same weights may
      * hold the shared parts and hand them over.
      */
-    private EngineChoice asChoice(Endpoint endpoint, Prompt prompt, List<EndpointLoad> homes) {
+    private EngineChoice asChoice(
+            Endpoint endpoint, Prompt prompt, List<EndpointLoad> homes, long nowMilliseconds) {
         Long version = endpoint.weights().get(prompt.model());
         if (version == null) {
             return EngineChoice.plain(endpoint);
         }
+        boolean sharesLittle = prompt.sharedTokens() < LEAST_SHARED_TOKENS;
+        Optional<String> source =
+                sharesLittle ? Optional.empty() : sourceOf(endpoint, version, prompt, homes);
         double missShare = isHome(endpoint, homes) ? HOME_MISS_SHARE : 1;
         long ownTokens = prompt.promptTokens() - prompt.sharedTokens();
-        long tokensToRead = ownTokens + (long) (missShare * prompt.sharedTokens());
-        if (prompt.sharedTokens() < LEAST_SHARED_TOKENS) {
-            return new EngineChoice(
-                    endpoint,
-                    OptionalLong.of(version),
-                    Optional.empty(),
-                    Optional.empty(),
-                    tokensToRead);
-        }
+        return new EngineChoice(
+                endpoint,
+                OptionalLong.of(version),
+                source,
+                sharesLittle ? Optional.empty() : mStore,
+                ownTokens + (long) (missShare * prompt.sharedTokens()),
+                known(endpoint).map(load -> load.promptTokens(nowMilliseconds)).orElse(0L));
+    }
+
+    private Optional<String> sourceOf(
+            Endpoint endpoint, Long version, Prompt prompt, List<EndpointLoad> homes) {
         if (mStore.isPresent()) {
-            boolean isKept = mRandom.getAsDouble() < KEPT_SHARE;
-            return new EngineChoice(
-                    endpoint,
-                    OptionalLong.of(version),
-                    mStore,
-                    isKept ? mStore : Optional.empty(),
-                    tokensToRead);
+            return mStore;
         }
-        Optional<String> source =
-                homes.stream()
-                        .map(EndpointLoad::endpoint)
-                        .filter(home -> !home.incarnation().equals(endpoint.incarnation()))
-                        .filter(home -> version.equals(home.weights().get(prompt.model())))
-                        .map(Endpoint::address)
-                        .findFirst();
-        return new EngineChoice(
-                endpoint, OptionalLong.of(version), source, Optional.empty(), tokensToRead);
+        return homes.stream()
+                .map(EndpointLoad::endpoint)
+                .filter(home -> !home.incarnation().equals(endpoint.incarnation()))
+                .filter(home -> version.equals(home.weights().get(prompt.model())))
+                .map(Endpoint::address)
+                .findFirst();
     }
 
     /**
--- a/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EngineChoice.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EngineChoice.java
@@ -13,16 +13,18 @@
  *     the shared parts of the prompt
  * @param store the address of the store that keeps what the engine reads
  * @param tokensToRead the tokens of the prompt that the engine will probably have to read
+ * @param tokensAhead the tokens of other prompts that it has to read before
  */
 public record EngineChoice(
         Endpoint endpoint,
         OptionalLong weights,
         Optional<String> cacheSource,
         Optional<String> store,
-        long tokensToRead) {
+        long tokensToRead,
+        long tokensAhead) {
     /** A choice of an endpoint that is no engine. */
     static EngineChoice plain(Endpoint endpoint) {
         return new EngineChoice(
-                endpoint, OptionalLong.empty(), Optional.empty(), Optional.empty(), 0);
+                endpoint, OptionalLong.empty(), Optional.empty(), Optional.empty(), 0, 0);
     }
 }
--- /dev/null
+++ b/gateway/src/test/java/org/skylarkbend/gateway/call/UrgencyTest.java
@@ -0,0 +1,62 @@
+package org.skylarkbend.gateway.call;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.vertx.core.MultiMap;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpMethod;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+import org.skylarkbend.catalog.CallKind;
+import org.skylarkbend.catalog.Customer;
+import org.skylarkbend.catalog.Endpoint;
+import org.skylarkbend.gateway.Routes;
+import org.skylarkbend.gateway.endpoints.EngineChoice;
+import org.testng.annotations.Test;
+
+/** How urgent a call is to an engine. */
+public class UrgencyTest {
+    /** The route's target is 100 ms. */
+    private static final long TOKENS_OF_TARGET = 3_000;
+
+    @Test
+    public void theRankOfACustomerGoesBeforeThatOfTheRoute() {
+        assertThat(Urgency.of(call(OptionalInt.of(3)), choice(0)).level()).isEqualTo(3);
+        assertThat(Urgency.of(call(OptionalInt.empty()), choice(0)).level()).isZero();
+    }
+
+    @Test
+    public void aCallThatWillMissItsTargetComesAfterThoseThatCanMeetTheirs() {
+        Urgency inTime = Urgency.of(call(OptionalInt.of(3)), choice(TOKENS_OF_TARGET / 2));
+        Urgency late = Urgency.of(call(OptionalInt.of(0)), choice(TOKENS_OF_TARGET));
+        assertThat(late.level()).isGreaterThan(inTime.level());
+    }
+
+    private static EngineChoice choice(long tokensAhead) {
+        Endpoint endpoint =
+                new Endpoint("e", "desk", "10.0.0.1", 80, "z", "v1", 64, false, 1, Map.of("m", 1L));
+        return new EngineChoice(
+                endpoint, OptionalLong.of(1), Optional.empty(), Optional.empty(), 500, tokensAhead);
+    }
+
+    private static CallRequest call(OptionalInt rank) {
+        Customer customer = new Customer("one", List.of(), rank, false, 0, 0, 1);
+        return new CallRequest(
+                "c1",
+                HttpMethod.POST,
+                "/x/y",
+                "a.example",
+                MultiMap.caseInsensitiveMultiMap(),
+                Buffer.buffer(),
+                Routes.of(CallKind.STREAM, 1, true),
+                "desk",
+                Optional.of(customer),
+                Optional.empty(),
+                0,
+                2_000,
+                1);
+    }
+}
