--- a/orders/src/main/java/org/skylarkbend/orders/weights/EngineLoad.java
+++ b/orders/src/main/java/org/skylarkbend/orders/weights/EngineLoad.java
@@ -11,6 +11,7 @@
  * @param acceptedOrders how many orders it has accepted, if that is known
  * @param step what is under way
  * @param nextAtMilliseconds when to do the next thing
+ * @param takenAtMilliseconds when its turn to load came
  * @param misses how many questions in a row it did not answer
  */
 record EngineLoad(
@@ -19,6 +20,7 @@
         OptionalLong acceptedOrders,
         Step step,
         long nextAtMilliseconds,
+        long takenAtMilliseconds,
         int misses) {
     private static final int MAX_DOUBLINGS = 2;
 
@@ -35,7 +37,7 @@
     }
 
     static EngineLoad met(Map<String, Long> listed) {
-        return new EngineLoad(listed, Map.of(), OptionalLong.empty(), Step.IDLE, 0, 0);
+        return new EngineLoad(listed, Map.of(), OptionalLong.empty(), Step.IDLE, 0, 0, 0);
     }
 
     /** The newest version that it is known to have of a model. */
@@ -46,22 +48,59 @@
 
     EngineLoad listedAs(Map<String, Long> versions) {
         return new EngineLoad(
-                versions, confirmed, acceptedOrders, step, nextAtMilliseconds, misses);
+                versions,
+                confirmed,
+                acceptedOrders,
+                step,
+                nextAtMilliseconds,
+                takenAtMilliseconds,
+                misses);
     }
 
     EngineLoad reported(Map<String, Long> versions, long orders) {
         return new EngineLoad(
-                listed, versions, OptionalLong.of(orders), Step.CHECKING, nextAtMilliseconds, 0);
+                listed,
+                versions,
+                OptionalLong.of(orders),
+                Step.CHECKING,
+                nextAtMilliseconds,
+                takenAtMilliseconds,
+                0);
     }
 
     EngineLoad at(Step next, long atMilliseconds) {
-        return new EngineLoad(listed, confirmed, acceptedOrders, next, atMilliseconds, misses);
+        return new EngineLoad(
+                listed,
+                confirmed,
+                acceptedOrders,
+                next,
+                atMilliseconds,
+                takenAtMilliseconds,
+                misses);
+    }
+
+    /** Its turn to load has come. */
+    EngineLoad taken(long nowMilliseconds) {
+        return new EngineLoad(
+                listed,
+                confirmed,
+                acceptedOrders,
+                Step.CHECKING,
+                nowMilliseconds,
+                nowMilliseconds,
+                misses);
     }
 
     /** Its count of orders must be asked for again. */
     EngineLoad uncounted(long askAtMilliseconds) {
         return new EngineLoad(
-                listed, confirmed, OptionalLong.empty(), Step.CHECKING, askAtMilliseconds, misses);
+                listed,
+                confirmed,
+                OptionalLong.empty(),
+                Step.CHECKING,
+                askAtMilliseconds,
+                takenAtMilliseconds,
+                misses);
     }
 
     /** It did not answer: it is asked again later, longer after each question in a row. */
@@ -72,6 +111,7 @@
                 OptionalLong.empty(),
                 Step.IDLE,
                 nowMilliseconds + (pauseMilliseconds << Math.min(misses, MAX_DOUBLINGS)),
+                takenAtMilliseconds,
                 misses + 1);
     }
 
--- a/orders/src/main/java/org/skylarkbend/orders/weights/WeightsDecider.java
+++ b/orders/src/main/java/org/skylarkbend/orders/weights/WeightsDecider.java
@@ -39,11 +39,14 @@
     static final long FIRST_QUESTION_MILLISECONDS = 500;
 
     /** How often it is asked from then on, and after a failure. */
-    static final long QUESTION_MILLISECONDS = 250;
+    static final long QUESTION_MILLISECONDS = 150;
 
     /** An engine that did not answer is asked again after so long. */
     static final long UNREACHED_MILLISECONDS = 700;
 
+    /** An order turns away the calls in an engine's queue, so the queue may empty for so long. */
+    static final long MOST_QUEUE_MILLISECONDS = 1_500;
+
     /** Loads slow one another down when more than two in seven engines load (users' sheets). */
     private static final int LOADING_SHARE = 2;
 
@@ -162,6 +165,11 @@
             return next.uncounted(nowMilliseconds + QUESTION_MILLISECONDS);
         }
         boolean isBack = load.misses() > 0;
+        boolean mayEmptyQueue =
+                nowMilliseconds < load.takenAtMilliseconds() + MOST_QUEUE_MILLISECONDS;
+        if (wanted(next).isPresent() && reported.queuedCalls() > 0 && mayEmptyQueue && !isBack) {
+            return next.uncounted(nowMilliseconds + QUESTION_MILLISECONDS);
+        }
         if (wanted(next).isPresent() && !isBack) {
             return next.at(Step.CHECKING, nowMilliseconds);
         }
@@ -206,7 +214,7 @@
         for (String engine : outdated) {
             EngineLoad load = mEngines.get(engine);
             if (load.misses() > 0 || free > 0) {
-                mEngines.put(engine, load.at(Step.CHECKING, nowMilliseconds));
+                mEngines.put(engine, load.taken(nowMilliseconds));
                 free -= load.misses() > 0 ? 0 : 1;
             }
         }
--- a/orders/src/main/java/org/skylarkbend/orders/weights/WeightsMessage.java
+++ b/orders/src/main/java/org/skylarkbend/orders/weights/WeightsMessage.java
@@ -46,8 +46,14 @@
      * @param weights the version that it has of each model
      * @param busy whether it carries out an order
      * @param acceptedOrders how many orders it has accepted since its start
+     * @param queuedCalls how many calls wait in its queue
      */
-    record Reported(String engine, Map<String, Long> weights, boolean busy, long acceptedOrders)
+    record Reported(
+            String engine,
+            Map<String, Long> weights,
+            boolean busy,
+            long acceptedOrders,
+            long queuedCalls)
             implements WeightsMessage {
         /** Copies the map. */
         public Reported {
--- a/orders/src/test/java/org/skylarkbend/orders/weights/WeightsDeciderTest.java
+++ b/orders/src/test/java/org/skylarkbend/orders/weights/WeightsDeciderTest.java
@@ -57,7 +57,7 @@
     @Test
     public void twoOfEightEnginesLoadAtOnceAndAnOrderNamesHowManyCameBefore() {
         assertThat(asked(decide(new Named(Map.of("m", 2L))))).containsExactly("e0", "e1");
-        List<WeightsEffect> effects = decide(new Reported("e1", Map.of("m", 1L), false, 4));
+        List<WeightsEffect> effects = decide(new Reported("e1", Map.of("m", 1L), false, 4, 0));
         assertThat(effects).contains(new Load("e1", "m", 2, 7, 4));
     }
 
@@ -67,7 +67,7 @@
         decide(new Answered("e0", LoadAnswer.ACCEPTED));
         mNowMilliseconds += WeightsDecider.FIRST_QUESTION_MILLISECONDS;
         assertThat(asked(decide(new Tick()))).contains("e0");
-        assertThat(loads(decide(new Reported("e0", Map.of("m", 1L), true, 1)))).isEmpty();
+        assertThat(loads(decide(new Reported("e0", Map.of("m", 1L), true, 1, 0)))).isEmpty();
         mNowMilliseconds += WeightsDecider.QUESTION_MILLISECONDS;
         assertThat(asked(decide(new Tick()))).contains("e0");
     }
@@ -78,7 +78,7 @@
         decide(new Answered("e0", LoadAnswer.ACCEPTED));
         mNowMilliseconds += WeightsDecider.FIRST_QUESTION_MILLISECONDS;
         decide(new Tick());
-        assertThat(asked(decide(new Reported("e0", Map.of("m", 2L), false, 1)))).contains("e2");
+        assertThat(asked(decide(new Reported("e0", Map.of("m", 2L), false, 1, 0)))).contains("e2");
         assertThat(mDecider.weightsOf("e0")).containsEntry("m", 2L);
         assertThat(mDecider.loading()).doesNotContain("e0");
     }
@@ -89,7 +89,7 @@
         assertThat(loads(decide(new Answered("e0", LoadAnswer.UNKNOWN)))).isEmpty();
         mNowMilliseconds += WeightsDecider.QUESTION_MILLISECONDS;
         assertThat(asked(decide(new Tick()))).contains("e0");
-        assertThat(loads(decide(new Reported("e0", Map.of("m", 1L), false, 0))))
+        assertThat(loads(decide(new Reported("e0", Map.of("m", 1L), false, 0, 0))))
                 .containsExactly(new Load("e0", "m", 2, 7, 0));
     }
 
@@ -110,10 +110,23 @@
         mNowMilliseconds += WeightsDecider.UNREACHED_MILLISECONDS;
         assertThat(asked(decide(new Tick()))).contains("e0");
         assertThat(mDecider.loading()).containsExactlyInAnyOrder("e1", "e2");
-        decide(new Reported("e0", Map.of("m", 1L), false, 0));
+        decide(new Reported("e0", Map.of("m", 1L), false, 0, 0));
         assertThat(mDecider.loading()).containsExactlyInAnyOrder("e1", "e2");
     }
 
+    @Test
+    public void anEngineIsOrderedWhenItsQueueIsEmptyOrHadItsTime() {
+        decide(new Named(Map.of("m", 2L)));
+        assertThat(loads(decide(new Reported("e0", Map.of("m", 1L), false, 0, 3)))).isEmpty();
+        mNowMilliseconds += WeightsDecider.QUESTION_MILLISECONDS;
+        assertThat(asked(decide(new Tick()))).contains("e0");
+        assertThat(loads(decide(new Reported("e0", Map.of("m", 1L), false, 0, 0)))).hasSize(1);
+        assertThat(loads(decide(new Reported("e1", Map.of("m", 1L), false, 0, 3)))).isEmpty();
+        mNowMilliseconds += WeightsDecider.MOST_QUEUE_MILLISECONDS;
+        decide(new Tick());
+        assertThat(loads(decide(new Reported("e1", Map.of("m", 1L), false, 0, 3)))).hasSize(1);
+    }
+
     @Test
     public void aCommanderWhoseNumberIsTooLowOrdersNoMore() {
         order("e0");
@@ -139,7 +152,7 @@
 
     private void order(String engine) {
         decide(new Named(Map.of("m", 2L)));
-        assertThat(loads(decide(new Reported(engine, Map.of("m", 1L), false, 0)))).hasSize(1);
+        assertThat(loads(decide(new Reported(engine, Map.of("m", 1L), false, 0, 0)))).hasSize(1);
     }
 
     private List<WeightsEffect> decide(WeightsMessage message) {
