--- a/limits/src/test/java/org/skylarkbend/limits/LimitScheduleTest.java
+++ b/limits/src/test/java/org/skylarkbend/limits/LimitScheduleTest.java
@@ -9,6 +9,8 @@
 public class LimitScheduleTest {
     private static final long FIRST_SEED = 1;
     private static final int SCHEDULES = 2_000;
+    private static final int SCHEDULES_WITH_HEAD_START = 500;
+    private static final long HEAD_START_MILLISECONDS = 300;
     private static final int MOST_WEAK_SCHEDULES = 4_000;
 
     @Test
@@ -30,6 +32,26 @@
         System.out.println("limits: tightest window used " + closest[0] + " of its burst");
     }
 
+    @Test
+    public void headStartsOfNewOwnersExceedAWindowByNoMoreThanTheirTokens() {
+        int[] used = {0};
+        SeededRuns.forEachSeed(
+                FIRST_SEED,
+                SCHEDULES_WITH_HEAD_START,
+                seed -> {
+                    LimitWorld world =
+                            new LimitWorld(seed, LimitWorld.Weakness.NONE, HEAD_START_MILLISECONDS);
+                    long mostTokens = world.run();
+                    long burstTokens = world.limit().burstTokens();
+                    long headStartTokens = world.policy().headStartTokens(world.limit());
+                    assertThat(mostTokens)
+                            .isLessThanOrEqualTo(burstTokens + world.term() * headStartTokens);
+                    used[0] += mostTokens > burstTokens ? 1 : 0;
+                });
+        assertThat(used[0]).as("schedules in which a head start was used").isPositive();
+        System.out.println("limits: " + used[0] + " schedules used more than their burst");
+    }
+
     private static double share(long tokens, LimitWorld world) {
         return tokens / (double) world.limit().burstTokens();
     }
--- a/limits/src/test/java/org/skylarkbend/limits/LimitWorld.java
+++ b/limits/src/test/java/org/skylarkbend/limits/LimitWorld.java
@@ -47,13 +47,28 @@
     private long mTerm;
 
     LimitWorld(long seed, Weakness weakness) {
+        this(seed, weakness, 0);
+    }
+
+    /** A world whose owners begin with the tokens of a time, though none is without an owner. */
+    LimitWorld(long seed, Weakness weakness, long headStartMilliseconds) {
         mRandom = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
         mWeakness = weakness;
         long burst = 400 + mRandom.nextLong(4_000);
         long rate = 1 + burst * 1_000 / (300 + mRandom.nextLong(4_000));
         mLimit = new CustomerLimit(ObjectName.of("atelier"), rate, burst);
         mQuick = mRandom.nextBoolean();
-        mPolicy = new LimitPolicy(2 + mRandom.nextInt(4), 200, 64, 20, 1_000, 300, 16, 500, 0);
+        mPolicy =
+                new LimitPolicy(
+                        2 + mRandom.nextInt(4),
+                        200,
+                        64,
+                        20,
+                        1_000,
+                        300,
+                        16,
+                        500,
+                        headStartMilliseconds);
     }
 
     /**
