Send gateways differences of the list of endpoints, and look at busy endpoints only

Cause: each change of the list, as often as every 50 ms while engines load, sent all endpoints to every gateway; every gateway scanned all endpoints 14 times a second and sorted all engines for each prompt; and it reported its work four times as often as control sends the sum on a large site. Change: connected gateways get the difference to the list before, new ones the whole list. Periodic checks look at endpoints with calls or without connection. The home engine is found in one pass. The report interval follows that of the sums.

--- a/catalog/src/main/java/org/skylarkbend/catalog/SiteCodec.java
+++ b/catalog/src/main/java/org/skylarkbend/catalog/SiteCodec.java
@@ -6,7 +6,8 @@
 import java.util.Set;
 import org.skylarkbend.base.Result;
 import org.skylarkbend.catalog.SiteMessage.ControlVms;
-import org.skylarkbend.catalog.SiteMessage.Endpoints;
+import org.skylarkbend.catalog.SiteMessage.EndpointsChanged;
+import org.skylarkbend.catalog.SiteMessage.EndpointsListed;
 import org.skylarkbend.catalog.SiteMessage.WeightsNamed;
 import org.skylarkbend.catalog.SiteMessage.WorkUnderWay;
 import org.skylarkbend.wire.MessageCodec;
@@ -19,9 +20,10 @@
     public static final String WORK_SLICE = "work";
 
     private static final int CONTROL_VMS = 1;
-    private static final int ENDPOINTS = 2;
+    private static final int ENDPOINTS_LISTED = 2;
     private static final int WEIGHTS_NAMED = 3;
     private static final int WORK_UNDER_WAY = 4;
+    private static final int ENDPOINTS_CHANGED = 5;
 
     @Override
     public byte[] encode(SiteMessage message) {
@@ -30,15 +32,26 @@
                     .list(vms.addresses(), MessageWriter::text)
                     .toBytes();
         }
-        if (message instanceof Endpoints endpoints) {
-            return new MessageWriter(ENDPOINTS)
-                    .list(endpoints.endpoints(), SiteCodec::writeEndpoint)
-                    .list(List.copyOf(endpoints.loading()), MessageWriter::text)
+        if (message instanceof EndpointsListed listed) {
+            return new MessageWriter(ENDPOINTS_LISTED)
+                    .number(listed.number())
+                    .list(listed.endpoints().endpoints(), SiteCodec::writeEndpoint)
+                    .list(List.copyOf(listed.endpoints().loading()), MessageWriter::text)
+                    .toBytes();
+        }
+        if (message instanceof EndpointsChanged changed) {
+            Endpoints.Difference difference = changed.difference();
+            return new MessageWriter(ENDPOINTS_CHANGED)
+                    .number(changed.number())
+                    .list(difference.changed(), SiteCodec::writeEndpoint)
+                    .list(List.copyOf(difference.removed()), MessageWriter::text)
+                    .list(List.copyOf(difference.loading()), MessageWriter::text)
                     .toBytes();
         }
         if (message instanceof WorkUnderWay work) {
             return new MessageWriter(WORK_UNDER_WAY)
                     .list(List.copyOf(work.byIncarnation().entrySet()), SiteCodec::writeWork)
+                    .number(work.nextInMilliseconds())
                     .toBytes();
         }
         MessageWriter writer = new MessageWriter(WEIGHTS_NAMED);
@@ -97,12 +110,21 @@
         int type = reader.type();
         return switch (type) {
             case CONTROL_VMS -> new ControlVms(reader.list(MessageReader::text));
-            case ENDPOINTS ->
-                    new Endpoints(
-                            reader.list(SiteCodec::readEndpoint),
-                            Set.copyOf(reader.list(MessageReader::text)));
+            case ENDPOINTS_LISTED ->
+                    new EndpointsListed(
+                            reader.number(),
+                            new Endpoints(
+                                    reader.list(SiteCodec::readEndpoint),
+                                    Set.copyOf(reader.list(MessageReader::text))));
+            case ENDPOINTS_CHANGED ->
+                    new EndpointsChanged(
+                            reader.number(),
+                            new Endpoints.Difference(
+                                    reader.list(SiteCodec::readEndpoint),
+                                    Set.copyOf(reader.list(MessageReader::text)),
+                                    Set.copyOf(reader.list(MessageReader::text))));
             case WEIGHTS_NAMED -> new WeightsNamed(readVersions(reader));
-            case WORK_UNDER_WAY -> new WorkUnderWay(readWork(reader));
+            case WORK_UNDER_WAY -> new WorkUnderWay(readWork(reader), reader.number());
             default -> MessageReader.unknownType(type);
         };
     }
--- a/catalog/src/main/java/org/skylarkbend/catalog/SiteMessage.java
+++ b/catalog/src/main/java/org/skylarkbend/catalog/SiteMessage.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 
 /** Message between control and the gateways of a site. */
 public sealed interface SiteMessage {
@@ -15,18 +14,20 @@
     }
 
     /**
-     * Endpoints listed by the platform.
+     * All endpoints listed by the platform, for a gateway that has just connected.
      *
+     * @param number number of the list, which increases by 1 with each change
      * @param endpoints all listed endpoints
-     * @param loading incarnations of the endpoints that are currently loading other weights
      */
-    record Endpoints(List<Endpoint> endpoints, Set<String> loading) implements SiteMessage {
-        /** Creates the message with copies of the collections. */
-        public Endpoints {
-            endpoints = List.copyOf(endpoints);
-            loading = Set.copyOf(loading);
-        }
-    }
+    record EndpointsListed(long number, Endpoints endpoints) implements SiteMessage {}
+
+    /**
+     * Change of the list of endpoints.
+     *
+     * @param number number of the list after the change; the change applies to the list before it
+     * @param difference difference between the two lists
+     */
+    record EndpointsChanged(long number, Endpoints.Difference difference) implements SiteMessage {}
 
     /** Newest announced version of the weights of each model. */
     record WeightsNamed(Map<String, Long> versions) implements SiteMessage {
@@ -39,8 +40,12 @@
     /**
      * Work in flight at endpoints. A gateway sends its own work to control, and control sends each
      * gateway the sum of the work of all others.
+     *
+     * @param byIncarnation work by endpoint
+     * @param nextInMilliseconds time until control sends the next sum; 0 in messages of gateways
      */
-    record WorkUnderWay(Map<String, EndpointWork> byIncarnation) implements SiteMessage {
+    record WorkUnderWay(Map<String, EndpointWork> byIncarnation, long nextInMilliseconds)
+            implements SiteMessage {
         /** Creates the message with a copy of the map. */
         public WorkUnderWay {
             byIncarnation = Map.copyOf(byIncarnation);
--- a/catalog/src/test/java/org/skylarkbend/catalog/SiteCodecTest.java
+++ b/catalog/src/test/java/org/skylarkbend/catalog/SiteCodecTest.java
@@ -19,9 +19,14 @@
                 new Endpoint("i-1", "desk", "10.0.0.1", 80, "a", "v1", 6, true, 5, Map.of("m", 3L));
         return new Object[] {
             new SiteMessage.ControlVms(List.of("10.0.0.1", "10.0.0.2")),
-            new SiteMessage.Endpoints(List.of(endpoint), Set.of(endpoint.incarnation())),
+            new SiteMessage.EndpointsListed(
+                    8, new Endpoints(List.of(endpoint), Set.of(endpoint.incarnation()))),
+            new SiteMessage.EndpointsChanged(
+                    9,
+                    new Endpoints.Difference(
+                            List.of(endpoint), Set.of("i-2@7"), Set.of(endpoint.incarnation()))),
             new SiteMessage.WeightsNamed(Map.of("m", 2L, "n", 1L)),
-            new SiteMessage.WorkUnderWay(Map.of("i-1@5", new EndpointWork(9_190, 3)))
+            new SiteMessage.WorkUnderWay(Map.of("i-1@5", new EndpointWork(9_190, 3)), 480)
         };
     }
 
--- a/control/src/main/java/org/skylarkbend/control/feed/FeedDecider.java
+++ b/control/src/main/java/org/skylarkbend/control/feed/FeedDecider.java
@@ -200,7 +200,7 @@
     private void retainedMessageChanged(List<FeedEffect> effects, RetainedMessageChanged changed) {
         mRetainedMessages.put(changed.message().slice(), changed.message());
         if (mLeads) {
-            mLeasedConnections.forEach(c -> effects.add(new Send(c, changed.message())));
+            mLeasedConnections.forEach(c -> effects.add(new Send(c, changed.update())));
         }
     }
 
--- a/control/src/main/java/org/skylarkbend/control/feed/FeedInput.java
+++ b/control/src/main/java/org/skylarkbend/control/feed/FeedInput.java
@@ -26,10 +26,18 @@
     record RevisionCommitted(long revision, String yaml) implements FeedInput {}
 
     /**
-     * A slice has a new retained message, which replaces the previous one. Every router with a
-     * lease gets it immediately, every other router with its first lease.
+     * A slice has a new retained message, which replaces the previous one. Every other router gets
+     * it with its first lease.
+     *
+     * @param message the new retained message
+     * @param update sent to every router that has a lease, and therefore the previous message
      */
-    record RetainedMessageChanged(SliceMessage message) implements FeedInput {}
+    record RetainedMessageChanged(SliceMessage message, SliceMessage update) implements FeedInput {
+        /** Creates a change that is sent whole to every router with a lease. */
+        public RetainedMessageChanged(SliceMessage message) {
+            this(message, message);
+        }
+    }
 
     /** The owner of a slice has a message for a router. */
     record MessageForRouter(ObjectName vm, long incarnation, SliceMessage message)
--- a/control/src/main/java/org/skylarkbend/control/site/EndpointsTask.java
+++ b/control/src/main/java/org/skylarkbend/control/site/EndpointsTask.java
@@ -7,14 +7,13 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
-import java.util.function.Consumer;
+import java.util.function.BiConsumer;
 import org.skylarkbend.base.MillisecondClock;
 import org.skylarkbend.base.Result;
 import org.skylarkbend.base.StructuredLog;
 import org.skylarkbend.catalog.Endpoint;
 import org.skylarkbend.catalog.EndpointSource;
-import org.skylarkbend.catalog.SiteMessage.Endpoints;
+import org.skylarkbend.catalog.Endpoints;
 import org.skylarkbend.control.log.ControlEntry;
 import org.skylarkbend.control.log.ControlLog;
 import org.skylarkbend.control.log.Leadership;
@@ -49,10 +48,7 @@
 
     private static final long TICK_MILLISECONDS = 100;
 
-    /**
-     * The minimum interval between notifications. Each goes to every gateway and has 10 KB with 98
-     * engines.
-     */
+    /** The minimum interval between notifications, each of which goes to every gateway. */
     private static final long MIN_NOTIFY_INTERVAL_MILLISECONDS = 50;
 
     private final EndpointSource mSource;
@@ -61,11 +57,11 @@
     private final WeightsDecider mWeights;
     private final MillisecondClock mClock;
     private final MillisecondClock mWall;
-    private final Consumer<Endpoints> mOnChange;
+    private final BiConsumer<Endpoints, Endpoints> mOnChange;
     private final Map<String, Endpoint> mEndpoints = new HashMap<>();
     private Context mContext;
     private Leadership mLeadership = Leadership.unknown();
-    private Endpoints mLastNotified = new Endpoints(List.of(), Set.of());
+    private Endpoints mLastNotified = Endpoints.none();
     private long mLastNotifiedMilliseconds = Long.MIN_VALUE / 2;
     private boolean mNotifyScheduled;
     private boolean mListKnown;
@@ -80,8 +76,8 @@
      * @param weights decides which orders to send
      * @param clock a monotonic clock
      * @param wall the clock for the timestamps of log entries
-     * @param onChange called on the context of the task when the endpoint data for gateways has
-     *     changed
+     * @param onChange called on the context of the task with the previous and the new endpoint data
+     *     for gateways
      */
     public EndpointsTask(
             EndpointSource source,
@@ -90,7 +86,7 @@
             WeightsDecider weights,
             MillisecondClock clock,
             MillisecondClock wall,
-            Consumer<Endpoints> onChange) {
+            BiConsumer<Endpoints, Endpoints> onChange) {
         mSource = source;
         mCommands = commands;
         mLog = log;
@@ -215,9 +211,10 @@
         sorted.sort(java.util.Comparator.comparing(Endpoint::incarnation));
         Endpoints now = new Endpoints(sorted, mWeights.loading());
         if (!now.equals(mLastNotified)) {
+            Endpoints previous = mLastNotified;
             mLastNotified = now;
             mLastNotifiedMilliseconds = mClock.nowMilliseconds();
-            mOnChange.accept(now);
+            mOnChange.accept(previous, now);
         }
     }
 
--- a/control/src/main/java/org/skylarkbend/control/site/SiteControlProcess.java
+++ b/control/src/main/java/org/skylarkbend/control/site/SiteControlProcess.java
@@ -23,10 +23,13 @@
 import org.skylarkbend.base.Result;
 import org.skylarkbend.base.StructuredLog;
 import org.skylarkbend.catalog.Catalog;
+import org.skylarkbend.catalog.Endpoints;
 import org.skylarkbend.catalog.SiteCodec;
 import org.skylarkbend.catalog.SiteLimits;
 import org.skylarkbend.catalog.SiteMessage;
 import org.skylarkbend.catalog.SiteMessage.ControlVms;
+import org.skylarkbend.catalog.SiteMessage.EndpointsChanged;
+import org.skylarkbend.catalog.SiteMessage.EndpointsListed;
 import org.skylarkbend.catalog.SiteMessage.WeightsNamed;
 import org.skylarkbend.control.AgreementControlLog;
 import org.skylarkbend.control.AppliedState;
@@ -82,6 +85,7 @@
     private Context mOperatorContext;
     private AgreementTask mAgreement;
     private long mTermAtStart;
+    private long mEndpointListNumber;
 
     /** Creates the tasks without starting them. */
     public SiteControlProcess(SiteControlParts parts) {
@@ -101,7 +105,7 @@
                         new WeightsDecider(parts.engineOrders().takeoverMilliseconds()),
                         parts.monotonic(),
                         wall,
-                        this::broadcast);
+                        this::endpointsChanged);
     }
 
     /**
@@ -272,15 +276,31 @@
         mFeed.post(new MessageForRouter(gateway.vm(), gateway.incarnation(), message));
     }
 
+    /**
+     * Sends the difference to the gateways that are connected, and keeps the whole list for those
+     * that connect later. Called on the context of one task only.
+     */
+    private void endpointsChanged(Endpoints previous, Endpoints endpoints) {
+        mEndpointListNumber++;
+        mFeed.post(
+                new RetainedMessageChanged(
+                        sliceMessage(new EndpointsListed(mEndpointListNumber, endpoints)),
+                        sliceMessage(
+                                new EndpointsChanged(
+                                        mEndpointListNumber, previous.differenceTo(endpoints)))));
+    }
+
     /**
      * Sends a retained message to all present and future gateways. It replaces the previous message
      * of the same type.
      */
     private void broadcast(SiteMessage message) {
+        mFeed.post(new RetainedMessageChanged(sliceMessage(message)));
+    }
+
+    private static SliceMessage sliceMessage(SiteMessage message) {
         String slice = message.getClass().getSimpleName();
-        mFeed.post(
-                new RetainedMessageChanged(
-                        new SliceMessage(slice, new SiteCodec().encode(message))));
+        return new SliceMessage(slice, new SiteCodec().encode(message));
     }
 
     private void roleChanged(AgreementStatus status) {
--- a/control/src/main/java/org/skylarkbend/control/work/WorkTask.java
+++ b/control/src/main/java/org/skylarkbend/control/work/WorkTask.java
@@ -3,11 +3,11 @@
 import io.vertx.core.Context;
 import io.vertx.core.Future;
 import io.vertx.core.VerticleBase;
-import java.util.HashMap;
 import java.util.Map;
 import java.util.function.BiConsumer;
 import org.skylarkbend.base.MillisecondClock;
 import org.skylarkbend.base.StructuredLog;
+import org.skylarkbend.catalog.EndpointWork;
 import org.skylarkbend.catalog.SiteCodec;
 import org.skylarkbend.catalog.SiteMessage;
 import org.skylarkbend.catalog.SiteMessage.WorkUnderWay;
@@ -34,7 +34,7 @@
     private final MillisecondClock mClock;
     private final BiConsumer<RouterIdentity, byte[]> mSend;
     private final SiteCodec mCodec = new SiteCodec();
-    private Map<RouterIdentity, WorkUnderWay> mLastBroadcast = new HashMap<>();
+    private Map<RouterIdentity, Map<String, EndpointWork>> mLastBroadcast = Map.of();
     private Context mContext;
     private boolean mLeads;
 
@@ -95,21 +95,22 @@
     }
 
     private void broadcast() {
-        Map<RouterIdentity, WorkUnderWay> workByGateway = new HashMap<>();
+        Map<RouterIdentity, Map<String, EndpointWork>> workByGateway = Map.of();
         if (mLeads) {
-            mDecider.workOfOthers(mClock.nowMilliseconds())
-                    .forEach((gateway, work) -> workByGateway.put(gateway, new WorkUnderWay(work)));
+            workByGateway = mDecider.workOfOthers(mClock.nowMilliseconds());
         }
+        long nextInMilliseconds =
+                BROADCAST_INTERVAL_MILLISECONDS
+                        + workByGateway.size() * EXTRA_INTERVAL_MILLISECONDS_PER_GATEWAY;
         workByGateway.forEach(
                 (gateway, work) -> {
                     boolean isChanged = !work.equals(mLastBroadcast.get(gateway));
-                    if (isChanged || !work.byIncarnation().isEmpty()) {
-                        mSend.accept(gateway, mCodec.encode(work));
+                    if (isChanged || !work.isEmpty()) {
+                        mSend.accept(
+                                gateway, mCodec.encode(new WorkUnderWay(work, nextInMilliseconds)));
                     }
                 });
         mLastBroadcast = workByGateway;
-        scheduleBroadcast(
-                BROADCAST_INTERVAL_MILLISECONDS
-                        + workByGateway.size() * EXTRA_INTERVAL_MILLISECONDS_PER_GATEWAY);
+        scheduleBroadcast(nextInMilliseconds);
     }
 }
--- a/control/src/test/java/org/skylarkbend/control/feed/FeedDeciderTest.java
+++ b/control/src/test/java/org/skylarkbend/control/feed/FeedDeciderTest.java
@@ -180,6 +180,20 @@
                 .containsExactly(new Send(1, second));
     }
 
+    @Test
+    public void aRouterWithALeaseGetsTheUpdateAndALaterOneTheWholeMessage() {
+        SliceMessage whole = new SliceMessage("list", new byte[] {1, 2, 3});
+        SliceMessage update = new SliceMessage("list", new byte[] {3});
+        serve(1, "entry-1", 1);
+        assertThat(decide(new FeedInput.RetainedMessageChanged(whole, update)))
+                .containsExactly(new Send(1, update));
+        hello(2, "entry-2", 7);
+        heartbeat(2, 1, 1);
+        assertThat(decide(new ConfirmationEnded(2, true)))
+                .contains(new Send(2, whole))
+                .doesNotContain(new Send(2, update));
+    }
+
     @Test
     public void messagesOfASliceThatTheLeaderOwnsGoToItAndComeBackOnTheNewestConnection() {
         hello(1, "entry-1", 7);
--- a/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EndpointLoad.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EndpointLoad.java
@@ -15,6 +15,7 @@
     private static final long MAX_BACKOFF_MILLISECONDS = 4_000;
     private static final int MAX_DOUBLINGS = 4;
 
+    private final String mIncarnation;
     private Endpoint mEndpoint;
     private int mCalls;
     private long mPromptTokens;
@@ -30,6 +31,7 @@
     private boolean mUnreachable;
 
     EndpointLoad(Endpoint endpoint) {
+        mIncarnation = endpoint.incarnation();
         mEndpoint = endpoint;
     }
 
@@ -37,6 +39,10 @@
         return mEndpoint;
     }
 
+    String incarnation() {
+        return mIncarnation;
+    }
+
     void update(Endpoint endpoint) {
         mEndpoint = endpoint;
     }
@@ -122,6 +128,16 @@
         return nowMilliseconds < mBackoffUntilMilliseconds;
     }
 
+    /** Returns whether this gateway has work in flight at the endpoint. */
+    boolean hasOwnWork() {
+        return mCalls != 0 || mPromptTokens != 0;
+    }
+
+    /** Returns whether the endpoint needs no periodic check. */
+    boolean isInactive() {
+        return !hasOwnWork() && !mUnreachable;
+    }
+
     /** Returns the work that this gateway has in flight at the endpoint. */
     EndpointWork own() {
         return new EndpointWork(mPromptTokens, mCalls);
--- a/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EndpointSelector.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EndpointSelector.java
@@ -1,18 +1,19 @@
 package org.skylarkbend.gateway.endpoints;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.DoubleSupplier;
+import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
 import org.skylarkbend.catalog.Endpoint;
 import org.skylarkbend.catalog.EndpointWork;
-import org.skylarkbend.catalog.SiteMessage.Endpoints;
+import org.skylarkbend.catalog.Endpoints;
 
 /**
  * Tracks the endpoints of all services and selects one for each call.
@@ -60,6 +61,14 @@
     private final WeightsCost mWeightsCost;
     private final Map<String, EndpointLoad> mLoads = new HashMap<>();
     private final Map<String, List<EndpointLoad>> mByService = new HashMap<>();
+
+    /**
+     * The endpoints that have calls of this gateway or are unreachable. Periodic checks look at
+     * these only, since a gateway of a large site uses few of the endpoints at a time.
+     */
+    private final Set<EndpointLoad> mActive = new LinkedHashSet<>();
+
+    private final Map<LoadGroup, Map<EndpointLoad, Integer>> mWeightsLoadOrders = new HashMap<>();
     private Set<String> mLoadingWeights = Set.of();
     private Optional<String> mStore = Optional.empty();
     private boolean mInitialized;
@@ -105,6 +114,8 @@
         }
         mLoads.clear();
         mLoads.putAll(present);
+        mActive.retainAll(present.values());
+        mWeightsLoadOrders.clear();
     }
 
     /** Sets the address of the store of cached prompt parts; empty while none is reachable. */
@@ -121,13 +132,13 @@
      * Returns the work of this gateway in flight, by endpoint, without endpoints that have none.
      */
     public Map<String, EndpointWork> ownWork() {
+        mActive.removeIf(EndpointLoad::isInactive);
         Map<String, EndpointWork> work = new HashMap<>();
-        mLoads.forEach(
-                (incarnation, load) -> {
-                    if (!load.own().equals(EndpointWork.none())) {
-                        work.put(incarnation, load.own());
-                    }
-                });
+        for (EndpointLoad load : mActive) {
+            if (load.hasOwnWork()) {
+                work.put(load.incarnation(), load.own());
+            }
+        }
         return work;
     }
 
@@ -150,7 +161,7 @@
                                 (double) load.calls(nowMilliseconds)
                                                 / Math.max(1, load.endpoint().slots())
                                         + lastResortCost(load, nowMilliseconds))
-                .map(EngineChoice::plain);
+                .map(load -> EngineChoice.plain(load.endpoint()));
     }
 
     /** Selects an engine for a call with a prompt. */
@@ -161,11 +172,9 @@
             PriorAttempts priorAttempts,
             long nowMilliseconds) {
         String key = prompt.sharedKey();
-        List<EndpointLoad> homes =
-                key.isEmpty() ? List.of() : homesOf(service, prompt.model(), scope + key);
-        Map<EndpointLoad, Integer> weightsLoadOrder =
-                mWeightsCost.weightsLoadOrder(
-                        mByService.getOrDefault(service, List.of()), prompt.model());
+        Optional<Home> home =
+                key.isEmpty() ? Optional.empty() : homeOf(service, prompt, scope + key);
+        Map<EndpointLoad, Integer> weightsLoadOrder = weightsLoadOrder(service, prompt.model());
         return cheapest(
                         service,
                         priorAttempts,
@@ -173,7 +182,7 @@
                             if (!serves(load, prompt.model())) {
                                 return Double.POSITIVE_INFINITY;
                             }
-                            boolean isHome = isHome(load.endpoint(), homes);
+                            boolean isHome = isHome(load, home);
                             double costFactor = isHome ? HOME_MISS_RATIO : OTHER_ENGINE_COST_FACTOR;
                             return costFactor * prompt.sharedTokens()
                                     + load.promptTokens(nowMilliseconds)
@@ -183,17 +192,33 @@
                                             load, weightsLoadOrder, prompt, nowMilliseconds)
                                     + lastResortCost(load, nowMilliseconds);
                         })
-                .map(endpoint -> toChoice(endpoint, prompt, homes, nowMilliseconds));
+                .map(load -> toChoice(load, service, prompt, home, nowMilliseconds));
+    }
+
+    /** The engines of a service that load the weights of one model in turn. */
+    private record LoadGroup(String service, String model) {}
+
+    /** Returns the order in which engines load newer weights, which is kept until they change. */
+    private Map<EndpointLoad, Integer> weightsLoadOrder(String service, String model) {
+        return mWeightsLoadOrders.computeIfAbsent(
+                new LoadGroup(service, model),
+                group ->
+                        mWeightsCost.weightsLoadOrder(
+                                mByService.getOrDefault(service, List.of()), model));
     }
 
-    private static boolean isHome(Endpoint endpoint, List<EndpointLoad> homes) {
-        return !homes.isEmpty()
-                && homes.get(0).endpoint().incarnation().equals(endpoint.incarnation());
+    private static boolean isHome(EndpointLoad load, Optional<Home> home) {
+        return home.isPresent() && home.get().engine() == load;
     }
 
     /** Records that a call was sent to an endpoint, with the number of prompt tokens to process. */
     public void sent(Endpoint endpoint, long promptTokens, long nowMilliseconds) {
-        loadOf(endpoint).ifPresent(load -> load.callStarted(promptTokens, nowMilliseconds));
+        loadOf(endpoint)
+                .ifPresent(
+                        load -> {
+                            load.callStarted(promptTokens, nowMilliseconds);
+                            mActive.add(load);
+                        });
     }
 
     /** Records that an engine has processed the prompt of a call. */
@@ -215,15 +240,23 @@
      * Records that an endpoint accepted no connection. It gets no calls while others are available.
      */
     public void unreachable(Endpoint endpoint) {
-        loadOf(endpoint).ifPresent(EndpointLoad::unreachable);
+        loadOf(endpoint)
+                .ifPresent(
+                        load -> {
+                            load.unreachable();
+                            mActive.add(load);
+                        });
     }
 
     /** Returns the endpoints to probe: those that are silent or unreachable. */
     public List<Endpoint> endpointsToProbe(long nowMilliseconds) {
-        return mLoads.values().stream()
-                .filter(load -> load.needsProbe(nowMilliseconds, PROBE_AFTER_SILENCE_MILLISECONDS))
-                .map(EndpointLoad::endpoint)
-                .toList();
+        List<Endpoint> silent = new ArrayList<>();
+        for (EndpointLoad load : mActive) {
+            if (load.needsProbe(nowMilliseconds, PROBE_AFTER_SILENCE_MILLISECONDS)) {
+                silent.add(load.endpoint());
+            }
+        }
+        return silent;
     }
 
     /** Records a successful response of an endpoint. */
@@ -250,13 +283,13 @@
         return Optional.ofNullable(mLoads.get(endpoint.incarnation()));
     }
 
-    private Optional<Endpoint> cheapest(
+    private Optional<EndpointLoad> cheapest(
             String service, PriorAttempts priorAttempts, ToDoubleFunction<EndpointLoad> cost) {
         EndpointLoad best = null;
         double bestCost = Double.POSITIVE_INFINITY;
         int ties = 0;
         for (EndpointLoad load : mByService.getOrDefault(service, List.of())) {
-            if (priorAttempts.incarnations().contains(load.endpoint().incarnation())) {
+            if (priorAttempts.incarnations().contains(load.incarnation())) {
                 continue;
             }
             double loadCost = cost.applyAsDouble(load);
@@ -267,7 +300,7 @@
                 bestCost = loadCost;
             }
         }
-        return Optional.ofNullable(best).map(EndpointLoad::endpoint);
+        return Optional.ofNullable(best);
     }
 
     /**
@@ -276,15 +309,22 @@
      * weights may supply them.
      */
     private EngineChoice toChoice(
-            Endpoint endpoint, Prompt prompt, List<EndpointLoad> homes, long nowMilliseconds) {
+            EndpointLoad load,
+            String service,
+            Prompt prompt,
+            Optional<Home> home,
+            long nowMilliseconds) {
+        Endpoint endpoint = load.endpoint();
         Long version = endpoint.weights().get(prompt.model());
         if (version == null) {
             return EngineChoice.plain(endpoint);
         }
         boolean isTooSmallToFetch = prompt.sharedTokens() < MIN_SHARED_TOKENS;
         Optional<String> source =
-                isTooSmallToFetch ? Optional.empty() : sourceOf(endpoint, version, prompt, homes);
-        double missRatio = isHome(endpoint, homes) ? HOME_MISS_RATIO : 1;
+                isTooSmallToFetch
+                        ? Optional.empty()
+                        : sourceOf(load, service, version, prompt, home);
+        double missRatio = isHome(load, home) ? HOME_MISS_RATIO : 1;
         long ownTokens = prompt.promptTokens() - prompt.sharedTokens();
         return new EngineChoice(
                 endpoint,
@@ -292,39 +332,64 @@
                 source,
                 isTooSmallToFetch ? Optional.empty() : mStore,
                 ownTokens + (long) (missRatio * prompt.sharedTokens()),
-                loadOf(endpoint).map(load -> load.promptTokens(nowMilliseconds)).orElse(0L));
+                load.promptTokens(nowMilliseconds));
     }
 
     private Optional<String> sourceOf(
-            Endpoint endpoint, Long version, Prompt prompt, List<EndpointLoad> homes) {
+            EndpointLoad load, String service, Long version, Prompt prompt, Optional<Home> home) {
         if (mStore.isPresent()) {
             return mStore;
         }
-        return homes.stream()
-                .map(EndpointLoad::endpoint)
-                .filter(home -> !home.incarnation().equals(endpoint.incarnation()))
-                .filter(home -> version.equals(home.weights().get(prompt.model())))
-                .map(Endpoint::address)
-                .findFirst();
+        return home.flatMap(
+                        known ->
+                                bestScored(
+                                        service,
+                                        prompt.model(),
+                                        known.keyHash(),
+                                        other ->
+                                                other != load
+                                                        && version.equals(
+                                                                other.endpoint()
+                                                                        .weights()
+                                                                        .get(prompt.model()))))
+                .map(other -> other.endpoint().address());
+    }
+
+    /**
+     * The home engine of a prompt, which all gateways determine alike.
+     *
+     * @param keyHash the hash of the prompt's shared parts
+     * @param engine the engine with the highest rendezvous score for it
+     */
+    private record Home(long keyHash, EndpointLoad engine) {}
+
+    private Optional<Home> homeOf(String service, Prompt prompt, String key) {
+        long keyHash = key.hashCode() * 31L;
+        return bestScored(service, prompt.model(), keyHash, load -> true)
+                .map(engine -> new Home(keyHash, engine));
     }
 
     /**
-     * Returns the engines in rendezvous hash order for a key, which is the same at every gateway.
-     * The first one is the home engine of the prompt. Engines that load weights or are unreachable
-     * are left out, so that all gateways use the same substitute meanwhile.
+     * Returns the engine with the highest rendezvous score for a key among those that match.
+     * Engines that load weights or are unreachable are left out, so that all gateways use the same
+     * substitute meanwhile.
      */
-    private List<EndpointLoad> homesOf(String service, String model, String key) {
-        Map<EndpointLoad, Long> scores = new HashMap<>();
+    private Optional<EndpointLoad> bestScored(
+            String service, String model, long keyHash, Predicate<EndpointLoad> matches) {
+        EndpointLoad best = null;
+        long bestScore = Long.MIN_VALUE;
         for (EndpointLoad load : mByService.getOrDefault(service, List.of())) {
-            String incarnation = load.endpoint().incarnation();
-            boolean isUnavailable = mLoadingWeights.contains(incarnation) || load.isUnreachable();
-            if (serves(load, model) && !isUnavailable) {
-                scores.put(load, mix(key.hashCode() * 31L + incarnation.hashCode()));
+            long score = mix(keyHash + load.incarnation().hashCode());
+            if (score > bestScore
+                    && serves(load, model)
+                    && !load.isUnreachable()
+                    && !mLoadingWeights.contains(load.incarnation())
+                    && matches.test(load)) {
+                best = load;
+                bestScore = score;
             }
         }
-        List<EndpointLoad> homes = new ArrayList<>(scores.keySet());
-        homes.sort(Comparator.comparing(scores::get, Comparator.reverseOrder()));
-        return homes;
+        return Optional.ofNullable(best);
     }
 
     private static boolean serves(EndpointLoad load, String model) {
@@ -336,7 +401,7 @@
         boolean isLast =
                 load.isBackingOff(nowMilliseconds)
                         || load.isUnreachable()
-                        || mLoadingWeights.contains(load.endpoint().incarnation());
+                        || mLoadingWeights.contains(load.incarnation());
         return isLast ? LAST_RESORT_COST : 0;
     }
 
--- a/gateway/src/main/java/org/skylarkbend/gateway/endpoints/WeightsCost.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/endpoints/WeightsCost.java
@@ -80,7 +80,7 @@
         List<EndpointLoad> ordered = new ArrayList<>(engines);
         ordered.sort(
                 Comparator.comparingLong((EndpointLoad load) -> version(load, model))
-                        .thenComparing(load -> load.endpoint().incarnation()));
+                        .thenComparing(EndpointLoad::incarnation));
         Map<EndpointLoad, Integer> weightsLoadOrder = new HashMap<>();
         ordered.forEach(load -> weightsLoadOrder.put(load, weightsLoadOrder.size()));
         return weightsLoadOrder;
--- a/gateway/src/main/java/org/skylarkbend/gateway/front/GatewayTask.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/front/GatewayTask.java
@@ -26,9 +26,8 @@
 import org.skylarkbend.catalog.CallerLimits;
 import org.skylarkbend.catalog.Catalog;
 import org.skylarkbend.catalog.Endpoint;
-import org.skylarkbend.catalog.EndpointWork;
+import org.skylarkbend.catalog.Endpoints;
 import org.skylarkbend.catalog.SiteLimits;
-import org.skylarkbend.catalog.SiteMessage.Endpoints;
 import org.skylarkbend.catalog.SiteMessage.WorkUnderWay;
 import org.skylarkbend.gateway.GatewaySettings;
 import org.skylarkbend.gateway.call.CallRequest;
@@ -151,14 +150,22 @@
                     probes.probe();
                     mStoreProbe.connect();
                 });
-        vertx.setPeriodic(
-                WorkReport.CHECK_INTERVAL_MILLISECONDS, id -> mWorkReport.sendIfDue(now()));
+        scheduleWorkReport();
         mServer = vertx.createHttpServer(serverOptions());
         mServer.connectionHandler(mConnections::opened);
         mServer.requestHandler(this::receive);
         return mServer.listen(mSettings.callers().port(), mSettings.callers().host());
     }
 
+    private void scheduleWorkReport() {
+        vertx.setTimer(
+                mWorkReport.intervalMilliseconds(),
+                id -> {
+                    mWorkReport.sendIfDue(now());
+                    scheduleWorkReport();
+                });
+    }
+
     private static HttpServerOptions serverOptions() {
         return new HttpServerOptions()
                 .setTcpNoDelay(true)
@@ -210,8 +217,12 @@
     }
 
     @Override
-    public void otherWorkChanged(Map<String, EndpointWork> work) {
-        mContext.runOnContext(ignored -> mSelector.otherWorkChanged(work, now()));
+    public void otherWorkChanged(WorkUnderWay work) {
+        mContext.runOnContext(
+                ignored -> {
+                    mWorkReport.sumReceived(work.nextInMilliseconds());
+                    mSelector.otherWorkChanged(work.byIncarnation(), now());
+                });
     }
 
     @Override
--- a/gateway/src/main/java/org/skylarkbend/gateway/front/WorkReport.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/front/WorkReport.java
@@ -11,25 +11,42 @@
  * <p>It is confined to the task that serves the calls.
  */
 final class WorkReport {
-    /** Interval between two checks for changed work. */
-    static final long CHECK_INTERVAL_MILLISECONDS = 100;
+    /** Shortest interval between two reports. */
+    private static final long MIN_INTERVAL_MILLISECONDS = 100;
 
     /** Interval after which unchanged work is sent again, because control may have a new leader. */
     private static final long RESEND_MILLISECONDS = 500;
 
     private final EndpointSelector mSelector;
     private final Consumer<WorkUnderWay> mOnWork;
-    private WorkUnderWay mLastSent = new WorkUnderWay(Map.of());
+    private WorkUnderWay mLastSent = new WorkUnderWay(Map.of(), 0);
     private long mLastSentMilliseconds;
+    private long mIntervalMilliseconds = MIN_INTERVAL_MILLISECONDS;
 
     WorkReport(EndpointSelector selector, Consumer<WorkUnderWay> onWork) {
         mSelector = selector;
         mOnWork = onWork;
     }
 
+    /**
+     * Records that control sends the next sum after the given time. Control sends sums less often
+     * the more gateways there are, and reports in between would not be seen by anyone.
+     */
+    void sumReceived(long nextInMilliseconds) {
+        mIntervalMilliseconds =
+                Math.max(
+                        MIN_INTERVAL_MILLISECONDS,
+                        Math.min(nextInMilliseconds / 2, RESEND_MILLISECONDS));
+    }
+
+    /** Returns the time between two checks for changed work. */
+    long intervalMilliseconds() {
+        return mIntervalMilliseconds;
+    }
+
     /** Sends the work if it has changed or the resend interval has passed. */
     void sendIfDue(long nowMilliseconds) {
-        WorkUnderWay work = new WorkUnderWay(mSelector.ownWork());
+        WorkUnderWay work = new WorkUnderWay(mSelector.ownWork(), 0);
         boolean isDue = nowMilliseconds - mLastSentMilliseconds >= RESEND_MILLISECONDS;
         if (isDue || !work.equals(mLastSent)) {
             mLastSent = work;
--- a/gateway/src/main/java/org/skylarkbend/gateway/link/SiteLinkTask.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/link/SiteLinkTask.java
@@ -11,10 +11,12 @@
 import org.skylarkbend.catalog.CatalogReader;
 import org.skylarkbend.catalog.Endpoint;
 import org.skylarkbend.catalog.EndpointSource;
+import org.skylarkbend.catalog.Endpoints;
 import org.skylarkbend.catalog.SiteCodec;
 import org.skylarkbend.catalog.SiteMessage;
 import org.skylarkbend.catalog.SiteMessage.ControlVms;
-import org.skylarkbend.catalog.SiteMessage.Endpoints;
+import org.skylarkbend.catalog.SiteMessage.EndpointsChanged;
+import org.skylarkbend.catalog.SiteMessage.EndpointsListed;
 import org.skylarkbend.catalog.SiteMessage.WeightsNamed;
 import org.skylarkbend.catalog.SiteMessage.WorkUnderWay;
 import org.skylarkbend.limits.LimitCodec;
@@ -51,6 +53,8 @@
     private Context mContext;
     private FrameDialer<FeedMessage> mDialer;
     private FrameConnection<FeedMessage> mConnection;
+    private Endpoints mListedEndpoints = Endpoints.none();
+    private long mEndpointListNumber;
     private long mConfirmedMilliseconds;
     private boolean mControlReachable;
     private boolean mStopped;
@@ -168,12 +172,38 @@
     private void handleSiteMessage(SiteMessage message) {
         if (message instanceof ControlVms vms) {
             handle(new SiteLinkMessage.ControlVmsListed(vms.addresses()));
-        } else if (message instanceof Endpoints endpoints) {
-            mListener.endpointsChanged(endpoints);
+        } else if (message instanceof EndpointsListed listed) {
+            endpointsListed(listed.number(), listed.endpoints());
+        } else if (message instanceof EndpointsChanged changed) {
+            endpointsChanged(changed);
         } else if (message instanceof WeightsNamed named) {
             mListener.weightsNamed(named.versions());
         } else if (message instanceof WorkUnderWay work) {
-            mListener.otherWorkChanged(work.byIncarnation());
+            mListener.otherWorkChanged(work);
+        }
+    }
+
+    private void endpointsListed(long number, Endpoints endpoints) {
+        mEndpointListNumber = number;
+        mListedEndpoints = endpoints;
+        mListener.endpointsChanged(endpoints);
+    }
+
+    /**
+     * Applies a change of the list of endpoints. If the list before it is not known here, the
+     * connection is closed, because a new connection begins with the whole list.
+     */
+    private void endpointsChanged(EndpointsChanged changed) {
+        if (changed.number() == mEndpointListNumber + 1) {
+            endpointsListed(changed.number(), mListedEndpoints.after(changed.difference()));
+        } else {
+            LOG.warn(
+                    "link.endpoints.gap",
+                    "known_number",
+                    mEndpointListNumber,
+                    "received_number",
+                    changed.number());
+            apply(new SiteLinkEffect.Close("a change of the list of endpoints was missed"));
         }
     }
 
--- a/gateway/src/main/java/org/skylarkbend/gateway/link/SiteListener.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/link/SiteListener.java
@@ -2,8 +2,8 @@
 
 import java.util.Map;
 import org.skylarkbend.catalog.Catalog;
-import org.skylarkbend.catalog.EndpointWork;
-import org.skylarkbend.catalog.SiteMessage.Endpoints;
+import org.skylarkbend.catalog.Endpoints;
+import org.skylarkbend.catalog.SiteMessage.WorkUnderWay;
 import org.skylarkbend.limits.LimitMessage;
 
 /** Receives what the link learns from control. Implementations must not block. */
@@ -17,8 +17,8 @@
     /** Called when newer weights were announced, with the newest version of each model. */
     void weightsNamed(Map<String, Long> versions);
 
-    /** Called when the work of all other gateways was received, by endpoint. */
-    void otherWorkChanged(Map<String, EndpointWork> work);
+    /** Called when the work of all other gateways was received. */
+    void otherWorkChanged(WorkUnderWay work);
 
     /** Called when a message of the limit owner has arrived. */
     void limitMessageReceived(LimitMessage message);
--- a/gateway/src/test/java/org/skylarkbend/gateway/endpoints/EndpointSelectorTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/endpoints/EndpointSelectorTest.java
@@ -9,7 +9,7 @@
 import java.util.Set;
 import org.skylarkbend.catalog.Endpoint;
 import org.skylarkbend.catalog.EndpointWork;
-import org.skylarkbend.catalog.SiteMessage.Endpoints;
+import org.skylarkbend.catalog.Endpoints;
 import org.testng.annotations.Test;
 
 /** Tests the selection of endpoints. */
