--- a/base/src/main/java/org/skylarkbend/base/StructuredLog.java
+++ b/base/src/main/java/org/skylarkbend/base/StructuredLog.java
@@ -1,6 +1,7 @@
 package org.skylarkbend.base;
 
 import org.tinylog.Logger;
+import org.tinylog.provider.ProviderRegistry;
 
 /**
  * A logger of a class that writes a stable event name and fields through tinylog.
@@ -30,6 +31,18 @@
         return new StructuredLog(source.getSimpleName());
     }
 
+    /**
+     * Writes all queued lines and stops logging. To be called before the process is halted, which
+     * would lose them.
+     */
+    public static void shutDown() {
+        try {
+            ProviderRegistry.getLoggingProvider().shutdown();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     /** Logs details for maintainers. */
     public void debug(String event, Object... fields) {
         if (Logger.isDebugEnabled()) {
