Roll out new versions of a service: trial, growing shares, completion or rollback

Change: the order and each change of phase are a slice of the replicated log. Gateways divide the calls of the service between versions and report outcomes by route and version; the leader judges them with the sequential test of the moves, keeps the trial within the exposure limit, rolls a bad version back, and completes once no call is left at the old one.

--- a/catalog/src/main/java/org/skylarkbend/catalog/SiteCodec.java
+++ b/catalog/src/main/java/org/skylarkbend/catalog/SiteCodec.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.skylarkbend.base.Result;
+import org.skylarkbend.catalog.SiteMessage.CallSplits;
 import org.skylarkbend.catalog.SiteMessage.ControlVms;
 import org.skylarkbend.catalog.SiteMessage.EndpointsChanged;
 import org.skylarkbend.catalog.SiteMessage.EndpointsListed;
@@ -24,6 +25,7 @@
     private static final int WEIGHTS_NAMED = 3;
     private static final int WORK_UNDER_WAY = 4;
     private static final int ENDPOINTS_CHANGED = 5;
+    private static final int CALL_SPLITS = 6;
 
     @Override
     public byte[] encode(SiteMessage message) {
@@ -48,6 +50,11 @@
                     .list(List.copyOf(difference.loading()), MessageWriter::text)
                     .toBytes();
         }
+        if (message instanceof CallSplits splits) {
+            return new MessageWriter(CALL_SPLITS)
+                    .list(splits.splits(), SiteCodec::writeSplit)
+                    .toBytes();
+        }
         if (message instanceof WorkUnderWay work) {
             return new MessageWriter(WORK_UNDER_WAY)
                     .list(List.copyOf(work.byIncarnation().entrySet()), SiteCodec::writeWork)
@@ -93,6 +100,21 @@
         return work;
     }
 
+    private static void writeSplit(MessageWriter writer, VersionSplit split) {
+        writer.text(split.service())
+                .text(split.version())
+                .decimal(split.share())
+                .list(List.copyOf(split.retiredVersions()), MessageWriter::text);
+    }
+
+    private static VersionSplit readSplit(MessageReader reader) {
+        return new VersionSplit(
+                reader.text(),
+                reader.text(),
+                reader.decimal(),
+                Set.copyOf(reader.list(MessageReader::text)));
+    }
+
     private static void writeEndpoint(MessageWriter writer, Endpoint endpoint) {
         writer.text(endpoint.id())
                 .text(endpoint.service())
@@ -123,6 +145,7 @@
                                     reader.list(SiteCodec::readEndpoint),
                                     Set.copyOf(reader.list(MessageReader::text)),
                                     Set.copyOf(reader.list(MessageReader::text))));
+            case CALL_SPLITS -> new CallSplits(reader.list(SiteCodec::readSplit));
             case WEIGHTS_NAMED -> new WeightsNamed(readVersions(reader));
             case WORK_UNDER_WAY -> new WorkUnderWay(readWork(reader), reader.number());
             default -> MessageReader.unknownType(type);
--- a/catalog/src/main/java/org/skylarkbend/catalog/SiteMessage.java
+++ b/catalog/src/main/java/org/skylarkbend/catalog/SiteMessage.java
@@ -29,6 +29,17 @@
      */
     record EndpointsChanged(long number, Endpoints.Difference difference) implements SiteMessage {}
 
+    /**
+     * Division of calls between the versions of services. Its name sorts before that of the list of
+     * endpoints, so that a gateway that connects knows it first.
+     */
+    record CallSplits(List<VersionSplit> splits) implements SiteMessage {
+        /** Creates the message with a copy of the list. */
+        public CallSplits {
+            splits = List.copyOf(splits);
+        }
+    }
+
     /** Newest announced version of the weights of each model. */
     record WeightsNamed(Map<String, Long> versions) implements SiteMessage {
         /** Creates the message with a copy of the map. */
--- a/catalog/src/test/java/org/skylarkbend/catalog/SiteCodecTest.java
+++ b/catalog/src/test/java/org/skylarkbend/catalog/SiteCodecTest.java
@@ -25,6 +25,7 @@
                     9,
                     new Endpoints.Difference(
                             List.of(endpoint), Set.of("i-2@7"), Set.of(endpoint.incarnation()))),
+            new SiteMessage.CallSplits(List.of(new VersionSplit("desk", "v2", 0.25, Set.of("v1")))),
             new SiteMessage.WeightsNamed(Map.of("m", 2L, "n", 1L)),
             new SiteMessage.WorkUnderWay(Map.of("i-1@5", new EndpointWork(9_190, 3)), 480)
         };
--- a/control/src/main/java/org/skylarkbend/control/site/SiteControlParts.java
+++ b/control/src/main/java/org/skylarkbend/control/site/SiteControlParts.java
@@ -9,6 +9,7 @@
 import org.skylarkbend.catalog.CatalogReader;
 import org.skylarkbend.catalog.EndpointSource;
 import org.skylarkbend.catalog.SiteLimits;
+import org.skylarkbend.moves.rollout.ExposureLimit;
 
 /**
  * The settings and services of the control process of a site.
@@ -23,6 +24,7 @@
  *     another VM may replace it
  * @param engineOrders the options of engine orders
  * @param limitSlack the margin by which customers may exceed their limits
+ * @param rolloutExposure the limit on the calls of a version that is not known to be good
  * @param reader parses the documents of operators
  * @param endpoints lists the endpoints
  * @param engines sends requests and orders to engines
@@ -39,6 +41,7 @@
         long removeUnresponsiveAfterMilliseconds,
         EngineOrderOptions engineOrders,
         SiteLimits.Slack limitSlack,
+        ExposureLimit rolloutExposure,
         CatalogReader reader,
         EndpointSource endpoints,
         EngineCommands engines,
--- a/control/src/main/java/org/skylarkbend/control/site/SiteControlProcess.java
+++ b/control/src/main/java/org/skylarkbend/control/site/SiteControlProcess.java
@@ -49,12 +49,16 @@
 import org.skylarkbend.control.log.ControlLog;
 import org.skylarkbend.control.log.ControlStateMachine;
 import org.skylarkbend.control.log.Leadership;
+import org.skylarkbend.control.rollout.RolloutSlice;
+import org.skylarkbend.control.rollout.RolloutTask;
 import org.skylarkbend.control.work.WorkDecider;
 import org.skylarkbend.control.work.WorkTask;
 import org.skylarkbend.limits.CustomerLimit;
 import org.skylarkbend.limits.LimitCodec;
 import org.skylarkbend.limits.LimitPolicy;
 import org.skylarkbend.limits.RouterIdentity;
+import org.skylarkbend.moves.rollout.RolloutCodec;
+import org.skylarkbend.moves.rollout.RolloutState;
 import org.skylarkbend.orders.weights.WeightsDecider;
 import org.skylarkbend.orders.weights.WeightsMessage.Announced;
 import org.skylarkbend.publishing.feed.FeedMessage.ControlAddress;
@@ -81,6 +85,7 @@
     private final LimitOwnerTask mLimits;
     private final EndpointsTask mEndpoints;
     private final WorkTask mWork;
+    private final RolloutTask mRollouts;
     private final ControlLog mLog = new AgreementControlLog(() -> this.mAgreement);
     private Context mOperatorContext;
     private AgreementTask mAgreement;
@@ -96,7 +101,12 @@
                 new LimitOwnerTask(
                         mLog, LimitPolicy.forGateways(), parts.monotonic(), wall, this::sendLimits);
         mFeed = feedTask(wall);
-        mWork = new WorkTask(new WorkDecider(), parts.monotonic(), this::sendWork);
+        mRollouts =
+                new RolloutTask(
+                        mLog, parts.rolloutExposure(), parts.monotonic(), wall, this::broadcast);
+        mWork =
+                new WorkTask(
+                        new WorkDecider(), parts.monotonic(), this::sendWork, mRollouts::postWork);
         mEndpoints =
                 new EndpointsTask(
                         parts.endpoints(),
@@ -139,6 +149,7 @@
                 .undeploy(mEndpoints.deploymentID())
                 .eventually(() -> mParts.vertx().undeploy(mFeed.deploymentID()))
                 .eventually(() -> mParts.vertx().undeploy(mWork.deploymentID()))
+                .eventually(() -> mParts.vertx().undeploy(mRollouts.deploymentID()))
                 .eventually(() -> mParts.vertx().undeploy(mLimits.deploymentID()))
                 .eventually(() -> mParts.vertx().undeploy(mAgreement.deploymentID()));
     }
@@ -148,7 +159,7 @@
                 FeedOptions.of(
                         SERVING_LEASE_MILLISECONDS,
                         Map.of(),
-                        Set.of(LimitCodec.SLICE, SiteCodec.WORK_SLICE));
+                        Set.of(LimitCodec.SLICE, SiteCodec.WORK_SLICE, RolloutCodec.SLICE));
         return new FeedTask(
                 new FeedTask.Parts(
                         mParts.self().value(),
@@ -172,6 +183,7 @@
                                 new CatalogSlice(this::documentChanged),
                                 new WeightsSlice(this::weightsChanged),
                                 new OrdersSlice(this::orderAnnounced),
+                                new RolloutSlice(this::rolloutsChanged),
                                 new LimitRegistrySlice(this::limitsChanged)));
         mAgreement =
                 new AgreementTask(
@@ -186,6 +198,7 @@
                         bound -> ThreadLocalRandom.current().nextLong(bound));
         return mParts.vertx()
                 .deployVerticle(mLimits)
+                .compose(id -> mParts.vertx().deployVerticle(mRollouts))
                 .compose(id -> mParts.vertx().deployVerticle(mEndpoints))
                 .compose(id -> mParts.vertx().deployVerticle(mWork))
                 .compose(id -> mParts.vertx().deployVerticle(mFeed))
@@ -234,6 +247,11 @@
         broadcast(new WeightsNamed(versions));
     }
 
+    private void rolloutsChanged(RolloutState state) {
+        mOperatorContext.runOnContext(ignored -> mOperators.rolloutsChanged(state));
+        mRollouts.post(state);
+    }
+
     /**
      * Passes on an announced order. Engines that check fencing numbers reject late orders of
      * leaders from before the start of this process, so that only orders of later terms delay new
@@ -259,6 +277,8 @@
         RouterIdentity gateway = new RouterIdentity(forward.vm(), forward.incarnation());
         if (forward.slice().equals(SiteCodec.WORK_SLICE)) {
             mWork.postMessage(gateway, forward.payload());
+        } else if (forward.slice().equals(RolloutCodec.SLICE)) {
+            mRollouts.postOutcomes(forward.payload());
         } else {
             mLimits.postMessage(gateway, forward.payload());
         }
@@ -282,6 +302,7 @@
      */
     private void endpointsChanged(Endpoints previous, Endpoints endpoints) {
         mEndpointListNumber++;
+        mRollouts.post(endpoints);
         mFeed.post(
                 new RetainedMessageChanged(
                         sliceMessage(new EndpointsListed(mEndpointListNumber, endpoints)),
@@ -311,6 +332,7 @@
         mLimits.post(leadership);
         mEndpoints.post(leadership);
         mWork.post(leadership);
+        mRollouts.post(leadership);
         mFeed.post(new LeadershipChanged(leads, leader.map(this::feedAddress)));
         broadcast(
                 new ControlVms(
--- a/control/src/main/java/org/skylarkbend/control/site/SiteOperatorService.java
+++ b/control/src/main/java/org/skylarkbend/control/site/SiteOperatorService.java
@@ -13,6 +13,10 @@
 import org.skylarkbend.control.log.ControlEntry;
 import org.skylarkbend.control.log.ControlLog;
 import org.skylarkbend.control.log.Leadership;
+import org.skylarkbend.moves.rollout.Rollout;
+import org.skylarkbend.moves.rollout.RolloutCodec;
+import org.skylarkbend.moves.rollout.RolloutMessage;
+import org.skylarkbend.moves.rollout.RolloutState;
 
 /**
  * The operations available to operators of a site, independent of the front end.
@@ -29,6 +33,7 @@
     private final MillisecondClock mWall;
     private NumberedDocument mDocument = NumberedDocument.none();
     private Map<String, Long> mWeights = Map.of();
+    private RolloutState mRollouts = RolloutState.empty();
     private Leadership mLeadership = Leadership.unknown();
 
     /** Creates a service without a known leader, document or weights. */
@@ -53,6 +58,11 @@
         mWeights = versions;
     }
 
+    /** Notifies the service of a change of the rollouts. */
+    public void rolloutsChanged(RolloutState state) {
+        mRollouts = state;
+    }
+
     /** Returns the VM of the leader, or empty if it is unknown or this VM. */
     public Optional<ObjectName> leaderElsewhere() {
         return mLeadership.leads() ? Optional.empty() : mLeadership.leader();
@@ -90,6 +100,66 @@
                                         error -> Future.succeededFuture(Result.failure(error))));
     }
 
+    /**
+     * Orders the rollout of a new version and returns the version. The order of a version that is
+     * being brought in, or was just now, changes nothing. Fails with {@code SET_INVALID} if the
+     * catalog in force has no such service, and with {@code REVISION_CONFLICT} while another
+     * version is being brought in.
+     */
+    public Future<Result<String>> startRollout(RolloutMessage.Ordered order) {
+        return requireLeadership()
+                .compose(
+                        result ->
+                                result.flatMap(index -> checked(order))
+                                        .fold(
+                                                this::proposeRollout,
+                                                error ->
+                                                        Future.succeededFuture(
+                                                                Result.failure(error))));
+    }
+
+    /** Returns the latest rollout of a service; fails with {@code ROUTE_UNKNOWN} if it has none. */
+    public Future<Result<Rollout>> rolloutOf(String service) {
+        return requireLeadership()
+                .map(
+                        result ->
+                                result.flatMap(
+                                        index ->
+                                                mRollouts
+                                                        .of(service)
+                                                        .map(Result::success)
+                                                        .orElse(
+                                                                Result.failure(
+                                                                        ErrorKind.ROUTE_UNKNOWN,
+                                                                        "no rollout of "
+                                                                                + service))));
+    }
+
+    private Result<RolloutMessage.Ordered> checked(RolloutMessage.Ordered order) {
+        return documentInForce()
+                .flatMap(document -> mReader.read(document.bytes()))
+                .flatMap(
+                        catalog ->
+                                catalog.services().containsKey(order.service())
+                                        ? Result.success(order)
+                                        : Result.failure(
+                                                ErrorKind.SET_INVALID,
+                                                "unknown service " + order.service()));
+    }
+
+    private Future<Result<String>> proposeRollout(RolloutMessage.Ordered order) {
+        LOG.info(
+                "rollout.ordered",
+                "service",
+                order.service(),
+                "version",
+                order.version(),
+                "duration_milliseconds",
+                order.durationMilliseconds());
+        return propose(RolloutCodec.SLICE, RolloutCodec.encode(order))
+                .map(result -> result.map(applied -> order.version()));
+    }
+
     private Future<Result<Long>> publish(Catalog catalog, String text) {
         Optional<String> problem = catalog.problem();
         if (problem.isPresent()) {
--- a/control/src/main/java/org/skylarkbend/control/work/WorkDecider.java
+++ b/control/src/main/java/org/skylarkbend/control/work/WorkDecider.java
@@ -37,6 +37,18 @@
      * all others, by endpoint.
      */
     public Map<RouterIdentity, Map<String, EndpointWork>> workOfOthers(long nowMilliseconds) {
+        Map<String, EndpointWork> sum = totalWork(nowMilliseconds);
+        Map<RouterIdentity, Map<String, EndpointWork>> workOfOthers = new LinkedHashMap<>();
+        mReports.forEach(
+                (gateway, report) -> workOfOthers.put(gateway, subtract(sum, report.work())));
+        return workOfOthers;
+    }
+
+    /**
+     * Drops gateways that have timed out. Returns the in-flight work of all remaining gateways
+     * together, by endpoint.
+     */
+    public Map<String, EndpointWork> totalWork(long nowMilliseconds) {
         mReports.values()
                 .removeIf(
                         report ->
@@ -53,10 +65,7 @@
                                                                 endpoint,
                                                                 work,
                                                                 EndpointWork::plus)));
-        Map<RouterIdentity, Map<String, EndpointWork>> workOfOthers = new LinkedHashMap<>();
-        mReports.forEach(
-                (gateway, report) -> workOfOthers.put(gateway, subtract(sum, report.work())));
-        return workOfOthers;
+        return sum;
     }
 
     private static Map<String, EndpointWork> subtract(
--- a/control/src/main/java/org/skylarkbend/control/work/WorkTask.java
+++ b/control/src/main/java/org/skylarkbend/control/work/WorkTask.java
@@ -5,6 +5,7 @@
 import io.vertx.core.VerticleBase;
 import java.util.Map;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import org.skylarkbend.base.MillisecondClock;
 import org.skylarkbend.base.StructuredLog;
 import org.skylarkbend.catalog.EndpointWork;
@@ -33,6 +34,7 @@
     private final WorkDecider mDecider;
     private final MillisecondClock mClock;
     private final BiConsumer<RouterIdentity, byte[]> mSend;
+    private final Consumer<Map<String, EndpointWork>> mOnTotal;
     private final SiteCodec mCodec = new SiteCodec();
     private Map<RouterIdentity, Map<String, EndpointWork>> mLastBroadcast = Map.of();
     private Context mContext;
@@ -44,12 +46,17 @@
      * @param decider aggregates the work
      * @param clock a monotonic clock
      * @param send sends a payload to a gateway, without guaranteed delivery
+     * @param onTotal receives the work of all gateways together before each broadcast
      */
     public WorkTask(
-            WorkDecider decider, MillisecondClock clock, BiConsumer<RouterIdentity, byte[]> send) {
+            WorkDecider decider,
+            MillisecondClock clock,
+            BiConsumer<RouterIdentity, byte[]> send,
+            Consumer<Map<String, EndpointWork>> onTotal) {
         mDecider = decider;
         mClock = clock;
         mSend = send;
+        mOnTotal = onTotal;
     }
 
     @Override
@@ -97,6 +104,7 @@
     private void broadcast() {
         Map<RouterIdentity, Map<String, EndpointWork>> workByGateway = Map.of();
         if (mLeads) {
+            mOnTotal.accept(Map.copyOf(mDecider.totalWork(mClock.nowMilliseconds())));
             workByGateway = mDecider.workOfOthers(mClock.nowMilliseconds());
         }
         long nextInMilliseconds =
--- a/control/src/test/java/org/skylarkbend/control/site/SiteControlProcessTest.java
+++ b/control/src/test/java/org/skylarkbend/control/site/SiteControlProcessTest.java
@@ -12,6 +12,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
@@ -24,7 +25,12 @@
 import org.skylarkbend.catalog.CallerLimits;
 import org.skylarkbend.catalog.Catalog;
 import org.skylarkbend.catalog.Endpoint;
+import org.skylarkbend.catalog.Service;
 import org.skylarkbend.catalog.SiteLimits;
+import org.skylarkbend.moves.rollout.ExposureLimit;
+import org.skylarkbend.moves.rollout.Rollout;
+import org.skylarkbend.moves.rollout.RolloutMessage.Ordered;
+import org.skylarkbend.moves.rollout.RolloutPhase;
 import org.skylarkbend.orders.weights.LoadAnswer;
 import org.skylarkbend.orders.weights.WeightsEffect.Load;
 import org.skylarkbend.orders.weights.WeightsMessage.Reported;
@@ -106,6 +112,60 @@
         assertThat(current()).isEqualTo("7");
     }
 
+    @Test
+    public void aRolloutIsKeptOverARestartOfAllVmsAndItsOrderIsAcknowledgedAgain()
+            throws Exception {
+        for (int i = 1; i <= 3; i++) {
+            start(vm(i), true);
+        }
+        publish("7");
+        Ordered order = new Ordered("desk", "v2", 60_000);
+        String version = eventually(service -> service.startRollout(order));
+        assertThat(version).isEqualTo("v2");
+        for (int i = 1; i <= 3; i++) {
+            stop(vm(i));
+        }
+        for (int i = 1; i <= 3; i++) {
+            start(vm(i), false);
+        }
+        Rollout rollout = eventually(service -> service.rolloutOf("desk"));
+        assertThat(rollout.version()).isEqualTo("v2");
+        assertThat(rollout.phase()).isEqualTo(RolloutPhase.TRIAL);
+        version = eventually(service -> service.startRollout(order));
+        assertThat(version).isEqualTo("v2");
+        Rollout unchanged = eventually(service -> service.rolloutOf("desk"));
+        assertThat(unchanged).isEqualTo(rollout);
+    }
+
+    @Test
+    public void aRolloutOfAnUnknownServiceIsRefused() throws Exception {
+        for (int i = 1; i <= 3; i++) {
+            start(vm(i), true);
+        }
+        publish("7");
+        assertThat(refusal(new Ordered("nowhere", "v2", 60_000))).isEqualTo(ErrorKind.SET_INVALID);
+        eventually(service -> service.startRollout(new Ordered("desk", "v2", 60_000)));
+        assertThat(refusal(new Ordered("desk", "v3", 60_000)))
+                .isEqualTo(ErrorKind.REVISION_CONFLICT);
+    }
+
+    /** Returns the reason for which the leader refuses an order. */
+    private ErrorKind refusal(Ordered order) throws Exception {
+        return eventually(
+                service ->
+                        service.startRollout(order)
+                                .map(
+                                        result ->
+                                                result.fold(
+                                                        version ->
+                                                                Result.success(ErrorKind.INTERNAL),
+                                                        error ->
+                                                                error.kind() == ErrorKind.NO_LEADER
+                                                                        ? Result.failure(error)
+                                                                        : Result.success(
+                                                                                error.kind()))));
+    }
+
     private void start(ObjectName vm, boolean bootstrapsLog) throws Exception {
         SiteControlProcess process = new SiteControlProcess(parts(vm, bootstrapsLog));
         Context operators = mVertx.getOrCreateContext();
@@ -128,6 +188,7 @@
                 1_000,
                 new SiteControlParts.EngineOrderOptions(0, true),
                 SiteLimits.Slack.none(),
+                new ExposureLimit(0.1, 50),
                 SiteControlProcessTest::read,
                 () -> Future.succeededFuture(Result.success(List.of())),
                 new NoEngines(),
@@ -145,7 +206,7 @@
                 new Catalog(
                         Long.parseLong(text),
                         List.of(),
-                        Map.of(),
+                        Map.of("desk", new Service("desk", 1, Optional.empty(), Optional.empty())),
                         List.of(),
                         CallerLimits.defaults()));
     }
--- a/gateway/src/main/java/org/skylarkbend/gateway/GatewayProcess.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/GatewayProcess.java
@@ -8,11 +8,13 @@
 import org.skylarkbend.catalog.CatalogReader;
 import org.skylarkbend.catalog.EndpointSource;
 import org.skylarkbend.catalog.SiteMessage.WorkUnderWay;
+import org.skylarkbend.gateway.front.GatewayReports;
 import org.skylarkbend.gateway.front.GatewayTask;
 import org.skylarkbend.gateway.front.StatusTask;
 import org.skylarkbend.gateway.link.SiteLinkDecider;
 import org.skylarkbend.gateway.link.SiteLinkTask;
 import org.skylarkbend.limits.LimitMessage;
+import org.skylarkbend.moves.rollout.RolloutOutcomes;
 import org.skylarkbend.publishing.feed.FeedMessage.RouterHello;
 import org.skylarkbend.wire.MetricsTask;
 
@@ -58,7 +60,7 @@
                         metrics,
                         clock,
                         this::sendToLimitOwner,
-                        this::sendWork,
+                        new GatewayReports(this::sendWork, this::sendOutcomes),
                         mStatus::postReady);
         RouterHello hello =
                 new RouterHello(
@@ -82,6 +84,10 @@
         mLink.sendWork(work);
     }
 
+    private void sendOutcomes(RolloutOutcomes outcomes) {
+        mLink.sendOutcomes(outcomes);
+    }
+
     /** Starts the tasks. The connection to control starts last, after its listeners. */
     public Future<Void> start() {
         return mVertx.deployVerticle(mStatus)
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/CallResources.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/CallResources.java
@@ -7,6 +7,7 @@
 import org.skylarkbend.gateway.HeaderNames;
 import org.skylarkbend.gateway.endpoints.EndpointSelector;
 import org.skylarkbend.gateway.limits.TokenGate;
+import org.skylarkbend.gateway.outcomes.OutcomeRecorder;
 
 /**
  * Resources shared by all calls of a gateway. They are confined to the task that serves the calls.
@@ -17,6 +18,7 @@
  * @param selector selects an endpoint for each attempt
  * @param gate holds calls until their customer has rate limit tokens
  * @param retries retry budget
+ * @param outcomes counts the outcomes of calls by version
  * @param metrics registry of the call metrics
  * @param clock monotonic clock
  */
@@ -27,5 +29,6 @@
         EndpointSelector selector,
         TokenGate gate,
         RetryBudget retries,
+        OutcomeRecorder outcomes,
         MetricRegistry metrics,
         MillisecondClock clock) {}
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/GatewayCall.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/GatewayCall.java
@@ -60,6 +60,8 @@
     private long mSilenceTimer = -1;
     private int mSent;
     private int mConnectFailures;
+    private long mAttemptMilliseconds;
+    private long mFirstEventMilliseconds;
     private boolean mMayHaveRun;
     private boolean mStreaming;
     private boolean mEnded;
@@ -150,6 +152,9 @@
         mAttempt = Optional.of(attempt);
         mBody = Buffer.buffer();
         mEvents.discardPartial();
+        mAttemptMilliseconds = now();
+        mFirstEventMilliseconds = 0;
+        mResources.outcomes().sent(endpoint);
         mResources.selector().sent(endpoint, attempt.tokensToRead(), now());
         attempt.start(
                 mResources.client(),
@@ -211,6 +216,9 @@
         if (isStreamResponse()) {
             Buffer events = mEvents.feed(chunk);
             if (events.length() > 0) {
+                if (mFirstEventMilliseconds == 0) {
+                    mFirstEventMilliseconds = now();
+                }
                 promptRead(attempt);
                 forward(events);
             }
@@ -259,6 +267,7 @@
         } else {
             endAttempt(attempt);
             mResources.selector().succeeded(attempt.endpoint());
+            recordOutcome(attempt, status < MIN_SERVER_ERROR_STATUS);
             mMayHaveRun = true;
             mResponse.complete(status, mHead.headers(), mBody);
             finish("answered", status);
@@ -269,6 +278,7 @@
         endAttempt(attempt);
         mMayHaveRun = true;
         mResources.selector().succeeded(attempt.endpoint());
+        recordOutcome(attempt, true);
         if (mStreaming) {
             mResponse.endStream();
         } else {
@@ -295,6 +305,9 @@
             mResources.selector().failed(attempt.endpoint(), now());
         }
         mMayHaveRun |= outcome.mayHaveRun();
+        if (outcome.mayHaveRun()) {
+            recordOutcome(attempt, false);
+        }
         boolean isConnectFailure = outcome == AttemptOutcome.NOT_CONNECTED;
         mConnectFailures += isConnectFailure ? 1 : 0;
         mSent += isConnectFailure ? 0 : 1;
@@ -310,6 +323,22 @@
         }
     }
 
+    private void recordOutcome(Attempt attempt, boolean isSuccess) {
+        String route = mCall.route().name();
+        if (isSuccess) {
+            long firstEventMilliseconds =
+                    mFirstEventMilliseconds == 0 ? now() : mFirstEventMilliseconds;
+            mResources
+                    .outcomes()
+                    .succeeded(
+                            attempt.endpoint(),
+                            route,
+                            firstEventMilliseconds - mAttemptMilliseconds);
+        } else {
+            mResources.outcomes().failed(attempt.endpoint(), route);
+        }
+    }
+
     private void promptRead(Attempt attempt) {
         if (attempt.markPromptRead()) {
             mResources.selector().promptRead(attempt.endpoint(), attempt.tokensToRead());
--- a/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EndpointSelector.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EndpointSelector.java
@@ -14,6 +14,7 @@
 import org.skylarkbend.catalog.Endpoint;
 import org.skylarkbend.catalog.EndpointWork;
 import org.skylarkbend.catalog.Endpoints;
+import org.skylarkbend.catalog.VersionSplit;
 
 /**
  * Tracks the endpoints of all services and selects one for each call.
@@ -69,6 +70,7 @@
     private final Set<EndpointLoad> mActive = new LinkedHashSet<>();
 
     private final Map<LoadGroup, Map<EndpointLoad, Integer>> mWeightsLoadOrders = new HashMap<>();
+    private final VersionSplits mSplits = new VersionSplits();
     private Set<String> mLoadingWeights = Set.of();
     private Optional<String> mStore = Optional.empty();
     private boolean mInitialized;
@@ -118,6 +120,11 @@
         mWeightsLoadOrders.clear();
     }
 
+    /** Replaces the services whose calls are divided between versions. */
+    public void splitsChanged(List<VersionSplit> splits) {
+        mSplits.replace(splits);
+    }
+
     /** Sets the address of the store of cached prompt parts; empty while none is reachable. */
     public void setStore(Optional<String> address) {
         mStore = address;
@@ -155,7 +162,7 @@
     public Optional<EngineChoice> choose(
             String service, PriorAttempts priorAttempts, long nowMilliseconds) {
         return cheapest(
-                        service,
+                        candidates(service, priorAttempts),
                         priorAttempts,
                         load ->
                                 (double) load.calls(nowMilliseconds)
@@ -172,11 +179,12 @@
             PriorAttempts priorAttempts,
             long nowMilliseconds) {
         String key = prompt.sharedKey();
+        List<EndpointLoad> candidates = candidates(service, priorAttempts);
         Optional<Home> home =
-                key.isEmpty() ? Optional.empty() : homeOf(service, prompt, scope + key);
+                key.isEmpty() ? Optional.empty() : homeOf(candidates, prompt, scope + key);
         Map<EndpointLoad, Integer> weightsLoadOrder = weightsLoadOrder(service, prompt.model());
         return cheapest(
-                        service,
+                        candidates,
                         priorAttempts,
                         load -> {
                             if (!serves(load, prompt.model())) {
@@ -192,7 +200,7 @@
                                             load, weightsLoadOrder, prompt, nowMilliseconds)
                                     + lastResortCost(load, nowMilliseconds);
                         })
-                .map(load -> toChoice(load, service, prompt, home, nowMilliseconds));
+                .map(load -> toChoice(load, candidates, prompt, home, nowMilliseconds));
     }
 
     /** The engines of a service that load the weights of one model in turn. */
@@ -283,12 +291,19 @@
         return Optional.ofNullable(mLoads.get(endpoint.incarnation()));
     }
 
+    private List<EndpointLoad> candidates(String service, PriorAttempts priorAttempts) {
+        return mSplits.candidates(
+                service, mByService.getOrDefault(service, List.of()), priorAttempts, mRandom);
+    }
+
     private Optional<EndpointLoad> cheapest(
-            String service, PriorAttempts priorAttempts, ToDoubleFunction<EndpointLoad> cost) {
+            List<EndpointLoad> candidates,
+            PriorAttempts priorAttempts,
+            ToDoubleFunction<EndpointLoad> cost) {
         EndpointLoad best = null;
         double bestCost = Double.POSITIVE_INFINITY;
         int ties = 0;
-        for (EndpointLoad load : mByService.getOrDefault(service, List.of())) {
+        for (EndpointLoad load : candidates) {
             if (priorAttempts.incarnations().contains(load.incarnation())) {
                 continue;
             }
@@ -310,7 +325,7 @@
      */
     private EngineChoice toChoice(
             EndpointLoad load,
-            String service,
+            List<EndpointLoad> candidates,
             Prompt prompt,
             Optional<Home> home,
             long nowMilliseconds) {
@@ -323,7 +338,7 @@
         Optional<String> source =
                 isTooSmallToFetch
                         ? Optional.empty()
-                        : sourceOf(load, service, version, prompt, home);
+                        : sourceOf(load, candidates, version, prompt, home);
         double missRatio = isHome(load, home) ? HOME_MISS_RATIO : 1;
         long ownTokens = prompt.promptTokens() - prompt.sharedTokens();
         return new EngineChoice(
@@ -336,22 +351,22 @@
     }
 
     private Optional<String> sourceOf(
-            EndpointLoad load, String service, Long version, Prompt prompt, Optional<Home> home) {
-        if (mStore.isPresent()) {
+            EndpointLoad load,
+            List<EndpointLoad> candidates,
+            Long version,
+            Prompt prompt,
+            Optional<Home> home) {
+        if (mStore.isPresent() || home.isEmpty()) {
             return mStore;
         }
-        return home.flatMap(
-                        known ->
-                                bestScored(
-                                        service,
-                                        prompt.model(),
-                                        known.keyHash(),
-                                        other ->
-                                                other != load
-                                                        && version.equals(
-                                                                other.endpoint()
-                                                                        .weights()
-                                                                        .get(prompt.model()))))
+        String model = prompt.model();
+        return bestScored(
+                        candidates,
+                        model,
+                        home.get().keyHash(),
+                        other ->
+                                other != load
+                                        && version.equals(other.endpoint().weights().get(model)))
                 .map(other -> other.endpoint().address());
     }
 
@@ -363,9 +378,9 @@
      */
     private record Home(long keyHash, EndpointLoad engine) {}
 
-    private Optional<Home> homeOf(String service, Prompt prompt, String key) {
+    private Optional<Home> homeOf(List<EndpointLoad> candidates, Prompt prompt, String key) {
         long keyHash = key.hashCode() * 31L;
-        return bestScored(service, prompt.model(), keyHash, load -> true)
+        return bestScored(candidates, prompt.model(), keyHash, load -> true)
                 .map(engine -> new Home(keyHash, engine));
     }
 
@@ -375,10 +390,13 @@
      * substitute meanwhile.
      */
     private Optional<EndpointLoad> bestScored(
-            String service, String model, long keyHash, Predicate<EndpointLoad> matches) {
+            List<EndpointLoad> candidates,
+            String model,
+            long keyHash,
+            Predicate<EndpointLoad> matches) {
         EndpointLoad best = null;
         long bestScore = Long.MIN_VALUE;
-        for (EndpointLoad load : mByService.getOrDefault(service, List.of())) {
+        for (EndpointLoad load : candidates) {
             long score = mix(keyHash + load.incarnation().hashCode());
             if (score > bestScore
                     && serves(load, model)
--- a/gateway/src/main/java/org/skylarkbend/gateway/front/GatewayTask.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/front/GatewayTask.java
@@ -29,6 +29,7 @@
 import org.skylarkbend.catalog.Endpoints;
 import org.skylarkbend.catalog.SiteLimits;
 import org.skylarkbend.catalog.SiteMessage.WorkUnderWay;
+import org.skylarkbend.catalog.VersionSplit;
 import org.skylarkbend.gateway.GatewaySettings;
 import org.skylarkbend.gateway.call.CallRequest;
 import org.skylarkbend.gateway.call.CallResources;
@@ -39,6 +40,7 @@
 import org.skylarkbend.gateway.endpoints.StoreProbe;
 import org.skylarkbend.gateway.limits.TokenGate;
 import org.skylarkbend.gateway.link.SiteListener;
+import org.skylarkbend.gateway.outcomes.OutcomeRecorder;
 import org.skylarkbend.limits.LimitMessage;
 import org.skylarkbend.limits.LimitPolicy;
 import org.skylarkbend.limits.LimitShareDecider;
@@ -74,6 +76,7 @@
     private final CallerConnections mConnections = new CallerConnections();
     private final EndpointSelector mSelector;
     private final WorkReport mWorkReport;
+    private final OutcomeRecorder mOutcomes;
     private Context mContext;
     private Optional<ServingState> mServingState = Optional.empty();
     private CallResources mResources;
@@ -94,7 +97,7 @@
      * @param metrics registry of the call metrics
      * @param clock monotonic clock
      * @param limitOwner sends a message to the limit owner
-     * @param onWork receives the work in flight at endpoints, on the context of the task
+     * @param reports receives the periodic reports, on the context of the task
      * @param onReady receives changes of readiness, on the context of the task
      */
     public GatewayTask(
@@ -102,7 +105,7 @@
             MetricRegistry metrics,
             MillisecondClock clock,
             Consumer<LimitMessage> limitOwner,
-            Consumer<WorkUnderWay> onWork,
+            GatewayReports reports,
             Consumer<Boolean> onReady) {
         mSettings = settings;
         mMetrics = metrics;
@@ -114,7 +117,8 @@
                 new EndpointSelector(
                         () -> ThreadLocalRandom.current().nextDouble(),
                         settings.budgets().oldWeightsGraceMilliseconds());
-        mWorkReport = new WorkReport(mSelector, onWork);
+        mWorkReport = new WorkReport(mSelector, reports.onWork());
+        mOutcomes = new OutcomeRecorder(reports.onOutcomes());
     }
 
     @Override
@@ -140,6 +144,7 @@
                         new RetryBudget(
                                 mSettings.budgets().retriesPerCall(),
                                 mSettings.budgets().retryBudgetCapacity()),
+                        mOutcomes,
                         mMetrics,
                         mClock);
         EndpointProbes probes = new EndpointProbes(vertx, mSelector, mClock, this::endpointLost);
@@ -162,6 +167,7 @@
                 mWorkReport.intervalMilliseconds(),
                 id -> {
                     mWorkReport.sendIfDue(now());
+                    mOutcomes.report();
                     scheduleWorkReport();
                 });
     }
@@ -211,6 +217,15 @@
                 });
     }
 
+    @Override
+    public void splitsChanged(List<VersionSplit> splits) {
+        mContext.runOnContext(
+                ignored -> {
+                    mSelector.splitsChanged(splits);
+                    mOutcomes.splitsChanged(splits);
+                });
+    }
+
     @Override
     public void weightsNamed(Map<String, Long> versions) {
         mContext.runOnContext(ignored -> mSelector.weightsAnnounced(versions, now()));
--- a/gateway/src/main/java/org/skylarkbend/gateway/link/SiteLinkTask.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/link/SiteLinkTask.java
@@ -14,6 +14,7 @@
 import org.skylarkbend.catalog.Endpoints;
 import org.skylarkbend.catalog.SiteCodec;
 import org.skylarkbend.catalog.SiteMessage;
+import org.skylarkbend.catalog.SiteMessage.CallSplits;
 import org.skylarkbend.catalog.SiteMessage.ControlVms;
 import org.skylarkbend.catalog.SiteMessage.EndpointsChanged;
 import org.skylarkbend.catalog.SiteMessage.EndpointsListed;
@@ -21,6 +22,8 @@
 import org.skylarkbend.catalog.SiteMessage.WorkUnderWay;
 import org.skylarkbend.limits.LimitCodec;
 import org.skylarkbend.limits.LimitMessage;
+import org.skylarkbend.moves.rollout.RolloutCodec;
+import org.skylarkbend.moves.rollout.RolloutOutcomes;
 import org.skylarkbend.publishing.feed.FeedCodec;
 import org.skylarkbend.publishing.feed.FeedMessage;
 import org.skylarkbend.publishing.feed.FeedMessage.SliceMessage;
@@ -106,6 +109,16 @@
         mContext.runOnContext(ignored -> handle(new SiteLinkMessage.SliceToSend(slice)));
     }
 
+    /**
+     * Sends the outcomes of calls during a rollout to control. The message is lost if no connection
+     * is open.
+     */
+    public void sendOutcomes(RolloutOutcomes outcomes) {
+        SliceMessage slice =
+                new SliceMessage(RolloutCodec.SLICE, RolloutCodec.encodeOutcomes(outcomes));
+        mContext.runOnContext(ignored -> handle(new SiteLinkMessage.SliceToSend(slice)));
+    }
+
     /** Replaces the seeds after a change of the settings. May be called from any thread. */
     public void postSeeds(List<String> hosts) {
         mContext.runOnContext(ignored -> handle(new SiteLinkMessage.SeedsChanged(hosts)));
@@ -176,6 +189,8 @@
             endpointsListed(listed.number(), listed.endpoints());
         } else if (message instanceof EndpointsChanged changed) {
             endpointsChanged(changed);
+        } else if (message instanceof CallSplits splits) {
+            mListener.splitsChanged(splits.splits());
         } else if (message instanceof WeightsNamed named) {
             mListener.weightsNamed(named.versions());
         } else if (message instanceof WorkUnderWay work) {
--- a/gateway/src/main/java/org/skylarkbend/gateway/link/SiteListener.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/link/SiteListener.java
@@ -1,9 +1,11 @@
 package org.skylarkbend.gateway.link;
 
+import java.util.List;
 import java.util.Map;
 import org.skylarkbend.catalog.Catalog;
 import org.skylarkbend.catalog.Endpoints;
 import org.skylarkbend.catalog.SiteMessage.WorkUnderWay;
+import org.skylarkbend.catalog.VersionSplit;
 import org.skylarkbend.limits.LimitMessage;
 
 /** Receives what the link learns from control. Implementations must not block. */
@@ -14,6 +16,9 @@
     /** Called when the list of endpoints was received. */
     void endpointsChanged(Endpoints endpoints);
 
+    /** Called when the division of calls between versions has changed. */
+    void splitsChanged(List<VersionSplit> splits);
+
     /** Called when newer weights were announced, with the newest version of each model. */
     void weightsNamed(Map<String, Long> versions);
 
--- a/gateway/src/test/java/org/skylarkbend/gateway/front/GatewayTaskTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/front/GatewayTaskTest.java
@@ -84,7 +84,7 @@
                         new MetricRegistry(),
                         MillisecondClock.monotonic(),
                         message -> {},
-                        work -> {},
+                        new GatewayReports(work -> {}, outcomes -> {}),
                         ready -> {});
         await(mVertx.deployVerticle(mGateway));
     }
--- a/moves/src/main/java/org/skylarkbend/moves/MoveCodec.java
+++ b/moves/src/main/java/org/skylarkbend/moves/MoveCodec.java
@@ -117,13 +117,15 @@
         };
     }
 
-    private static void writeWindow(MessageWriter writer, OutcomeWindow window) {
+    /** Writes the outcomes of a route. */
+    public static void writeWindow(MessageWriter writer, OutcomeWindow window) {
         writer.text(window.route().value());
         writeOutcomes(writer, window.fromVersion());
         writeOutcomes(writer, window.toVersion());
     }
 
-    private static OutcomeWindow readWindow(MessageReader reader) {
+    /** Reads the outcomes of a route. */
+    public static OutcomeWindow readWindow(MessageReader reader) {
         return new OutcomeWindow(readName(reader), readOutcomes(reader), readOutcomes(reader));
     }
 
--- a/moves/src/main/java/org/skylarkbend/moves/OutcomeWindow.java
+++ b/moves/src/main/java/org/skylarkbend/moves/OutcomeWindow.java
@@ -1,5 +1,6 @@
 package org.skylarkbend.moves;
 
+import java.util.ArrayList;
 import java.util.List;
 import org.skylarkbend.base.ObjectName;
 
@@ -13,6 +14,12 @@
  * @param toVersion the outcomes of requests to the new version
  */
 public record OutcomeWindow(ObjectName route, Outcomes fromVersion, Outcomes toVersion) {
+    /** Returns the sum of this window and another one of the same route. */
+    public OutcomeWindow plus(OutcomeWindow other) {
+        return new OutcomeWindow(
+                route, fromVersion.plus(other.fromVersion), toVersion.plus(other.toVersion));
+    }
+
     /**
      * The outcomes of one version.
      *
@@ -64,6 +71,19 @@
                     java.util.Collections.nCopies(FIRST_TOKEN_BOUNDS_MILLISECONDS.size() + 1, 0));
         }
 
+        /** Returns the sum of these and other outcomes. */
+        public Outcomes plus(Outcomes other) {
+            List<Integer> counts = new ArrayList<>(firstTokenCounts);
+            for (int i = 0; i < counts.size(); i++) {
+                counts.set(i, counts.get(i) + other.firstTokenCounts.get(i));
+            }
+            return new Outcomes(
+                    requests + other.requests,
+                    errors + other.errors,
+                    emptyResponses + other.emptyResponses,
+                    counts);
+        }
+
         /** Returns the number of requests with a time to the first token. */
         public int timedRequests() {
             return firstTokenCounts.stream().mapToInt(Integer::intValue).sum();
