Let a new owner of the limits grant although some gateways have not reported

Cause: a new owner counted each gateway that had not reported with a third of the burst, so three gateways that were down or connected late stopped all grants; and calls were refused after 100 ms while the leader was replaced. Change: all unreported gateways count together with at most a quarter of the burst, which is also the limit on what is granted in advance of calls; calls wait up to 400 ms while no owner responds; the connection to a control VM without power is given up after 300 ms. call.ended names the time to the first event, the longest gap, the prompt and what was ahead of it.

--- a/gateway/src/main/java/org/skylarkbend/gateway/call/CallLog.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/CallLog.java
@@ -6,6 +6,7 @@
 import org.skylarkbend.catalog.Customer;
 import org.skylarkbend.catalog.Endpoint;
 import org.skylarkbend.gateway.endpoints.EngineChoice;
+import org.skylarkbend.gateway.endpoints.Prompt;
 
 /** Writes the log entries from which the attempts and the outcome of a call can be traced. */
 final class CallLog {
@@ -56,6 +57,7 @@
             int sent,
             int tried,
             Optional<EngineChoice> last,
+            StreamTiming timing,
             long endpointsAgeMilliseconds) {}
 
     /** Logs the end of the call. */
@@ -88,6 +90,18 @@
                 end.last().flatMap(EngineChoice::cacheSource).orElse(NONE),
                 "endpoints_age_milliseconds",
                 end.endpointsAgeMilliseconds(),
+                "prompt_tokens",
+                mCall.prompt().map(Prompt::promptTokens).orElse(0L),
+                "shared_tokens",
+                mCall.prompt().map(Prompt::sharedTokens).orElse(0L),
+                "tokens_ahead",
+                end.last().map(EngineChoice::tokensAhead).orElse(0L),
+                "home",
+                end.last().map(EngineChoice::isHome).orElse(false),
+                "first_event_milliseconds",
+                end.timing().firstEventMilliseconds(),
+                "longest_gap_milliseconds",
+                end.timing().longestGapMilliseconds(),
                 "elapsed_milliseconds",
                 nowMilliseconds - mCall.arrivedMilliseconds());
     }
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/GatewayCall.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/GatewayCall.java
@@ -53,6 +53,7 @@
     private final CallLog mLog;
     private final Set<String> mTriedIncarnations = new HashSet<>();
     private final EventSplitter mEvents = new EventSplitter();
+    private final StreamTiming mTiming;
     private Optional<Attempt> mAttempt = Optional.empty();
     private Optional<EngineChoice> mLastChoice = Optional.empty();
     private OptionalLong mReservation = OptionalLong.empty();
@@ -60,8 +61,6 @@
     private long mSilenceTimer = -1;
     private int mSent;
     private int mConnectFailures;
-    private long mAttemptMilliseconds;
-    private long mFirstEventMilliseconds;
     private boolean mMayHaveRun;
     private boolean mStreaming;
     private boolean mEnded;
@@ -83,6 +82,7 @@
         mResponse = response;
         mOnEnd = onEnd;
         mLog = new CallLog(call);
+        mTiming = new StreamTiming(call.arrivedMilliseconds());
     }
 
     /**
@@ -152,8 +152,7 @@
         mAttempt = Optional.of(attempt);
         mBody = Buffer.buffer();
         mEvents.discardPartial();
-        mAttemptMilliseconds = now();
-        mFirstEventMilliseconds = 0;
+        mTiming.attemptStarted(now());
         mResources.outcomes().sent(endpoint);
         mResources.selector().sent(endpoint, attempt.tokensToRead(), now());
         attempt.start(
@@ -216,9 +215,7 @@
         if (isStreamResponse()) {
             Buffer events = mEvents.feed(chunk);
             if (events.length() > 0) {
-                if (mFirstEventMilliseconds == 0) {
-                    mFirstEventMilliseconds = now();
-                }
+                mTiming.eventsArrived(now());
                 promptRead(attempt);
                 forward(events);
             }
@@ -326,14 +323,12 @@
     private void recordOutcome(Attempt attempt, boolean isSuccess) {
         String route = mCall.route().name();
         if (isSuccess) {
-            long firstEventMilliseconds =
-                    mFirstEventMilliseconds == 0 ? now() : mFirstEventMilliseconds;
             mResources
                     .outcomes()
                     .succeeded(
                             attempt.endpoint(),
                             route,
-                            firstEventMilliseconds - mAttemptMilliseconds);
+                            mTiming.attemptFirstEventMilliseconds(now()));
         } else {
             mResources.outcomes().failed(attempt.endpoint(), route);
         }
@@ -444,6 +439,7 @@
                         mSent,
                         mTriedIncarnations.size(),
                         mLastChoice,
+                        mTiming,
                         mResources.selector().ageMilliseconds(now())),
                 now());
         mOnEnd.run();
--- a/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EndpointSelector.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EndpointSelector.java
@@ -347,7 +347,8 @@
                 source,
                 isTooSmallToFetch ? Optional.empty() : mStore,
                 ownTokens + (long) (missRatio * prompt.sharedTokens()),
-                load.promptTokens(nowMilliseconds));
+                load.promptTokens(nowMilliseconds),
+                isHome(load, home));
     }
 
     private Optional<String> sourceOf(
--- a/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EngineChoice.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EngineChoice.java
@@ -15,6 +15,7 @@
  * @param store address of the store to which the engine saves the prompt parts it has processed
  * @param tokensToRead estimated number of prompt tokens that the engine has to process
  * @param tokensAhead number of tokens of other prompts that the engine has to process first
+ * @param isHome true if the engine is the home of the prompt's shared parts
  */
 public record EngineChoice(
         Endpoint endpoint,
@@ -22,10 +23,11 @@
         Optional<String> cacheSource,
         Optional<String> store,
         long tokensToRead,
-        long tokensAhead) {
+        long tokensAhead,
+        boolean isHome) {
     /** Returns the choice of an endpoint without cache hints. */
     static EngineChoice plain(Endpoint endpoint) {
         return new EngineChoice(
-                endpoint, OptionalLong.empty(), Optional.empty(), Optional.empty(), 0, 0);
+                endpoint, OptionalLong.empty(), Optional.empty(), Optional.empty(), 0, 0, false);
     }
 }
--- a/gateway/src/main/java/org/skylarkbend/gateway/link/SiteLinkTask.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/link/SiteLinkTask.java
@@ -40,6 +40,12 @@
     private static final StructuredLog LOG = StructuredLog.of(SiteLinkTask.class);
     private static final long HEARTBEAT_INTERVAL_MILLISECONDS = 250;
 
+    /**
+     * Timeout for opening a connection to a control VM. It is short, because VMs without power do
+     * not respond and another one leads soon.
+     */
+    private static final long CONNECT_TIMEOUT_MILLISECONDS = 300;
+
     /**
      * Time without control after which the list of endpoints is read directly, and the interval of
      * reading it.
@@ -79,7 +85,12 @@
     @Override
     public Future<?> start() {
         mContext = context;
-        mDialer = new FrameDialer<>(vertx, new FeedCodec(), WireOptions.plain(), mClock);
+        mDialer =
+                new FrameDialer<>(
+                        vertx,
+                        new FeedCodec(),
+                        WireOptions.plain().withConnectTimeout(CONNECT_TIMEOUT_MILLISECONDS),
+                        mClock);
         mConfirmedMilliseconds = mClock.nowMilliseconds();
         vertx.setPeriodic(
                 HEARTBEAT_INTERVAL_MILLISECONDS, id -> handle(new SiteLinkMessage.HeartbeatDue()));
--- a/gateway/src/test/java/org/skylarkbend/gateway/call/UrgencyTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/call/UrgencyTest.java
@@ -42,7 +42,13 @@
         Endpoint endpoint =
                 new Endpoint("e", "desk", "10.0.0.1", 80, "z", "v1", 64, false, 1, Map.of("m", 1L));
         return new EngineChoice(
-                endpoint, OptionalLong.of(1), Optional.empty(), Optional.empty(), 500, tokensAhead);
+                endpoint,
+                OptionalLong.of(1),
+                Optional.empty(),
+                Optional.empty(),
+                500,
+                tokensAhead,
+                false);
     }
 
     private static CallRequest call(OptionalInt priority) {
--- a/gateway/src/test/java/org/skylarkbend/gateway/limits/TokenGateTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/limits/TokenGateTest.java
@@ -31,6 +31,7 @@
     private long mNowMilliseconds = 1_000;
     private TokenGate mGate;
     private LimitOwnerDecider mOwner;
+    private boolean mOwnerLost;
 
     /** Caller that records the decision on its call. */
     private static final class RecordingCaller implements TokenGate.Caller {
@@ -81,6 +82,47 @@
         assertThat(decisionOn(9_000)).contains(true);
     }
 
+    @Test
+    public void aNewOwnerGrantsAlthoughSeveralGatewaysHaveNotReported() {
+        LimitRegistry before = LimitRegistry.empty();
+        for (int vm = 2; vm <= 95; vm++) {
+            before = before.register(new RouterIdentity(ObjectName.of("front-" + vm), 1));
+        }
+        startTerm(before);
+        for (int vm = 2; vm <= 90; vm++) {
+            connect(new RouterIdentity(ObjectName.of("front-" + vm), 1));
+        }
+        advance(300);
+        assertThat(decisionOn(9_000)).contains(true);
+        advance(300);
+        assertThat(decisionOn(9_000)).contains(true);
+    }
+
+    @Test
+    public void aCallWaitsLongerWhileNoOwnerResponds() {
+        startTerm(LimitRegistry.empty());
+        advance(100);
+        loseOwner();
+        RecordingCaller caller = new RecordingCaller();
+        mGate.reserve(CUSTOMER.value(), 20_000, caller, mNowMilliseconds);
+        advance(2 * POLICY.waitMilliseconds());
+        assertThat(caller.mAdmitted).as("while no owner responds").isEmpty();
+        findOwner(2);
+        advance(2 * POLICY.waitMilliseconds());
+        assertThat(caller.mAdmitted).as("once a new owner responds").contains(true);
+    }
+
+    @Test
+    public void aCallIsRefusedIfNoOwnerRespondsForLong() {
+        startTerm(LimitRegistry.empty());
+        advance(100);
+        loseOwner();
+        RecordingCaller caller = new RecordingCaller();
+        mGate.reserve(CUSTOMER.value(), 20_000, caller, mNowMilliseconds);
+        advance(POLICY.ownerlessWaitMilliseconds() + 2 * STEP_MILLISECONDS);
+        assertThat(caller.mAdmitted).contains(false);
+    }
+
     @Test
     public void aCallWithoutTokensIsRefusedWithinAnEighthOfItsTarget() {
         startTerm(LimitRegistry.empty());
@@ -103,12 +145,28 @@
         mGate =
                 new TokenGate(
                         new LimitShareDecider(POLICY, mNowMilliseconds), mToOwner::add, at -> {});
+        mOwnerLost = false;
+        mToOwner.clear();
         mOwner = new LimitOwnerDecider(POLICY, 1, registry, mNowMilliseconds);
         mGate.updateLimits(LIMITS, mNowMilliseconds);
         sendToOwner(new LimitOwnerMessage.LimitsPublished(LIMITS));
         connect(GATEWAY);
     }
 
+    private void loseOwner() {
+        mOwnerLost = true;
+    }
+
+    /** Replaces the lost owner by that of a later term, which knows the gateway under test. */
+    private void findOwner(long term) {
+        mOwnerLost = false;
+        mToOwner.clear();
+        LimitRegistry registry = LimitRegistry.empty().register(GATEWAY);
+        mOwner = new LimitOwnerDecider(POLICY, term, registry, mNowMilliseconds - 300);
+        sendToOwner(new LimitOwnerMessage.LimitsPublished(LIMITS));
+        connect(GATEWAY);
+    }
+
     private void connect(RouterIdentity gateway) {
         sendToOwner(new LimitOwnerMessage.RouterConnected(gateway));
     }
@@ -125,10 +183,12 @@
         while (mNowMilliseconds < untilMilliseconds) {
             mNowMilliseconds += STEP_MILLISECONDS;
             mGate.wake(mNowMilliseconds);
-            while (!mToOwner.isEmpty()) {
+            while (!mToOwner.isEmpty() && !mOwnerLost) {
                 sendToOwner(new LimitOwnerMessage.RouterMessageReceived(GATEWAY, mToOwner.poll()));
             }
-            sendToOwner(new LimitOwnerMessage.Wake());
+            if (!mOwnerLost) {
+                sendToOwner(new LimitOwnerMessage.Wake());
+            }
         }
     }
 
--- a/limits/src/main/java/org/skylarkbend/limits/CustomerBucket.java
+++ b/limits/src/main/java/org/skylarkbend/limits/CustomerBucket.java
@@ -86,6 +86,11 @@
         mHeldTokens += deltaTokens;
     }
 
+    /** Returns the tokens held by known routers. */
+    long heldTokens() {
+        return mHeldTokens;
+    }
+
     Map<RouterIdentity, TokenRequest> requests() {
         return mRequests;
     }
--- a/limits/src/main/java/org/skylarkbend/limits/LimitOwnerDecider.java
+++ b/limits/src/main/java/org/skylarkbend/limits/LimitOwnerDecider.java
@@ -38,7 +38,8 @@
  * <ul>
  *   <li>The potential never exceeds the burst: a bucket is filled only up to the burst less all
  *       holdings. A router that has not reported in this term counts with the maximum that one
- *       router may hold; a router that died counts until endpoints have stopped its work.
+ *       router may hold, and all of them with the maximum that is granted in advance of calls; a
+ *       router that died counts until endpoints have stopped its work.
  *   <li>It grows at the rate and no faster: a new owner starts with an empty bucket and fills it
  *       from its election on. A replaced owner grants nothing more, because a grant is sent only
  *       after a quorum round begun after the decision has confirmed the term.
@@ -258,7 +259,7 @@
 
     /**
      * Grants tokens requested in advance of calls, as long as the bucket stays above a minimum
-     * level.
+     * level, and up to what the next owner assumes that unreported routers hold.
      */
     private void servePrefetch(CustomerBucket bucket) {
         Iterator<Map.Entry<RouterIdentity, TokenRequest>> requests =
@@ -267,7 +268,11 @@
         while (requests.hasNext()) {
             Map.Entry<RouterIdentity, TokenRequest> entry = requests.next();
             long spareTokens = (bucket.levelTokens() - minLevelTokens) / 2;
-            long maxTokens = Math.min(headroomOf(entry.getKey(), bucket), spareTokens);
+            long unheldTokens = mPolicy.maxUnreportedTokens(bucket.limit()) - bucket.heldTokens();
+            long maxTokens =
+                    Math.min(
+                            headroomOf(entry.getKey(), bucket),
+                            Math.min(spareTokens, unheldTokens));
             long grantedTokens = Math.min(entry.getValue().prefetchTokens(), maxTokens);
             if (grantedTokens > 0) {
                 grant(entry.getKey(), bucket, grantedTokens);
@@ -318,8 +323,7 @@
     private void fill(CustomerBucket bucket, long nowMilliseconds) {
         long unreportedRouters =
                 mRouters.values().stream().filter(holdings -> !holdings.isKnown()).count();
-        long unreportedHeldTokens = unreportedRouters * mPolicy.maxHeldTokens(bucket.limit());
-        bucket.fill(nowMilliseconds, unreportedHeldTokens);
+        bucket.fill(nowMilliseconds, mPolicy.unreportedTokens(bucket.limit(), unreportedRouters));
     }
 
     private void publish(List<CustomerLimit> limits, long nowMilliseconds) {
--- a/limits/src/main/java/org/skylarkbend/limits/LimitPolicy.java
+++ b/limits/src/main/java/org/skylarkbend/limits/LimitPolicy.java
@@ -14,6 +14,10 @@
  * @param endpointStopMilliseconds the time within which endpoints stop work for a router that died
  * @param initialFillMilliseconds the time whose tokens the bucket of a new owner holds initially;
  *     no owner can have existed during it
+ * @param unreportedDivisor all routers that have not reported to a new owner count together as
+ *     holding at most the burst divided by this
+ * @param ownerlessWaitMilliseconds the maximum time for which a call waits for tokens while no
+ *     owner responds
  */
 public record LimitPolicy(
         long holderDivisor,
@@ -24,7 +28,9 @@
         long waitMilliseconds,
         int maxWaitingCalls,
         long endpointStopMilliseconds,
-        long initialFillMilliseconds) {
+        long initialFillMilliseconds,
+        long unreportedDivisor,
+        long ownerlessWaitMilliseconds) {
     /**
      * Minimum time between the loss of a leader and the next election; see {@code
      * AgreementOptions#lowLatency}.
@@ -35,17 +41,22 @@
 
     /** Returns the policy of the router and control programs. */
     public static LimitPolicy standard() {
-        return new LimitPolicy(4, 200, 64, 20, 1_000, 300, 256, 30_000, 0);
+        return new LimitPolicy(4, 200, 64, 20, 1_000, 300, 256, 30_000, 0, 1, 300);
     }
 
     /**
      * Returns the policy of sites whose gateways count a call when they send it. A prompt may
      * exceed a quarter of the burst, hence the divisor of 3. A refusal is due within an eighth of
-     * the response target of 0.8 s, hence the wait of 100 ms. Calls of a gateway that died need not
-     * be counted again.
+     * the response target of 0.8 s, hence the wait of 100 ms; while no owner responds, a call waits
+     * half of the target, in which a leader is usually replaced. Calls of a gateway that died need
+     * not be counted again.
+     *
+     * <p>The many gateways of a large site hold few tokens each, so that those which are down when
+     * the owner changes do not count with the maximum each.
      */
     public static LimitPolicy forGateways() {
-        return new LimitPolicy(3, 1_000, 64, 30, 1_000, 100, 256, 0, MIN_LEADERLESS_MILLISECONDS);
+        return new LimitPolicy(
+                3, 1_000, 64, 30, 1_000, 100, 256, 0, MIN_LEADERLESS_MILLISECONDS, 4, 400);
     }
 
     /** Returns the initial level of the bucket of a new owner. */
@@ -54,6 +65,16 @@
         return Math.min(limit.burstTokens(), tokens);
     }
 
+    /** Returns the maximum number of tokens that unreported routers hold together of a customer. */
+    long unreportedTokens(CustomerLimit limit, long unreportedRouters) {
+        return Math.min(unreportedRouters * maxHeldTokens(limit), maxUnreportedTokens(limit));
+    }
+
+    /** Returns the limit on the tokens of a customer that are granted in advance to all routers. */
+    long maxUnreportedTokens(CustomerLimit limit) {
+        return limit.burstTokens() / unreportedDivisor;
+    }
+
     /** Returns the maximum number of tokens that one router may hold of a customer. */
     public long maxHeldTokens(CustomerLimit limit) {
         return Math.max(1, limit.burstTokens() / holderDivisor);
--- a/limits/src/main/java/org/skylarkbend/limits/LimitShareDecider.java
+++ b/limits/src/main/java/org/skylarkbend/limits/LimitShareDecider.java
@@ -51,6 +51,7 @@
     private Map<ObjectName, CustomerLimit> mLimits = Map.of();
     private long mTerm;
     private boolean mJoined;
+    private long mJoinedMilliseconds;
     private long mSequence;
     private long mConfirmedSequence;
     private long mLastReportMilliseconds;
@@ -73,7 +74,7 @@
         } else if (message instanceof Release release) {
             release(release.callId());
         } else if (message instanceof OwnerMessageReceived received) {
-            handleOwnerMessage(received.message());
+            handleOwnerMessage(received.message(), nowMilliseconds);
         } else if (message instanceof LimitsPublished published) {
             publish(published.limits());
         } else if (message instanceof ShutDown) {
@@ -112,11 +113,10 @@
             mEffects.add(refusal(ledger, reserve.callId(), reserve.tokens()));
             return;
         }
-        long deadlineMilliseconds = nowMilliseconds + mPolicy.waitMilliseconds();
         ledger.waiting()
                 .add(
                         new ShareLedger.Waiting(
-                                reserve.callId(), reserve.tokens(), deadlineMilliseconds));
+                                reserve.callId(), reserve.tokens(), nowMilliseconds, mSequence));
         mQueued.add(ledger);
         admitWaiting(ledger);
         mReportSoon |= !ledger.waiting().isEmpty();
@@ -160,14 +160,17 @@
         }
     }
 
-    private void handleOwnerMessage(LimitMessage message) {
+    private void handleOwnerMessage(LimitMessage message, long nowMilliseconds) {
         if (message instanceof TermBegan began && began.term() > mTerm) {
             mTerm = began.term();
             mJoined = false;
             mLedgers.values().forEach(ShareLedger::joinTerm);
             mReportSoon = true;
         } else if (message instanceof Grants grants && grants.term() == mTerm) {
-            mJoined = true;
+            if (!mJoined) {
+                mJoined = true;
+                mJoinedMilliseconds = nowMilliseconds;
+            }
             mConfirmedSequence = Math.max(mConfirmedSequence, grants.reportSequence());
             grants.entries().forEach(this::granted);
         }
@@ -208,7 +211,7 @@
     private void refuseExpired(long nowMilliseconds) {
         for (ShareLedger ledger : List.copyOf(mQueued)) {
             while (!ledger.waiting().isEmpty()
-                    && ledger.waiting().peek().deadlineMilliseconds() <= nowMilliseconds) {
+                    && deadlineMilliseconds(ledger.waiting().peek()) <= nowMilliseconds) {
                 ShareLedger.Waiting call = ledger.waiting().remove();
                 mEffects.add(refusal(ledger, call.callId(), call.tokens()));
                 ledger.markDirty(mSequence + 1);
@@ -217,6 +220,20 @@
         }
     }
 
+    /**
+     * Returns the time at which a waiting call is refused. It waits longer while the owner responds
+     * to no report, because it may just be replaced; a new owner gets the usual time from its first
+     * response on.
+     */
+    private long deadlineMilliseconds(ShareLedger.Waiting call) {
+        long latestMilliseconds = call.sinceMilliseconds() + mPolicy.ownerlessWaitMilliseconds();
+        if (!mJoined || mConfirmedSequence <= call.sinceSequence()) {
+            return latestMilliseconds;
+        }
+        long sinceMilliseconds = Math.max(call.sinceMilliseconds(), mJoinedMilliseconds);
+        return Math.min(latestMilliseconds, sinceMilliseconds + mPolicy.waitMilliseconds());
+    }
+
     private static Refuse refusal(ShareLedger ledger, long callId, long tokens) {
         long missingTokens = Math.max(1, tokens - ledger.freeTokens());
         long rate = ledger.limit().tokensPerSecond();
@@ -267,7 +284,7 @@
 
     private long nextWakeMilliseconds() {
         return mQueued.stream()
-                .mapToLong(ledger -> ledger.waiting().peek().deadlineMilliseconds())
+                .mapToLong(ledger -> deadlineMilliseconds(ledger.waiting().peek()))
                 .reduce(nextReportMilliseconds(), Math::min);
     }
 }
--- a/limits/src/main/java/org/skylarkbend/limits/ShareLedger.java
+++ b/limits/src/main/java/org/skylarkbend/limits/ShareLedger.java
@@ -6,8 +6,15 @@
 
 /** Tokens of one customer held by a router, and the calls that wait for tokens. */
 final class ShareLedger {
-    /** A call that waits for tokens. */
-    record Waiting(long callId, long tokens, long deadlineMilliseconds) {}
+    /**
+     * A call that waits for tokens.
+     *
+     * @param callId the call
+     * @param tokens the tokens that it needs
+     * @param sinceMilliseconds the time since which it waits
+     * @param sinceSequence the number of the last report before it
+     */
+    record Waiting(long callId, long tokens, long sinceMilliseconds, long sinceSequence) {}
 
     private static final double AVERAGING_WINDOW_MILLISECONDS = 1_000;
 
--- a/limits/src/test/java/org/skylarkbend/limits/LimitScheduleTest.java
+++ b/limits/src/test/java/org/skylarkbend/limits/LimitScheduleTest.java
@@ -12,6 +12,7 @@
     private static final int SCHEDULES_WITH_INITIAL_FILL = 500;
     private static final long INITIAL_FILL_MILLISECONDS = 300;
     private static final int MAX_DEFECT_SCHEDULES = 4_000;
+    private static final long UNREPORTED_DIVISOR = 4;
 
     @Test
     public void noWindowExceedsBurstAndRateUnderAnySchedule() {
@@ -54,6 +55,27 @@
         System.out.println("limits: " + used[0] + " schedules used more than their burst");
     }
 
+    @Test
+    public void unreportedRoutersExceedAWindowByNoMoreThanWhatNewOwnersDoNotCount() {
+        SeededRuns.forEachSeed(
+                FIRST_SEED,
+                SCHEDULES_WITH_INITIAL_FILL,
+                seed -> {
+                    LimitSimulation simulation =
+                            new LimitSimulation(
+                                    seed,
+                                    LimitSimulation.Defect.NONE,
+                                    INITIAL_FILL_MILLISECONDS,
+                                    UNREPORTED_DIVISOR);
+                    long maxTokens = simulation.run();
+                    long burstTokens = simulation.limit().burstTokens();
+                    long initialTokens = simulation.policy().initialTokens(simulation.limit());
+                    long perTermTokens = initialTokens + burstTokens / UNREPORTED_DIVISOR;
+                    assertThat(maxTokens)
+                            .isLessThanOrEqualTo(burstTokens + simulation.term() * perTermTokens);
+                });
+    }
+
     private static double share(long tokens, LimitSimulation simulation) {
         return tokens / (double) simulation.limit().burstTokens();
     }
--- a/limits/src/test/java/org/skylarkbend/limits/LimitSimulation.java
+++ b/limits/src/test/java/org/skylarkbend/limits/LimitSimulation.java
@@ -58,6 +58,15 @@
      * is never a time without an owner.
      */
     LimitSimulation(long seed, Defect defect, long initialFillMilliseconds) {
+        this(seed, defect, initialFillMilliseconds, 1);
+    }
+
+    /**
+     * Creates a simulation whose new owners also assume that all unreported routers together hold
+     * at most the burst divided by {@code unreportedDivisor}.
+     */
+    LimitSimulation(
+            long seed, Defect defect, long initialFillMilliseconds, long unreportedDivisor) {
         mRandom = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
         mDefect = defect;
         long burst = 400 + mRandom.nextLong(4_000);
@@ -74,7 +83,9 @@
                         300,
                         16,
                         500,
-                        initialFillMilliseconds);
+                        initialFillMilliseconds,
+                        unreportedDivisor,
+                        300);
     }
 
     /**
--- a/wire/src/main/java/org/skylarkbend/wire/WireOptions.java
+++ b/wire/src/main/java/org/skylarkbend/wire/WireOptions.java
@@ -31,6 +31,17 @@
         return of(Optional.empty());
     }
 
+    /** Returns these options with another timeout for opening a connection. */
+    public WireOptions withConnectTimeout(long milliseconds) {
+        return new WireOptions(
+                maxPayloadBytes,
+                heartbeatMilliseconds,
+                silenceMilliseconds,
+                milliseconds,
+                tlsReloadMilliseconds,
+                tls);
+    }
+
     /** Returns the default options, with TLS if files are given. */
     public static WireOptions of(Optional<TlsFiles> tls) {
         return new WireOptions(
