Load engines with expired weights beyond the usual number

Change: engines whose weights expire soon load up to half of all at once, those whose weights have expired at once. The time for which old weights serve is one setting for both sides.

--- a/control/src/main/java/org/skylarkbend/control/site/SiteControlParts.java
+++ b/control/src/main/java/org/skylarkbend/control/site/SiteControlParts.java
@@ -60,9 +60,12 @@
      *
      * @param takeoverMilliseconds the time for which a new leader sends no orders to an engine that
      *     a previous leader may have ordered
+     * @param oldWeightsMilliseconds the time for which calls may still use old weights after newer
+     *     ones were named
      * @param enginesCheckFencing true if engines reject orders with outdated fencing numbers
      */
-    public record EngineOrderOptions(long takeoverMilliseconds, boolean enginesCheckFencing) {}
+    public record EngineOrderOptions(
+            long takeoverMilliseconds, long oldWeightsMilliseconds, boolean enginesCheckFencing) {}
 
     /** Copies the set. */
     public SiteControlParts {
--- a/control/src/main/java/org/skylarkbend/control/site/SiteControlProcess.java
+++ b/control/src/main/java/org/skylarkbend/control/site/SiteControlProcess.java
@@ -112,7 +112,9 @@
                         parts.endpoints(),
                         parts.engines(),
                         mLog,
-                        new WeightsDecider(parts.engineOrders().takeoverMilliseconds()),
+                        new WeightsDecider(
+                                parts.engineOrders().takeoverMilliseconds(),
+                                parts.engineOrders().oldWeightsMilliseconds()),
                         parts.monotonic(),
                         wall,
                         this::endpointsChanged);
--- a/control/src/test/java/org/skylarkbend/control/site/SiteControlProcessTest.java
+++ b/control/src/test/java/org/skylarkbend/control/site/SiteControlProcessTest.java
@@ -186,7 +186,7 @@
                 mPorts,
                 mFolder.resolve(vm.value()),
                 1_000,
-                new SiteControlParts.EngineOrderOptions(0, true),
+                new SiteControlParts.EngineOrderOptions(0, 10_000, true),
                 SiteLimits.Slack.none(),
                 new ExposureLimit(0.1, 50),
                 SiteControlProcessTest::read,
--- a/orders/src/main/java/org/skylarkbend/orders/weights/WeightsDecider.java
+++ b/orders/src/main/java/org/skylarkbend/orders/weights/WeightsDecider.java
@@ -64,7 +64,17 @@
     private static final int MIN_CONCURRENT_LOADS = 2;
     private static final long NEVER_MILLISECONDS = Long.MIN_VALUE / 2;
 
+    /**
+     * Fraction of the time for which old weights may be used after which their engines load beyond
+     * the usual number, so that they are done before they can serve no more calls.
+     */
+    private static final double URGENT_AGE_RATIO = 0.7;
+
+    private static final int URGENT_LOADING_DENOMINATOR = 2;
+
     private final long mTakeoverWaitMilliseconds;
+    private final long mOldWeightsMilliseconds;
+    private final Map<String, TreeMap<Long, Long>> mTargetedMilliseconds = new HashMap<>();
     private final Map<String, EngineLoad> mEngines = new TreeMap<>();
     private Map<String, Long> mTargetVersions = Map.of();
     private OptionalLong mFencingNumber = OptionalLong.empty();
@@ -75,9 +85,12 @@
      *
      * @param takeoverWaitMilliseconds the time for which no order is sent to an engine after
      *     another commander may have ordered it
+     * @param oldWeightsMilliseconds the time for which calls may still use old weights after newer
+     *     ones were named
      */
-    public WeightsDecider(long takeoverWaitMilliseconds) {
+    public WeightsDecider(long takeoverWaitMilliseconds, long oldWeightsMilliseconds) {
         mTakeoverWaitMilliseconds = takeoverWaitMilliseconds;
+        mOldWeightsMilliseconds = oldWeightsMilliseconds;
     }
 
     /** Processes a message and returns the effects to execute. */
@@ -140,6 +153,12 @@
             mEngines.replaceAll((engine, load) -> EngineLoad.initial(load.listed()));
         } else if (message instanceof TargetVersionsChanged changed) {
             mTargetVersions = changed.versions();
+            changed.versions()
+                    .forEach(
+                            (model, version) ->
+                                    mTargetedMilliseconds
+                                            .computeIfAbsent(model, name -> new TreeMap<>())
+                                            .putIfAbsent(version, nowMilliseconds));
         } else if (message instanceof EnginesListed listed) {
             list(listed.engines(), nowMilliseconds);
         } else if (message instanceof Reported reported) {
@@ -212,14 +231,19 @@
      * Starts the load procedure on some of the engines, the most outdated first, while the others
      * receive all new calls. The started engines finish their running calls before they load, so
      * that fewer load at the same moment. An unreachable engine is only polled until it responds
-     * and takes no place from the others.
+     * and takes no place from the others. Engines whose weights expire soon load beyond the usual
+     * number, and those whose weights have expired at once, because they serve no calls any more.
      */
     private void startLoads(long nowMilliseconds) {
         int maxConcurrentLoads =
                 Math.max(
                         MIN_CONCURRENT_LOADS,
                         mEngines.size() * MAX_LOADING_NUMERATOR / MAX_LOADING_DENOMINATOR);
-        int freePlaces = maxConcurrentLoads - loading().size();
+        int loading = loading().size();
+        int freePlaces = maxConcurrentLoads - loading;
+        int freeUrgentPlaces =
+                Math.max(maxConcurrentLoads, mEngines.size() / URGENT_LOADING_DENOMINATOR)
+                        - loading;
         List<String> outdated = new ArrayList<>();
         mEngines.forEach(
                 (engine, load) -> {
@@ -233,11 +257,34 @@
         outdated.sort(Comparator.comparing(engine -> oldestVersion(mEngines.get(engine))));
         for (String engine : outdated) {
             EngineLoad load = mEngines.get(engine);
-            if (load.missedReports() > 0 || freePlaces > 0) {
+            double age = ageRatio(load, nowMilliseconds);
+            boolean takesNoPlace = load.missedReports() > 0 || age >= 1;
+            boolean isUrgent = age >= URGENT_AGE_RATIO && freeUrgentPlaces > 0;
+            if (takesNoPlace || freePlaces > 0 || isUrgent) {
                 mEngines.put(engine, load.started(nowMilliseconds));
-                freePlaces -= load.missedReports() > 0 ? 0 : 1;
+                freePlaces -= takesNoPlace ? 0 : 1;
+                freeUrgentPlaces -= takesNoPlace ? 0 : 1;
+            }
+        }
+    }
+
+    /**
+     * Returns how much of the time for which its weights may still be used has passed, over the
+     * model for which it is the most; 1 if they have expired.
+     */
+    private double ageRatio(EngineLoad load, long nowMilliseconds) {
+        double ratio = 0;
+        for (String model : load.listed().keySet()) {
+            Map.Entry<Long, Long> newer =
+                    mTargetedMilliseconds
+                            .getOrDefault(model, new TreeMap<>())
+                            .higherEntry(load.version(model));
+            if (newer != null) {
+                long ageMilliseconds = nowMilliseconds - newer.getValue();
+                ratio = Math.max(ratio, (double) ageMilliseconds / mOldWeightsMilliseconds);
             }
         }
+        return ratio;
     }
 
     private static long oldestVersion(EngineLoad load) {
--- a/orders/src/test/java/org/skylarkbend/orders/weights/WeightsDeciderTest.java
+++ b/orders/src/test/java/org/skylarkbend/orders/weights/WeightsDeciderTest.java
@@ -24,13 +24,15 @@
 public class WeightsDeciderTest {
     private static final long TAKEOVER_MILLISECONDS = 3_000;
 
+    private static final long OLD_WEIGHTS_MILLISECONDS = 60_000;
+
     private WeightsDecider mDecider;
     private long mNowMilliseconds;
 
     @BeforeMethod
     public void commandEightEngines() {
         mNowMilliseconds = 0;
-        mDecider = new WeightsDecider(TAKEOVER_MILLISECONDS);
+        mDecider = new WeightsDecider(TAKEOVER_MILLISECONDS, OLD_WEIGHTS_MILLISECONDS);
         decide(new EnginesListed(IntStream.range(0, 8).mapToObj(i -> engine("e" + i, 1)).toList()));
         decide(new CommandTaken(7));
         mNowMilliseconds = TAKEOVER_MILLISECONDS;
@@ -131,6 +133,33 @@
         assertThat(loads(decide(new Reported("e1", Map.of("m", 1L), false, 0, 3)))).hasSize(1);
     }
 
+    @Test
+    public void enginesWhoseWeightsExpireSoonLoadBeyondTheUsualNumber() {
+        decide(new TargetVersionsChanged(Map.of("m", 2L)));
+        assertThat(mDecider.loading()).hasSize(2);
+        mNowMilliseconds += OLD_WEIGHTS_MILLISECONDS * 3 / 4;
+        decide(new Tick());
+        assertThat(mDecider.loading()).hasSize(4);
+    }
+
+    @Test
+    public void enginesWhoseWeightsHaveExpiredLoadAtOnceAlthoughOthersAreLoading() {
+        decide(new TargetVersionsChanged(Map.of("m", 2L)));
+        mNowMilliseconds += OLD_WEIGHTS_MILLISECONDS;
+        decide(new Tick());
+        assertThat(mDecider.loading()).hasSize(8);
+    }
+
+    @Test
+    public void theAgeOfWeightsCountsFromTheFirstNewerVersion() {
+        decide(new TargetVersionsChanged(Map.of("m", 2L)));
+        mNowMilliseconds += OLD_WEIGHTS_MILLISECONDS / 2;
+        decide(new TargetVersionsChanged(Map.of("m", 3L)));
+        mNowMilliseconds += OLD_WEIGHTS_MILLISECONDS / 2;
+        decide(new Tick());
+        assertThat(mDecider.loading()).hasSize(8);
+    }
+
     @Test
     public void aCommanderWhoseNumberIsTooLowOrdersNoMore() {
         order("e0");
