--- a/base/src/main/java/org/skylarkbend/base/ObjectName.java
+++ b/base/src/main/java/org/skylarkbend/base/ObjectName.java
@@ -28,6 +28,16 @@
         return new ObjectName(value);
     }
 
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof ObjectName name && name.value.equals(value);
+    }
+
+    @Override
+    public int hashCode() {
+        return value.hashCode();
+    }
+
     @Override
     public int compareTo(ObjectName other) {
         return value.compareTo(other.value);
--- a/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EndpointSelector.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EndpointSelector.java
@@ -69,7 +69,10 @@
      */
     private final Set<EndpointLoad> mActive = new LinkedHashSet<>();
 
-    private final Map<LoadGroup, Map<EndpointLoad, Integer>> mWeightsLoadOrders = new HashMap<>();
+    /** The order in which engines load weights, by service and model. */
+    private final Map<String, Map<String, Map<EndpointLoad, Integer>>> mWeightsLoadOrders =
+            new HashMap<>();
+
     private final VersionSplits mSplits = new VersionSplits();
     private Set<String> mLoadingWeights = Set.of();
     private Optional<String> mStore = Optional.empty();
@@ -203,16 +206,15 @@
                 .map(load -> toChoice(load, candidates, prompt, home, nowMilliseconds));
     }
 
-    /** The engines of a service that load the weights of one model in turn. */
-    private record LoadGroup(String service, String model) {}
-
     /** Returns the order in which engines load newer weights, which is kept until they change. */
     private Map<EndpointLoad, Integer> weightsLoadOrder(String service, String model) {
-        return mWeightsLoadOrders.computeIfAbsent(
-                new LoadGroup(service, model),
-                group ->
-                        mWeightsCost.weightsLoadOrder(
-                                mByService.getOrDefault(service, List.of()), model));
+        return mWeightsLoadOrders
+                .computeIfAbsent(service, name -> new HashMap<>())
+                .computeIfAbsent(
+                        model,
+                        name ->
+                                mWeightsCost.weightsLoadOrder(
+                                        mByService.getOrDefault(service, List.of()), model));
     }
 
     private static boolean isHome(EndpointLoad load, Optional<Home> home) {
--- a/gateway/src/main/java/org/skylarkbend/gateway/front/WorkReport.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/front/WorkReport.java
@@ -2,6 +2,7 @@
 
 import java.util.Map;
 import java.util.function.Consumer;
+import org.skylarkbend.catalog.EndpointWork;
 import org.skylarkbend.catalog.SiteMessage.WorkUnderWay;
 import org.skylarkbend.gateway.endpoints.EndpointSelector;
 
@@ -19,7 +20,7 @@
 
     private final EndpointSelector mSelector;
     private final Consumer<WorkUnderWay> mOnWork;
-    private WorkUnderWay mLastSent = new WorkUnderWay(Map.of(), 0);
+    private Map<String, EndpointWork> mLastSent = Map.of();
     private long mLastSentMilliseconds;
     private long mIntervalMilliseconds = MIN_INTERVAL_MILLISECONDS;
 
@@ -46,12 +47,12 @@
 
     /** Sends the work if it has changed or the resend interval has passed. */
     void sendIfDue(long nowMilliseconds) {
-        WorkUnderWay work = new WorkUnderWay(mSelector.ownWork(), 0);
+        Map<String, EndpointWork> work = mSelector.ownWork();
         boolean isDue = nowMilliseconds - mLastSentMilliseconds >= RESEND_MILLISECONDS;
         if (isDue || !work.equals(mLastSent)) {
             mLastSent = work;
             mLastSentMilliseconds = nowMilliseconds;
-            mOnWork.accept(work);
+            mOnWork.accept(new WorkUnderWay(work, 0));
         }
     }
 }
--- a/gateway/src/main/java/org/skylarkbend/gateway/link/SiteLinkDecider.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/link/SiteLinkDecider.java
@@ -28,8 +28,8 @@
 
     private final RouterHello mHello;
     private final int mFeedPort;
-    private List<ControlAddress> mSeeds;
-    private Set<ControlAddress> mDiscovered = Set.of();
+    private List<String> mSeeds;
+    private List<String> mDiscovered = List.of();
     private Optional<ControlAddress> mLeaderHint = Optional.empty();
     private int mNextAddress;
     private boolean mConnected;
@@ -47,7 +47,7 @@
     public SiteLinkDecider(RouterHello hello, List<String> seeds, int feedPort) {
         mHello = hello;
         mFeedPort = feedPort;
-        mSeeds = addresses(seeds);
+        mSeeds = List.copyOf(seeds);
     }
 
     /** Handles a message and returns the effects to execute, in order. */
@@ -73,17 +73,13 @@
         } else if (message instanceof SiteLinkMessage.SliceToSend slice && mConnected) {
             effects.add(new SiteLinkEffect.Send(slice.message()));
         } else if (message instanceof SiteLinkMessage.ControlVmsListed listed) {
-            mDiscovered = new LinkedHashSet<>(addresses(listed.hosts()));
+            mDiscovered = listed.hosts();
         } else if (message instanceof SiteLinkMessage.SeedsChanged changed) {
-            mSeeds = addresses(changed.hosts());
+            mSeeds = changed.hosts();
         }
         return effects;
     }
 
-    private List<ControlAddress> addresses(List<String> hosts) {
-        return hosts.stream().map(host -> new ControlAddress(host, mFeedPort)).toList();
-    }
-
     private void heartbeat(long nowMilliseconds, List<SiteLinkEffect> effects) {
         if (nowMilliseconds - mLastConfirmedMilliseconds > LEADER_TIMEOUT_MILLISECONDS) {
             effects.add(new SiteLinkEffect.Close("the leader sent no confirmation in time"));
@@ -121,9 +117,9 @@
             mLeaderHint = Optional.empty();
             return leader;
         }
-        Set<ControlAddress> known = new LinkedHashSet<>(mSeeds);
+        Set<String> known = new LinkedHashSet<>(mSeeds);
         known.addAll(mDiscovered);
-        List<ControlAddress> all = List.copyOf(known);
-        return all.get(mNextAddress++ % all.size());
+        List<String> all = List.copyOf(known);
+        return new ControlAddress(all.get(mNextAddress++ % all.size()), mFeedPort);
     }
 }
