Bound what a gateway keeps of a response, and let dripped bytes count as silence

A response body without end was kept until the deadline of the call, at any size; and a resumable stream whose endpoint sent a byte now and then without completing an event was never continued elsewhere. Change: a body ends at 16 MiB, an event at 1 MiB, as a broken attempt; only whole events restart the timer for silence.

--- a/agreement/src/main/java/org/skylarkbend/agreement/AgreementDecider.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/AgreementDecider.java
@@ -57,6 +57,8 @@
      * @param options timeouts and sizes
      * @param rules the rules for bootstrapping the log, joining it and removing members
      * @param randomBelow returns a random number from 0 (inclusive) to its argument (exclusive)
+     * @param startedMilliseconds the time at which the process started; an earlier run of it may
+     *     have heard from a leader until then
      * @param nowMilliseconds the current time of the monotonic clock
      */
     public AgreementDecider(
@@ -64,8 +66,11 @@
             AgreementOptions options,
             MembershipRules rules,
             LongUnaryOperator randomBelow,
+            long startedMilliseconds,
             long nowMilliseconds) {
-        mState = new MemberState(durable, options, randomBelow, nowMilliseconds);
+        mState =
+                new MemberState(
+                        durable, options, randomBelow, startedMilliseconds, nowMilliseconds);
         mNowMilliseconds = nowMilliseconds;
         mElections = new Elections(mState, this::becomeLeader);
         mFollowerReplication = new FollowerReplication(mState, this::applyCommitted);
@@ -168,6 +173,7 @@
     private void becomeLeader() {
         mState.mRole = MemberRole.LEADER;
         mState.mLeader = Optional.of(mState.mSelf);
+        mState.leaderSeen();
         mLeaderReplication.startTerm(mNowMilliseconds);
         mMembershipChanges.startTerm();
         mState.append(new LogEntry(mState.mLog.lastIndex() + 1, mState.mTerm, new NoOperation()));
@@ -195,7 +201,7 @@
         if (message instanceof PreVoteRequest request) {
             mElections.receive(from, request, mNowMilliseconds);
         } else if (message instanceof PreVoteResponse response) {
-            mElections.receive(from, response);
+            mElections.receive(from, response, mNowMilliseconds);
         } else if (message instanceof VoteRequest request) {
             mElections.receive(from, request, mNowMilliseconds);
         } else if (message instanceof Announcement announcement) {
@@ -243,6 +249,7 @@
     private void recordLeaderContact(MemberId leader) {
         mState.mRole = MemberRole.FOLLOWER;
         mState.mLeader = Optional.of(leader);
+        mState.leaderSeen();
         mState.mLastContactMilliseconds = mNowMilliseconds;
         mState.resetElectionTimeout(mNowMilliseconds);
     }
--- a/agreement/src/main/java/org/skylarkbend/agreement/AgreementTask.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/AgreementTask.java
@@ -63,6 +63,7 @@
     private final StateMachine mStateMachine;
     private final Consumer<AgreementStatus> mOnRoleChange;
     private final MillisecondClock mClock;
+    private final long mStartedMilliseconds;
     private final LongUnaryOperator mRandomBelow;
 
     private final Deque<AgreementInput> mInputs = new ArrayDeque<>();
@@ -90,6 +91,7 @@
      * @param stateMachine the state machine that commands are applied to
      * @param onRoleChange called on the task's context when the role, term or leader changes
      * @param clock a monotonic clock
+     * @param startedMilliseconds the time of the clock at which the process started
      * @param randomBelow returns a random number from 0 (inclusive) to its argument (exclusive)
      */
     public AgreementTask(
@@ -101,6 +103,7 @@
             StateMachine stateMachine,
             Consumer<AgreementStatus> onRoleChange,
             MillisecondClock clock,
+            long startedMilliseconds,
             LongUnaryOperator randomBelow) {
         mVm = vm;
         mDirectory = directory;
@@ -110,6 +113,7 @@
         mStateMachine = stateMachine;
         mOnRoleChange = onRoleChange;
         mClock = clock;
+        mStartedMilliseconds = startedMilliseconds;
         mRandomBelow = randomBelow;
     }
 
@@ -134,6 +138,7 @@
                         mOptions,
                         mDirectory.rules(),
                         mRandomBelow,
+                        mStartedMilliseconds,
                         mClock.nowMilliseconds());
         MemberAddress own = mDirectory.addressOf().apply(mVm).orElseThrow();
         return mListener
--- a/agreement/src/main/java/org/skylarkbend/agreement/Elections.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/Elections.java
@@ -24,11 +24,11 @@
         if (nowMilliseconds < mState.mElectionDeadlineMilliseconds) {
             return;
         }
-        mState.resetElectionTimeout(nowMilliseconds);
+        mState.resetPreVoteTimeout(nowMilliseconds);
         mState.mLeader = Optional.empty();
         mState.mRole = MemberRole.FOLLOWER;
         if (mState.isVoter()) {
-            startPreVote();
+            startPreVote(nowMilliseconds);
         }
     }
 
@@ -41,7 +41,7 @@
         mState.mOutbox.send(from, new PreVoteResponse(responseTerm, granted));
     }
 
-    void receive(MemberId from, PreVoteResponse response) {
+    void receive(MemberId from, PreVoteResponse response, long nowMilliseconds) {
         if (!response.granted() && response.term() > mState.mTerm && !mState.isLeader()) {
             mState.setTermAndVote(response.term(), Optional.empty());
             mState.mRole = MemberRole.FOLLOWER;
@@ -52,7 +52,7 @@
                         && response.granted()
                         && response.term() == mState.mTerm + 1;
         if (counts && mGrantedBy.add(from) && isWon()) {
-            startVote();
+            startVote(nowMilliseconds);
         }
     }
 
@@ -93,7 +93,7 @@
         }
     }
 
-    private void startPreVote() {
+    private void startPreVote(long nowMilliseconds) {
         mState.mRole = MemberRole.PRE_CANDIDATE;
         mGrantedBy.clear();
         mGrantedBy.add(mState.mSelf);
@@ -102,11 +102,12 @@
                         mState.mTerm + 1, mState.mLog.lastIndex(), mState.mLog.lastTerm());
         sendToOthers(request);
         if (isWon()) {
-            startVote();
+            startVote(nowMilliseconds);
         }
     }
 
-    private void startVote() {
+    private void startVote(long nowMilliseconds) {
+        mState.resetElectionTimeout(nowMilliseconds);
         mState.mRole = MemberRole.CANDIDATE;
         mState.setTermAndVote(mState.mTerm + 1, Optional.of(mState.mSelf));
         mGrantedBy.clear();
--- a/agreement/src/main/java/org/skylarkbend/agreement/MemberState.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/MemberState.java
@@ -26,6 +26,7 @@
     long mLastContactMilliseconds;
     long mElectionDeadlineMilliseconds;
 
+    private boolean mLeaderSeen;
     private long mLastNumber;
     private long mSyncedNumber;
     private long mHardStateNumber;
@@ -36,6 +37,9 @@
     private long mReportedTerm;
     private Optional<MemberId> mReportedLeader = Optional.empty();
 
+    /** Pre-votes before the first leader start after the minimum election timeout over this. */
+    private static final long FIRST_PRE_VOTE_DIVISOR = 5;
+
     /** A persist that is not yet synced, and the last index that it makes durable. */
     private record PendingPersist(long number, long lastIndex) {}
 
@@ -43,6 +47,7 @@
             DurableState durable,
             AgreementOptions options,
             LongUnaryOperator randomBelow,
+            long startedMilliseconds,
             long nowMilliseconds) {
         mSelf = durable.self();
         mOptions = options;
@@ -55,8 +60,12 @@
         mPersistedIndex = mLog.lastIndex();
         mFirstUnsavedIndex = mLog.lastIndex() + 1;
         mReportedTerm = mTerm;
-        mLastContactMilliseconds = nowMilliseconds;
-        resetElectionTimeout(nowMilliseconds);
+        mLastContactMilliseconds = startedMilliseconds;
+        if (heardFromLeaderRecently(nowMilliseconds)) {
+            resetElectionTimeout(nowMilliseconds);
+        } else {
+            resetPreVoteTimeout(nowMilliseconds);
+        }
     }
 
     boolean isLeader() {
@@ -72,6 +81,26 @@
         return mLog.membership().contains(mSelf);
     }
 
+    /** Records that a leader has contacted this member, or that it leads itself. */
+    void leaderSeen() {
+        mLeaderSeen = true;
+    }
+
+    /**
+     * Starts a timeout until the next pre-vote. It is short until the first leader since the start
+     * is known: a pre-vote disturbs no leader, and after a restart of all members the next pre-vote
+     * may succeed as soon as enough of them are back.
+     */
+    void resetPreVoteTimeout(long nowMilliseconds) {
+        if (mLeaderSeen) {
+            resetElectionTimeout(nowMilliseconds);
+            return;
+        }
+        long minMilliseconds = mOptions.electionMinMilliseconds() / FIRST_PRE_VOTE_DIVISOR;
+        mElectionDeadlineMilliseconds =
+                nowMilliseconds + minMilliseconds + mRandomBelow.applyAsLong(2 * minMilliseconds);
+    }
+
     /** Starts a new election timeout with a random duration. */
     void resetElectionTimeout(long nowMilliseconds) {
         long rangeMilliseconds =
--- a/agreement/src/test/java/org/skylarkbend/agreement/AgreementDeciderTest.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/AgreementDeciderTest.java
@@ -65,6 +65,38 @@
                 .contains(confirmed);
     }
 
+    @Test
+    public void aMemberWhoseProcessStartedBeforeTheElectionTimeoutAsksForVotesSoon() {
+        DurableState durable = voterWithSnapshot();
+        long soonMilliseconds = AgreementOptions.defaults().electionMinMilliseconds() / 2;
+        AgreementInput tick = new AgreementInput.Tick();
+        assertThat(member(durable, 0).decide(tick, soonMilliseconds))
+                .noneMatch(AgreementDeciderTest::isPreVoteRequest);
+        assertThat(member(durable, -10_000).decide(tick, soonMilliseconds))
+                .anyMatch(AgreementDeciderTest::isPreVoteRequest);
+    }
+
+    @Test
+    public void aMemberMayVoteAtOnceOnlyIfItsProcessIsOlderThanTheElectionTimeout() {
+        DurableState durable = voterWithSnapshot();
+        Received request = new Received(LEADER, new AgreementMessage.PreVoteRequest(3, 10, 2));
+        AgreementEffect granted =
+                new AgreementEffect.Send(LEADER, new AgreementMessage.PreVoteResponse(3, true), 0);
+        assertThat(member(durable, 0).decide(request, 1)).doesNotContain(granted);
+        assertThat(member(durable, -10_000).decide(request, 1)).contains(granted);
+    }
+
+    private static DurableState voterWithSnapshot() {
+        Snapshot snapshot = new Snapshot(10, 2, MEMBERS, new byte[0]);
+        return new DurableState(
+                SELF, new HardState(2, Optional.empty()), Optional.of(snapshot), List.of());
+    }
+
+    private static boolean isPreVoteRequest(AgreementEffect effect) {
+        return effect instanceof AgreementEffect.Send send
+                && send.message() instanceof AgreementMessage.PreVoteRequest;
+    }
+
     /** Returns a leader of term 3 whose log has entry 11 of term 2 and its own first entry 12. */
     private static AgreementDecider elected() {
         LogEntry old = new LogEntry(11, 2, new EntryContent.Command(new byte[] {1}));
@@ -96,11 +128,16 @@
     }
 
     private static AgreementDecider member(DurableState durable) {
+        return member(durable, 0);
+    }
+
+    private static AgreementDecider member(DurableState durable, long startedMilliseconds) {
         return new AgreementDecider(
                 durable,
                 AgreementOptions.defaults(),
                 MembershipRules.fixed(Set.of(SELF.vm(), LEADER.vm())),
                 bound -> 0,
+                startedMilliseconds,
                 0);
     }
 }
--- a/agreement/src/test/java/org/skylarkbend/agreement/AgreementTaskTest.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/AgreementTaskTest.java
@@ -150,6 +150,7 @@
                         machine,
                         this::recordLeader,
                         MillisecondClock.monotonic(),
+                        MillisecondClock.monotonic().nowMilliseconds(),
                         bound -> ThreadLocalRandom.current().nextLong(bound));
         mRunning.put(vm, new Running(task, machine, await(mVertx.deployVerticle(task))));
     }
--- a/agreement/src/test/java/org/skylarkbend/agreement/SimulatedMember.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/SimulatedMember.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.skylarkbend.agreement.AgreementEffect.Apply;
 import org.skylarkbend.agreement.AgreementEffect.Broadcast;
 import org.skylarkbend.agreement.AgreementEffect.ConfirmationFailed;
@@ -41,6 +42,7 @@
     private final Map<Long, EntryContent.Command> mProposals = new HashMap<>();
     private final Map<Long, Long> mAcknowledgedIndexAtRequest = new HashMap<>();
     private SimulatedDisk mDisk;
+    private OptionalLong mCrashedMilliseconds = OptionalLong.empty();
     private Optional<AgreementDecider> mDecider = Optional.empty();
     private int mIncarnation;
     private long mAppliedIndex;
@@ -110,11 +112,13 @@
                                 mSimulation.options(),
                                 mSimulation.rules(),
                                 mSimulation.random()::nextLong,
+                                mCrashedMilliseconds.orElse(clockMilliseconds()),
                                 clockMilliseconds()));
         tick(mIncarnation);
     }
 
     void crash() {
+        mCrashedMilliseconds = OptionalLong.of(clockMilliseconds());
         mDecider = Optional.empty();
         mDisk.crash(mSimulation.random());
         mDeferredWhilePaused.clear();
--- a/control/src/main/java/org/skylarkbend/control/ControlProcess.java
+++ b/control/src/main/java/org/skylarkbend/control/ControlProcess.java
@@ -155,6 +155,7 @@
                         new AppliedState(state),
                         this::roleChanged,
                         mParts.monotonic(),
+                        mParts.monotonic().nowMilliseconds(),
                         bound -> ThreadLocalRandom.current().nextLong(bound));
         return mParts.vertx()
                 .deployVerticle(mOperators)
--- a/control/src/main/java/org/skylarkbend/control/site/SiteControlParts.java
+++ b/control/src/main/java/org/skylarkbend/control/site/SiteControlParts.java
@@ -30,6 +30,7 @@
  * @param engines sends requests and orders to engines
  * @param metrics the metric registry of the process
  * @param monotonic a monotonic clock
+ * @param startedMilliseconds the time of the monotonic clock at which the process started
  */
 public record SiteControlParts(
         Vertx vertx,
@@ -46,7 +47,8 @@
         EndpointSource endpoints,
         EngineCommands engines,
         MetricRegistry metrics,
-        MillisecondClock monotonic) {
+        MillisecondClock monotonic,
+        long startedMilliseconds) {
     /**
      * The listen ports of a control VM.
      *
--- a/control/src/main/java/org/skylarkbend/control/site/SiteControlProcess.java
+++ b/control/src/main/java/org/skylarkbend/control/site/SiteControlProcess.java
@@ -197,6 +197,7 @@
                         new AppliedState(state),
                         this::roleChanged,
                         mParts.monotonic(),
+                        mParts.startedMilliseconds(),
                         bound -> ThreadLocalRandom.current().nextLong(bound));
         return mParts.vertx()
                 .deployVerticle(mLimits)
--- a/control/src/test/java/org/skylarkbend/control/site/SiteControlProcessTest.java
+++ b/control/src/test/java/org/skylarkbend/control/site/SiteControlProcessTest.java
@@ -193,7 +193,8 @@
                 () -> Future.succeededFuture(Result.success(List.of())),
                 new NoEngines(),
                 new MetricRegistry(),
-                MillisecondClock.monotonic());
+                MillisecondClock.monotonic(),
+                MillisecondClock.monotonic().nowMilliseconds());
     }
 
     /** Reads a document whose text is its number. */
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/EventSplitter.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/EventSplitter.java
@@ -52,6 +52,11 @@
         return mPending.length() > 0;
     }
 
+    /** Returns the number of bytes kept of an incomplete event. */
+    int pendingBytes() {
+        return mPending.length();
+    }
+
     /**
      * Discards an incomplete event. The connection that sent it has ended, so the rest will not
      * arrive.
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/GatewayCall.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/GatewayCall.java
@@ -25,7 +25,7 @@
 
     /**
      * Timeout between two events of a resumable stream. After it the stream resumes at another
-     * endpoint.
+     * endpoint. Bytes that complete no event do not count.
      */
     private static final long EVENT_TIMEOUT_MILLISECONDS = 1_500;
 
@@ -41,6 +41,12 @@
      */
     private static final long RETRY_TARGET_MULTIPLE = 3;
 
+    /** Maximum size of a response body that is kept until it is complete. */
+    private static final int MAX_BODY_BYTES = 16 * 1024 * 1024;
+
+    /** Maximum size of an event, and of the chunk that completes it. */
+    private static final int MAX_EVENT_BYTES = 1024 * 1024;
+
     private static final long RETRY_AFTER_MILLISECONDS = 100;
     private static final int MIN_ERROR_STATUS = 400;
     private static final int MIN_SERVER_ERROR_STATUS = 500;
@@ -211,15 +217,23 @@
     @Override
     public void chunk(Attempt attempt, Buffer chunk) {
         mResources.selector().responded(attempt.endpoint(), now());
-        restartSilenceTimer();
-        if (isStreamResponse()) {
+        boolean isStream = isStreamResponse();
+        int keptBytes = isStream ? mEvents.pendingBytes() : mBody.length();
+        if (keptBytes + chunk.length() > (isStream ? MAX_EVENT_BYTES : MAX_BODY_BYTES)) {
+            attempt.stop();
+            aborted(attempt, AttemptOutcome.BROKEN, "the response is too large");
+            return;
+        }
+        if (isStream) {
             Buffer events = mEvents.feed(chunk);
             if (events.length() > 0) {
+                restartSilenceTimer();
                 mTiming.eventsArrived(now());
                 promptRead(attempt);
                 forward(events);
             }
         } else {
+            restartSilenceTimer();
             mBody.appendBuffer(chunk);
         }
     }
--- /dev/null
+++ b/gateway/src/test/java/org/skylarkbend/gateway/front/GatewayFixture.java
@@ -0,0 +1,172 @@
+package org.skylarkbend.gateway.front;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.codahale.metrics.MetricRegistry;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.skylarkbend.base.MillisecondClock;
+import org.skylarkbend.base.ObjectName;
+import org.skylarkbend.base.Sha256;
+import org.skylarkbend.catalog.CallerLimits;
+import org.skylarkbend.catalog.Catalog;
+import org.skylarkbend.catalog.Customer;
+import org.skylarkbend.catalog.Endpoint;
+import org.skylarkbend.catalog.Endpoints;
+import org.skylarkbend.catalog.Route;
+import org.skylarkbend.catalog.Service;
+import org.skylarkbend.catalog.SiteLimits;
+import org.skylarkbend.gateway.FakeEndpoint;
+import org.skylarkbend.gateway.GatewaySettings;
+import org.skylarkbend.limits.LimitMessage;
+import org.skylarkbend.testing.LoopbackPorts;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+
+/** Runs a gateway on the loopback interface for tests of its behavior towards callers. */
+abstract class GatewayFixture {
+    private static final long WAIT_LIMIT_SECONDS = 30;
+    private static final long POLL_MILLISECONDS = 20;
+    private static final String KEY = "secret";
+
+    protected Vertx mVertx;
+    protected HttpClient mClient;
+    protected GatewayTask mGateway;
+    private int mPort;
+
+    /** Response as received by the caller. */
+    protected record Response(int status, Map<String, String> head, Optional<String> body) {}
+
+    @BeforeMethod
+    public void startGateway() throws Exception {
+        mVertx = Vertx.vertx();
+        mClient = mVertx.createHttpClient();
+        mPort = LoopbackPorts.next();
+        GatewaySettings settings =
+                new GatewaySettings(
+                        ObjectName.of("front-1"),
+                        ObjectName.of("z"),
+                        new GatewaySettings.ListenAddress("127.0.0.1", mPort),
+                        new GatewaySettings.ListenAddress("127.0.0.1", 1),
+                        "/ready",
+                        1,
+                        List.of("127.0.0.1"),
+                        1,
+                        FakeEndpoint.NAMES,
+                        new GatewaySettings.Budgets(1, 10, SiteLimits.Slack.none(), 60_000),
+                        5_000);
+        mGateway =
+                new GatewayTask(
+                        settings,
+                        new MetricRegistry(),
+                        MillisecondClock.monotonic(),
+                        message -> {},
+                        new GatewayReports(work -> {}, outcomes -> {}),
+                        ready -> {});
+        await(mVertx.deployVerticle(mGateway));
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void stopAll() throws Exception {
+        await(mVertx.close());
+    }
+
+    protected void publish(Route route, FakeEndpoint... endpoints) {
+        publish(
+                route,
+                java.util.Arrays.stream(endpoints)
+                        .map(FakeEndpoint::listed)
+                        .toArray(Endpoint[]::new));
+    }
+
+    protected void publish(Route route, Endpoint... endpoints) {
+        Customer customer =
+                new Customer(
+                        "one", List.of(Sha256.hexOf(KEY)), OptionalInt.empty(), false, 0, 0, 1);
+        mGateway.catalogChanged(
+                new Catalog(
+                        1,
+                        List.of(route),
+                        Map.of("desk", new Service("desk", 10, Optional.empty(), Optional.empty())),
+                        List.of(customer),
+                        CallerLimits.defaults()));
+        mGateway.endpointsChanged(new Endpoints(List.of(endpoints), Set.of()));
+        mGateway.limitMessageReceived(new LimitMessage.TermBegan(1));
+    }
+
+    protected Response call(Map<String, String> headers) throws Exception {
+        return await(send(headers));
+    }
+
+    protected Response call() throws Exception {
+        return call(Map.of());
+    }
+
+    /** Makes a call with the given ID. */
+    protected Response call(String id) throws Exception {
+        return call(Map.of("Call-Id", id));
+    }
+
+    /** Waits until a condition holds. */
+    protected void awaitUntil(BooleanSupplier condition) throws Exception {
+        long untilNanoseconds = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_LIMIT_SECONDS);
+        while (!condition.getAsBoolean()) {
+            assertThat(System.nanoTime()).isLessThan(untilNanoseconds);
+            await(mVertx.timer(POLL_MILLISECONDS, TimeUnit.MILLISECONDS));
+        }
+    }
+
+    protected Future<Response> send(Map<String, String> headers) {
+        return request(headers)
+                .compose(request -> request.send(Buffer.buffer("body")))
+                .compose(GatewayTaskTest::toResponse);
+    }
+
+    protected Future<HttpClientRequest> request(Map<String, String> headers) {
+        return mClient.request(HttpMethod.POST, mPort, "127.0.0.1", "/x/y")
+                .map(
+                        request -> {
+                            request.putHeader("Host", "a.example");
+                            request.putHeader("Authorization", "Bearer " + KEY);
+                            request.putHeader("Call-Id", "c1");
+                            headers.forEach(request::putHeader);
+                            return request;
+                        });
+    }
+
+    protected static Future<Response> toResponse(HttpClientResponse response) {
+        return response.body()
+                .map(body -> Optional.of(body.toString()))
+                .otherwise(Optional.empty())
+                .map(
+                        body ->
+                                new Response(
+                                        response.statusCode(),
+                                        lowerCase(response.headers()),
+                                        body));
+    }
+
+    private static Map<String, String> lowerCase(io.vertx.core.MultiMap headers) {
+        Map<String, String> names = new java.util.TreeMap<>();
+        headers.forEach(header -> names.put(header.getKey().toLowerCase(), header.getValue()));
+        return names;
+    }
+
+    protected static <T> T await(Future<T> future) throws Exception {
+        return future.toCompletionStage()
+                .toCompletableFuture()
+                .get(WAIT_LIMIT_SECONDS, TimeUnit.SECONDS);
+    }
+}
--- a/gateway/src/test/java/org/skylarkbend/gateway/front/GatewayTaskTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/front/GatewayTaskTest.java
@@ -6,94 +6,23 @@
 import static org.skylarkbend.gateway.FakeEndpoint.respondingWith;
 import static org.skylarkbend.gateway.FakeEndpoint.streaming;
 
-import com.codahale.metrics.MetricRegistry;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
-import io.vertx.core.Vertx;
-import io.vertx.core.buffer.Buffer;
-import io.vertx.core.http.HttpClient;
-import io.vertx.core.http.HttpClientRequest;
-import io.vertx.core.http.HttpClientResponse;
-import io.vertx.core.http.HttpMethod;
-import java.util.List;
 import java.util.Map;
-import java.util.Optional;
-import java.util.OptionalInt;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import org.skylarkbend.base.MillisecondClock;
-import org.skylarkbend.base.ObjectName;
-import org.skylarkbend.base.Sha256;
 import org.skylarkbend.catalog.CallKind;
-import org.skylarkbend.catalog.CallerLimits;
-import org.skylarkbend.catalog.Catalog;
-import org.skylarkbend.catalog.Customer;
-import org.skylarkbend.catalog.Endpoints;
-import org.skylarkbend.catalog.Route;
-import org.skylarkbend.catalog.Service;
-import org.skylarkbend.catalog.SiteLimits;
 import org.skylarkbend.gateway.FakeEndpoint;
-import org.skylarkbend.gateway.GatewaySettings;
 import org.skylarkbend.gateway.Routes;
-import org.skylarkbend.limits.LimitMessage;
-import org.skylarkbend.testing.LoopbackPorts;
-import org.testng.annotations.AfterMethod;
-import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
 /**
  * Tests calls through a gateway to endpoints that respond, refuse, break the connection or fall
  * silent.
  */
-public class GatewayTaskTest {
-    private static final long WAIT_LIMIT_SECONDS = 30;
-    private static final String KEY = "secret";
-
+public class GatewayTaskTest extends GatewayFixture {
     /** Timeout of the routes in tests that check the timeout. */
     private static final long TIMEOUT_MILLISECONDS = 2_000;
 
-    private Vertx mVertx;
-    private HttpClient mClient;
-    private GatewayTask mGateway;
-    private int mPort;
-
-    /** Response as received by the caller. */
-    private record Response(int status, Map<String, String> head, Optional<String> body) {}
-
-    @BeforeMethod
-    public void startGateway() throws Exception {
-        mVertx = Vertx.vertx();
-        mClient = mVertx.createHttpClient();
-        mPort = LoopbackPorts.next();
-        GatewaySettings settings =
-                new GatewaySettings(
-                        ObjectName.of("front-1"),
-                        ObjectName.of("z"),
-                        new GatewaySettings.ListenAddress("127.0.0.1", mPort),
-                        new GatewaySettings.ListenAddress("127.0.0.1", 1),
-                        "/ready",
-                        1,
-                        List.of("127.0.0.1"),
-                        1,
-                        FakeEndpoint.NAMES,
-                        new GatewaySettings.Budgets(1, 10, SiteLimits.Slack.none(), 60_000),
-                        5_000);
-        mGateway =
-                new GatewayTask(
-                        settings,
-                        new MetricRegistry(),
-                        MillisecondClock.monotonic(),
-                        message -> {},
-                        new GatewayReports(work -> {}, outcomes -> {}),
-                        ready -> {});
-        await(mVertx.deployVerticle(mGateway));
-    }
-
-    @AfterMethod(alwaysRun = true)
-    public void stopAll() throws Exception {
-        await(mVertx.close());
-    }
-
     @Test
     public void beforeACatalogIsKnownACallIsRefusedAsNotRun() throws Exception {
         Response reply = call(Map.of());
@@ -286,71 +215,7 @@
         return endpoints;
     }
 
-    private void publish(Route route, FakeEndpoint... endpoints) {
-        Customer customer =
-                new Customer(
-                        "one", List.of(Sha256.hexOf(KEY)), OptionalInt.empty(), false, 0, 0, 1);
-        mGateway.catalogChanged(
-                new Catalog(
-                        1,
-                        List.of(route),
-                        Map.of("desk", new Service("desk", 10, Optional.empty(), Optional.empty())),
-                        List.of(customer),
-                        CallerLimits.defaults()));
-        mGateway.endpointsChanged(
-                new Endpoints(
-                        java.util.Arrays.stream(endpoints).map(FakeEndpoint::listed).toList(),
-                        Set.of()));
-        mGateway.limitMessageReceived(new LimitMessage.TermBegan(1));
-    }
-
     private static int sent(FakeEndpoint... endpoints) {
         return java.util.Arrays.stream(endpoints).mapToInt(e -> e.heads().size()).sum();
     }
-
-    private Response call(Map<String, String> headers) throws Exception {
-        return await(send(headers));
-    }
-
-    private Future<Response> send(Map<String, String> headers) {
-        return request(headers)
-                .compose(request -> request.send(Buffer.buffer("body")))
-                .compose(GatewayTaskTest::toResponse);
-    }
-
-    private Future<HttpClientRequest> request(Map<String, String> headers) {
-        return mClient.request(HttpMethod.POST, mPort, "127.0.0.1", "/x/y")
-                .map(
-                        request -> {
-                            request.putHeader("Host", "a.example");
-                            request.putHeader("Authorization", "Bearer " + KEY);
-                            request.putHeader("Call-Id", "c1");
-                            headers.forEach(request::putHeader);
-                            return request;
-                        });
-    }
-
-    private static Future<Response> toResponse(HttpClientResponse response) {
-        return response.body()
-                .map(body -> Optional.of(body.toString()))
-                .otherwise(Optional.empty())
-                .map(
-                        body ->
-                                new Response(
-                                        response.statusCode(),
-                                        lowerCase(response.headers()),
-                                        body));
-    }
-
-    private static Map<String, String> lowerCase(io.vertx.core.MultiMap headers) {
-        Map<String, String> names = new java.util.TreeMap<>();
-        headers.forEach(header -> names.put(header.getKey().toLowerCase(), header.getValue()));
-        return names;
-    }
-
-    private static <T> T await(Future<T> future) throws Exception {
-        return future.toCompletionStage()
-                .toCompletableFuture()
-                .get(WAIT_LIMIT_SECONDS, TimeUnit.SECONDS);
-    }
 }
