--- a/agreement/src/main/java/org/skylarkbend/agreement/AgreementCodec.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/AgreementCodec.java
@@ -82,7 +82,10 @@
                     .toBytes();
         }
         VoteResponse response = (VoteResponse) message;
-        return startMessage(VOTE_RESPONSE, envelope).flag(response.granted()).toBytes();
+        return startMessage(VOTE_RESPONSE, envelope)
+                .flag(response.granted())
+                .number(response.leaderlessMilliseconds())
+                .toBytes();
     }
 
     private static MessageWriter startMessage(int type, Envelope envelope) {
@@ -120,7 +123,7 @@
             case PRE_VOTE_REQUEST -> new PreVoteRequest(term, reader.number(), reader.number());
             case PRE_VOTE_RESPONSE -> new PreVoteResponse(term, reader.flag());
             case VOTE_REQUEST -> new VoteRequest(term, reader.number(), reader.number());
-            case VOTE_RESPONSE -> new VoteResponse(term, reader.flag());
+            case VOTE_RESPONSE -> new VoteResponse(term, reader.flag(), reader.number());
             case APPEND_REQUEST ->
                     new AppendRequest(
                             term,
--- a/agreement/src/main/java/org/skylarkbend/agreement/AgreementDecider.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/AgreementDecider.java
@@ -114,6 +114,14 @@
         return mState.mRole;
     }
 
+    /**
+     * Returns the time before the last election that this member won during which no other member
+     * can have led.
+     */
+    public long leaderlessMilliseconds() {
+        return mElections.leaderlessMilliseconds();
+    }
+
     /** Returns the newest term that this member knows. */
     public long term() {
         return mState.mTerm;
--- a/agreement/src/main/java/org/skylarkbend/agreement/AgreementMessage.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/AgreementMessage.java
@@ -22,8 +22,15 @@
     /** Requests a vote in this term. */
     record VoteRequest(long term, long lastIndex, long lastTerm) implements AgreementMessage {}
 
-    /** The response to {@link VoteRequest}. */
-    record VoteResponse(long term, boolean granted) implements AgreementMessage {}
+    /**
+     * The response to {@link VoteRequest}.
+     *
+     * @param term the term of the voter
+     * @param granted true if the candidate gets the vote
+     * @param leaderlessMilliseconds the time for which the voter has heard from no leader
+     */
+    record VoteResponse(long term, boolean granted, long leaderlessMilliseconds)
+            implements AgreementMessage {}
 
     /**
      * Replicates entries of the leader; without entries it is a heartbeat.
--- a/agreement/src/main/java/org/skylarkbend/agreement/AgreementStatus.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/AgreementStatus.java
@@ -11,6 +11,8 @@
  * @param leader the leader of that term, if known
  * @param membership the newest membership in its log, committed or not
  * @param appliedIndex the index of the last applied entry
+ * @param leaderlessMilliseconds the time before the last election that this member won during which
+ *     no other member can have led
  */
 public record AgreementStatus(
         MemberId self,
@@ -18,4 +20,5 @@
         long term,
         Optional<MemberId> leader,
         Membership membership,
-        long appliedIndex) {}
+        long appliedIndex,
+        long leaderlessMilliseconds) {}
--- a/agreement/src/main/java/org/skylarkbend/agreement/AgreementTask.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/AgreementTask.java
@@ -358,7 +358,8 @@
                 mDecider.term(),
                 mDecider.leader(),
                 mDecider.membership(),
-                mDecider.appliedIndex());
+                mDecider.appliedIndex(),
+                mDecider.leaderlessMilliseconds());
     }
 
     private static <T> void respond(Consumer<Result<T>> waiting, Result<T> result) {
--- a/agreement/src/main/java/org/skylarkbend/agreement/Elections.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/Elections.java
@@ -13,6 +13,7 @@
     private final MemberState mState;
     private final Runnable mOnElected;
     private final Set<MemberId> mGrantedBy = new HashSet<>();
+    private long mLeaderlessMilliseconds;
 
     Elections(MemberState state, Runnable onElected) {
         mState = state;
@@ -73,7 +74,10 @@
             mState.setTermAndVote(mState.mTerm, Optional.of(from));
             mState.resetElectionTimeout(nowMilliseconds);
         }
-        mState.mOutbox.send(from, new VoteResponse(mState.mTerm, granted));
+        mState.mOutbox.send(
+                from,
+                new VoteResponse(
+                        mState.mTerm, granted, mState.leaderlessMilliseconds(nowMilliseconds)));
     }
 
     void receive(MemberId from, VoteResponse response) {
@@ -81,11 +85,23 @@
                 mState.mRole == MemberRole.CANDIDATE
                         && response.granted()
                         && response.term() == mState.mTerm;
-        if (counts && mGrantedBy.add(from) && isWon()) {
-            mOnElected.run();
+        if (counts && mGrantedBy.add(from)) {
+            mLeaderlessMilliseconds =
+                    Math.min(mLeaderlessMilliseconds, response.leaderlessMilliseconds());
+            if (isWon()) {
+                mOnElected.run();
+            }
         }
     }
 
+    /**
+     * Returns the time before the election was won during which no other member can have led with
+     * the consent of a quorum: each quorum shares a voter with the one that granted its votes.
+     */
+    long leaderlessMilliseconds() {
+        return mLeaderlessMilliseconds;
+    }
+
     /** Counts the candidate's own vote once it is on disk. */
     void ownVotePersisted() {
         if (mState.mRole == MemberRole.CANDIDATE && mGrantedBy.add(mState.mSelf) && isWon()) {
@@ -108,6 +124,7 @@
 
     private void startVote(long nowMilliseconds) {
         mState.resetElectionTimeout(nowMilliseconds);
+        mLeaderlessMilliseconds = mState.leaderlessMilliseconds(nowMilliseconds);
         mState.mRole = MemberRole.CANDIDATE;
         mState.setTermAndVote(mState.mTerm + 1, Optional.of(mState.mSelf));
         mGrantedBy.clear();
--- a/agreement/src/main/java/org/skylarkbend/agreement/MemberState.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/MemberState.java
@@ -111,9 +111,14 @@
                         + mRandomBelow.applyAsLong(rangeMilliseconds);
     }
 
+    /** Returns the time for which this member has heard from no leader. */
+    long leaderlessMilliseconds(long nowMilliseconds) {
+        return Math.max(0, nowMilliseconds - mLastContactMilliseconds);
+    }
+
     /** Returns whether a leader may still rely on this member not to vote for another. */
     boolean heardFromLeaderRecently(long nowMilliseconds) {
-        return nowMilliseconds - mLastContactMilliseconds < mOptions.electionMinMilliseconds();
+        return leaderlessMilliseconds(nowMilliseconds) < mOptions.electionMinMilliseconds();
     }
 
     void setTermAndVote(long term, Optional<MemberId> vote) {
--- a/agreement/src/test/java/org/skylarkbend/agreement/AgreementCodecTest.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/AgreementCodecTest.java
@@ -34,7 +34,7 @@
                     new PreVoteRequest(1, 2, 3),
                     new PreVoteResponse(1, true),
                     new VoteRequest(1, 2, 3),
-                    new VoteResponse(1, false),
+                    new VoteResponse(1, false, 700),
                     new AppendRequest(1, 2, 7, 4, 5, ENTRIES),
                     new AppendResponse(1, 2, true, 9),
                     new SnapshotChunk(1, 2, 3, 4, MEMBERS, 5, new byte[] {7}, true),
--- a/agreement/src/test/java/org/skylarkbend/agreement/AgreementDeciderTest.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/AgreementDeciderTest.java
@@ -110,7 +110,7 @@
                                 List.of(old)));
         run(decider, new AgreementInput.Tick());
         run(decider, new Received(LEADER, new AgreementMessage.PreVoteResponse(3, true)));
-        run(decider, new Received(LEADER, new AgreementMessage.VoteResponse(3, true)));
+        run(decider, new Received(LEADER, new AgreementMessage.VoteResponse(3, true, 0)));
         assertThat(decider.role()).isEqualTo(MemberRole.LEADER);
         return decider;
     }
--- a/control/src/main/java/org/skylarkbend/control/ControlProcess.java
+++ b/control/src/main/java/org/skylarkbend/control/ControlProcess.java
@@ -213,7 +213,8 @@
     private void roleChanged(AgreementStatus status) {
         boolean leads = status.role() == MemberRole.LEADER;
         Optional<ObjectName> leader = status.leader().map(MemberId::vm);
-        Leadership leadership = new Leadership(leads, status.term(), leader);
+        Leadership leadership =
+                new Leadership(leads, status.term(), leader, status.leaderlessMilliseconds());
         mOperators.post(leadership);
         mLimits.post(leadership);
         Optional<ControlAddress> address =
--- a/control/src/main/java/org/skylarkbend/control/limits/LimitOwnerTask.java
+++ b/control/src/main/java/org/skylarkbend/control/limits/LimitOwnerTask.java
@@ -183,11 +183,22 @@
 
     private void termConfirmed(long term) {
         if (isLeaderInTerm(term) && mDecider.isEmpty()) {
-            LOG.info("control.limits.owner", "term", term, "routers", mRegistry.routers().size());
+            LOG.info(
+                    "control.limits.owner",
+                    "term",
+                    term,
+                    "routers",
+                    mRegistry.routers().size(),
+                    "leaderless_milliseconds",
+                    mLeadership.leaderlessMilliseconds());
             mDecider =
                     Optional.of(
                             new LimitOwnerDecider(
-                                    mPolicy, term, mRegistry, mMonotonic.nowMilliseconds()));
+                                    mPolicy,
+                                    term,
+                                    mRegistry,
+                                    mLeadership.leaderlessMilliseconds(),
+                                    mMonotonic.nowMilliseconds()));
             decide(new LimitsPublished(mLimits));
         }
     }
--- a/control/src/main/java/org/skylarkbend/control/log/Leadership.java
+++ b/control/src/main/java/org/skylarkbend/control/log/Leadership.java
@@ -9,10 +9,13 @@
  * @param leads true if this member is the leader
  * @param term the latest known term
  * @param leader the VM of the leader, if known
+ * @param leaderlessMilliseconds if this member leads, the time before its election during which no
+ *     other member can have led
  */
-public record Leadership(boolean leads, long term, Optional<ObjectName> leader) {
+public record Leadership(
+        boolean leads, long term, Optional<ObjectName> leader, long leaderlessMilliseconds) {
     /** Returns a leadership without a known leader. */
     public static Leadership unknown() {
-        return new Leadership(false, 0, Optional.empty());
+        return new Leadership(false, 0, Optional.empty(), 0);
     }
 }
--- a/control/src/main/java/org/skylarkbend/control/site/SiteControlProcess.java
+++ b/control/src/main/java/org/skylarkbend/control/site/SiteControlProcess.java
@@ -330,7 +330,8 @@
     private void roleChanged(AgreementStatus status) {
         boolean leads = status.role() == MemberRole.LEADER;
         Optional<ObjectName> leader = status.leader().map(MemberId::vm);
-        Leadership leadership = new Leadership(leads, status.term(), leader);
+        Leadership leadership =
+                new Leadership(leads, status.term(), leader, status.leaderlessMilliseconds());
         mOperatorContext.runOnContext(ignored -> mOperators.leadershipChanged(leadership));
         mLimits.post(leadership);
         mEndpoints.post(leadership);
--- a/gateway/src/test/java/org/skylarkbend/gateway/limits/TokenGateTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/limits/TokenGateTest.java
@@ -32,6 +32,7 @@
     private TokenGate mGate;
     private LimitOwnerDecider mOwner;
     private boolean mOwnerLost;
+    private long mOwnerlessMilliseconds;
 
     /** Caller that records the decision on its call. */
     private static final class RecordingCaller implements TokenGate.Caller {
@@ -98,6 +99,18 @@
         assertThat(decisionOn(9_000)).contains(true);
     }
 
+    @Test
+    public void afterALongTimeWithoutOwnerTheBucketHoldsTheTokensOfThatTime() {
+        startTerm(LimitRegistry.empty());
+        loseOwner();
+        advance(1_000);
+        mOwnerlessMilliseconds = 1_000;
+        findOwner(2);
+        advance(50);
+        assertThat(decisionOn(28_000)).contains(true);
+        assertThat(decisionOn(28_000)).contains(true);
+    }
+
     @Test
     public void aCallWaitsLongerWhileNoOwnerResponds() {
         startTerm(LimitRegistry.empty());
@@ -146,6 +159,7 @@
                 new TokenGate(
                         new LimitShareDecider(POLICY, mNowMilliseconds), mToOwner::add, at -> {});
         mOwnerLost = false;
+        mOwnerlessMilliseconds = 0;
         mToOwner.clear();
         mOwner = new LimitOwnerDecider(POLICY, 1, registry, mNowMilliseconds);
         mGate.updateLimits(LIMITS, mNowMilliseconds);
@@ -162,7 +176,9 @@
         mOwnerLost = false;
         mToOwner.clear();
         LimitRegistry registry = LimitRegistry.empty().register(GATEWAY);
-        mOwner = new LimitOwnerDecider(POLICY, term, registry, mNowMilliseconds - 300);
+        mOwner =
+                new LimitOwnerDecider(
+                        POLICY, term, registry, mOwnerlessMilliseconds, mNowMilliseconds);
         sendToOwner(new LimitOwnerMessage.LimitsPublished(LIMITS));
         connect(GATEWAY);
     }
--- a/limits/src/main/java/org/skylarkbend/limits/LimitOwnerDecider.java
+++ b/limits/src/main/java/org/skylarkbend/limits/LimitOwnerDecider.java
@@ -60,6 +60,7 @@
 
     private final LimitPolicy mPolicy;
     private final long mTerm;
+    private final long mOwnerlessMilliseconds;
     private final Map<RouterIdentity, RouterHoldings> mRouters = new LinkedHashMap<>();
     private final Map<ObjectName, CustomerBucket> mBuckets = new HashMap<>();
     private final Set<CustomerBucket> mPendingBuckets = new LinkedHashSet<>();
@@ -79,8 +80,28 @@
      */
     public LimitOwnerDecider(
             LimitPolicy policy, long term, LimitRegistry registry, long nowMilliseconds) {
+        this(policy, term, registry, 0, nowMilliseconds);
+    }
+
+    /**
+     * Creates the owner of a term that follows a time without owner.
+     *
+     * @param policy the policy shared with the routers
+     * @param term the term of leadership
+     * @param registry the incarnations registered at the beginning of the term
+     * @param ownerlessMilliseconds the time before the election during which there can have been no
+     *     other owner
+     * @param nowMilliseconds the time after the election was won
+     */
+    public LimitOwnerDecider(
+            LimitPolicy policy,
+            long term,
+            LimitRegistry registry,
+            long ownerlessMilliseconds,
+            long nowMilliseconds) {
         mPolicy = policy;
         mTerm = term;
+        mOwnerlessMilliseconds = ownerlessMilliseconds;
         registry.routers().forEach(router -> mRouters.put(router, new RouterHoldings()));
         registry.routers().forEach(router -> expireOlderIncarnations(router, nowMilliseconds));
     }
@@ -172,7 +193,8 @@
         CustomerLimit limit = mLimits.get(customer);
         CustomerBucket bucket = mBuckets.get(customer);
         if (bucket == null && limit != null) {
-            bucket = new CustomerBucket(limit, mPolicy.initialTokens(limit), nowMilliseconds);
+            long initialTokens = mPolicy.initialTokens(limit, mOwnerlessMilliseconds);
+            bucket = new CustomerBucket(limit, initialTokens, nowMilliseconds);
             bucket.addHeldTokens(heldByKnownRouters(customer));
             mBuckets.put(customer, bucket);
         }
--- a/limits/src/main/java/org/skylarkbend/limits/LimitPolicy.java
+++ b/limits/src/main/java/org/skylarkbend/limits/LimitPolicy.java
@@ -12,8 +12,8 @@
  * @param waitMilliseconds the maximum time for which a call waits for tokens
  * @param maxWaitingCalls the maximum number of waiting calls of a customer at one router
  * @param endpointStopMilliseconds the time within which endpoints stop work for a router that died
- * @param initialFillMilliseconds the time whose tokens the bucket of a new owner holds initially;
- *     no owner can have existed during it
+ * @param initialFillMilliseconds the time whose tokens the bucket of a new owner holds initially at
+ *     least; no owner can have existed during it; 0 if the bucket begins empty
  * @param unreportedDivisor all routers that have not reported to a new owner count together as
  *     holding at most the burst divided by this
  * @param ownerlessWaitMilliseconds the maximum time for which a call waits for tokens while no
@@ -61,8 +61,23 @@
 
     /** Returns the initial level of the bucket of a new owner. */
     long initialTokens(CustomerLimit limit) {
-        long tokens = limit.tokensPerSecond() * initialFillMilliseconds / MILLISECONDS_PER_SECOND;
-        return Math.min(limit.burstTokens(), tokens);
+        return initialTokens(limit, 0);
+    }
+
+    /**
+     * Returns the initial level of the bucket of a new owner.
+     *
+     * @param limit the limit of the customer
+     * @param ownerlessMilliseconds the time before the owner's election during which there can have
+     *     been no other
+     */
+    long initialTokens(CustomerLimit limit, long ownerlessMilliseconds) {
+        long milliseconds =
+                initialFillMilliseconds == 0
+                        ? 0
+                        : Math.max(initialFillMilliseconds, ownerlessMilliseconds);
+        double tokens = (double) limit.tokensPerSecond() * milliseconds / MILLISECONDS_PER_SECOND;
+        return (long) Math.min(limit.burstTokens(), tokens);
     }
 
     /** Returns the maximum number of tokens that unreported routers hold together of a customer. */
