--- a/gateway/src/main/java/org/skylarkbend/gateway/GatewayProcess.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/GatewayProcess.java
@@ -29,7 +29,11 @@
      */
     private static final long MIN_DRAIN_MILLISECONDS = 2_800;
 
-    private static final long SHUTDOWN_MARGIN_MILLISECONDS = 500;
+    /**
+     * Time between the end of the drain and the end of the grace period. A process on a third of a
+     * core needs most of it to end.
+     */
+    private static final long SHUTDOWN_MARGIN_MILLISECONDS = 1_200;
 
     private final Vertx mVertx;
     private final GatewaySettings mSettings;
