--- a/control/src/main/java/org/skylarkbend/control/site/SiteControlParts.java
+++ b/control/src/main/java/org/skylarkbend/control/site/SiteControlParts.java
@@ -23,14 +23,12 @@
  * @param removeUnresponsiveAfterMilliseconds the time for which a member may be silent before
  *     another VM may replace it
  * @param engineOrders the options of engine orders
- * @param limitSlack the margin by which customers may exceed their limits
- * @param rolloutExposure the limit on the calls of a version that is not known to be good
+ * @param bounds the bounds on what customers and new versions get
  * @param reader parses the documents of operators
  * @param endpoints lists the endpoints
  * @param engines sends requests and orders to engines
  * @param metrics the metric registry of the process
- * @param monotonic a monotonic clock
- * @param startedMilliseconds the time of the monotonic clock at which the process started
+ * @param clock the monotonic clock of the process
  */
 public record SiteControlParts(
         Vertx vertx,
@@ -41,14 +39,12 @@
         Path dataFolder,
         long removeUnresponsiveAfterMilliseconds,
         EngineOrderOptions engineOrders,
-        SiteLimits.Slack limitSlack,
-        ExposureLimit rolloutExposure,
+        Bounds bounds,
         CatalogReader reader,
         EndpointSource endpoints,
         EngineCommands engines,
         MetricRegistry metrics,
-        MillisecondClock monotonic,
-        long startedMilliseconds) {
+        ProcessClock clock) {
     /**
      * The listen ports of a control VM.
      *
@@ -57,6 +53,22 @@
      */
     public record Ports(int agreement, int feed) {}
 
+    /**
+     * The bounds on what customers and new versions get.
+     *
+     * @param limitSlack the margin by which customers may exceed their limits
+     * @param rolloutExposure the limit on the calls of a version that is not known to be good
+     */
+    public record Bounds(SiteLimits.Slack limitSlack, ExposureLimit rolloutExposure) {}
+
+    /**
+     * The monotonic clock of a process.
+     *
+     * @param monotonic the clock
+     * @param startedMilliseconds the time of the clock at which the process started
+     */
+    public record ProcessClock(MillisecondClock monotonic, long startedMilliseconds) {}
+
     /**
      * The options of engine orders.
      *
--- a/control/src/main/java/org/skylarkbend/control/site/SiteControlProcess.java
+++ b/control/src/main/java/org/skylarkbend/control/site/SiteControlProcess.java
@@ -99,14 +99,25 @@
         mOperators = new SiteOperatorService(mLog, parts.reader(), wall);
         mLimits =
                 new LimitOwnerTask(
-                        mLog, LimitPolicy.forGateways(), parts.monotonic(), wall, this::sendLimits);
+                        mLog,
+                        LimitPolicy.forGateways(),
+                        parts.clock().monotonic(),
+                        wall,
+                        this::sendLimits);
         mFeed = feedTask(wall);
         mRollouts =
                 new RolloutTask(
-                        mLog, parts.rolloutExposure(), parts.monotonic(), wall, this::broadcast);
+                        mLog,
+                        parts.bounds().rolloutExposure(),
+                        parts.clock().monotonic(),
+                        wall,
+                        this::broadcast);
         mWork =
                 new WorkTask(
-                        new WorkDecider(), parts.monotonic(), this::sendWork, mRollouts::postWork);
+                        new WorkDecider(),
+                        parts.clock().monotonic(),
+                        this::sendWork,
+                        mRollouts::postWork);
         mEndpoints =
                 new EndpointsTask(
                         parts.endpoints(),
@@ -115,7 +126,7 @@
                         new WeightsDecider(
                                 parts.engineOrders().takeoverMilliseconds(),
                                 parts.engineOrders().oldWeightsMilliseconds()),
-                        parts.monotonic(),
+                        parts.clock().monotonic(),
                         wall,
                         this::endpointsChanged);
     }
@@ -167,7 +178,7 @@
                         mParts.self().value(),
                         mParts.ports().feed(),
                         WireOptions.plain(),
-                        mParts.monotonic(),
+                        mParts.clock().monotonic(),
                         wall,
                         mLog,
                         mParts.metrics(),
@@ -196,8 +207,8 @@
                         storage,
                         new AppliedState(state),
                         this::roleChanged,
-                        mParts.monotonic(),
-                        mParts.startedMilliseconds(),
+                        mParts.clock().monotonic(),
+                        mParts.clock().startedMilliseconds(),
                         bound -> ThreadLocalRandom.current().nextLong(bound));
         return mParts.vertx()
                 .deployVerticle(mLimits)
@@ -239,7 +250,7 @@
     }
 
     private void catalogChanged(Catalog catalog) {
-        List<CustomerLimit> limits = SiteLimits.of(catalog, mParts.limitSlack());
+        List<CustomerLimit> limits = SiteLimits.of(catalog, mParts.bounds().limitSlack());
         mLimits.postLimits(limits);
     }
 
--- a/control/src/test/java/org/skylarkbend/control/site/SiteControlProcessTest.java
+++ b/control/src/test/java/org/skylarkbend/control/site/SiteControlProcessTest.java
@@ -187,14 +187,14 @@
                 mFolder.resolve(vm.value()),
                 1_000,
                 new SiteControlParts.EngineOrderOptions(0, 10_000, true),
-                SiteLimits.Slack.none(),
-                new ExposureLimit(0.1, 50),
+                new SiteControlParts.Bounds(SiteLimits.Slack.none(), new ExposureLimit(0.1, 50)),
                 SiteControlProcessTest::read,
                 () -> Future.succeededFuture(Result.success(List.of())),
                 new NoEngines(),
                 new MetricRegistry(),
-                MillisecondClock.monotonic(),
-                MillisecondClock.monotonic().nowMilliseconds());
+                new SiteControlParts.ProcessClock(
+                        MillisecondClock.monotonic(),
+                        MillisecondClock.monotonic().nowMilliseconds()));
     }
 
     /** Reads a document whose text is its number. */
