Log which calls and prompt parts waited at an endpoint that crashed

An endpoint that breaks connections with waiting calls is probed at once; if it accepts no connection, endpoint.crashed names the calls and the parts of their prompts. attempt.failed says whether the call waited and which parts it had. Before, the logs could not tell a call that crashes engines from overload or from a fault of the engines.

--- a/gateway/src/main/java/org/skylarkbend/gateway/call/Attempt.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/Attempt.java
@@ -64,6 +64,11 @@
         return mSent;
     }
 
+    /** Returns whether the engine has processed the prompt, as its first event shows. */
+    boolean isPromptRead() {
+        return mPromptRead;
+    }
+
     /** Records that the engine has processed the prompt. Returns true on the first call only. */
     boolean markPromptRead() {
         boolean isFirst = !mPromptRead;
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/CallLog.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/CallLog.java
@@ -1,5 +1,6 @@
 package org.skylarkbend.gateway.call;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.skylarkbend.base.StructuredLog;
@@ -7,6 +8,7 @@
 import org.skylarkbend.catalog.Endpoint;
 import org.skylarkbend.gateway.endpoints.EngineChoice;
 import org.skylarkbend.gateway.endpoints.Prompt;
+import org.skylarkbend.quarantine.PromptPart;
 
 /** Writes the log entries from which the attempts and the outcome of a call can be traced. */
 final class CallLog {
@@ -25,6 +27,7 @@
      * @param endpoint endpoint of the attempt
      * @param outcome outcome of the attempt
      * @param cause description of the failure
+     * @param isWaiting true if the endpoint had not begun to respond
      * @param sent number of endpoints to which the call was sent
      * @param nowMilliseconds current time
      */
@@ -32,6 +35,7 @@
             Endpoint endpoint,
             AttemptOutcome outcome,
             String cause,
+            boolean isWaiting,
             int sent,
             long nowMilliseconds) {
         LOG.info(
@@ -44,12 +48,21 @@
                 outcome,
                 "cause",
                 cause,
+                "waiting",
+                isWaiting,
+                "parts",
+                sharedPartIds(),
                 "sent",
                 sent,
                 "elapsed_milliseconds",
                 nowMilliseconds - mCall.arrivedMilliseconds());
     }
 
+    private String sharedPartIds() {
+        List<String> ids = mCall.sharedParts().stream().map(PromptPart::id).toList();
+        return ids.isEmpty() ? NONE : String.join(",", ids);
+    }
+
     /** Outcome of a call with the values that led to it. */
     record End(
             String outcome,
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/CallRequest.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/CallRequest.java
@@ -3,10 +3,12 @@
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
+import java.util.List;
 import java.util.Optional;
 import org.skylarkbend.catalog.Customer;
 import org.skylarkbend.catalog.Route;
 import org.skylarkbend.gateway.endpoints.Prompt;
+import org.skylarkbend.quarantine.PromptPart;
 
 /**
  * Call that was admitted.
@@ -45,6 +47,11 @@
                 + Math.min(callerTimeoutMilliseconds, route.timeoutMilliseconds());
     }
 
+    /** Returns the parts of the prompt that other calls may share; none without a prompt. */
+    public List<PromptPart> sharedParts() {
+        return prompt.map(Prompt::sharedParts).orElse(List.of());
+    }
+
     /** Returns the number of units that the call uses of its customer's rate limit. */
     public long units() {
         long defaultUnits = customer.map(Customer::defaultUnitsPerCall).orElse(0L);
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/GatewayCall.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/GatewayCall.java
@@ -14,6 +14,7 @@
 import org.skylarkbend.gateway.endpoints.EngineChoice;
 import org.skylarkbend.gateway.endpoints.PriorAttempts;
 import org.skylarkbend.gateway.limits.TokenGate;
+import org.skylarkbend.quarantine.SuspectCall;
 
 /**
  * Call in progress, from its admission to the end of the response. It is confined to the task that
@@ -309,7 +310,9 @@
         if (mEnded) {
             return;
         }
+        boolean isWaiting = !attempt.isPromptRead();
         endAttempt(attempt);
+        reportToCrashRecorder(attempt.endpoint(), outcome, isWaiting);
         if (outcome == AttemptOutcome.NOT_RUN) {
             mResources.selector().refused(attempt.endpoint(), now());
         } else {
@@ -322,7 +325,7 @@
         boolean isConnectFailure = outcome == AttemptOutcome.NOT_CONNECTED;
         mConnectFailures += isConnectFailure ? 1 : 0;
         mSent += isConnectFailure ? 0 : 1;
-        mLog.attemptFailed(attempt.endpoint(), outcome, cause, mSent, now());
+        mLog.attemptFailed(attempt.endpoint(), outcome, cause, isWaiting, mSent, now());
         boolean willRetry =
                 AttemptPolicy.mayRetry(mCall.route(), mSent, mConnectFailures, outcome)
                         && now() < mCall.deadlineMilliseconds()
@@ -334,6 +337,17 @@
         }
     }
 
+    private void reportToCrashRecorder(
+            Endpoint endpoint, AttemptOutcome outcome, boolean isWaiting) {
+        if (outcome == AttemptOutcome.NOT_CONNECTED) {
+            mResources.crashes().refusedConnection(endpoint, now());
+        } else if (outcome == AttemptOutcome.BROKEN && isWaiting) {
+            SuspectCall call = new SuspectCall(mCall.id(), mCall.sharedParts());
+            mResources.crashes().connectionBroke(endpoint, call, now());
+            mResources.probes().probe(endpoint);
+        }
+    }
+
     private void recordOutcome(Attempt attempt, boolean isSuccess) {
         String route = mCall.route().name();
         if (isSuccess) {
--- a/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EndpointProbes.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EndpointProbes.java
@@ -6,7 +6,6 @@
 import io.vertx.core.net.NetSocket;
 import java.util.HashSet;
 import java.util.Set;
-import java.util.function.Consumer;
 import org.skylarkbend.base.MillisecondClock;
 import org.skylarkbend.base.StructuredLog;
 import org.skylarkbend.catalog.Endpoint;
@@ -22,27 +21,33 @@
 
     private final EndpointSelector mSelector;
     private final MillisecondClock mClock;
-    private final Consumer<Endpoint> mOnLost;
+    private final Listener mListener;
     private final NetClient mClient;
     private final Set<String> mProbingIncarnations = new HashSet<>();
     private final Set<String> mLostIncarnations = new HashSet<>();
 
+    /** Receives the results of probes. */
+    public interface Listener {
+        /** Called when an endpoint has accepted a connection. */
+        void reached(Endpoint endpoint);
+
+        /** Called when an endpoint has accepted no connection. */
+        void lost(Endpoint endpoint);
+    }
+
     /**
      * Creates the prober. It opens no connection until {@link #probe} is called.
      *
      * @param vertx opens the connections
      * @param selector tracks which endpoints are silent
      * @param clock monotonic clock
-     * @param onLost receives each endpoint that accepts no connection
+     * @param listener receives the results
      */
     public EndpointProbes(
-            Vertx vertx,
-            EndpointSelector selector,
-            MillisecondClock clock,
-            Consumer<Endpoint> onLost) {
+            Vertx vertx, EndpointSelector selector, MillisecondClock clock, Listener listener) {
         mSelector = selector;
         mClock = clock;
-        mOnLost = onLost;
+        mListener = listener;
         mClient =
                 vertx.createNetClient(
                         new NetClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MILLISECONDS));
@@ -50,12 +55,15 @@
 
     /** Opens a connection to each silent endpoint that is not being probed already. */
     public void probe() {
-        for (Endpoint endpoint : mSelector.endpointsToProbe(mClock.nowMilliseconds())) {
-            if (mProbingIncarnations.add(endpoint.incarnation())) {
-                mClient.connect(endpoint.port(), endpoint.host())
-                        .onSuccess(socket -> reached(endpoint, socket))
-                        .onFailure(e -> lost(endpoint));
-            }
+        mSelector.endpointsToProbe(mClock.nowMilliseconds()).forEach(this::probe);
+    }
+
+    /** Opens a connection to an endpoint unless it is being probed already. */
+    public void probe(Endpoint endpoint) {
+        if (mProbingIncarnations.add(endpoint.incarnation())) {
+            mClient.connect(endpoint.port(), endpoint.host())
+                    .onSuccess(socket -> reached(endpoint, socket))
+                    .onFailure(e -> lost(endpoint));
         }
     }
 
@@ -63,6 +71,7 @@
         socket.close();
         mProbingIncarnations.remove(endpoint.incarnation());
         mSelector.responded(endpoint, mClock.nowMilliseconds());
+        mListener.reached(endpoint);
         if (mLostIncarnations.remove(endpoint.incarnation())) {
             LOG.info("endpoint.regained", "endpoint", endpoint.incarnation());
         }
@@ -74,6 +83,6 @@
         if (mLostIncarnations.add(endpoint.incarnation())) {
             LOG.warn("endpoint.lost", "endpoint", endpoint.incarnation());
         }
-        mOnLost.accept(endpoint);
+        mListener.lost(endpoint);
     }
 }
--- a/gateway/src/main/java/org/skylarkbend/gateway/endpoints/Prompt.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/endpoints/Prompt.java
@@ -1,6 +1,8 @@
 package org.skylarkbend.gateway.endpoints;
 
 import java.util.List;
+import java.util.stream.Stream;
+import org.skylarkbend.quarantine.PromptPart;
 
 /**
  * Description of the prompt of a call for the selection of an engine.
@@ -21,7 +23,16 @@
 
     /** Returns the number of tokens in the parts that other calls may share. */
     public long sharedTokens() {
-        return parts.stream().limit(Math.max(0, parts.size() - 1)).mapToLong(Part::tokens).sum();
+        return sharedPrefix().mapToLong(Part::tokens).sum();
+    }
+
+    /** Returns the parts that other calls may share. */
+    public List<PromptPart> sharedParts() {
+        return sharedPrefix().map(part -> new PromptPart(model, part.id())).toList();
+    }
+
+    private Stream<Part> sharedPrefix() {
+        return parts.stream().limit(Math.max(0, parts.size() - 1));
     }
 
     /** Returns the cache key of the shared parts; empty if there are none. */
--- a/gateway/src/main/java/org/skylarkbend/gateway/front/GatewayTask.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/front/GatewayTask.java
@@ -35,6 +35,7 @@
 import org.skylarkbend.gateway.call.CallResources;
 import org.skylarkbend.gateway.call.GatewayCall;
 import org.skylarkbend.gateway.call.RetryBudget;
+import org.skylarkbend.gateway.crashes.CrashRecorder;
 import org.skylarkbend.gateway.endpoints.EndpointProbes;
 import org.skylarkbend.gateway.endpoints.EndpointSelector;
 import org.skylarkbend.gateway.endpoints.StoreProbe;
@@ -77,6 +78,7 @@
     private final EndpointSelector mSelector;
     private final WorkReport mWorkReport;
     private final OutcomeRecorder mOutcomes;
+    private final CrashRecorder mCrashes = new CrashRecorder();
     private Context mContext;
     private Optional<ServingState> mServingState = Optional.empty();
     private CallResources mResources;
@@ -130,6 +132,7 @@
                         new LimitShareDecider(LimitPolicy.forGateways(), now()),
                         mLimitOwner,
                         this::wakeGateAt);
+        EndpointProbes probes = new EndpointProbes(vertx, mSelector, mClock, probeListener());
         mResources =
                 new CallResources(
                         vertx,
@@ -145,9 +148,10 @@
                                 mSettings.budgets().retriesPerCall(),
                                 mSettings.budgets().retryBudgetCapacity()),
                         mOutcomes,
+                        mCrashes,
+                        probes,
                         mMetrics,
                         mClock);
-        EndpointProbes probes = new EndpointProbes(vertx, mSelector, mClock, this::endpointLost);
         mStoreProbe = new StoreProbe(vertx, mSelector);
         vertx.setPeriodic(
                 PROBE_INTERVAL_MILLISECONDS,
@@ -271,8 +275,19 @@
         return drained.future();
     }
 
-    private void endpointLost(Endpoint endpoint) {
-        List.copyOf(mCalls).forEach(call -> call.endpointLost(endpoint));
+    private EndpointProbes.Listener probeListener() {
+        return new EndpointProbes.Listener() {
+            @Override
+            public void reached(Endpoint endpoint) {
+                mCrashes.connected(endpoint);
+            }
+
+            @Override
+            public void lost(Endpoint endpoint) {
+                mCrashes.refusedConnection(endpoint, now());
+                List.copyOf(mCalls).forEach(call -> call.endpointLost(endpoint));
+            }
+        };
     }
 
     private void startRefusing() {
--- /dev/null
+++ b/gateway/src/test/java/org/skylarkbend/gateway/crashes/CrashRecorderTest.java
@@ -0,0 +1,65 @@
+package org.skylarkbend.gateway.crashes;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Map;
+import org.skylarkbend.catalog.Endpoint;
+import org.skylarkbend.quarantine.EndpointCrash;
+import org.skylarkbend.quarantine.PromptPart;
+import org.skylarkbend.quarantine.SuspectCall;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests which broken connections count as the crash of an endpoint. */
+public class CrashRecorderTest {
+    private static final Endpoint ENGINE =
+            new Endpoint("e", "desk", "h", 1, "z", "v1", 6, false, 7, Map.of());
+    private static final SuspectCall CALL =
+            new SuspectCall("c1", List.of(new PromptPart("m", "p1")));
+
+    private CrashRecorder mRecorder;
+
+    @BeforeMethod
+    public void createRecorder() {
+        mRecorder = new CrashRecorder();
+    }
+
+    @Test
+    public void anEndpointThatBreaksConnectionsAndRefusesNewOnesHasCrashed() {
+        mRecorder.connectionBroke(ENGINE, CALL, 100);
+        assertThat(mRecorder.refusedConnection(ENGINE, 150)).isTrue();
+        assertThat(mRecorder.crashes(300))
+                .containsExactly(new EndpointCrash("e@7", 200, List.of(CALL)));
+    }
+
+    @Test
+    public void anEndpointThatAcceptsConnectionsAfterABreakHasNotCrashed() {
+        mRecorder.connectionBroke(ENGINE, CALL, 100);
+        mRecorder.connected(ENGINE);
+        assertThat(mRecorder.refusedConnection(ENGINE, 200)).isFalse();
+        assertThat(mRecorder.crashes(200)).isEmpty();
+    }
+
+    @Test
+    public void aConnectionThatIsRefusedLongAfterABreakShowsNoCrash() {
+        mRecorder.connectionBroke(ENGINE, CALL, 100);
+        assertThat(mRecorder.refusedConnection(ENGINE, 5_000)).isFalse();
+    }
+
+    @Test
+    public void callsWhoseBreakIsNoticedAfterTheCrashAreAddedToIt() {
+        SuspectCall late = new SuspectCall("c2", List.of());
+        mRecorder.connectionBroke(ENGINE, CALL, 100);
+        mRecorder.refusedConnection(ENGINE, 101);
+        mRecorder.connectionBroke(ENGINE, late, 102);
+        assertThat(mRecorder.crashes(102).get(0).calls()).containsExactly(CALL, late);
+    }
+
+    @Test
+    public void aCrashIsForgottenAfterSomeSeconds() {
+        mRecorder.connectionBroke(ENGINE, CALL, 100);
+        mRecorder.refusedConnection(ENGINE, 150);
+        assertThat(mRecorder.crashes(20_000)).isEmpty();
+    }
+}
--- /dev/null
+++ b/quarantine/src/main/java/org/skylarkbend/quarantine/PromptPart.java
@@ -0,0 +1,19 @@
+package org.skylarkbend.quarantine;
+
+import java.util.Comparator;
+
+/**
+ * Part of a prompt that several calls may share.
+ *
+ * @param model model that reads the prompt; empty if the call names none
+ * @param id ID of the part, the same in all calls that share it
+ */
+public record PromptPart(String model, String id) implements Comparable<PromptPart> {
+    private static final Comparator<PromptPart> ORDER =
+            Comparator.comparing(PromptPart::model).thenComparing(PromptPart::id);
+
+    @Override
+    public int compareTo(PromptPart other) {
+        return ORDER.compare(this, other);
+    }
+}
