Quarantine parts of prompts that crash engines

Cause: a call whose engine crashed was sent on to the next engine, and no gateway knew that the calls it went on sending shared a part with those that had waited at each crash. The class of fault is a request that kills its server, spread by retries and by routing without memory.

Gateways report which calls waited at an engine that crashed, and when calls with a suspected part are answered. The leader of control quarantines what waited at two crashes and was never answered, while other prompts are; parts that only occurred together are quarantined as a combination, so that sound prompts with one of them are served and tell more. Calls with such a part are refused at once as not run, and those that wait at an engine are taken back.

--- a/base/src/main/java/org/skylarkbend/base/ErrorKind.java
+++ b/base/src/main/java/org/skylarkbend/base/ErrorKind.java
@@ -29,6 +29,8 @@
     GRANT_EXCEEDED(402, RunState.NOT_RUN, false),
     /** The queue of the route is full, or the request would miss its deadline. */
     OVERLOADED(503, RunState.NOT_RUN, true),
+    /** A part of the prompt crashes engines and is excluded from service for a while. */
+    PROMPT_QUARANTINED(503, RunState.NOT_RUN, true),
     /** No live endpoint serves the route. */
     NO_ENDPOINT(503, RunState.NOT_RUN, true),
     /** This router must not serve routes that need a key: it lost contact with the quorum. */
--- a/control/src/main/java/org/skylarkbend/control/site/SiteControlProcess.java
+++ b/control/src/main/java/org/skylarkbend/control/site/SiteControlProcess.java
@@ -49,6 +49,8 @@
 import org.skylarkbend.control.log.ControlLog;
 import org.skylarkbend.control.log.ControlStateMachine;
 import org.skylarkbend.control.log.Leadership;
+import org.skylarkbend.control.quarantine.QuarantineSlice;
+import org.skylarkbend.control.quarantine.QuarantineTask;
 import org.skylarkbend.control.rollout.RolloutSlice;
 import org.skylarkbend.control.rollout.RolloutTask;
 import org.skylarkbend.control.work.WorkDecider;
@@ -63,11 +65,14 @@
 import org.skylarkbend.orders.weights.WeightsMessage.Announced;
 import org.skylarkbend.publishing.feed.FeedMessage.ControlAddress;
 import org.skylarkbend.publishing.feed.FeedMessage.SliceMessage;
+import org.skylarkbend.quarantine.QuarantineCodec;
+import org.skylarkbend.quarantine.QuarantineNotice;
 import org.skylarkbend.wire.WireOptions;
 
 /**
  * The control process of a site. It runs the replicated log with member discovery, the gateway
- * feed, the limit owner, the aggregation of gateway work and the engine orders as separate tasks.
+ * feed, the limit owner, the aggregation of gateway work, the rollouts, the quarantine of prompt
+ * parts and the engine orders as separate tasks.
  */
 public final class SiteControlProcess {
     private static final StructuredLog LOG = StructuredLog.of(SiteControlProcess.class);
@@ -86,6 +91,7 @@
     private final EndpointsTask mEndpoints;
     private final WorkTask mWork;
     private final RolloutTask mRollouts;
+    private final QuarantineTask mQuarantine;
     private final ControlLog mLog = new AgreementControlLog(() -> this.mAgreement);
     private Context mOperatorContext;
     private AgreementTask mAgreement;
@@ -112,6 +118,9 @@
                         parts.clock().monotonic(),
                         wall,
                         this::broadcast);
+        mQuarantine =
+                new QuarantineTask(
+                        mLog, parts.clock().monotonic(), wall, this::sendQuarantineNotice);
         mWork =
                 new WorkTask(
                         new WorkDecider(),
@@ -163,6 +172,7 @@
                 .eventually(() -> mParts.vertx().undeploy(mFeed.deploymentID()))
                 .eventually(() -> mParts.vertx().undeploy(mWork.deploymentID()))
                 .eventually(() -> mParts.vertx().undeploy(mRollouts.deploymentID()))
+                .eventually(() -> mParts.vertx().undeploy(mQuarantine.deploymentID()))
                 .eventually(() -> mParts.vertx().undeploy(mLimits.deploymentID()))
                 .eventually(() -> mParts.vertx().undeploy(mAgreement.deploymentID()));
     }
@@ -172,7 +182,11 @@
                 FeedOptions.of(
                         SERVING_LEASE_MILLISECONDS,
                         Map.of(),
-                        Set.of(LimitCodec.SLICE, SiteCodec.WORK_SLICE, RolloutCodec.SLICE));
+                        Set.of(
+                                LimitCodec.SLICE,
+                                SiteCodec.WORK_SLICE,
+                                RolloutCodec.SLICE,
+                                QuarantineCodec.SLICE));
         return new FeedTask(
                 new FeedTask.Parts(
                         mParts.self().value(),
@@ -197,6 +211,7 @@
                                 new WeightsSlice(this::weightsChanged),
                                 new OrdersSlice(this::orderAnnounced),
                                 new RolloutSlice(this::rolloutsChanged),
+                                new QuarantineSlice(mQuarantine::post),
                                 new LimitRegistrySlice(this::limitsChanged)));
         mAgreement =
                 new AgreementTask(
@@ -213,6 +228,7 @@
         return mParts.vertx()
                 .deployVerticle(mLimits)
                 .compose(id -> mParts.vertx().deployVerticle(mRollouts))
+                .compose(id -> mParts.vertx().deployVerticle(mQuarantine))
                 .compose(id -> mParts.vertx().deployVerticle(mEndpoints))
                 .compose(id -> mParts.vertx().deployVerticle(mWork))
                 .compose(id -> mParts.vertx().deployVerticle(mFeed))
@@ -293,6 +309,8 @@
             mWork.postMessage(gateway, forward.payload());
         } else if (forward.slice().equals(RolloutCodec.SLICE)) {
             mRollouts.postOutcomes(forward.payload());
+        } else if (forward.slice().equals(QuarantineCodec.SLICE)) {
+            mQuarantine.postEvidence(gateway, forward.payload());
         } else {
             mLimits.postMessage(gateway, forward.payload());
         }
@@ -306,6 +324,13 @@
         send(gateway, new SliceMessage(SiteCodec.WORK_SLICE, payload));
     }
 
+    private void sendQuarantineNotice(QuarantineNotice notice) {
+        mFeed.post(
+                new RetainedMessageChanged(
+                        new SliceMessage(
+                                QuarantineCodec.SLICE, QuarantineCodec.encodeNotice(notice))));
+    }
+
     private void send(RouterIdentity gateway, SliceMessage message) {
         mFeed.post(new MessageForRouter(gateway.vm(), gateway.incarnation(), message));
     }
@@ -348,6 +373,7 @@
         mEndpoints.post(leadership);
         mWork.post(leadership);
         mRollouts.post(leadership);
+        mQuarantine.post(leadership);
         mFeed.post(new LeadershipChanged(leads, leader.map(this::feedAddress)));
         broadcast(
                 new ControlVms(
--- a/gateway/src/main/java/org/skylarkbend/gateway/GatewayProcess.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/GatewayProcess.java
@@ -16,6 +16,7 @@
 import org.skylarkbend.limits.LimitMessage;
 import org.skylarkbend.moves.rollout.RolloutOutcomes;
 import org.skylarkbend.publishing.feed.FeedMessage.RouterHello;
+import org.skylarkbend.quarantine.CrashEvidence;
 import org.skylarkbend.wire.MetricsTask;
 
 /**
@@ -64,7 +65,8 @@
                         metrics,
                         clock,
                         this::sendToLimitOwner,
-                        new GatewayReports(this::sendWork, this::sendOutcomes),
+                        new GatewayReports(
+                                this::sendWork, this::sendOutcomes, this::sendCrashEvidence),
                         mStatus::postReady);
         RouterHello hello =
                 new RouterHello(
@@ -92,6 +94,10 @@
         mLink.sendOutcomes(outcomes);
     }
 
+    private void sendCrashEvidence(CrashEvidence evidence) {
+        mLink.sendCrashEvidence(evidence);
+    }
+
     /** Starts the tasks. The connection to control starts last, after its listeners. */
     public Future<Void> start() {
         return mVertx.deployVerticle(mStatus)
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/CallResources.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/CallResources.java
@@ -5,7 +5,7 @@
 import io.vertx.core.http.HttpClient;
 import org.skylarkbend.base.MillisecondClock;
 import org.skylarkbend.gateway.HeaderNames;
-import org.skylarkbend.gateway.crashes.CrashRecorder;
+import org.skylarkbend.gateway.crashes.CrashGuard;
 import org.skylarkbend.gateway.endpoints.EndpointProbes;
 import org.skylarkbend.gateway.endpoints.EndpointSelector;
 import org.skylarkbend.gateway.limits.TokenGate;
@@ -21,7 +21,7 @@
  * @param gate holds calls until their customer has rate limit tokens
  * @param retries retry budget
  * @param outcomes counts the outcomes of calls by version
- * @param crashes records the endpoints that crash
+ * @param crashes reports crashes of endpoints and knows the quarantined parts of prompts
  * @param probes checks endpoints whose connections broke
  * @param metrics registry of the call metrics
  * @param clock monotonic clock
@@ -34,7 +34,7 @@
         TokenGate gate,
         RetryBudget retries,
         OutcomeRecorder outcomes,
-        CrashRecorder crashes,
+        CrashGuard crashes,
         EndpointProbes probes,
         MetricRegistry metrics,
         MillisecondClock clock) {}
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/GatewayCall.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/GatewayCall.java
@@ -24,30 +24,15 @@
     /** Timeout for opening a connection to an endpoint. */
     private static final long CONNECT_TIMEOUT_MILLISECONDS = 250;
 
-    /**
-     * Timeout between two events of a resumable stream. After it the stream resumes at another
-     * endpoint. Bytes that complete no event do not count.
-     */
-    private static final long EVENT_TIMEOUT_MILLISECONDS = 1_500;
-
-    /**
-     * Timeout for the first event of a resumable stream. It is longer because an engine may process
-     * other prompts first; endpoint probes detect a lost engine sooner.
-     */
-    private static final long FIRST_EVENT_TIMEOUT_MILLISECONDS = 2_800;
-
-    /**
-     * A repeatable call is retried elsewhere after this multiple of the target latency of its
-     * route.
-     */
-    private static final long RETRY_TARGET_MULTIPLE = 3;
-
     /** Maximum size of a response body that is kept until it is complete. */
     private static final int MAX_BODY_BYTES = 16 * 1024 * 1024;
 
     /** Maximum size of an event, and of the chunk that completes it. */
     private static final int MAX_EVENT_BYTES = 1024 * 1024;
 
+    /** An engine that goes on sending events for this time has survived the prompt. */
+    private static final long SURVIVED_MILLISECONDS = 500;
+
     private static final long RETRY_AFTER_MILLISECONDS = 100;
     private static final int MIN_ERROR_STATUS = 400;
     private static final int MIN_SERVER_ERROR_STATUS = 500;
@@ -61,15 +46,16 @@
     private final Set<String> mTriedIncarnations = new HashSet<>();
     private final EventSplitter mEvents = new EventSplitter();
     private final StreamTiming mTiming;
+    private final SilenceTimer mSilenceTimer;
     private Optional<Attempt> mAttempt = Optional.empty();
     private Optional<EngineChoice> mLastChoice = Optional.empty();
     private OptionalLong mReservation = OptionalLong.empty();
-    private long mTimeoutTimer;
-    private long mSilenceTimer = -1;
+    private long mTimeoutTimer = -1;
     private int mSent;
     private int mConnectFailures;
     private boolean mMayHaveRun;
     private boolean mStreaming;
+    private boolean mServed;
     private boolean mEnded;
     private HttpClientResponse mHead;
     private Buffer mBody = Buffer.buffer();
@@ -90,6 +76,7 @@
         mOnEnd = onEnd;
         mLog = new CallLog(call);
         mTiming = new StreamTiming(call.arrivedMilliseconds());
+        mSilenceTimer = new SilenceTimer(resources.vertx(), call.route(), this::handleSilence);
     }
 
     /**
@@ -97,6 +84,10 @@
      * granted.
      */
     public void start() {
+        if (quarantinedMilliseconds().isPresent()) {
+            refuseQuarantined();
+            return;
+        }
         long waitMilliseconds = Math.max(1, mCall.deadlineMilliseconds() - now());
         mTimeoutTimer = mResources.vertx().setTimer(waitMilliseconds, id -> timedOut());
         mResources.retries().recordCall(mCall.service());
@@ -145,7 +136,34 @@
         }
     }
 
+    /**
+     * Handles a change of the quarantined parts. A call that waits at an engine is taken back if it
+     * would crash the engine.
+     */
+    public void quarantineChanged() {
+        boolean isWaiting = mAttempt.filter(attempt -> !attempt.isPromptRead()).isPresent();
+        if (!mEnded && isWaiting && quarantinedMilliseconds().isPresent()) {
+            mMayHaveRun |= mAttempt.map(Attempt::isSent).orElse(false);
+            refuseQuarantined();
+        }
+    }
+
+    private OptionalLong quarantinedMilliseconds() {
+        return mResources.crashes().quarantinedMilliseconds(mCall.sharedParts(), now());
+    }
+
+    private void refuseQuarantined() {
+        fail(
+                mMayHaveRun ? ErrorKind.ENDPOINT_FAILED : ErrorKind.PROMPT_QUARANTINED,
+                "a part of the prompt crashes engines",
+                quarantinedMilliseconds().orElse(RETRY_AFTER_MILLISECONDS));
+    }
+
     private void sendToNextEndpoint() {
+        if (quarantinedMilliseconds().isPresent()) {
+            refuseQuarantined();
+            return;
+        }
         Optional<EngineChoice> chosen = choose();
         if (chosen.isEmpty()) {
             ErrorKind kind = mMayHaveRun ? ErrorKind.ENDPOINT_FAILED : ErrorKind.NO_ENDPOINT;
@@ -171,7 +189,7 @@
                 mEvents.lastEventId(),
                 CONNECT_TIMEOUT_MILLISECONDS,
                 Math.max(1, mCall.deadlineMilliseconds() - now()));
-        restartSilenceTimer();
+        mSilenceTimer.restart(mStreaming);
     }
 
     private Optional<EngineChoice> choose() {
@@ -201,7 +219,7 @@
         mHead = head;
         mResources.selector().responded(attempt.endpoint(), now());
         recordLoad(attempt, head);
-        restartSilenceTimer();
+        mSilenceTimer.restart(mStreaming);
         String id = head.getHeader(mResources.names().requestId());
         boolean isOk = head.statusCode() < MIN_ERROR_STATUS;
         boolean isForThisCall = mCall.id().equals(id) || id == null && !isOk;
@@ -228,13 +246,16 @@
         if (isStream) {
             Buffer events = mEvents.feed(chunk);
             if (events.length() > 0) {
-                restartSilenceTimer();
+                mSilenceTimer.restart(mStreaming);
                 mTiming.eventsArrived(now());
                 promptRead(attempt);
+                if (mTiming.attemptStreamMilliseconds(now()) >= SURVIVED_MILLISECONDS) {
+                    recordServed();
+                }
                 forward(events);
             }
         } else {
-            restartSilenceTimer();
+            mSilenceTimer.restart(mStreaming);
             mBody.appendBuffer(chunk);
         }
     }
@@ -280,6 +301,9 @@
             endAttempt(attempt);
             mResources.selector().succeeded(attempt.endpoint());
             recordOutcome(attempt, status < MIN_SERVER_ERROR_STATUS);
+            if (status < MIN_ERROR_STATUS) {
+                recordServed();
+            }
             mMayHaveRun = true;
             mResponse.complete(status, mHead.headers(), mBody);
             finish("answered", status);
@@ -288,6 +312,7 @@
 
     private void endCompleteStream(Attempt attempt) {
         endAttempt(attempt);
+        recordServed();
         mMayHaveRun = true;
         mResources.selector().succeeded(attempt.endpoint());
         recordOutcome(attempt, true);
@@ -348,6 +373,14 @@
         }
     }
 
+    /** Records, once for the call, that its prompt crashes no engine. */
+    private void recordServed() {
+        if (!mServed && mCall.prompt().isPresent()) {
+            mServed = true;
+            mResources.crashes().served(mCall.prompt().get().model(), mCall.sharedParts(), now());
+        }
+    }
+
     private void recordOutcome(Attempt attempt, boolean isSuccess) {
         String route = mCall.route().name();
         if (isSuccess) {
@@ -392,28 +425,6 @@
         return headers.contains(name);
     }
 
-    /**
-     * Restarts the timer that sends the call to another endpoint if the current one is silent for
-     * too long. Only repeatable calls and resumable streams have this timer.
-     */
-    private void restartSilenceTimer() {
-        mResources.vertx().cancelTimer(mSilenceTimer);
-        boolean isStream = mCall.route().kind() == CallKind.STREAM;
-        if (isStream ? !mCall.route().resumable() : !mCall.route().mayRunAgain()) {
-            return;
-        }
-        long silenceMilliseconds =
-                isStream
-                        ? (mStreaming
-                                ? EVENT_TIMEOUT_MILLISECONDS
-                                : FIRST_EVENT_TIMEOUT_MILLISECONDS)
-                        : RETRY_TARGET_MULTIPLE * mCall.route().targetMilliseconds();
-        mSilenceTimer =
-                mResources
-                        .vertx()
-                        .setTimer(Math.max(1, silenceMilliseconds), id -> handleSilence());
-    }
-
     private void handleSilence() {
         if (mEnded || mAttempt.isEmpty()) {
             return;
@@ -457,7 +468,7 @@
                     endAttempt(attempt);
                 });
         mResources.vertx().cancelTimer(mTimeoutTimer);
-        mResources.vertx().cancelTimer(mSilenceTimer);
+        mSilenceTimer.cancel();
         mReservation.ifPresent(number -> mResources.gate().cancel(number, now()));
         mResources.metrics().counter("gateway_calls_" + outcome).inc();
         mLog.ended(
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/StreamTiming.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/StreamTiming.java
@@ -44,6 +44,12 @@
         return (hasEvent ? mAttemptFirstMilliseconds : nowMilliseconds) - mAttemptMilliseconds;
     }
 
+    /** Returns the time since the first event of the last attempt; 0 if it has sent none. */
+    long attemptStreamMilliseconds(long nowMilliseconds) {
+        boolean hasEvent = mAttemptFirstMilliseconds != NONE_MILLISECONDS;
+        return hasEvent ? nowMilliseconds - mAttemptFirstMilliseconds : 0;
+    }
+
     /** Returns the time from the arrival of the call to the first event; -1 if there was none. */
     long firstEventMilliseconds() {
         return mFirstMilliseconds == NONE_MILLISECONDS
--- a/gateway/src/main/java/org/skylarkbend/gateway/crashes/CrashRecorder.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/crashes/CrashRecorder.java
@@ -46,18 +46,22 @@
     private final Map<String, Break> mUnconfirmed = new HashMap<>();
     private final Map<String, Break> mCrashes = new LinkedHashMap<>();
 
-    /** Records that the connection of a waiting call broke. */
-    public void connectionBroke(Endpoint endpoint, SuspectCall call, long nowMilliseconds) {
+    /**
+     * Records that the connection of a waiting call broke. Returns whether the call belongs to a
+     * crash that is already known.
+     */
+    public boolean connectionBroke(Endpoint endpoint, SuspectCall call, long nowMilliseconds) {
         removeOld(nowMilliseconds);
-        Break known = mCrashes.get(endpoint.incarnation());
-        if (known == null) {
-            known =
-                    mUnconfirmed.computeIfAbsent(
-                            endpoint.incarnation(), key -> new Break(nowMilliseconds));
-        }
-        if (known.mCalls.size() < MAX_CALLS) {
-            known.mCalls.put(call.id(), call);
+        Break crash = mCrashes.get(endpoint.incarnation());
+        Break found =
+                crash != null
+                        ? crash
+                        : mUnconfirmed.computeIfAbsent(
+                                endpoint.incarnation(), key -> new Break(nowMilliseconds));
+        if (found.mCalls.size() < MAX_CALLS) {
+            found.mCalls.put(call.id(), call);
         }
+        return crash != null;
     }
 
     /** Records that an endpoint accepted a connection, so that it did not crash. */
@@ -93,6 +97,12 @@
         return true;
     }
 
+    /** Returns whether any endpoint crashed in the last seconds. */
+    public boolean hasCrashes(long nowMilliseconds) {
+        removeOld(nowMilliseconds);
+        return !mCrashes.isEmpty();
+    }
+
     /** Returns the crashes of the last seconds. */
     public List<EndpointCrash> crashes(long nowMilliseconds) {
         removeOld(nowMilliseconds);
--- a/gateway/src/main/java/org/skylarkbend/gateway/endpoints/Prompt.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/endpoints/Prompt.java
@@ -13,6 +13,8 @@
  * @param maxAnswerTokens maximum number of answer tokens
  */
 public record Prompt(String model, List<Part> parts, long promptTokens, long maxAnswerTokens) {
+    private static final int MAX_SHARED_PARTS = 64;
+
     /** Creates a prompt with a copy of {@code parts}. */
     public Prompt {
         parts = List.copyOf(parts);
@@ -26,9 +28,15 @@
         return sharedPrefix().mapToLong(Part::tokens).sum();
     }
 
-    /** Returns the parts that other calls may share. */
+    /**
+     * Returns the parts that other calls may share, without those of an unusually long list, which
+     * would make reports of crashes large.
+     */
     public List<PromptPart> sharedParts() {
-        return sharedPrefix().map(part -> new PromptPart(model, part.id())).toList();
+        return sharedPrefix()
+                .limit(MAX_SHARED_PARTS)
+                .map(part -> new PromptPart(model, part.id()))
+                .toList();
     }
 
     private Stream<Part> sharedPrefix() {
--- a/gateway/src/main/java/org/skylarkbend/gateway/front/GatewayTask.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/front/GatewayTask.java
@@ -35,7 +35,7 @@
 import org.skylarkbend.gateway.call.CallResources;
 import org.skylarkbend.gateway.call.GatewayCall;
 import org.skylarkbend.gateway.call.RetryBudget;
-import org.skylarkbend.gateway.crashes.CrashRecorder;
+import org.skylarkbend.gateway.crashes.CrashGuard;
 import org.skylarkbend.gateway.endpoints.EndpointProbes;
 import org.skylarkbend.gateway.endpoints.EndpointSelector;
 import org.skylarkbend.gateway.endpoints.StoreProbe;
@@ -45,6 +45,7 @@
 import org.skylarkbend.limits.LimitMessage;
 import org.skylarkbend.limits.LimitPolicy;
 import org.skylarkbend.limits.LimitShareDecider;
+import org.skylarkbend.quarantine.QuarantineNotice;
 
 /** Owns the connections to callers and endpoints, and all calls in progress between them. */
 public final class GatewayTask extends VerticleBase implements SiteListener {
@@ -78,7 +79,7 @@
     private final EndpointSelector mSelector;
     private final WorkReport mWorkReport;
     private final OutcomeRecorder mOutcomes;
-    private final CrashRecorder mCrashes = new CrashRecorder();
+    private final CrashGuard mCrashes;
     private Context mContext;
     private Optional<ServingState> mServingState = Optional.empty();
     private CallResources mResources;
@@ -121,6 +122,7 @@
                         settings.budgets().oldWeightsGraceMilliseconds());
         mWorkReport = new WorkReport(mSelector, reports.onWork());
         mOutcomes = new OutcomeRecorder(reports.onOutcomes());
+        mCrashes = new CrashGuard(reports.onCrashes());
     }
 
     @Override
@@ -172,6 +174,7 @@
                 id -> {
                     mWorkReport.sendIfDue(now());
                     mOutcomes.report();
+                    mCrashes.reportIfDue(now());
                     scheduleWorkReport();
                 });
     }
@@ -244,6 +247,15 @@
                 });
     }
 
+    @Override
+    public void quarantineChanged(QuarantineNotice notice) {
+        mContext.runOnContext(
+                ignored -> {
+                    mCrashes.noticeReceived(notice, now());
+                    List.copyOf(mCalls).forEach(GatewayCall::quarantineChanged);
+                });
+    }
+
     @Override
     public void limitMessageReceived(LimitMessage message) {
         mContext.runOnContext(
--- a/gateway/src/main/java/org/skylarkbend/gateway/link/SiteLinkTask.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/link/SiteLinkTask.java
@@ -27,6 +27,8 @@
 import org.skylarkbend.publishing.feed.FeedCodec;
 import org.skylarkbend.publishing.feed.FeedMessage;
 import org.skylarkbend.publishing.feed.FeedMessage.SliceMessage;
+import org.skylarkbend.quarantine.CrashEvidence;
+import org.skylarkbend.quarantine.QuarantineCodec;
 import org.skylarkbend.wire.FrameConnection;
 import org.skylarkbend.wire.FrameDialer;
 import org.skylarkbend.wire.WireOptions;
@@ -130,6 +132,16 @@
         mContext.runOnContext(ignored -> handle(new SiteLinkMessage.SliceToSend(slice)));
     }
 
+    /**
+     * Sends the evidence about crashes of engines to control. The message is lost if no connection
+     * is open.
+     */
+    public void sendCrashEvidence(CrashEvidence evidence) {
+        SliceMessage slice =
+                new SliceMessage(QuarantineCodec.SLICE, QuarantineCodec.encodeEvidence(evidence));
+        mContext.runOnContext(ignored -> handle(new SiteLinkMessage.SliceToSend(slice)));
+    }
+
     /** Replaces the seeds after a change of the settings. May be called from any thread. */
     public void postSeeds(List<String> hosts) {
         mContext.runOnContext(ignored -> handle(new SiteLinkMessage.SeedsChanged(hosts)));
@@ -186,6 +198,11 @@
                     .match(
                             mListener::limitMessageReceived,
                             error -> logMalformed(message, error.detail()));
+        } else if (message.slice().equals(QuarantineCodec.SLICE)) {
+            QuarantineCodec.decodeNotice(message.payload())
+                    .match(
+                            mListener::quarantineChanged,
+                            error -> logMalformed(message, error.detail()));
         } else {
             mSiteCodec
                     .decode(message.payload())
--- a/gateway/src/main/java/org/skylarkbend/gateway/link/SiteListener.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/link/SiteListener.java
@@ -7,6 +7,7 @@
 import org.skylarkbend.catalog.SiteMessage.WorkUnderWay;
 import org.skylarkbend.catalog.VersionSplit;
 import org.skylarkbend.limits.LimitMessage;
+import org.skylarkbend.quarantine.QuarantineNotice;
 
 /** Receives what the link learns from control. Implementations must not block. */
 public interface SiteListener {
@@ -25,6 +26,9 @@
     /** Called when the work of all other gateways was received. */
     void otherWorkChanged(WorkUnderWay work);
 
+    /** Called when the watched or quarantined parts of prompts have changed. */
+    void quarantineChanged(QuarantineNotice notice);
+
     /** Called when a message of the limit owner has arrived. */
     void limitMessageReceived(LimitMessage message);
 }
--- a/gateway/src/test/java/org/skylarkbend/gateway/front/GatewayFixture.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/front/GatewayFixture.java
@@ -73,7 +73,7 @@
                         new MetricRegistry(),
                         MillisecondClock.monotonic(),
                         message -> {},
-                        new GatewayReports(work -> {}, outcomes -> {}),
+                        new GatewayReports(work -> {}, outcomes -> {}, crashes -> {}),
                         ready -> {});
         await(mVertx.deployVerticle(mGateway));
     }
--- a/gateway/src/test/java/org/skylarkbend/gateway/front/GatewayTaskTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/front/GatewayTaskTest.java
@@ -8,11 +8,16 @@
 
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.skylarkbend.catalog.CallKind;
 import org.skylarkbend.gateway.FakeEndpoint;
 import org.skylarkbend.gateway.Routes;
+import org.skylarkbend.quarantine.PartCombination;
+import org.skylarkbend.quarantine.PromptPart;
+import org.skylarkbend.quarantine.QuarantineNotice;
 import org.testng.annotations.Test;
 
 /**
@@ -23,6 +28,9 @@
     /** Timeout of the routes in tests that check the timeout. */
     private static final long TIMEOUT_MILLISECONDS = 2_000;
 
+    private static final Map<String, String> PROMPT =
+            Map.of("Model", "m", "Tokens", "30,1", "Parts", "common:10,deadly:10,own:10");
+
     @Test
     public void beforeACatalogIsKnownACallIsRefusedAsNotRun() throws Exception {
         Response reply = call(Map.of());
@@ -103,6 +111,36 @@
         assertThat(sent(endpoints)).isEqualTo(2);
     }
 
+    @Test
+    public void aCallWithAQuarantinedPartIsRefusedAsNotRunWithTheTimeToComeBack() throws Exception {
+        FakeEndpoint[] endpoints = serve(CallKind.STREAM, 1, false, streaming(1, true));
+        quarantine("deadly");
+        Response reply = call(PROMPT);
+        assertThat(reply.status()).isEqualTo(503);
+        assertThat(reply.body()).hasValueSatisfying(b -> assertThat(b).contains("not_run"));
+        assertThat(Double.parseDouble(reply.head().get("retry-after"))).isBetween(50.0, 60.0);
+        assertThat(sent(endpoints)).isZero();
+        assertThat(
+                        call(Map.of("Model", "m", "Tokens", "20,1", "Parts", "common:10,own:10"))
+                                .status())
+                .as("other prompts of the same caller")
+                .isEqualTo(200);
+    }
+
+    @Test
+    public void aCallThatWaitsAtAnEngineIsTakenBackWhenItsPartIsQuarantined() throws Exception {
+        FakeEndpoint endpoint = serve(CallKind.STREAM, 1, false, request -> {})[0];
+        Future<Response> reply = send(PROMPT);
+        awaitUntil(() -> endpoint.heads().size() == 1);
+        quarantine("deadly");
+        assertThat(await(reply).status()).as("it may have run").isEqualTo(502);
+    }
+
+    private void quarantine(String part) {
+        PartCombination combination = PartCombination.of(List.of(new PromptPart("m", part)));
+        mGateway.quarantineChanged(new QuarantineNotice(Set.of(), Map.of(combination, 60_000L)));
+    }
+
     @Test
     public void aResponseToAnotherCallNeverReachesTheCaller() throws Exception {
         serve(
--- /dev/null
+++ b/quarantine/src/test/java/org/skylarkbend/quarantine/CrashAnalysisTest.java
@@ -0,0 +1,254 @@
+package org.skylarkbend.quarantine;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests which parts of prompts are found to crash engines, and which are not. */
+public class CrashAnalysisTest {
+    private static final PromptPart COMMON = part("common");
+    private static final PromptPart TOPIC = part("topic");
+    private static final PromptPart OTHER_TOPIC = part("other-topic");
+    private static final PromptPart DEADLY = part("deadly");
+    private static final long REPORTED = 1_000;
+
+    private CrashAnalysis mAnalysis;
+    private QuarantineState mState;
+    private long mAnswers;
+
+    @BeforeMethod
+    public void createAnalysis() {
+        mAnalysis = new CrashAnalysis();
+        mState = QuarantineState.empty();
+        mAnswers = 0;
+    }
+
+    @Test
+    public void aPartThatWaitedAtTwoCrashesAndWasNeverAnsweredIsQuarantined() {
+        crash("e1", 0, call("c1", COMMON, TOPIC, DEADLY));
+        answered(100, COMMON, TOPIC);
+        crash("e2", 500, call("c2", COMMON, TOPIC, DEADLY));
+        answered(600, COMMON, TOPIC);
+        assertThat(verdicts(REPORTED)).containsExactly(combination(DEADLY));
+    }
+
+    @Test
+    public void oneCrashIsNoReasonForAQuarantine() {
+        crash("e1", 0, call("c1", COMMON, DEADLY));
+        answered(100, COMMON);
+        assertThat(verdicts(REPORTED)).isEmpty();
+    }
+
+    @Test
+    public void aCallThatWasSentOnAndCrashedASecondEngineIsEnough() {
+        crash("e1", 0, call("c1", COMMON, DEADLY));
+        crash("e2", 200, call("c1", COMMON, DEADLY));
+        answered(300, COMMON);
+        assertThat(verdicts(REPORTED)).containsExactly(combination(DEADLY));
+    }
+
+    @Test
+    public void partsThatOnlyOccurTogetherAreQuarantinedTogether() {
+        crash("e1", 0, call("c1", COMMON, TOPIC, DEADLY));
+        crash("e2", 200, call("c2", COMMON, TOPIC, DEADLY));
+        answered(300, COMMON);
+        assertThat(verdicts(REPORTED)).containsExactly(combination(TOPIC, DEADLY));
+    }
+
+    @Test
+    public void aCrashWithOneOfTwoSuspectedPartsShowsWhichOneIsTheCause() {
+        crash("e1", 0, call("c1", COMMON, TOPIC, DEADLY));
+        crash("e2", 200, call("c2", COMMON, TOPIC, DEADLY));
+        answered(300, COMMON);
+        impose(combination(TOPIC, DEADLY));
+        crash("e3", 2_000, call("c3", COMMON, OTHER_TOPIC, DEADLY));
+        answered(2_100, COMMON);
+        assertThat(verdicts(2_100)).containsExactly(combination(DEADLY));
+    }
+
+    @Test
+    public void callsThatWaitedBesideTheCauseAreNotQuarantined() {
+        crash("e1", 0, call("c1", COMMON, DEADLY), call("c2", COMMON, TOPIC));
+        crash("e2", 200, call("c1", COMMON, DEADLY), call("c3", COMMON, OTHER_TOPIC));
+        answered(300, COMMON);
+        assertThat(verdicts(REPORTED)).containsExactly(combination(DEADLY));
+    }
+
+    @Test
+    public void aQuarantinedPartExplainsTheCrashesOfTheCallsBesideIt() {
+        crash("e1", 0, call("c1", COMMON, DEADLY), call("c2", COMMON, TOPIC));
+        crash("e2", 200, call("c1", COMMON, DEADLY));
+        answered(300, COMMON);
+        impose(combination(DEADLY));
+        crash("e3", 400, call("c3", COMMON, DEADLY), call("c4", COMMON, TOPIC));
+        assertThat(verdicts(REPORTED)).isEmpty();
+        assertThat(mAnalysis.watched(mState, REPORTED)).isEmpty();
+    }
+
+    @Test
+    public void onceThePartAloneIsQuarantinedThoseThatOccurredWithItAreCleared() {
+        crash("e1", 0, call("c1", COMMON, TOPIC, DEADLY));
+        crash("e2", 200, call("c2", COMMON, TOPIC, DEADLY));
+        answered(300, COMMON);
+        impose(combination(TOPIC, DEADLY));
+        crash("e3", 2_000, call("c3", COMMON, OTHER_TOPIC, DEADLY));
+        impose(combination(DEADLY));
+        answered(2_100, COMMON);
+        assertThat(verdicts(5_000)).isEmpty();
+    }
+
+    @Test
+    public void aNewLeaderWaitsForTheReportsOfAllGateways() {
+        mAnalysis.clearReports(1_000);
+        crash("e1", 1_050, call("c2", COMMON, TOPIC));
+        crash("e2", 1_200, call("c2", COMMON, TOPIC));
+        answered(1_300, COMMON);
+        assertThat(verdicts(1_900)).isEmpty();
+        assertThat(verdicts(2_500)).containsExactly(combination(TOPIC));
+    }
+
+    @Test
+    public void ifNothingIsAnsweredAnywhereNoPartIsToBlame() {
+        for (int i = 0; i < 10; i++) {
+            crash("e" + i, i * 200L, call("c" + i, COMMON));
+        }
+        assertThat(verdicts(5_000)).isEmpty();
+    }
+
+    @Test
+    public void crashesOfManyEnginesAtOnceCountAsOne() {
+        for (int i = 0; i < 10; i++) {
+            crash("e" + i, i, call("c" + i, COMMON, TOPIC));
+        }
+        answered(200, COMMON);
+        assertThat(verdicts(REPORTED)).isEmpty();
+    }
+
+    @Test
+    public void aPartThatWasAnsweredShortlyBeforeIsQuarantinedAfterMoreCrashesOnly() {
+        answered(-5_000, COMMON, TOPIC);
+        for (int i = 0; i < CrashAnalysis.CRASHES_IF_DOUBTFUL; i++) {
+            assertThat(verdicts(i * 1_000L)).as("after %d crashes", i).isEmpty();
+            crash("e" + i, i * 1_000L, call("c" + i, COMMON, TOPIC));
+            answered(i * 1_000L + 100, COMMON);
+        }
+        assertThat(verdicts(10_000)).containsExactly(combination(TOPIC));
+    }
+
+    @Test
+    public void ofPartsThatOccurTogetherThoseThatWereNeverAnsweredAreQuarantined() {
+        answered(-5_000, COMMON, TOPIC);
+        crash("e1", 0, call("c1", COMMON, TOPIC, DEADLY));
+        crash("e2", 200, call("c2", COMMON, TOPIC, DEADLY));
+        answered(300, COMMON);
+        assertThat(verdicts(REPORTED)).containsExactly(combination(DEADLY));
+    }
+
+    @Test
+    public void ifTwoCallsWaitedAtBothCrashesNeitherIsQuarantined() {
+        crash("e1", 0, call("c1", COMMON, DEADLY), call("c2", COMMON, TOPIC));
+        crash("e2", 200, call("c1", COMMON, DEADLY), call("c2", COMMON, TOPIC));
+        answered(300, COMMON);
+        assertThat(verdicts(REPORTED)).isEmpty();
+    }
+
+    @Test
+    public void verdictsWaitUntilAllGatewaysCanHaveReportedAnswers() {
+        crash("e1", 0, call("c1", COMMON, DEADLY));
+        crash("e2", 100, call("c1", COMMON, DEADLY));
+        answered(200, COMMON);
+        assertThat(verdicts(250)).isEmpty();
+        assertThat(verdicts(300)).containsExactly(combination(DEADLY));
+    }
+
+    @Test
+    public void repeatedReportsOfOneCrashCountOnce() {
+        crash("e1", 0, call("c1", COMMON, DEADLY));
+        crash("e1", 400, call("c1", COMMON, DEADLY));
+        crash("e1", 800, call("c2", COMMON, DEADLY));
+        answered(900, COMMON);
+        assertThat(verdicts(2_000)).isEmpty();
+    }
+
+    @Test
+    public void afterTheEndOfAQuarantineOneMoreCrashImposesItAgain() {
+        crash("e1", 0, call("c1", COMMON, DEADLY));
+        crash("e2", 200, call("c1", COMMON, DEADLY));
+        answered(300, COMMON);
+        impose(combination(DEADLY));
+        lift(combination(DEADLY), 30_000);
+        assertThat(verdicts(30_500)).as("old crashes no longer count").isEmpty();
+        crash("e3", 31_000, call("c2", COMMON, DEADLY));
+        answered(31_100, COMMON);
+        assertThat(verdicts(31_300)).containsExactly(combination(DEADLY));
+    }
+
+    @Test
+    public void afterTheEndOfAQuarantineAnAnswerClearsThePart() {
+        impose(combination(TOPIC));
+        lift(combination(TOPIC), 0);
+        crash("e1", 1_000, call("c1", COMMON, TOPIC));
+        answered(1_100, COMMON, TOPIC);
+        assertThat(verdicts(2_000)).isEmpty();
+    }
+
+    @Test
+    public void gatewaysAreAskedAboutSuspectedPartsOnly() {
+        crash("e1", 0, call("c1", COMMON, DEADLY));
+        answered(100, COMMON);
+        assertThat(mAnalysis.watched(mState, 200)).containsExactly(DEADLY);
+        assertThat(mAnalysis.watched(mState, 100_000)).as("after a while").isEmpty();
+    }
+
+    private void crash(String incarnation, long atMilliseconds, SuspectCall... calls) {
+        EndpointCrash crash = new EndpointCrash(incarnation, 0, List.of(calls));
+        add(new CrashEvidence(List.of(crash), Map.of(), totalAnswers()), atMilliseconds);
+    }
+
+    /** Reports answers to calls with these parts, and enough others for a verdict. */
+    private void answered(long atMilliseconds, PromptPart... parts) {
+        Map<PromptPart, Long> served =
+                Arrays.stream(parts)
+                        .collect(java.util.stream.Collectors.toMap(part -> part, part -> 0L));
+        mAnswers += CrashAnalysis.ANSWERS_IF_DOUBTFUL;
+        add(new CrashEvidence(List.of(), served, totalAnswers()), atMilliseconds);
+    }
+
+    private void add(CrashEvidence evidence, long atMilliseconds) {
+        mAnalysis.add("front", evidence, atMilliseconds);
+    }
+
+    private Map<String, Long> totalAnswers() {
+        return Map.of("m", mAnswers);
+    }
+
+    private void impose(PartCombination combination) {
+        mState = mState.after(new QuarantineMessage.Imposed(combination), 0);
+    }
+
+    private void lift(PartCombination combination, long atMilliseconds) {
+        mState = mState.after(new QuarantineMessage.Lifted(combination), 0);
+        mAnalysis.lifted(combination, atMilliseconds);
+    }
+
+    private Set<PartCombination> verdicts(long atMilliseconds) {
+        return mAnalysis.verdicts(mState, atMilliseconds);
+    }
+
+    private static SuspectCall call(String id, PromptPart... parts) {
+        return new SuspectCall(id, List.of(parts));
+    }
+
+    private static PartCombination combination(PromptPart... parts) {
+        return PartCombination.of(List.of(parts));
+    }
+
+    private static PromptPart part(String id) {
+        return new PromptPart("m", id);
+    }
+}
