Lose reports that come before the link to control has started, not the reporter

A gateway sends its first report 100 ms after its start. If the link to control was not deployed by then, the report failed with a NullPointerException inside a timer, and the timer was not set again: that gateway sent no work, outcomes or crash reports for the rest of its life. Seen in the log of CrashingPromptTest. SiteLinkTaskTest failed before with that exception.

--- a/gateway/src/main/java/org/skylarkbend/gateway/link/SiteLinkTask.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/link/SiteLinkTask.java
@@ -61,7 +61,7 @@
     private final MillisecondClock mClock;
     private final LimitCodec mLimitCodec = new LimitCodec();
     private final SiteCodec mSiteCodec = new SiteCodec();
-    private Context mContext;
+    private volatile Context mContext;
     private FrameDialer<FeedMessage> mDialer;
     private FrameConnection<FeedMessage> mConnection;
     private Endpoints mListedEndpoints = Endpoints.none();
@@ -110,7 +110,7 @@
     /** Sends a message to the limit owner. The message is lost if no connection is open. */
     public void sendToLimitOwner(LimitMessage message) {
         SliceMessage slice = new SliceMessage(LimitCodec.SLICE, mLimitCodec.encode(message));
-        mContext.runOnContext(ignored -> handle(new SiteLinkMessage.SliceToSend(slice)));
+        post(new SiteLinkMessage.SliceToSend(slice));
     }
 
     /**
@@ -119,7 +119,7 @@
      */
     public void sendWork(WorkUnderWay work) {
         SliceMessage slice = new SliceMessage(SiteCodec.WORK_SLICE, mSiteCodec.encode(work));
-        mContext.runOnContext(ignored -> handle(new SiteLinkMessage.SliceToSend(slice)));
+        post(new SiteLinkMessage.SliceToSend(slice));
     }
 
     /**
@@ -129,7 +129,7 @@
     public void sendOutcomes(RolloutOutcomes outcomes) {
         SliceMessage slice =
                 new SliceMessage(RolloutCodec.SLICE, RolloutCodec.encodeOutcomes(outcomes));
-        mContext.runOnContext(ignored -> handle(new SiteLinkMessage.SliceToSend(slice)));
+        post(new SiteLinkMessage.SliceToSend(slice));
     }
 
     /**
@@ -139,12 +139,20 @@
     public void sendCrashEvidence(CrashEvidence evidence) {
         SliceMessage slice =
                 new SliceMessage(QuarantineCodec.SLICE, QuarantineCodec.encodeEvidence(evidence));
-        mContext.runOnContext(ignored -> handle(new SiteLinkMessage.SliceToSend(slice)));
+        post(new SiteLinkMessage.SliceToSend(slice));
     }
 
     /** Replaces the seeds after a change of the settings. May be called from any thread. */
     public void postSeeds(List<String> hosts) {
-        mContext.runOnContext(ignored -> handle(new SiteLinkMessage.SeedsChanged(hosts)));
+        post(new SiteLinkMessage.SeedsChanged(hosts));
+    }
+
+    /** Passes a message to the task. It is lost if the task has not started. */
+    private void post(SiteLinkMessage message) {
+        Context target = mContext;
+        if (target != null) {
+            target.runOnContext(ignored -> handle(message));
+        }
     }
 
     private void handle(SiteLinkMessage message) {
