Believe a refusal only if it has the ID of the call

A faulty endpoint that wrote an earlier refusal without ID once more on a kept connection made the gateway tell callers that their call had not run, or send it to a second endpoint, while the first was running it. Responses without ID now count as broken, unless the call itself has none.

--- a/gateway/src/main/java/org/skylarkbend/gateway/call/GatewayCall.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/GatewayCall.java
@@ -222,7 +222,10 @@
         mSilenceTimer.restart(mStreaming);
         String id = head.getHeader(mResources.names().requestId());
         boolean isOk = head.statusCode() < MIN_ERROR_STATUS;
-        boolean isForThisCall = mCall.id().equals(id) || id == null && !isOk;
+        // A response without ID may be an earlier one that the endpoint sent again, so that even
+        // its
+        // statement that the call did not run cannot be trusted.
+        boolean isForThisCall = mCall.id().isEmpty() ? id == null && !isOk : mCall.id().equals(id);
         boolean isSealed = head.getHeader(mResources.names().seal()) != null;
         if (!isForThisCall || isOk && !isSealed) {
             attempt.stop();
