Keep slices whose state is a value in one class, and count crashes and quarantines

Rollouts and quarantines had the same slice twice; ValueSlice takes the transition and the encoding as functions. Leadership.continues replaces three copies of one condition. New metrics and a log line for each call that is refused because of its prompt, with its parts.

--- a/control/src/main/java/org/skylarkbend/control/log/Leadership.java
+++ b/control/src/main/java/org/skylarkbend/control/log/Leadership.java
@@ -14,6 +14,11 @@
  */
 public record Leadership(
         boolean leads, long term, Optional<ObjectName> leader, long leaderlessMilliseconds) {
+    /** Returns whether this member has led without interruption since an earlier leadership. */
+    public boolean continues(Leadership earlier) {
+        return earlier.leads && leads && earlier.term == term;
+    }
+
     /** Returns a leadership without a known leader. */
     public static Leadership unknown() {
         return new Leadership(false, 0, Optional.empty(), 0);
--- a/control/src/main/java/org/skylarkbend/control/quarantine/QuarantineTask.java
+++ b/control/src/main/java/org/skylarkbend/control/quarantine/QuarantineTask.java
@@ -14,6 +14,8 @@
 import org.skylarkbend.control.log.ControlEntry;
 import org.skylarkbend.control.log.ControlLog;
 import org.skylarkbend.control.log.Leadership;
+import org.skylarkbend.control.log.ReplicatedSlice;
+import org.skylarkbend.control.log.ValueSlice;
 import org.skylarkbend.limits.RouterIdentity;
 import org.skylarkbend.quarantine.CrashAnalysis;
 import org.skylarkbend.quarantine.CrashEvidence;
@@ -69,6 +71,19 @@
         mOnNotice = onNotice;
     }
 
+    /** Returns the quarantines as a slice of the replicated state. */
+    public static ReplicatedSlice slice(Consumer<QuarantineState> onChange) {
+        return new ValueSlice<>(
+                QuarantineCodec.SLICE,
+                QuarantineState.empty(),
+                (state, payload, proposedEpochMilliseconds) ->
+                        QuarantineCodec.decode(payload)
+                                .map(message -> state.after(message, proposedEpochMilliseconds)),
+                new ValueSlice.Encoding<>(
+                        QuarantineCodec::encodeState, QuarantineCodec::decodeState),
+                onChange);
+    }
+
     @Override
     public Future<?> start() {
         mContext = context;
@@ -80,10 +95,7 @@
     public void post(Leadership leadership) {
         mContext.runOnContext(
                 ignored -> {
-                    boolean continues =
-                            mLeadership.leads()
-                                    && leadership.leads()
-                                    && mLeadership.term() == leadership.term();
+                    boolean continues = leadership.continues(mLeadership);
                     mLeadership = leadership;
                     if (!continues) {
                         mAnalysis.clearReports(mClock.nowMilliseconds());
--- a/control/src/main/java/org/skylarkbend/control/rollout/RolloutTask.java
+++ b/control/src/main/java/org/skylarkbend/control/rollout/RolloutTask.java
@@ -21,6 +21,8 @@
 import org.skylarkbend.control.log.ControlEntry;
 import org.skylarkbend.control.log.ControlLog;
 import org.skylarkbend.control.log.Leadership;
+import org.skylarkbend.control.log.ReplicatedSlice;
+import org.skylarkbend.control.log.ValueSlice;
 import org.skylarkbend.moves.rollout.ExposureLimit;
 import org.skylarkbend.moves.rollout.Rollout;
 import org.skylarkbend.moves.rollout.RolloutCodec;
@@ -90,6 +92,19 @@
         mOnSplits = onSplits;
     }
 
+    /** Returns the rollouts as a slice of the replicated state. */
+    public static ReplicatedSlice slice(Consumer<RolloutState> onChange) {
+        return new ValueSlice<>(
+                RolloutCodec.SLICE,
+                RolloutState.empty(),
+                (state, payload, proposedEpochMilliseconds) ->
+                        RolloutCodec.decode(payload)
+                                .flatMap(
+                                        message -> state.after(message, proposedEpochMilliseconds)),
+                new ValueSlice.Encoding<>(RolloutCodec::encodeState, RolloutCodec::decodeState),
+                onChange);
+    }
+
     @Override
     public Future<?> start() {
         mContext = context;
@@ -143,10 +158,7 @@
     }
 
     private void leadershipChanged(Leadership leadership) {
-        boolean continues =
-                mLeadership.leads()
-                        && leadership.leads()
-                        && mLeadership.term() == leadership.term();
+        boolean continues = leadership.continues(mLeadership);
         mLeadership = leadership;
         if (!continues) {
             mJudges.clear();
--- a/control/src/main/java/org/skylarkbend/control/site/EndpointsTask.java
+++ b/control/src/main/java/org/skylarkbend/control/site/EndpointsTask.java
@@ -120,10 +120,7 @@
     }
 
     private void leadershipChanged(Leadership leadership) {
-        boolean continues =
-                mLeadership.leads()
-                        && leadership.leads()
-                        && mLeadership.term() == leadership.term();
+        boolean continues = leadership.continues(mLeadership);
         mLeadership = leadership;
         if (!continues) {
             mListKnown = false;
--- a/control/src/main/java/org/skylarkbend/control/site/SiteControlProcess.java
+++ b/control/src/main/java/org/skylarkbend/control/site/SiteControlProcess.java
@@ -49,9 +49,7 @@
 import org.skylarkbend.control.log.ControlLog;
 import org.skylarkbend.control.log.ControlStateMachine;
 import org.skylarkbend.control.log.Leadership;
-import org.skylarkbend.control.quarantine.QuarantineSlice;
 import org.skylarkbend.control.quarantine.QuarantineTask;
-import org.skylarkbend.control.rollout.RolloutSlice;
 import org.skylarkbend.control.rollout.RolloutTask;
 import org.skylarkbend.control.work.WorkDecider;
 import org.skylarkbend.control.work.WorkTask;
@@ -210,8 +208,8 @@
                                 new CatalogSlice(this::documentChanged),
                                 new WeightsSlice(this::weightsChanged),
                                 new OrdersSlice(this::orderAnnounced),
-                                new RolloutSlice(this::rolloutsChanged),
-                                new QuarantineSlice(mQuarantine::post),
+                                RolloutTask.slice(this::rolloutsChanged),
+                                QuarantineTask.slice(mQuarantine::post),
                                 new LimitRegistrySlice(this::limitsChanged)));
         mAgreement =
                 new AgreementTask(
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/CallLog.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/CallLog.java
@@ -58,6 +58,25 @@
                 nowMilliseconds - mCall.arrivedMilliseconds());
     }
 
+    /**
+     * Logs that the call is refused because of the parts of its prompt.
+     *
+     * @param waited true if it is taken back from an endpoint at which it waited
+     * @param remainingMilliseconds time until the quarantine is expected to end
+     */
+    void quarantined(boolean waited, long remainingMilliseconds) {
+        LOG.info(
+                "call.quarantined",
+                "id",
+                mCall.id(),
+                "parts",
+                sharedPartIds(),
+                "waited",
+                waited,
+                "remaining_milliseconds",
+                remainingMilliseconds);
+    }
+
     private String sharedPartIds() {
         List<String> ids = mCall.sharedParts().stream().map(PromptPart::id).toList();
         return ids.isEmpty() ? NONE : String.join(",", ids);
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/GatewayCall.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/GatewayCall.java
@@ -153,10 +153,12 @@
     }
 
     private void refuseQuarantined() {
+        long remainingMilliseconds = quarantinedMilliseconds().orElse(RETRY_AFTER_MILLISECONDS);
+        mLog.quarantined(mAttempt.isPresent(), remainingMilliseconds);
         fail(
                 mMayHaveRun ? ErrorKind.ENDPOINT_FAILED : ErrorKind.PROMPT_QUARANTINED,
                 "a part of the prompt crashes engines",
-                quarantinedMilliseconds().orElse(RETRY_AFTER_MILLISECONDS));
+                remainingMilliseconds);
     }
 
     private void sendToNextEndpoint() {
--- a/gateway/src/main/java/org/skylarkbend/gateway/crashes/CrashGuard.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/crashes/CrashGuard.java
@@ -1,5 +1,7 @@
 package org.skylarkbend.gateway.crashes;
 
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -28,6 +30,8 @@
     private final CrashRecorder mRecorder = new CrashRecorder();
     private final ServedParts mServed = new ServedParts();
     private final Consumer<CrashEvidence> mLeader;
+    private final Counter mCrashes;
+    private final Counter mQuarantined;
     private final Map<PartCombination, Long> mUntilMilliseconds = new HashMap<>();
     private QuarantineNotice mNotice = QuarantineNotice.none();
     private boolean mChanged;
@@ -37,9 +41,12 @@
      * Creates a guard without quarantined parts.
      *
      * @param leader sends a report to the leader of control, without guaranteed delivery
+     * @param metrics registry of the metrics
      */
-    public CrashGuard(Consumer<CrashEvidence> leader) {
+    public CrashGuard(Consumer<CrashEvidence> leader, MetricRegistry metrics) {
         mLeader = leader;
+        mCrashes = metrics.counter("gateway_endpoint_crashes");
+        mQuarantined = metrics.counter("gateway_quarantined_combinations");
     }
 
     /** Handles a notice of control. */
@@ -50,6 +57,8 @@
                 notice.watched().size(),
                 "quarantined",
                 notice.remainingMilliseconds().size());
+        mQuarantined.inc(
+                notice.remainingMilliseconds().size() - mNotice.remainingMilliseconds().size());
         mChanged |= !notice.watched().equals(mNotice.watched());
         mNotice = notice;
         mUntilMilliseconds.clear();
@@ -91,6 +100,7 @@
     /** Records that an endpoint accepted no connection. */
     public void refusedConnection(Endpoint endpoint, long nowMilliseconds) {
         if (mRecorder.refusedConnection(endpoint, nowMilliseconds)) {
+            mCrashes.inc();
             mChanged = true;
             reportIfDue(nowMilliseconds);
         }
--- a/gateway/src/main/java/org/skylarkbend/gateway/front/GatewayTask.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/front/GatewayTask.java
@@ -122,7 +122,7 @@
                         settings.budgets().oldWeightsGraceMilliseconds());
         mWorkReport = new WorkReport(mSelector, reports.onWork());
         mOutcomes = new OutcomeRecorder(reports.onOutcomes());
-        mCrashes = new CrashGuard(reports.onCrashes());
+        mCrashes = new CrashGuard(reports.onCrashes(), metrics);
     }
 
     @Override
--- a/gateway/src/test/java/org/skylarkbend/gateway/crashes/CrashSchedule.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/crashes/CrashSchedule.java
@@ -1,5 +1,6 @@
 package org.skylarkbend.gateway.crashes;
 
+import com.codahale.metrics.MetricRegistry;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -102,7 +103,7 @@
         int gateways = 2 + mRandom.nextInt(20);
         for (int i = 0; i < gateways; i++) {
             String name = "front-" + i;
-            mGateways.add(new CrashGuard(evidence -> report(name, evidence)));
+            mGateways.add(new CrashGuard(evidence -> report(name, evidence), new MetricRegistry()));
         }
     }
 
