Send a grant of the limits again when the router does not report it

The owner now repeats the total of a router whose report lacks tokens that were sent half a second before. LimitOwnerDeciderTest.aGrantThatTheRouterDoesNotReportIsSentAgain failed before.

--- a/limits/src/main/java/org/skylarkbend/limits/LimitOwnerDecider.java
+++ b/limits/src/main/java/org/skylarkbend/limits/LimitOwnerDecider.java
@@ -160,8 +160,13 @@
         boolean newest = holdings.isNewest(report);
         fillBeforeChange(holdings, report.entries(), nowMilliseconds);
         holdings.markKnown();
-        report.entries().forEach(entry -> applyEntry(router, holdings, entry, newest));
-        mOutbox.computeIfAbsent(router, r -> new ArrayList<>());
+        report.entries()
+                .forEach(entry -> applyEntry(router, holdings, entry, newest, nowMilliseconds));
+        outbox(router);
+    }
+
+    private List<GrantEntry> outbox(RouterIdentity router) {
+        return mOutbox.computeIfAbsent(router, r -> new ArrayList<>());
     }
 
     private void registerOrRepeatTerm(RouterIdentity router, RouterHoldings holdings) {
@@ -210,7 +215,11 @@
     }
 
     private void applyEntry(
-            RouterIdentity router, RouterHoldings holdings, ReportEntry entry, boolean newest) {
+            RouterIdentity router,
+            RouterHoldings holdings,
+            ReportEntry entry,
+            boolean newest,
+            long nowMilliseconds) {
         RouterHoldings.Holding holding = holdings.of(entry.customer());
         long beforeTokens = holding.heldTokens();
         long newlyReturnedTokens = holding.update(entry);
@@ -220,6 +229,10 @@
         }
         bucket.addHeldTokens(holding.heldTokens() - beforeTokens);
         bucket.addReturnedTokens(newlyReturnedTokens);
+        if (newest && holding.lacksGrants(entry, nowMilliseconds)) {
+            holding.grantsRepeated(nowMilliseconds);
+            outbox(router).add(new GrantEntry(entry.customer(), holding.grantedTokens(), false));
+        }
         if (newest) {
             putRequest(router, bucket, entry, holding.grantedTokens() - entry.grantedTokens());
             mPendingBuckets.add(bucket);
@@ -247,7 +260,7 @@
             fill(bucket, nowMilliseconds);
             serveWaiting(bucket, nowMilliseconds);
             if (!bucket.isExhausted()) {
-                servePrefetch(bucket);
+                servePrefetch(bucket, nowMilliseconds);
                 mPendingBuckets.remove(bucket);
             }
         }
@@ -273,7 +286,8 @@
                 recall(bucket, entry.getKey(), nowMilliseconds);
             } else {
                 long maxTokens = Math.min(headroomTokens, bucket.levelTokens());
-                grant(entry.getKey(), bucket, Math.min(request.pendingTokens(), maxTokens));
+                long grantedTokens = Math.min(request.pendingTokens(), maxTokens);
+                grant(entry.getKey(), bucket, grantedTokens, nowMilliseconds);
                 requests.remove();
             }
         }
@@ -283,7 +297,7 @@
      * Grants tokens requested in advance of calls, as long as the bucket stays above a minimum
      * level, and up to what the next owner assumes that unreported routers hold.
      */
-    private void servePrefetch(CustomerBucket bucket) {
+    private void servePrefetch(CustomerBucket bucket, long nowMilliseconds) {
         Iterator<Map.Entry<RouterIdentity, TokenRequest>> requests =
                 bucket.requests().entrySet().iterator();
         long minLevelTokens = bucket.limit().burstTokens() / mPolicy.holderDivisor();
@@ -297,7 +311,7 @@
                             Math.min(spareTokens, unheldTokens));
             long grantedTokens = Math.min(entry.getValue().prefetchTokens(), maxTokens);
             if (grantedTokens > 0) {
-                grant(entry.getKey(), bucket, grantedTokens);
+                grant(entry.getKey(), bucket, grantedTokens, nowMilliseconds);
             }
             if (entry.getValue().pendingTokens() == 0) {
                 requests.remove();
@@ -314,13 +328,13 @@
         return mPolicy.maxHeldTokens(bucket.limit()) - heldTokens;
     }
 
-    private void grant(RouterIdentity router, CustomerBucket bucket, long tokens) {
+    private void grant(
+            RouterIdentity router, CustomerBucket bucket, long tokens, long nowMilliseconds) {
         ObjectName customer = bucket.limit().customer();
         RouterHoldings.Holding holding = mRouters.get(router).of(customer);
         bucket.grant(tokens);
-        holding.grant(tokens);
-        mOutbox.computeIfAbsent(router, r -> new ArrayList<>())
-                .add(new GrantEntry(customer, holding.grantedTokens(), false));
+        holding.grant(tokens, nowMilliseconds);
+        outbox(router).add(new GrantEntry(customer, holding.grantedTokens(), false));
     }
 
     /** Asks the other routers to return the tokens that they do not need now. */
@@ -336,8 +350,7 @@
                             && sinceRecallMilliseconds > MIN_RECALL_INTERVAL_MILLISECONDS) {
                         mRecalledAtMilliseconds.put(router, nowMilliseconds);
                         long grantedTokens = holdings.of(customer).grantedTokens();
-                        mOutbox.computeIfAbsent(router, r -> new ArrayList<>())
-                                .add(new GrantEntry(customer, grantedTokens, true));
+                        outbox(router).add(new GrantEntry(customer, grantedTokens, true));
                     }
                 });
     }
--- a/limits/src/main/java/org/skylarkbend/limits/RouterHoldings.java
+++ b/limits/src/main/java/org/skylarkbend/limits/RouterHoldings.java
@@ -7,12 +7,16 @@
 
 /** Holdings of one router incarnation, as known to the owner. */
 final class RouterHoldings {
+    /** Time after which a grant that the router has not reported counts as lost. */
+    private static final long LOST_AFTER_MILLISECONDS = 500;
+
     /** Totals of one customer since the incarnation joined the term. */
     static final class Holding {
         private long mBaseTokens;
         private long mGrantedTokens;
         private long mUsedTokens;
         private long mReturnedTokens;
+        private long mGrantSentMilliseconds;
 
         /** Returns the maximum number of tokens that the incarnation can still spend. */
         long heldTokens() {
@@ -23,8 +27,23 @@
             return mGrantedTokens;
         }
 
-        void grant(long tokens) {
+        void grant(long tokens, long nowMilliseconds) {
             mGrantedTokens += tokens;
+            mGrantSentMilliseconds = nowMilliseconds;
+        }
+
+        /**
+         * Returns whether a report shows that grants were lost: it lacks tokens that were sent long
+         * enough ago to have arrived.
+         */
+        boolean lacksGrants(LimitMessage.ReportEntry entry, long nowMilliseconds) {
+            return entry.grantedTokens() < mGrantedTokens
+                    && nowMilliseconds - mGrantSentMilliseconds >= LOST_AFTER_MILLISECONDS;
+        }
+
+        /** Records that the total of the grants is sent again. */
+        void grantsRepeated(long nowMilliseconds) {
+            mGrantSentMilliseconds = nowMilliseconds;
         }
 
         /**
