Report calls that are taken back from a crashed engine, and let begun streams go on

The probe that finds an engine lost takes the resumable calls back from it. A call that waited there was then not reported as a suspect, although it may have caused the crash. A stream that has received events is no suspect and is not stopped by a quarantine: an engine has survived its prompt. What attempts show about endpoints moves out of GatewayCall into EndpointReports.

--- /dev/null
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/EndpointReports.java
@@ -0,0 +1,81 @@
+package org.skylarkbend.gateway.call;
+
+import io.vertx.core.http.HttpClientResponse;
+import org.skylarkbend.catalog.Endpoint;
+import org.skylarkbend.quarantine.SuspectCall;
+
+/**
+ * Passes on what the attempts of a call show about the endpoints and about its prompt. Confined to
+ * the task that serves the calls.
+ */
+final class EndpointReports {
+    private final CallRequest mCall;
+    private final CallResources mResources;
+    private boolean mServed;
+
+    /** Creates the reports of a call that has not started. */
+    EndpointReports(CallRequest call, CallResources resources) {
+        mCall = call;
+        mResources = resources;
+    }
+
+    /** Records the load that an endpoint names in the headers of a response. */
+    void loadReceived(Endpoint endpoint, HttpClientResponse head) {
+        LoadHeader.parse(head.getHeader(mResources.names().load()))
+                .ifPresent(
+                        load ->
+                                mResources
+                                        .selector()
+                                        .reported(endpoint, load.running(), load.waiting(), now()));
+    }
+
+    /**
+     * Records a failed attempt, which may be due to a crash of the endpoint.
+     *
+     * @param endpoint endpoint of the attempt
+     * @param outcome outcome of the attempt
+     * @param isWaiting true if no endpoint has begun to respond to the call
+     */
+    void attemptFailed(Endpoint endpoint, AttemptOutcome outcome, boolean isWaiting) {
+        if (outcome == AttemptOutcome.NOT_CONNECTED) {
+            mResources.crashes().refusedConnection(endpoint, now());
+        } else if (isWaiting && outcome == AttemptOutcome.BROKEN) {
+            mResources.crashes().connectionBroke(endpoint, suspect(), now());
+            mResources.probes().probe(endpoint);
+        } else if (isWaiting && outcome == AttemptOutcome.SILENT) {
+            mResources.crashes().waitedInVain(endpoint, suspect());
+        }
+    }
+
+    /** Records, once for the call, that an engine has survived its prompt. */
+    void promptServed() {
+        if (!mServed && mCall.prompt().isPresent()) {
+            mServed = true;
+            mResources.crashes().served(mCall.prompt().get().model(), mCall.sharedParts(), now());
+        }
+    }
+
+    /**
+     * Records the outcome of an attempt that an endpoint may have run.
+     *
+     * @param endpoint endpoint of the attempt
+     * @param isSuccess true if it was a success
+     * @param firstEventMilliseconds time from the attempt to the first event
+     */
+    void outcome(Endpoint endpoint, boolean isSuccess, long firstEventMilliseconds) {
+        String route = mCall.route().name();
+        if (isSuccess) {
+            mResources.outcomes().succeeded(endpoint, route, firstEventMilliseconds);
+        } else {
+            mResources.outcomes().failed(endpoint, route);
+        }
+    }
+
+    private SuspectCall suspect() {
+        return new SuspectCall(mCall.id(), mCall.sharedParts());
+    }
+
+    private long now() {
+        return mResources.clock().nowMilliseconds();
+    }
+}
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/GatewayCall.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/GatewayCall.java
@@ -14,7 +14,6 @@
 import org.skylarkbend.gateway.endpoints.EngineChoice;
 import org.skylarkbend.gateway.endpoints.PriorAttempts;
 import org.skylarkbend.gateway.limits.TokenGate;
-import org.skylarkbend.quarantine.SuspectCall;
 
 /**
  * Call in progress, from its admission to the end of the response. It is confined to the task that
@@ -43,6 +42,7 @@
     private final CallerResponse mResponse;
     private final Runnable mOnEnd;
     private final CallLog mLog;
+    private final EndpointReports mReports;
     private final Set<String> mTriedIncarnations = new HashSet<>();
     private final EventSplitter mEvents = new EventSplitter();
     private final StreamTiming mTiming;
@@ -55,7 +55,6 @@
     private int mConnectFailures;
     private boolean mMayHaveRun;
     private boolean mStreaming;
-    private boolean mServed;
     private boolean mEnded;
     private HttpClientResponse mHead;
     private Buffer mBody = Buffer.buffer();
@@ -75,6 +74,7 @@
         mResponse = response;
         mOnEnd = onEnd;
         mLog = new CallLog(call);
+        mReports = new EndpointReports(call, resources);
         mTiming = new StreamTiming(call.arrivedMilliseconds());
         mSilenceTimer = new SilenceTimer(resources.vertx(), call.route(), this::handleSilence);
     }
@@ -84,7 +84,7 @@
      * granted.
      */
     public void start() {
-        if (quarantinedMilliseconds().isPresent()) {
+        if (isQuarantined()) {
             refuseQuarantined();
             return;
         }
@@ -142,12 +142,20 @@
      */
     public void quarantineChanged() {
         boolean isWaiting = mAttempt.filter(attempt -> !attempt.isPromptRead()).isPresent();
-        if (!mEnded && isWaiting && quarantinedMilliseconds().isPresent()) {
+        if (!mEnded && isWaiting && isQuarantined()) {
             mMayHaveRun |= mAttempt.map(Attempt::isSent).orElse(false);
             refuseQuarantined();
         }
     }
 
+    /**
+     * Returns whether the call must not reach an engine. A call that has received events is proof
+     * that its prompt crashes none.
+     */
+    private boolean isQuarantined() {
+        return !mStreaming && quarantinedMilliseconds().isPresent();
+    }
+
     private OptionalLong quarantinedMilliseconds() {
         return mResources.crashes().quarantinedMilliseconds(mCall.sharedParts(), now());
     }
@@ -162,7 +170,7 @@
     }
 
     private void sendToNextEndpoint() {
-        if (quarantinedMilliseconds().isPresent()) {
+        if (isQuarantined()) {
             refuseQuarantined();
             return;
         }
@@ -220,12 +228,11 @@
     public void headReceived(Attempt attempt, HttpClientResponse head) {
         mHead = head;
         mResources.selector().responded(attempt.endpoint(), now());
-        recordLoad(attempt, head);
+        mReports.loadReceived(attempt.endpoint(), head);
         mSilenceTimer.restart(mStreaming);
         String id = head.getHeader(mResources.names().requestId());
         boolean isOk = head.statusCode() < MIN_ERROR_STATUS;
-        // A response without ID may be an earlier one that the endpoint sent again, so that even
-        // its
+        // A response without ID may be an earlier one that the endpoint sent again. Even its
         // statement that the call did not run cannot be trusted.
         boolean isForThisCall = mCall.id().isEmpty() ? id == null && !isOk : mCall.id().equals(id);
         boolean isSealed = head.getHeader(mResources.names().seal()) != null;
@@ -255,7 +262,7 @@
                 mTiming.eventsArrived(now());
                 promptRead(attempt);
                 if (mTiming.attemptStreamMilliseconds(now()) >= SURVIVED_MILLISECONDS) {
-                    recordServed();
+                    mReports.promptServed();
                 }
                 forward(events);
             }
@@ -307,7 +314,7 @@
             mResources.selector().succeeded(attempt.endpoint());
             recordOutcome(attempt, status < MIN_SERVER_ERROR_STATUS);
             if (status < MIN_ERROR_STATUS) {
-                recordServed();
+                mReports.promptServed();
             }
             mMayHaveRun = true;
             mResponse.complete(status, mHead.headers(), mBody);
@@ -317,7 +324,7 @@
 
     private void endCompleteStream(Attempt attempt) {
         endAttempt(attempt);
-        recordServed();
+        mReports.promptServed();
         mMayHaveRun = true;
         mResources.selector().succeeded(attempt.endpoint());
         recordOutcome(attempt, true);
@@ -340,9 +347,9 @@
         if (mEnded) {
             return;
         }
-        boolean isWaiting = !attempt.isPromptRead();
+        boolean isWaiting = !attempt.isPromptRead() && !mStreaming;
         endAttempt(attempt);
-        reportToCrashRecorder(attempt.endpoint(), outcome, isWaiting);
+        mReports.attemptFailed(attempt.endpoint(), outcome, isWaiting);
         if (outcome == AttemptOutcome.NOT_RUN) {
             mResources.selector().refused(attempt.endpoint(), now());
         } else {
@@ -367,37 +374,9 @@
         }
     }
 
-    private void reportToCrashRecorder(
-            Endpoint endpoint, AttemptOutcome outcome, boolean isWaiting) {
-        if (outcome == AttemptOutcome.NOT_CONNECTED) {
-            mResources.crashes().refusedConnection(endpoint, now());
-        } else if (outcome == AttemptOutcome.BROKEN && isWaiting) {
-            SuspectCall call = new SuspectCall(mCall.id(), mCall.sharedParts());
-            mResources.crashes().connectionBroke(endpoint, call, now());
-            mResources.probes().probe(endpoint);
-        }
-    }
-
-    /** Records, once for the call, that its prompt crashes no engine. */
-    private void recordServed() {
-        if (!mServed && mCall.prompt().isPresent()) {
-            mServed = true;
-            mResources.crashes().served(mCall.prompt().get().model(), mCall.sharedParts(), now());
-        }
-    }
-
     private void recordOutcome(Attempt attempt, boolean isSuccess) {
-        String route = mCall.route().name();
-        if (isSuccess) {
-            mResources
-                    .outcomes()
-                    .succeeded(
-                            attempt.endpoint(),
-                            route,
-                            mTiming.attemptFirstEventMilliseconds(now()));
-        } else {
-            mResources.outcomes().failed(attempt.endpoint(), route);
-        }
+        long firstEventMilliseconds = mTiming.attemptFirstEventMilliseconds(now());
+        mReports.outcome(attempt.endpoint(), isSuccess, firstEventMilliseconds);
     }
 
     private void promptRead(Attempt attempt) {
@@ -412,19 +391,6 @@
         mAttempt = Optional.empty();
     }
 
-    private void recordLoad(Attempt attempt, HttpClientResponse head) {
-        LoadHeader.parse(head.getHeader(mResources.names().load()))
-                .ifPresent(
-                        load ->
-                                mResources
-                                        .selector()
-                                        .reported(
-                                                attempt.endpoint(),
-                                                load.running(),
-                                                load.waiting(),
-                                                now()));
-    }
-
     private boolean hasHeader(String name) {
         MultiMap headers = mHead.headers();
         return headers.contains(name);
--- a/gateway/src/main/java/org/skylarkbend/gateway/crashes/CrashGuard.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/crashes/CrashGuard.java
@@ -92,6 +92,11 @@
         mChanged |= mRecorder.connectionBroke(endpoint, call, nowMilliseconds);
     }
 
+    /** Records that a waiting call was taken back from an endpoint, which may have crashed. */
+    public void waitedInVain(Endpoint endpoint, SuspectCall call) {
+        mChanged |= mRecorder.waitedInVain(endpoint, call);
+    }
+
     /** Records that an endpoint accepted a connection. */
     public void connected(Endpoint endpoint) {
         mRecorder.connected(endpoint);
--- a/gateway/src/main/java/org/skylarkbend/gateway/crashes/CrashRecorder.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/crashes/CrashRecorder.java
@@ -41,6 +41,12 @@
         Break(long atMilliseconds) {
             mAtMilliseconds = atMilliseconds;
         }
+
+        void add(SuspectCall call) {
+            if (mCalls.size() < MAX_CALLS) {
+                mCalls.put(call.id(), call);
+            }
+        }
     }
 
     private final Map<String, Break> mUnconfirmed = new HashMap<>();
@@ -52,14 +58,23 @@
      */
     public boolean connectionBroke(Endpoint endpoint, SuspectCall call, long nowMilliseconds) {
         removeOld(nowMilliseconds);
+        if (waitedInVain(endpoint, call)) {
+            return true;
+        }
+        mUnconfirmed
+                .computeIfAbsent(endpoint.incarnation(), key -> new Break(nowMilliseconds))
+                .add(call);
+        return false;
+    }
+
+    /**
+     * Records that a waiting call was taken back from an endpoint. Returns whether the endpoint is
+     * known to have crashed; otherwise it was only silent, which says nothing about the call.
+     */
+    public boolean waitedInVain(Endpoint endpoint, SuspectCall call) {
         Break crash = mCrashes.get(endpoint.incarnation());
-        Break found =
-                crash != null
-                        ? crash
-                        : mUnconfirmed.computeIfAbsent(
-                                endpoint.incarnation(), key -> new Break(nowMilliseconds));
-        if (found.mCalls.size() < MAX_CALLS) {
-            found.mCalls.put(call.id(), call);
+        if (crash != null) {
+            crash.add(call);
         }
         return crash != null;
     }
--- a/gateway/src/test/java/org/skylarkbend/gateway/crashes/CrashRecorderTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/crashes/CrashRecorderTest.java
@@ -56,6 +56,23 @@
         assertThat(mRecorder.crashes(102).get(0).calls()).containsExactly(CALL, late);
     }
 
+    /** Guards against the call that caused a crash being the only one that is not reported. */
+    @Test
+    public void callsThatAreTakenBackBecauseTheEndpointIsLostAreAddedToItsCrash() {
+        SuspectCall takenBack = new SuspectCall("c2", List.of());
+        mRecorder.connectionBroke(ENGINE, CALL, 100);
+        mRecorder.refusedConnection(ENGINE, 101);
+        assertThat(mRecorder.waitedInVain(ENGINE, takenBack)).isTrue();
+        assertThat(mRecorder.crashes(102).get(0).calls()).containsExactly(CALL, takenBack);
+    }
+
+    @Test
+    public void callsThatAreTakenBackFromASilentEndpointAreNoSuspects() {
+        assertThat(mRecorder.waitedInVain(ENGINE, CALL)).isFalse();
+        mRecorder.refusedConnection(ENGINE, 101);
+        assertThat(mRecorder.crashes(102)).isEmpty();
+    }
+
     @Test
     public void aCrashIsForgottenAfterSomeSeconds() {
         mRecorder.connectionBroke(ENGINE, CALL, 100);
--- a/gateway/src/test/java/org/skylarkbend/gateway/front/GatewayTaskTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/front/GatewayTaskTest.java
@@ -136,6 +136,31 @@
         assertThat(await(reply).status()).as("it may have run").isEqualTo(502);
     }
 
+    @Test
+    public void aStreamThatHasEventsGoesOnElsewhereAlthoughItsPartIsQuarantined() throws Exception {
+        FakeEndpoint[] endpoints =
+                serve(CallKind.STREAM, 2, true, streaming(1, false), streaming(1, false));
+        quarantine("other");
+        Promise<Void> resumed = Promise.promise();
+        for (FakeEndpoint endpoint : endpoints) {
+            endpoint.behave(
+                    request -> {
+                        if (request.getHeader("Last-Event-Id") == null) {
+                            streaming(1, false).accept(request);
+                        } else {
+                            resumed.future()
+                                    .onSuccess(ignored -> streaming(3, true).accept(request));
+                        }
+                    });
+        }
+        Future<Response> reply = send(PROMPT);
+        awaitUntil(() -> sent(endpoints) == 2);
+        quarantine("deadly");
+        resumed.complete();
+        assertThat(await(reply).body())
+                .hasValueSatisfying(body -> assertThat(body).contains("id: 1", "id: 3"));
+    }
+
     private void quarantine(String part) {
         PartCombination combination = PartCombination.of(List.of(new PromptPart("m", part)));
         mGateway.quarantineChanged(new QuarantineNotice(Set.of(), Map.of(combination, 60_000L)));
