Tell gateways on a change of the leader which parts are watched

A gateway keeps reporting answers while control watches a part. A new leader that watched none said nothing, so that gateways which had heard of a part from the one before went on for as long as they ran. QuarantineTaskTest.aNewLeaderTellsTheGatewaysThatItWatchesNothingYet failed before.

--- a/control/src/main/java/org/skylarkbend/control/quarantine/QuarantineTask.java
+++ b/control/src/main/java/org/skylarkbend/control/quarantine/QuarantineTask.java
@@ -101,6 +101,7 @@
                         mAnalysis.clearReports(mClock.nowMilliseconds());
                         mProposed.clear();
                         decide();
+                        sendNotice();
                     }
                 });
     }
