--- a/control/src/main/java/org/skylarkbend/control/quarantine/QuarantineTask.java
+++ b/control/src/main/java/org/skylarkbend/control/quarantine/QuarantineTask.java
@@ -206,6 +206,14 @@
         if (!mProposed.add(change.combination())) {
             return;
         }
+        LOG.info(
+                "quarantine.proposed",
+                "parts",
+                change.combination().ids(),
+                "in_force",
+                change instanceof Imposed,
+                "crashes",
+                mAnalysis.crashesWith(change.combination()));
         mLog.propose(
                         new ControlEntry(
                                 QuarantineCodec.SLICE,
--- a/quarantine/src/main/java/org/skylarkbend/quarantine/CrashAnalysis.java
+++ b/quarantine/src/main/java/org/skylarkbend/quarantine/CrashAnalysis.java
@@ -173,6 +173,11 @@
         return verdicts;
     }
 
+    /** Returns the number of recent crashes at which a call with the combination waited. */
+    public long crashesWith(PartCombination combination) {
+        return mCrashes.values().stream().filter(crash -> crash.hasCallWith(combination)).count();
+    }
+
     private boolean isProved(Suspect suspect, boolean hasEquals, long nowMilliseconds) {
         boolean wasServedBefore =
                 suspect.parts().parts().stream().anyMatch(mServedMilliseconds::containsKey);
