--- a/gateway/src/test/java/org/skylarkbend/gateway/crashes/CrashSchedule.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/crashes/CrashSchedule.java
@@ -306,7 +306,9 @@
     /** Delivers a notice after those that were sent before it, as one connection does. */
     private void sendInOrder(CrashGuard gateway, QuarantineNotice notice) {
         long atMilliseconds =
-                Math.max(mNowMilliseconds + 1 + mRandom.nextInt(20), mLastDeliveryMilliseconds.getOrDefault(gateway, 0L));
+                Math.max(
+                        mNowMilliseconds + 1 + mRandom.nextInt(20),
+                        mLastDeliveryMilliseconds.getOrDefault(gateway, 0L));
         mLastDeliveryMilliseconds.put(gateway, atMilliseconds);
         at(atMilliseconds, () -> gateway.noticeReceived(notice, mNowMilliseconds));
     }
