--- a/review/common/EndlessBodies.java
+++ b/review/common/EndlessBodies.java
@@ -21,8 +21,8 @@
 
     private static final double SPOILED_SHARE = 0.1;
 
-    /** Requests a second: those of Thiès' two streaming kinds together (11.2 and 25.6). */
-    private static final double REQUESTS_PER_SECOND = 36.8;
+    /** Requests a second: those of the site's two streaming kinds together (14.1 and 24.9). */
+    private static final double REQUESTS_PER_SECOND = 39.0;
 
     private static final long TRAFFIC_MILLISECONDS = 60_000;
     private static final long TROUBLE_AT_MILLISECONDS = 5_000;
--- a/review/common/Site.java
+++ b/review/common/Site.java
@@ -229,14 +229,14 @@
         return start("skylark-front", "front-" + number, settings);
     }
 
-    /** The values of a small deployment (Thiès). */
+    /** The values of a small deployment (beaudoin-releves). */
     private String commonSettings(String vm, String host, int seeds) {
         StringBuilder control = new StringBuilder();
         for (int i = 1; i <= seeds; i++) {
             control.append(i > 1 ? "," : "").append('"').append(coreHost(i)).append(':');
             control.append(controlPort()).append('"');
         }
-        return "vm: \"" + vm + "\"\nhost: \"" + host + "\"\ndata_centre: \"thies-nord\"\n"
+        return "vm: \"" + vm + "\"\nhost: \"" + host + "\"\ndata_centre: \"quebec-a\"\n"
                 + "control: [" + control + "]\n"
                 + "first_internal_port: " + mPort + "\n"
                 + "metrics_port: " + (mPort + 2) + "\n"
@@ -312,7 +312,7 @@
         synchronized (mInstances) {
             mInstances.add(
                     "{\"Id\":\"" + id + "\",\"Service\":\"" + service + "\",\"Address\":\""
-                            + server.address() + "\",\"Zone\":\"thies-nord\",\"Version\":\"v1\","
+                            + server.address() + "\",\"Zone\":\"quebec-a\",\"Version\":\"v1\","
                             + "\"Slots\":" + slots + ",\"State\":\"ready\",\"born\":1700000000000,"
                             + "\"ColdRemainingMs\":0" + more + "}");
         }
