Bound the replicated log by its bytes, in memory and on disk

At a start the file was read whole and then each record out of it.

Change: the entries kept are limited by bytes as well, a leader whose log has no room refuses proposals as overloaded, and a follower accepts no more entries until it has compacted its own.

--- a/agreement/src/main/java/org/skylarkbend/agreement/AgreementDecider.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/AgreementDecider.java
@@ -33,6 +33,9 @@
  * an entry until the state behind it is synced to disk.
  */
 public final class AgreementDecider {
+    /** The time after a snapshot that could not be saved, until another one is taken. */
+    private static final long SNAPSHOT_RETRY_MILLISECONDS = 1_000;
+
     private final MemberState mState;
     private final Elections mElections;
     private final FollowerReplication mFollowerReplication;
@@ -45,6 +48,7 @@
     private long mAppliedIndex;
     private long mAppliedBytes;
     private long mSnapshotIndex;
+    private long mSnapshotNotBeforeMilliseconds = Long.MIN_VALUE;
     private Optional<PendingSnapshot> mPendingSnapshot = Optional.empty();
 
     /** A snapshot of this member's state machine that is being written to disk. */
@@ -144,6 +148,7 @@
 
     private void tick() {
         mState.retryHardState();
+        takeSnapshotIfDue();
         if (mState.isLeader()) {
             tickAsLeader();
             return;
@@ -267,6 +272,13 @@
             fail(propose.proposalId(), ErrorKind.NO_LEADER, "this control VM is not the leader");
             return;
         }
+        if (mState.mLog.sizeBytes() >= mState.mOptions.maxLogBytes()) {
+            fail(
+                    propose.proposalId(),
+                    ErrorKind.OVERLOADED,
+                    "the log has " + mState.mLog.sizeBytes() + " bytes in memory");
+            return;
+        }
         long index = mState.mLog.lastIndex() + 1;
         mState.append(new LogEntry(index, mState.mTerm, propose.command()));
         mProposalsByIndex.put(index, propose.proposalId());
@@ -294,7 +306,12 @@
     private void persistFailed(PersistFailed failed) {
         mState.persistFailed();
         mFollowerReplication.persistFailed();
-        mPendingSnapshot = Optional.empty();
+        if (mPendingSnapshot.isPresent()) {
+            mPendingSnapshot = Optional.empty();
+            mSnapshotIndex = mState.mLog.baseIndex();
+            mAppliedBytes = mState.mOptions.snapshotAfterBytes();
+            mSnapshotNotBeforeMilliseconds = mNowMilliseconds + SNAPSHOT_RETRY_MILLISECONDS;
+        }
         if (!mState.isLeader()) {
             mState.mRole = MemberRole.FOLLOWER;
         }
@@ -339,7 +356,8 @@
         boolean isDue =
                 mAppliedIndex - mSnapshotIndex >= mState.mOptions.snapshotAfterEntries()
                         || mAppliedBytes >= mState.mOptions.snapshotAfterBytes();
-        if (isDue && mPendingSnapshot.isEmpty()) {
+        boolean isAllowed = mNowMilliseconds >= mSnapshotNotBeforeMilliseconds;
+        if (isDue && isAllowed && mPendingSnapshot.isEmpty()) {
             mSnapshotIndex = mAppliedIndex;
             mAppliedBytes = 0;
             mState.mOutbox.add(new AgreementEffect.TakeSnapshot(mAppliedIndex));
@@ -369,8 +387,10 @@
     }
 
     private long compactionIndex(Snapshot snapshot) {
-        return Math.max(
-                mState.mLog.baseIndex(), snapshot.index() - mState.mOptions.retainedEntries());
+        return mState.mLog.indexBeforeNewest(
+                snapshot.index(),
+                mState.mOptions.retainedEntries(),
+                mState.mOptions.retainedBytes());
     }
 
     private void failProposalsFrom(long index, ErrorKind kind, String detail) {
--- a/agreement/src/main/java/org/skylarkbend/agreement/AgreementStorage.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/AgreementStorage.java
@@ -2,7 +2,6 @@
 
 import java.io.Closeable;
 import java.io.IOException;
-import java.nio.ByteBuffer;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -130,8 +129,7 @@
                             + " exists, but the log file is missing. Move the data folder away and"
                             + " start with an empty one.");
         }
-        ByteBuffer bytes = ByteBuffer.wrap(Files.readAllBytes(identityFile));
-        Optional<byte[]> payload = LogRecord.payloadAt(bytes, 0);
+        Optional<byte[]> payload = LogRecord.onlyPayload(Files.readAllBytes(identityFile));
         if (payload.isEmpty()) {
             return Result.failure(
                     ErrorKind.STORAGE_FAILED,
@@ -150,12 +148,18 @@
                     "the data folder belongs to VM " + self.vm() + ", not to " + vm);
         }
         try {
-            Result<List<LogRecord>> records = mLogFile.read();
-            return mSnapshotFile
-                    .read()
-                    .flatMap(
-                            snapshot ->
-                                    records.flatMap(read -> rebuildState(self, snapshot, read)));
+            Result<Optional<Snapshot>> snapshot = mSnapshotFile.read();
+            return snapshot.fold(
+                    present -> recoverAfter(self, present), error -> Result.failure(error));
+        } catch (IOException e) {
+            return Result.failure(ErrorKind.STORAGE_FAILED, String.valueOf(e));
+        }
+    }
+
+    private Result<DurableState> recoverAfter(MemberId self, Optional<Snapshot> snapshot) {
+        RecoveredLog log = new RecoveredLog(snapshot);
+        try {
+            return mLogFile.read(log::add).flatMap(ignored -> log.stateOf(self));
         } catch (IOException e) {
             return Result.failure(ErrorKind.STORAGE_FAILED, String.valueOf(e));
         }
@@ -173,7 +177,8 @@
         mLogFile.replace(0, List.of());
         MessageWriter writer = new MessageWriter(IDENTITY);
         EntryEncoding.write(writer, self);
-        mFolder.replace(IDENTITY_FILE_NAME, LogRecord.frame(writer.toBytes()));
+        byte[] payload = writer.toBytes();
+        mFolder.replace(IDENTITY_FILE_NAME, file -> LogRecord.write(payload, file));
         return Result.success(DurableState.uninitialized(self));
     }
 
@@ -184,45 +189,6 @@
         return EntryEncoding.readMember(reader);
     }
 
-    private static Result<DurableState> rebuildState(
-            MemberId self, Optional<Snapshot> snapshot, List<LogRecord> records) {
-        HardState hardState = HardState.initial();
-        List<LogEntry> entries = new ArrayList<>();
-        for (LogRecord record : records) {
-            hardState = record.hardState().orElse(hardState);
-            record.entry().ifPresent(entry -> replaceFrom(entries, entry));
-        }
-        List<LogEntry> following =
-                snapshot.map(present -> entriesAfter(present, entries)).orElse(entries);
-        long firstIndex = snapshot.map(Snapshot::index).orElse(0L) + 1;
-        for (int i = 0; i < following.size(); i++) {
-            if (following.get(i).index() != firstIndex + i) {
-                return Result.failure(
-                        ErrorKind.STORAGE_FAILED,
-                        "entry " + (firstIndex + i) + " is missing from the log");
-            }
-        }
-        return Result.success(new DurableState(self, hardState, snapshot, following));
-    }
-
-    private static void replaceFrom(List<LogEntry> entries, LogEntry entry) {
-        while (!entries.isEmpty() && entries.get(entries.size() - 1).index() >= entry.index()) {
-            entries.remove(entries.size() - 1);
-        }
-        entries.add(entry);
-    }
-
-    /** Drops all entries if the log conflicts with the snapshot: they were never committed. */
-    private static List<LogEntry> entriesAfter(Snapshot snapshot, List<LogEntry> entries) {
-        boolean agrees =
-                entries.stream()
-                        .filter(entry -> entry.index() == snapshot.index())
-                        .allMatch(entry -> entry.term() == snapshot.term());
-        return entries.stream()
-                .filter(entry -> agrees && entry.index() > snapshot.index())
-                .toList();
-    }
-
     private Result<Long> execute(long number, DiskOperation operation) {
         try {
             operation.run();
--- a/agreement/src/main/java/org/skylarkbend/agreement/DataFolder.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/DataFolder.java
@@ -2,7 +2,6 @@
 
 import java.io.Closeable;
 import java.io.IOException;
-import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
 import java.nio.channels.FileLock;
 import java.nio.channels.OverlappingFileLockException;
@@ -48,14 +47,23 @@
         return mChannelWriter;
     }
 
+    /** Writes the content of a file, part by part. */
+    @FunctionalInterface
+    interface Content {
+        void writeTo(ChunkedWriter writer) throws IOException;
+    }
+
     /** Replaces a file atomically, and syncs the file and the folder. */
-    void replace(String name, byte[] bytes) throws IOException {
-        writeNew(name, bytes);
+    void replace(String name, Content content) throws IOException {
+        writeNew(name, content);
         replaceWithNew(name);
     }
 
-    /** Writes and syncs the new version of a file, to be activated by {@link #replaceWithNew}. */
-    void writeNew(String name, byte[] bytes) throws IOException {
+    /**
+     * Writes and syncs the new version of a file, to be activated by {@link #replaceWithNew}.
+     * Returns its size in bytes.
+     */
+    long writeNew(String name, Content content) throws IOException {
         Path newFile = file(name + NEW_SUFFIX);
         try (FileChannel channel =
                 FileChannel.open(
@@ -63,8 +71,11 @@
                         StandardOpenOption.CREATE,
                         StandardOpenOption.TRUNCATE_EXISTING,
                         StandardOpenOption.WRITE)) {
-            mChannelWriter.write(channel, ByteBuffer.wrap(bytes));
+            ChunkedWriter writer = new ChunkedWriter(channel, mChannelWriter);
+            content.writeTo(writer);
+            writer.flush();
             channel.force(true);
+            return writer.writtenBytes();
         }
     }
 
--- a/agreement/src/main/java/org/skylarkbend/agreement/FollowerReplication.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/FollowerReplication.java
@@ -10,6 +10,12 @@
 
 /** Receives entries and snapshots from the leader. */
 final class FollowerReplication {
+    /**
+     * A follower has room for all that a leader can have in its log, beside committed entries that
+     * it has not compacted yet. Without that room the entries might never be committed.
+     */
+    private static final int LEADER_LOGS = 2;
+
     private final MemberState mState;
     private final Runnable mApplyCommitted;
     private Optional<PendingInstall> mPendingInstall = Optional.empty();
@@ -46,9 +52,7 @@
             respond(from, request.round(), false, retryIndexFor(request.previousIndex()));
             return;
         }
-        long lastSent = request.previousIndex() + request.entries().size();
-        request.entries().forEach(this::acceptEntry);
-        mVerifiedIndex = Math.max(mVerifiedIndex, lastSent);
+        mVerifiedIndex = Math.max(mVerifiedIndex, acceptEntries(request));
         mLeaderCommitIndex = Math.max(mLeaderCommitIndex, request.commitIndex());
         respond(from, request.round(), true, durableMatchIndex());
         advanceCommit();
@@ -133,6 +137,23 @@
         return Math.max(mState.mCommitIndex, Math.min(mState.mLog.lastIndex(), previousIndex - 1));
     }
 
+    /**
+     * Accepts entries as long as the log has room, and returns the index up to which it matches the
+     * leader's. The leader sends the others again.
+     */
+    private long acceptEntries(AppendRequest request) {
+        long matchIndex = request.previousIndex();
+        for (LogEntry entry : request.entries()) {
+            boolean isNew = entry.index() > mState.mLog.lastIndex();
+            if (isNew && mState.mLog.sizeBytes() >= LEADER_LOGS * mState.mOptions.maxLogBytes()) {
+                break;
+            }
+            acceptEntry(entry);
+            matchIndex = entry.index();
+        }
+        return matchIndex;
+    }
+
     private void acceptEntry(LogEntry entry) {
         if (entry.index() <= mState.mLog.baseIndex()
                 || mState.mLog.containsEntry(entry.index(), entry.term())) {
--- a/agreement/src/main/java/org/skylarkbend/agreement/LogFile.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/LogFile.java
@@ -1,6 +1,5 @@
 package org.skylarkbend.agreement;
 
-import java.io.ByteArrayOutputStream;
 import java.io.Closeable;
 import java.io.IOException;
 import java.nio.ByteBuffer;
@@ -8,9 +7,9 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.skylarkbend.base.ErrorKind;
 import org.skylarkbend.base.Result;
 import org.skylarkbend.base.StructuredLog;
@@ -50,15 +49,12 @@
      * @param generation a number that no earlier log in this folder had
      */
     void replace(long generation, List<LogRecord> records) throws IOException {
-        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-        bytes.writeBytes(ByteBuffer.allocate(GENERATION_BYTES).putLong(generation).array());
-        records.forEach(record -> bytes.writeBytes(record.toBytes()));
-        mFolder.writeNew(FILE_NAME, bytes.toByteArray());
+        long lengthBytes = mFolder.writeNew(FILE_NAME, file -> writeAll(file, generation, records));
         close();
         mFolder.replaceWithNew(FILE_NAME);
         reopen();
         mGeneration = generation;
-        mLengthBytes = bytes.size();
+        mLengthBytes = lengthBytes;
         writeSyncedLength();
     }
 
@@ -67,47 +63,47 @@
     }
 
     /**
-     * Reads all records. Truncates a torn tail; fails with {@code STORAGE_FAILED} on other damage.
+     * Passes all records to the consumer. Truncates a torn tail; fails with {@code STORAGE_FAILED}
+     * on other damage.
      */
-    Result<List<LogRecord>> read() throws IOException {
-        ByteBuffer bytes = ByteBuffer.wrap(Files.readAllBytes(mFolder.file(FILE_NAME)));
-        if (bytes.limit() < GENERATION_BYTES) {
+    Result<Void> read(Consumer<LogRecord> consumer) throws IOException {
+        reopen();
+        LogFileReader reader = new LogFileReader(mChannel);
+        if (reader.lengthBytes() < GENERATION_BYTES) {
             return corrupted(0);
         }
-        mGeneration = bytes.getLong(0);
+        mGeneration = reader.numberAt(0);
         long syncedBytes = Math.max(GENERATION_BYTES, syncedLengthBytes());
-        List<LogRecord> records = new ArrayList<>();
-        int positionBytes = GENERATION_BYTES;
-        Optional<byte[]> payload = LogRecord.payloadAt(bytes, positionBytes);
+        long positionBytes = GENERATION_BYTES;
+        Optional<byte[]> payload = reader.payloadAt(positionBytes);
         while (payload.isPresent()) {
             Result<LogRecord> record = LogRecord.decode(payload.get());
             if (!record.isSuccess()) {
                 return corrupted(positionBytes);
             }
-            record.match(records::add, error -> {});
+            record.match(consumer, error -> {});
             positionBytes += LogRecord.HEADER_BYTES + payload.get().length;
-            payload = LogRecord.payloadAt(bytes, positionBytes);
+            payload = reader.payloadAt(positionBytes);
         }
-        if (positionBytes < syncedBytes || hasRecordAfter(bytes, positionBytes)) {
+        if (positionBytes < syncedBytes || reader.hasRecordAfter(positionBytes)) {
             return corrupted(positionBytes);
         }
-        truncateTornTail(positionBytes, bytes.limit());
-        return Result.success(records);
+        truncateTornTail(positionBytes, reader.lengthBytes());
+        return Result.success(null);
     }
 
     /** Appends and syncs. After a failure, the file is unchanged or accepts no more writes. */
     void append(List<LogRecord> records) throws IOException {
-        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-        records.forEach(record -> bytes.writeBytes(record.toBytes()));
+        ChunkedWriter writer = new ChunkedWriter(mChannel, mFolder.channelWriter());
         try {
             mChannel.position(mLengthBytes);
-            mFolder.channelWriter().write(mChannel, ByteBuffer.wrap(bytes.toByteArray()));
+            writeAll(writer, records);
         } catch (IOException e) {
             truncate(mLengthBytes);
             throw e;
         }
         sync();
-        mLengthBytes += bytes.size();
+        mLengthBytes += writer.writtenBytes();
         writeSyncedLength();
     }
 
@@ -118,6 +114,19 @@
         }
     }
 
+    private static void writeAll(ChunkedWriter file, long generation, List<LogRecord> records)
+            throws IOException {
+        file.write(ByteBuffer.allocate(GENERATION_BYTES).putLong(generation).array());
+        writeAll(file, records);
+    }
+
+    private static void writeAll(ChunkedWriter file, List<LogRecord> records) throws IOException {
+        for (LogRecord record : records) {
+            record.writeTo(file);
+        }
+        file.flush();
+    }
+
     private void reopen() throws IOException {
         close();
         mChannel =
@@ -125,8 +134,7 @@
                         mFolder.file(FILE_NAME), StandardOpenOption.READ, StandardOpenOption.WRITE);
     }
 
-    private void truncateTornTail(int lengthBytes, int fileBytes) throws IOException {
-        reopen();
+    private void truncateTornTail(long lengthBytes, long fileBytes) throws IOException {
         mLengthBytes = lengthBytes;
         if (lengthBytes < fileBytes) {
             LOG.warn("agreement.log.cut", "at_bytes", lengthBytes, "of_bytes", fileBytes);
@@ -173,23 +181,14 @@
         if (!Files.exists(file)) {
             return 0;
         }
-        return LogRecord.payloadAt(ByteBuffer.wrap(Files.readAllBytes(file)), 0)
+        return LogRecord.onlyPayload(Files.readAllBytes(file))
                 .map(ByteBuffer::wrap)
                 .filter(marker -> marker.getLong(0) == mGeneration)
                 .map(marker -> marker.getLong(Long.BYTES))
                 .orElse(0L);
     }
 
-    private static boolean hasRecordAfter(ByteBuffer bytes, int positionBytes) {
-        for (int next = positionBytes + 1; next < bytes.limit(); next++) {
-            if (LogRecord.payloadAt(bytes, next).isPresent()) {
-                return true;
-            }
-        }
-        return false;
-    }
-
-    private <T> Result<T> corrupted(int positionBytes) {
+    private <T> Result<T> corrupted(long positionBytes) {
         return Result.failure(
                 ErrorKind.STORAGE_FAILED,
                 mFolder.file(FILE_NAME)
--- a/agreement/src/main/java/org/skylarkbend/agreement/LogRecord.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/LogRecord.java
@@ -1,6 +1,8 @@
 package org.skylarkbend.agreement;
 
+import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.util.Arrays;
 import java.util.Optional;
 import java.util.zip.CRC32C;
 import org.skylarkbend.base.Result;
@@ -28,33 +30,36 @@
         return new LogRecord(Optional.empty(), Optional.of(entry));
     }
 
-    /** Returns the encoded record, including its header. */
-    byte[] toBytes() {
-        return frame(payload());
+    /** Writes the record, including its header. */
+    void writeTo(ChunkedWriter file) throws IOException {
+        write(payload(), file);
     }
 
-    /** Returns the payload with a header in front. */
+    /** Writes a payload with its header in front. */
+    static void write(byte[] payload, ChunkedWriter file) throws IOException {
+        file.write(header(payload));
+        file.write(payload);
+    }
+
+    /** Returns the payload with its header in front. */
     static byte[] frame(byte[] payload) {
         return ByteBuffer.allocate(HEADER_BYTES + payload.length)
-                .putInt(payload.length)
-                .putInt(checksum(payload))
+                .put(header(payload))
                 .put(payload)
                 .array();
     }
 
-    /** Returns the payload of the record at this position, or empty if it is torn or damaged. */
-    static Optional<byte[]> payloadAt(ByteBuffer file, int positionBytes) {
-        if (file.limit() - positionBytes < HEADER_BYTES) {
+    /** Returns the payload of the only record of a file, or empty if it is torn or damaged. */
+    static Optional<byte[]> onlyPayload(byte[] file) {
+        if (file.length < HEADER_BYTES) {
             return Optional.empty();
         }
-        int payloadBytes = file.getInt(positionBytes);
-        int checksum = file.getInt(positionBytes + Integer.BYTES);
-        if (payloadBytes < 1 || payloadBytes > file.limit() - positionBytes - HEADER_BYTES) {
+        Header header = Header.read(ByteBuffer.wrap(file));
+        if (header.payloadBytes() != file.length - HEADER_BYTES) {
             return Optional.empty();
         }
-        byte[] payload = new byte[payloadBytes];
-        file.get(positionBytes + HEADER_BYTES, payload);
-        return checksum(payload) == checksum ? Optional.of(payload) : Optional.empty();
+        byte[] payload = Arrays.copyOfRange(file, HEADER_BYTES, file.length);
+        return header.matches(payload) ? Optional.of(payload) : Optional.empty();
     }
 
     /** Decodes a payload. */
@@ -84,10 +89,39 @@
         };
     }
 
-    private static int checksum(byte[] payload) {
-        CRC32C checksum = new CRC32C();
-        checksum.update(ByteBuffer.allocate(Integer.BYTES).putInt(payload.length).flip());
+    private static byte[] header(byte[] payload) {
+        Header unchecked = new Header(payload.length, 0);
+        CRC32C checksum = unchecked.startChecksum();
         checksum.update(payload);
-        return (int) checksum.getValue();
+        return ByteBuffer.allocate(HEADER_BYTES)
+                .putInt(payload.length)
+                .putInt((int) checksum.getValue())
+                .array();
+    }
+
+    /**
+     * The header in front of a payload.
+     *
+     * @param payloadBytes the size of the payload, which may be damaged
+     * @param checksum the checksum of the size and the payload
+     */
+    record Header(int payloadBytes, int checksum) {
+        static Header read(ByteBuffer bytes) {
+            return new Header(bytes.getInt(), bytes.getInt());
+        }
+
+        /** Returns whether this is the undamaged header of the payload. */
+        boolean matches(byte[] payload) {
+            CRC32C actual = startChecksum();
+            actual.update(payload);
+            return (int) actual.getValue() == checksum;
+        }
+
+        /** Returns a checksum to which the payload is still to be added. */
+        CRC32C startChecksum() {
+            CRC32C started = new CRC32C();
+            started.update(ByteBuffer.allocate(Integer.BYTES).putInt(payloadBytes).flip());
+            return started;
+        }
     }
 }
--- a/agreement/src/main/java/org/skylarkbend/agreement/ReplicatedLog.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/ReplicatedLog.java
@@ -11,6 +11,7 @@
  */
 final class ReplicatedLog {
     private final List<LogEntry> mEntries = new ArrayList<>();
+    private long mEntriesBytes;
     private long mBaseIndex;
     private long mBaseTerm;
     private Membership mBaseMembership = Membership.none();
@@ -41,6 +42,11 @@
         return mBaseIndex + mEntries.size();
     }
 
+    /** Returns the size of the entries in memory. */
+    long sizeBytes() {
+        return mEntriesBytes;
+    }
+
     long lastTerm() {
         return mEntries.isEmpty() ? mBaseTerm : mEntries.get(mEntries.size() - 1).term();
     }
@@ -91,6 +97,7 @@
                     "entry " + entry.index() + " does not follow entry " + lastIndex());
         }
         mEntries.add(entry);
+        mEntriesBytes += entry.sizeBytes();
         if (entry.content() instanceof MembershipChange change) {
             mMembership = change.membership();
             mMembershipIndex = entry.index();
@@ -102,13 +109,13 @@
         if (index > lastIndex()) {
             return;
         }
-        mEntries.subList((int) (index - mBaseIndex - 1), mEntries.size()).clear();
+        remove(mEntries.subList((int) (index - mBaseIndex - 1), mEntries.size()));
         recomputeMembership();
     }
 
     /** Replaces the content of the log with a snapshot and the entries that follow it. */
     void resetToSnapshot(Snapshot snapshot, List<LogEntry> following) {
-        mEntries.clear();
+        remove(mEntries);
         mBaseIndex = snapshot.index();
         mBaseTerm = snapshot.term();
         mBaseMembership = snapshot.membership();
@@ -123,12 +130,29 @@
         }
         long term = termAt(index).orElseThrow();
         Membership membership = membershipAt(index);
-        mEntries.subList(0, (int) (index - mBaseIndex)).clear();
+        remove(mEntries.subList(0, (int) (index - mBaseIndex)));
         mBaseIndex = index;
         mBaseTerm = term;
         mBaseMembership = membership;
     }
 
+    /**
+     * Returns the index up to which entries can be removed so that at most this number of entries
+     * and bytes up to another index are kept.
+     */
+    long indexBeforeNewest(long toIndex, int maxEntries, long maxBytes) {
+        long index = toIndex;
+        long keptBytes = 0;
+        while (index > mBaseIndex && toIndex - index < maxEntries) {
+            keptBytes += entryAt(index).sizeBytes();
+            if (keptBytes > maxBytes) {
+                break;
+            }
+            index--;
+        }
+        return index;
+    }
+
     /** Returns the entries after one index, up to and including another. */
     List<LogEntry> between(long afterIndex, long toIndex) {
         int from = (int) (Math.max(afterIndex, mBaseIndex) - mBaseIndex);
@@ -154,6 +178,11 @@
         return batch;
     }
 
+    private void remove(List<LogEntry> entries) {
+        mEntriesBytes -= entries.stream().mapToLong(LogEntry::sizeBytes).sum();
+        entries.clear();
+    }
+
     private void recomputeMembership() {
         mMembership = mBaseMembership;
         mMembershipIndex = mBaseIndex;
--- a/agreement/src/main/java/org/skylarkbend/agreement/SnapshotFile.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/SnapshotFile.java
@@ -1,7 +1,6 @@
 package org.skylarkbend.agreement;
 
 import java.io.IOException;
-import java.nio.ByteBuffer;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Optional;
@@ -27,9 +26,8 @@
         if (!Files.exists(file)) {
             return Result.success(Optional.empty());
         }
-        ByteBuffer bytes = ByteBuffer.wrap(Files.readAllBytes(file));
-        Optional<byte[]> payload = LogRecord.payloadAt(bytes, 0);
-        if (payload.isEmpty() || payload.get().length + LogRecord.HEADER_BYTES != bytes.limit()) {
+        Optional<byte[]> payload = LogRecord.onlyPayload(Files.readAllBytes(file));
+        if (payload.isEmpty()) {
             return Result.failure(
                     ErrorKind.STORAGE_FAILED,
                     file
@@ -45,7 +43,8 @@
                 new MessageWriter(SNAPSHOT).number(snapshot.index()).number(snapshot.term());
         EntryEncoding.write(writer, snapshot.membership());
         writer.bytes(snapshot.data());
-        mFolder.replace(FILE_NAME, LogRecord.frame(writer.toBytes()));
+        byte[] payload = writer.toBytes();
+        mFolder.replace(FILE_NAME, file -> LogRecord.write(payload, file));
     }
 
     private static Snapshot read(MessageReader reader) {
--- a/agreement/src/test/java/org/skylarkbend/agreement/AgreementDeciderTest.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/AgreementDeciderTest.java
@@ -6,9 +6,16 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import org.skylarkbend.agreement.AgreementEffect.SaveSnapshot;
+import org.skylarkbend.agreement.AgreementEffect.TakeSnapshot;
+import org.skylarkbend.agreement.AgreementInput.PersistFailed;
+import org.skylarkbend.agreement.AgreementInput.Persisted;
+import org.skylarkbend.agreement.AgreementInput.Propose;
 import org.skylarkbend.agreement.AgreementInput.Received;
+import org.skylarkbend.agreement.AgreementInput.SnapshotTaken;
 import org.skylarkbend.agreement.AgreementMessage.AppendRequest;
 import org.skylarkbend.agreement.AgreementMessage.AppendResponse;
+import org.skylarkbend.base.ErrorKind;
 import org.skylarkbend.base.ObjectName;
 import org.testng.annotations.Test;
 
@@ -20,6 +27,13 @@
             AgreementOptions.defaults().electionMinMilliseconds();
     private static final Membership MEMBERS = new Membership(List.of(SELF, LEADER));
 
+    private static final long START_MILLISECONDS = 10_000;
+    private static final long ELECTED_MILLISECONDS = START_MILLISECONDS + 1_000;
+    private static final int COMMAND_BYTES = 1_000;
+    private static final AgreementOptions SMALL =
+            new AgreementOptions(
+                    50, 150, 300, false, 10, 1_000, 10_000, 200, 5_000, 30_000, 100_000);
+
     @Test
     public void aResponseToARequestOfAnOlderTermEchoesNoRound() {
         DurableState durable =
@@ -86,6 +100,97 @@
         assertThat(member(durable, -10_000).decide(request, 1)).contains(granted);
     }
 
+    @Test
+    public void aSnapshotKeepsNoMoreBytesOfOlderEntriesThanTheOptionsAllow() {
+        AgreementDecider alone = leaderAlone();
+        List<AgreementEffect> effects = proposeUntilSnapshot(alone);
+        SaveSnapshot save = only(SaveSnapshot.class, effects);
+        long keptBytes = save.remaining().stream().mapToLong(LogEntry::sizeBytes).sum();
+        assertThat(keptBytes).isPositive().isLessThanOrEqualTo(SMALL.retainedBytes());
+    }
+
+    /** Guards against a log that grows without end while snapshots cannot be saved. */
+    @Test
+    public void aLeaderWithoutRoomInItsLogRefusesProposalsUntilASnapshotIsSaved() {
+        AgreementDecider alone = leaderAlone();
+        SaveSnapshot failed = only(SaveSnapshot.class, proposeUntilSnapshot(alone));
+        alone.decide(new PersistFailed(failed.number(), "no space"), ELECTED_MILLISECONDS);
+        List<AgreementEffect> effects = List.of();
+        int accepted = 0;
+        while (effects.stream().noneMatch(AgreementEffect.FailProposal.class::isInstance)) {
+            effects = persisted(alone, propose(++accepted), ELECTED_MILLISECONDS);
+            assertThat((long) accepted * COMMAND_BYTES).isLessThanOrEqualTo(SMALL.maxLogBytes());
+        }
+        assertThat(only(AgreementEffect.FailProposal.class, effects).error().kind())
+                .isEqualTo(ErrorKind.OVERLOADED);
+        List<AgreementEffect> retried =
+                persisted(alone, new AgreementInput.Tick(), ELECTED_MILLISECONDS + 1_000);
+        TakeSnapshot take = only(TakeSnapshot.class, retried);
+        SnapshotTaken taken = new SnapshotTaken(take.index(), new byte[1]);
+        SaveSnapshot saved = only(SaveSnapshot.class, alone.decide(taken, ELECTED_MILLISECONDS));
+        alone.decide(new Persisted(saved.number()), ELECTED_MILLISECONDS);
+        assertThat(persisted(alone, propose(++accepted), ELECTED_MILLISECONDS))
+                .noneMatch(AgreementEffect.FailProposal.class::isInstance);
+    }
+
+    /** Returns the effects of proposals up to the first snapshot, which is not saved yet. */
+    private static List<AgreementEffect> proposeUntilSnapshot(AgreementDecider leader) {
+        for (int number = 1; number < SMALL.snapshotAfterEntries(); number++) {
+            List<AgreementEffect> effects =
+                    persisted(leader, propose(number), ELECTED_MILLISECONDS);
+            for (AgreementEffect effect : effects) {
+                if (effect instanceof TakeSnapshot take) {
+                    SnapshotTaken taken = new SnapshotTaken(take.index(), new byte[1]);
+                    return leader.decide(taken, ELECTED_MILLISECONDS);
+                }
+            }
+        }
+        throw new AssertionError("no snapshot was taken");
+    }
+
+    private static AgreementInput propose(int number) {
+        return new Propose(number, new EntryContent.Command(new byte[COMMAND_BYTES]));
+    }
+
+    /** Returns the only member of a group, as its leader. */
+    private static AgreementDecider leaderAlone() {
+        Snapshot snapshot = new Snapshot(10, 2, new Membership(List.of(SELF)), new byte[0]);
+        AgreementDecider decider =
+                new AgreementDecider(
+                        new DurableState(
+                                SELF,
+                                new HardState(2, Optional.empty()),
+                                Optional.of(snapshot),
+                                List.of()),
+                        SMALL,
+                        MembershipRules.fixed(Set.of(SELF.vm())),
+                        bound -> 0,
+                        0,
+                        START_MILLISECONDS);
+        persisted(decider, new AgreementInput.Tick(), ELECTED_MILLISECONDS);
+        assertThat(decider.role()).isEqualTo(MemberRole.LEADER);
+        return decider;
+    }
+
+    /** Processes an input and syncs every entry that it appends. Snapshots are not saved. */
+    private static List<AgreementEffect> persisted(
+            AgreementDecider decider, AgreementInput input, long nowMilliseconds) {
+        List<AgreementEffect> effects = new ArrayList<>(decider.decide(input, nowMilliseconds));
+        for (AgreementEffect effect : List.copyOf(effects)) {
+            if (effect instanceof AgreementEffect.Persist persist) {
+                effects.addAll(
+                        persisted(decider, new Persisted(persist.number()), nowMilliseconds));
+            }
+        }
+        return effects;
+    }
+
+    private static <T> T only(Class<T> type, List<AgreementEffect> effects) {
+        List<T> found = effects.stream().filter(type::isInstance).map(type::cast).toList();
+        assertThat(found).hasSize(1);
+        return found.get(0);
+    }
+
     private static DurableState voterWithSnapshot() {
         Snapshot snapshot = new Snapshot(10, 2, MEMBERS, new byte[0]);
         return new DurableState(
--- a/agreement/src/test/java/org/skylarkbend/agreement/AgreementTaskTest.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/AgreementTaskTest.java
@@ -33,7 +33,8 @@
     private static final List<ObjectName> VMS =
             List.of(ObjectName.of("vm-1"), ObjectName.of("vm-2"), ObjectName.of("vm-3"));
     private static final AgreementOptions OPTIONS =
-            new AgreementOptions(50, 3_000, 6_000, false, 10, 100, 1_000_000, 10, 100_000);
+            new AgreementOptions(
+                    50, 3_000, 6_000, false, 10, 100, 1_000_000, 10, 100_000, 8_000_000, 100_000);
 
     private final Map<ObjectName, Running> mRunning = new TreeMap<>();
     private final BlockingQueue<MemberId> mLeaders = new LinkedBlockingQueue<>();
--- a/agreement/src/test/java/org/skylarkbend/agreement/ClusterSimulation.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/ClusterSimulation.java
@@ -66,7 +66,9 @@
     private ClusterSimulation(long seed, boolean mayJoin) {
         mMayJoin = mayJoin;
         mRandom = new SplittableRandom(seed);
-        mOptions = new AgreementOptions(50, 150, 300, mRandom.nextBoolean(), 10, 8, 10_000, 3, 64);
+        mOptions =
+                new AgreementOptions(
+                        50, 150, 300, mRandom.nextBoolean(), 10, 8, 10_000, 3, 1_000, 100_000, 64);
         mDropRate = mRandom.nextDouble(0, 0.2);
         mDuplicateRate = mRandom.nextDouble(0, 0.2);
         mSlowSyncMilliseconds = mRandom.nextLong(1, 60);
