End a process whose memory is exhausted or whose log cannot continue

A member of the replicated log that met an unexpected exception undeployed itself and left a process that looked alive.

Change: an Error that no task catches is logged and ends the process, which is then started again from its disk. A disk operation that ends in an Error says nothing about the disk.

--- a/agreement/src/main/java/org/skylarkbend/agreement/AgreementTask.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/AgreementTask.java
@@ -37,6 +37,7 @@
 import org.skylarkbend.base.ObjectName;
 import org.skylarkbend.base.Result;
 import org.skylarkbend.base.StructuredLog;
+import org.skylarkbend.base.TaskFailedError;
 import org.skylarkbend.wire.FrameConnection;
 import org.skylarkbend.wire.FrameDialer;
 import org.skylarkbend.wire.FrameListener;
@@ -275,12 +276,7 @@
             }
             mDeciding = false;
         } catch (RuntimeException e) {
-            LOG.error(
-                    e,
-                    "agreement.stopped",
-                    "reason",
-                    "unexpected exception while processing an input");
-            vertx.undeploy(deploymentID());
+            throw new TaskFailedError("the replicated log", e);
         }
     }
 
--- a/agreement/src/main/java/org/skylarkbend/agreement/DiskQueue.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/DiskQueue.java
@@ -17,7 +17,8 @@
  * Runs disk operations outside the event loop, one at a time and in order.
  *
  * <p>Persists that are queued while an operation is in flight share the next sync. If an operation
- * fails, all operations queued by then fail too, because they depend on it.
+ * fails, all operations queued by then fail too, because they depend on it. An {@link Error} says
+ * nothing about the disk and is thrown on the event loop.
  */
 final class DiskQueue {
     private final Vertx mVertx;
@@ -69,6 +70,9 @@
         Future<Result<Long>> work = runNext();
         work.onComplete(
                 done -> {
+                    if (done.cause() instanceof Error error) {
+                        throw error;
+                    }
                     mBusy = false;
                     Result<Long> result =
                             done.succeeded()
--- a/agreement/src/test/java/org/skylarkbend/agreement/AgreementTaskTest.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/AgreementTaskTest.java
@@ -39,6 +39,7 @@
     private final Map<ObjectName, Running> mRunning = new TreeMap<>();
     private final BlockingQueue<MemberId> mLeaders = new LinkedBlockingQueue<>();
     private volatile boolean mDisksFull;
+    private volatile boolean mMemoryExhausted;
     private Map<ObjectName, MemberAddress> mAddresses;
     private Path mFolder;
     private Vertx mVertx;
@@ -59,6 +60,7 @@
 
     @AfterMethod(alwaysRun = true)
     public void stopAll() throws Exception {
+        mMemoryExhausted = false;
         mRunning.clear();
         mLeaders.clear();
         await(mVertx.close());
@@ -115,6 +117,19 @@
         assertThat(resultOf(leader().task(), "c")).isEqualTo("2:c");
     }
 
+    /** Guards against exhausted memory that is taken for a failed disk. */
+    @Test
+    public void anErrorWhileWritingIsReportedAndNotTakenForAFailedDisk() throws Exception {
+        BlockingQueue<Throwable> errors = new LinkedBlockingQueue<>();
+        mVertx.exceptionHandler(errors::add);
+        Running leader = leader();
+        mMemoryExhausted = true;
+        Future<Result<byte[]>> proposal = leader.task().propose(CommandListMachine.bytes("a"));
+        assertThat(errors.poll(LIMIT_SECONDS, TimeUnit.SECONDS))
+                .isInstanceOf(OutOfMemoryError.class);
+        assertThat(proposal.isComplete() && !proposal.result().isSuccess()).isFalse();
+    }
+
     @Test
     public void manyProposalsShareASync() throws Exception {
         AgreementTask leader = leader().task();
@@ -160,6 +175,9 @@
         if (mDisksFull) {
             throw new IOException("No space left on device");
         }
+        if (mMemoryExhausted) {
+            throw new OutOfMemoryError("planted");
+        }
         ChannelWriter.direct().write(channel, bytes);
     }
 
--- a/control/src/main/java/org/skylarkbend/control/ControlMain.java
+++ b/control/src/main/java/org/skylarkbend/control/ControlMain.java
@@ -8,6 +8,7 @@
 import org.skylarkbend.base.telemetry.Tracing;
 import org.skylarkbend.control.settings.ControlSettings;
 import org.skylarkbend.control.settings.ControlSettingsReader;
+import org.skylarkbend.wire.FatalErrors;
 
 /** Entry point of the {@code skylark-control} process. */
 public final class ControlMain {
@@ -30,6 +31,7 @@
 
     private static void run(ControlSettings settings) {
         Vertx vertx = Vertx.vertx(new VertxOptions().setPreferNativeTransport(false));
+        FatalErrors.handle(vertx, () -> Runtime.getRuntime().halt(EXIT_FAILURE));
         Tracing tracing = new Tracing(PROGRAM, settings.traceCollector());
         ControlProcess control = new ControlProcess(ControlParts.of(vertx, settings, tracing));
         control.start()
--- a/router/src/main/java/org/skylarkbend/router/RouterMain.java
+++ b/router/src/main/java/org/skylarkbend/router/RouterMain.java
@@ -7,6 +7,7 @@
 import org.skylarkbend.base.StructuredLog;
 import org.skylarkbend.base.settings.ProgramSettings;
 import org.skylarkbend.base.telemetry.Tracing;
+import org.skylarkbend.wire.FatalErrors;
 
 /** Main class of the program {@code skylark-router}. */
 public final class RouterMain {
@@ -29,6 +30,7 @@
 
     private static void run(RouterSettings settings) {
         Vertx vertx = Vertx.vertx(new VertxOptions().setPreferNativeTransport(false));
+        FatalErrors.handle(vertx, () -> Runtime.getRuntime().halt(EXIT_FAILURE));
         Tracing tracing = new Tracing(PROGRAM, settings.collectorUrl());
         RouterProcess router =
                 new RouterProcess(vertx, settings, tracing, MillisecondClock.monotonic());
