--- a/control/src/main/java/org/skylarkbend/control/feed/FeedDecider.java
+++ b/control/src/main/java/org/skylarkbend/control/feed/FeedDecider.java
@@ -48,6 +48,7 @@
     private final Map<RouterKey, RouterRecord> mRouters = new TreeMap<>();
     private final Map<String, SliceMessage> mRetainedMessages = new TreeMap<>();
     private final Set<Long> mLeasedConnections = new TreeSet<>();
+    private final Map<Long, Long> mSentRevisions = new TreeMap<>();
     private List<Heartbeat> mPendingHeartbeats = new ArrayList<>();
     private List<Heartbeat> mHeartbeatsInConfirmation = List.of();
     private long mLastConfirmation;
@@ -71,6 +72,7 @@
         } else if (input instanceof ConnectionEnded ended) {
             mConnections.remove(ended.connection());
             mLeasedConnections.remove(ended.connection());
+            mSentRevisions.remove(ended.connection());
         } else if (input instanceof LeadershipChanged changed) {
             leadershipChanged(effects, changed, nowMilliseconds);
         } else if (input instanceof ConfirmationEnded ended) {
@@ -204,8 +206,14 @@
         }
     }
 
+    /**
+     * Sends the set unless it is on its way already: a router repeats its request until the set has
+     * arrived.
+     */
     private void setRequested(List<FeedEffect> effects, long connection, SetRequest request) {
-        if (request.knownRevision() < mRevision) {
+        long sentRevision = mSentRevisions.getOrDefault(connection, 0L);
+        if (request.knownRevision() < mRevision && sentRevision < mRevision) {
+            mSentRevisions.put(connection, mRevision);
             effects.add(new Send(connection, new SetDocument(mRevision, mYaml)));
         }
     }
--- a/control/src/main/java/org/skylarkbend/control/feed/FeedTask.java
+++ b/control/src/main/java/org/skylarkbend/control/feed/FeedTask.java
@@ -28,7 +28,9 @@
 import org.skylarkbend.control.log.ControlLog;
 import org.skylarkbend.publishing.feed.FeedCodec;
 import org.skylarkbend.publishing.feed.FeedMessage;
+import org.skylarkbend.publishing.feed.FeedMessage.SetDocument;
 import org.skylarkbend.publishing.feed.FeedMessage.SliceMessage;
+import org.skylarkbend.wire.FrameAssembler;
 import org.skylarkbend.wire.FrameConnection;
 import org.skylarkbend.wire.FrameListener;
 import org.skylarkbend.wire.WireOptions;
@@ -65,6 +67,8 @@
     private final Parts mParts;
     private final FeedDecider mDecider;
     private final Map<Long, FrameConnection<FeedMessage>> mConnections = new HashMap<>();
+    private SetDocument mLatestDocument;
+    private byte[] mLatestFrame = new byte[0];
     private Context mContext;
     private FrameListener<FeedMessage> mListener;
     private long mLastConnectionNumber;
@@ -151,10 +155,23 @@
         FrameConnection<FeedMessage> connection = mConnections.get(number);
         if (connection != null) {
             mParts.metrics().meter("feed_messages_sent").mark();
-            connection.send(message);
+            if (message instanceof SetDocument document) {
+                connection.sendFrame(frameOf(document));
+            } else {
+                connection.send(message);
+            }
         }
     }
 
+    /** Returns the frame of a set. All connections share that of the latest one. */
+    private byte[] frameOf(SetDocument document) {
+        if (!document.equals(mLatestDocument)) {
+            mLatestDocument = document;
+            mLatestFrame = FrameAssembler.frameOf(new FeedCodec().encode(document));
+        }
+        return mLatestFrame;
+    }
+
     private void close(Close close) {
         FrameConnection<FeedMessage> connection = mConnections.get(close.connection());
         if (connection != null) {
--- a/control/src/test/java/org/skylarkbend/control/feed/FeedDeciderTest.java
+++ b/control/src/test/java/org/skylarkbend/control/feed/FeedDeciderTest.java
@@ -145,6 +145,21 @@
         assertThat(sent(1, new SetRequest(1))).isEmpty();
     }
 
+    /** Guards against copies of a large set that pile up for a router on a slow connection. */
+    @Test
+    public void aSetIsSentOnceOnAConnectionHoweverOftenItIsAskedFor() {
+        hello(1, "entry-1", 7);
+        assertThat(sent(1, new SetRequest(0))).hasSize(1);
+        assertThat(sent(1, new SetRequest(0))).isEmpty();
+        decide(new RevisionCommitted(2, "two"));
+        assertThat(sent(1, new SetRequest(0)))
+                .containsExactly(new Send(1, new SetDocument(2, "two")));
+        decide(new ConnectionEnded(1));
+        hello(2, "entry-1", 7);
+        assertThat(sent(2, new SetRequest(0)))
+                .containsExactly(new Send(2, new SetDocument(2, "two")));
+    }
+
     @Test
     public void aMessageBeforeTheHelloEndsTheConnection() {
         assertThat(heartbeat(1, 1, 0)).hasOnlyElementsOfType(Close.class).hasSize(1);
--- a/wire/src/main/java/org/skylarkbend/wire/FrameAssembler.java
+++ b/wire/src/main/java/org/skylarkbend/wire/FrameAssembler.java
@@ -1,8 +1,8 @@
 package org.skylarkbend.wire;
 
+import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.List;
 import org.skylarkbend.base.ErrorKind;
 import org.skylarkbend.base.Result;
@@ -18,7 +18,8 @@
     public static final int HEADER_BYTES = 4;
 
     private final int mMaxPayloadBytes;
-    private ByteBuffer mPending = ByteBuffer.allocate(0);
+    private final ByteBuffer mHeader = ByteBuffer.allocate(HEADER_BYTES);
+    private ByteArrayOutputStream mPayload = new ByteArrayOutputStream();
 
     /** Creates an assembler that fails on payloads larger than this size. */
     public FrameAssembler(int maxPayloadBytes) {
@@ -35,27 +36,41 @@
 
     /** Appends received bytes and returns all payloads that are now complete. */
     public Result<List<byte[]>> feed(byte[] chunk) {
-        ByteBuffer buffer = ByteBuffer.allocate(mPending.remaining() + chunk.length);
-        buffer.put(mPending).put(chunk).flip();
+        ByteBuffer received = ByteBuffer.wrap(chunk);
         List<byte[]> payloads = new ArrayList<>();
-        while (buffer.remaining() >= HEADER_BYTES) {
-            int payloadBytes = buffer.getInt(buffer.position());
+        while (received.hasRemaining()) {
+            if (mHeader.hasRemaining()) {
+                move(received, mHeader);
+            }
+            if (mHeader.hasRemaining()) {
+                break;
+            }
+            int payloadBytes = mHeader.getInt(0);
             if (payloadBytes < 0 || payloadBytes > mMaxPayloadBytes) {
                 return Result.failure(
                         ErrorKind.FRAME_INVALID,
                         "frame of " + payloadBytes + " bytes; the limit is " + mMaxPayloadBytes);
             }
-            if (buffer.remaining() < HEADER_BYTES + payloadBytes) {
-                break;
+            int partBytes = Math.min(payloadBytes - mPayload.size(), received.remaining());
+            mPayload.write(chunk, received.position(), partBytes);
+            received.position(received.position() + partBytes);
+            if (mPayload.size() == payloadBytes) {
+                payloads.add(mPayload.toByteArray());
+                startFrame();
             }
-            buffer.position(buffer.position() + HEADER_BYTES);
-            byte[] payload = new byte[payloadBytes];
-            buffer.get(payload);
-            payloads.add(payload);
         }
-        mPending =
-                ByteBuffer.wrap(
-                        Arrays.copyOfRange(buffer.array(), buffer.position(), buffer.limit()));
         return Result.success(List.copyOf(payloads));
     }
+
+    /** Drops the buffer too, as that of a large payload would otherwise stay allocated. */
+    private void startFrame() {
+        mHeader.clear();
+        mPayload = new ByteArrayOutputStream();
+    }
+
+    private static void move(ByteBuffer source, ByteBuffer target) {
+        int movedBytes = Math.min(source.remaining(), target.remaining());
+        target.put(source.slice(source.position(), movedBytes));
+        source.position(source.position() + movedBytes);
+    }
 }
--- a/wire/src/main/java/org/skylarkbend/wire/FrameConnection.java
+++ b/wire/src/main/java/org/skylarkbend/wire/FrameConnection.java
@@ -3,6 +3,9 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.net.NetSocket;
+import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.List;
 import java.util.function.Consumer;
 import org.skylarkbend.base.MillisecondClock;
@@ -21,6 +24,9 @@
     private static final StructuredLog LOG = StructuredLog.of(FrameConnection.class);
     private static final byte[] HEARTBEAT = FrameAssembler.frameOf(new byte[0]);
 
+    /** The size of the parts in which large frames are given to the socket. */
+    private static final int PART_BYTES = 64 * 1024;
+
     private final Vertx mVertx;
     private final NetSocket mSocket;
     private final MessageCodec<M> mCodec;
@@ -28,6 +34,8 @@
     private final MillisecondClock mClock;
     private final FrameAssembler mAssembler;
     private final long mTimerId;
+    private final Deque<ByteBuffer> mUnsent = new ArrayDeque<>();
+    private long mUnsentBytes;
     private Consumer<M> mOnMessage = message -> {};
     private Runnable mOnClose = () -> {};
     private long mLastReceivedMilliseconds;
@@ -52,6 +60,7 @@
         socket.handler(this::receive);
         socket.exceptionHandler(e -> close());
         socket.closeHandler(ignored -> handleClosed());
+        socket.drainHandler(ignored -> drained());
     }
 
     /** Sets the handler of received messages. */
@@ -66,14 +75,49 @@
 
     /** Sends a message without confirmation of delivery; does nothing once closed. */
     public void send(M message) {
-        if (!mClosed) {
-            mSocket.write(Buffer.buffer(FrameAssembler.frameOf(mCodec.encode(message))));
+        sendFrame(FrameAssembler.frameOf(mCodec.encode(message)));
+    }
+
+    /**
+     * Sends a frame, which must not be modified afterwards. The same frame can be sent on several
+     * connections without copying it for each.
+     */
+    public void sendFrame(byte[] frame) {
+        if (mClosed) {
+            return;
+        }
+        boolean isFirst = mUnsent.isEmpty();
+        if (!isFirst && mUnsentBytes + frame.length > mOptions.maxUnsentBytes()) {
+            LOG.warn("wire.unsent.full", "peer", remoteAddress(), "unsent_bytes", mUnsentBytes);
+            close();
+            return;
         }
+        mUnsent.add(ByteBuffer.wrap(frame));
+        mUnsentBytes += frame.length;
+        sendUnsent();
     }
 
-    /** Returns whether the write queue of the socket is full. */
+    /** Returns whether frames wait until the peer has read earlier ones. */
     public boolean isCongested() {
-        return mSocket.writeQueueFull();
+        return !mUnsent.isEmpty() || mSocket.writeQueueFull();
+    }
+
+    private void drained() {
+        mLastWritableMilliseconds = mClock.nowMilliseconds();
+        sendUnsent();
+    }
+
+    private void sendUnsent() {
+        while (!mUnsent.isEmpty() && !mSocket.writeQueueFull() && !mClosed) {
+            ByteBuffer frame = mUnsent.peek();
+            byte[] part = new byte[Math.min(PART_BYTES, frame.remaining())];
+            frame.get(part);
+            mUnsentBytes -= part.length;
+            if (!frame.hasRemaining()) {
+                mUnsent.poll();
+            }
+            mSocket.write(Buffer.buffer(part));
+        }
     }
 
     /** Closes the connection and runs the close handler. */
@@ -119,13 +163,15 @@
             LOG.warn("wire.congested", "peer", remoteAddress());
             close();
         } else {
-            mSocket.write(Buffer.buffer(HEARTBEAT));
+            sendFrame(HEARTBEAT);
         }
     }
 
     private void handleClosed() {
         if (!mClosed) {
             mClosed = true;
+            mUnsent.clear();
+            mUnsentBytes = 0;
             mVertx.cancelTimer(mTimerId);
             mOnClose.run();
         }
--- a/wire/src/main/java/org/skylarkbend/wire/WireOptions.java
+++ b/wire/src/main/java/org/skylarkbend/wire/WireOptions.java
@@ -6,6 +6,8 @@
  * Limits, timeouts and TLS files of connections between the system's processes.
  *
  * @param maxPayloadBytes the maximum payload of a frame
+ * @param maxUnsentBytes the size of the frames that wait for the peer to read earlier ones, above
+ *     which the connection is closed
  * @param heartbeatMilliseconds the interval between heartbeats
  * @param silenceMilliseconds the time without received bytes, or with a full write queue, after
  *     which a connection is closed
@@ -15,12 +17,14 @@
  */
 public record WireOptions(
         int maxPayloadBytes,
+        long maxUnsentBytes,
         long heartbeatMilliseconds,
         long silenceMilliseconds,
         long connectTimeoutMilliseconds,
         long tlsReloadMilliseconds,
         Optional<TlsFiles> tls) {
     private static final int DEFAULT_MAX_PAYLOAD_BYTES = 16 * 1024 * 1024;
+    private static final long DEFAULT_MAX_UNSENT_BYTES = 16 * 1024 * 1024;
     private static final long DEFAULT_HEARTBEAT_MILLISECONDS = 500;
     private static final long DEFAULT_SILENCE_MILLISECONDS = 2_000;
     private static final long DEFAULT_CONNECT_TIMEOUT_MILLISECONDS = 1_000;
@@ -35,6 +39,7 @@
     public WireOptions withConnectTimeout(long milliseconds) {
         return new WireOptions(
                 maxPayloadBytes,
+                maxUnsentBytes,
                 heartbeatMilliseconds,
                 silenceMilliseconds,
                 milliseconds,
@@ -46,6 +51,7 @@
     public static WireOptions of(Optional<TlsFiles> tls) {
         return new WireOptions(
                 DEFAULT_MAX_PAYLOAD_BYTES,
+                DEFAULT_MAX_UNSENT_BYTES,
                 DEFAULT_HEARTBEAT_MILLISECONDS,
                 DEFAULT_SILENCE_MILLISECONDS,
                 DEFAULT_CONNECT_TIMEOUT_MILLISECONDS,
--- a/wire/src/test/java/org/skylarkbend/wire/FrameConnectionTest.java
+++ b/wire/src/test/java/org/skylarkbend/wire/FrameConnectionTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.vertx.core.Context;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
@@ -20,15 +21,26 @@
     private static final String HOST = "127.0.0.1";
     private static final long TIMEOUT_SECONDS = 30;
     private static final int MAX_PAYLOAD_BYTES = 1_000;
+    private static final int MAX_UNSENT_BYTES = 100_000;
     private static final WireOptions OPTIONS =
-            new WireOptions(MAX_PAYLOAD_BYTES, 20, 60_000, 1_000, 1_000, Optional.empty());
+            new WireOptions(
+                    MAX_PAYLOAD_BYTES,
+                    MAX_UNSENT_BYTES,
+                    20,
+                    60_000,
+                    1_000,
+                    1_000,
+                    Optional.empty());
     private static final WireOptions SHORT_SILENCE_OPTIONS =
-            new WireOptions(MAX_PAYLOAD_BYTES, 20, 200, 1_000, 1_000, Optional.empty());
+            new WireOptions(
+                    MAX_PAYLOAD_BYTES, MAX_UNSENT_BYTES, 20, 200, 1_000, 1_000, Optional.empty());
 
     private Vertx mVertx;
     private FrameListener<String> mListener;
     private Promise<String> mReceived;
     private Promise<Void> mClosed;
+    private Promise<FrameConnection<String>> mAccepted;
+    private volatile Context mContext;
     private int mPort;
 
     @BeforeMethod
@@ -36,6 +48,7 @@
         mVertx = Vertx.vertx();
         mReceived = Promise.promise();
         mClosed = Promise.promise();
+        mAccepted = Promise.promise();
         listenWith(OPTIONS);
     }
 
@@ -76,6 +89,46 @@
         aMessageIsReceivedByThePeer();
     }
 
+    /** Guards against a process that keeps all that a peer does not read. */
+    @Test
+    public void aConnectionWhosePeerReadsNothingIsClosedWhenTooManyBytesWait() throws Exception {
+        NetSocket peer = await(rawSocket());
+        peer.pause();
+        Promise<Void> overflowed = Promise.promise();
+        FrameConnection<String> connection = await(mAccepted.future());
+        byte[] frame = FrameAssembler.frameOf(new byte[MAX_UNSENT_BYTES / 2]);
+        mContext.runOnContext(ignored -> sendUntilClosed(connection, frame, overflowed));
+        await(overflowed.future());
+    }
+
+    @Test
+    public void aFrameThatIsLargerThanTheQueueOfTheSocketArrivesWhole() throws Exception {
+        NetSocket peer = await(rawSocket());
+        Promise<Integer> received = Promise.promise();
+        byte[] frame = FrameAssembler.frameOf(new byte[MAX_UNSENT_BYTES * 10]);
+        int[] receivedBytes = new int[1];
+        peer.handler(
+                chunk -> {
+                    receivedBytes[0] += chunk.length();
+                    if (receivedBytes[0] >= frame.length) {
+                        received.tryComplete(receivedBytes[0]);
+                    }
+                });
+        FrameConnection<String> connection = await(mAccepted.future());
+        mContext.runOnContext(ignored -> connection.sendFrame(frame));
+        assertThat(await(received.future())).isGreaterThanOrEqualTo(frame.length);
+    }
+
+    private void sendUntilClosed(
+            FrameConnection<String> connection, byte[] frame, Promise<Void> closed) {
+        if (mClosed.future().isComplete()) {
+            closed.complete();
+        } else {
+            connection.sendFrame(frame);
+            mContext.runOnContext(ignored -> sendUntilClosed(connection, frame, closed));
+        }
+    }
+
     private void listenWith(WireOptions options) throws Exception {
         mListener = new FrameListener<>(mVertx, codec(), options, MillisecondClock.monotonic());
         mPort = await(mListener.listen(HOST, 0, this::accept));
@@ -84,6 +137,8 @@
     private void accept(FrameConnection<String> connection) {
         connection.onMessage(mReceived::tryComplete);
         connection.onClose(mClosed::tryComplete);
+        mContext = mVertx.getOrCreateContext();
+        mAccepted.tryComplete(connection);
     }
 
     private Future<NetSocket> rawSocket() {
--- a/wire/src/test/java/org/skylarkbend/wire/TlsConnectionTest.java
+++ b/wire/src/test/java/org/skylarkbend/wire/TlsConnectionTest.java
@@ -137,7 +137,7 @@
     }
 
     private static WireOptions options(Optional<TlsFiles> tls) {
-        return new WireOptions(1_000, 100, 2_000, 5_000, RELOAD_MILLISECONDS, tls);
+        return new WireOptions(1_000, 100_000, 100, 2_000, 5_000, RELOAD_MILLISECONDS, tls);
     }
 
     private TlsFiles files(String name, TestAuthority issuer, TestAuthority trusted)
