Send no calls to endpoints that say they are leaving or ask for none

New rules of the platform: a replica that leaves says so in its responses (Server-Leaving), and a 503 with Retry-After asks a gateway for no requests until then.

Change: an endpoint that says that it is leaving gets no new call of this gateway, whatever the list says. Both are checked again when a connection is there, since a call may have waited for it (outcome WITHDRAWN: not sent, so it counts neither as an attempt nor as a failure of the endpoint).

--- a/gateway/src/main/java/org/skylarkbend/gateway/HeaderNames.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/HeaderNames.java
@@ -13,6 +13,7 @@
  * @param expectInstance ID of the only endpoint that may run the call
  * @param customer name of the customer that made the call
  * @param load load of the endpoint: running calls, waiting calls, slots
+ * @param leaving set on the responses of an endpoint that is shutting down
  * @param lastEventId ID of the last event received, after which a stream resumes
  * @param engine headers of calls to engines
  * @param reserved lower-case names of headers that callers may not set
@@ -25,6 +26,7 @@
         String expectInstance,
         String customer,
         String load,
+        String leaving,
         String lastEventId,
         Engine engine,
         Set<String> reserved) {
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/Attempt.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/Attempt.java
@@ -21,6 +21,9 @@
      * called.
      */
     interface Listener {
+        /** Returns whether the call is still to be sent, now that there is a connection for it. */
+        boolean isStillWanted(Attempt attempt);
+
         /** Called when the status and headers of the response have arrived. */
         void headReceived(Attempt attempt, HttpClientResponse response);
 
@@ -104,6 +107,12 @@
                                 return;
                             }
                             mRequest = Optional.of(request);
+                            if (!mListener.isStillWanted(this)) {
+                                aborted(
+                                        AttemptOutcome.WITHDRAWN,
+                                        "the endpoint stopped accepting calls");
+                                return;
+                            }
                             request.headers().addAll(call.headers());
                             request.putHeader("Host", call.host());
                             request.putHeader(names.expectInstance(), mEndpoint.id());
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/AttemptOutcome.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/AttemptOutcome.java
@@ -4,6 +4,8 @@
 public enum AttemptOutcome {
     /** No connection was established, so nothing was sent. */
     NOT_CONNECTED(false),
+    /** The endpoint stopped accepting calls before the call was sent. */
+    WITHDRAWN(false),
     /** The endpoint reported that it did not run the call. */
     NOT_RUN(false),
     /** The endpoint ran the call and returned a server error. */
@@ -19,6 +21,11 @@
         mMayHaveRun = mayHaveRun;
     }
 
+    /** Returns whether the call was sent to the endpoint. */
+    public boolean isSent() {
+        return this != NOT_CONNECTED && this != WITHDRAWN;
+    }
+
     /** Returns whether the endpoint may have run the call. */
     public boolean mayHaveRun() {
         return mMayHaveRun;
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/AttemptPolicy.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/AttemptPolicy.java
@@ -30,7 +30,7 @@
      */
     public static boolean mayRetry(
             Route route, int sent, int connectFailures, AttemptOutcome outcome) {
-        if (outcome == AttemptOutcome.NOT_CONNECTED) {
+        if (!outcome.isSent()) {
             return connectFailures < MAX_CONNECT_FAILURES;
         }
         if (sent >= route.maxAttempts()) {
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/EndpointReports.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/EndpointReports.java
@@ -1,6 +1,7 @@
 package org.skylarkbend.gateway.call;
 
 import io.vertx.core.http.HttpClientResponse;
+import org.skylarkbend.base.ErrorKind;
 import org.skylarkbend.catalog.Endpoint;
 import org.skylarkbend.quarantine.SuspectCall;
 
@@ -19,6 +20,19 @@
         mResources = resources;
     }
 
+    /** Records what a response to the call says about the endpoint's wish for further calls. */
+    void responded(Endpoint endpoint, HttpClientResponse head) {
+        if (head.getHeader(mResources.names().leaving()) != null) {
+            mResources.selector().leaving(endpoint);
+        }
+        if (head.statusCode() == ErrorKind.OVERLOADED.httpStatus()) {
+            RetryAfterHeader.parseMilliseconds(head.getHeader(RetryAfterHeader.NAME))
+                    .ifPresent(
+                            milliseconds ->
+                                    mResources.selector().paused(endpoint, milliseconds, now()));
+        }
+    }
+
     /** Records the load that an endpoint names in the headers of a response. */
     void loadReceived(Endpoint endpoint, HttpClientResponse head) {
         LoadHeader.parse(head.getHeader(mResources.names().load()))
--- a/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EndpointLoad.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EndpointLoad.java
@@ -29,6 +29,8 @@
     private long mBackoffUntilMilliseconds = Long.MIN_VALUE / 2;
     private long mLastActivityMilliseconds = Long.MIN_VALUE / 2;
     private boolean mUnreachable;
+    private boolean mLeaving;
+    private long mPausedUntilMilliseconds = Long.MIN_VALUE / 2;
 
     EndpointLoad(Endpoint endpoint) {
         mIncarnation = endpoint.incarnation();
@@ -124,6 +126,31 @@
         mBackoffUntilMilliseconds = nowMilliseconds + backoffMilliseconds;
     }
 
+    /** Records that the endpoint is shutting down, whatever the list of endpoints says. */
+    void leaving() {
+        mLeaving = true;
+    }
+
+    /** Records that the endpoint asked this gateway to send no calls for a time. */
+    void pausedFor(long milliseconds, long nowMilliseconds) {
+        mPausedUntilMilliseconds =
+                Math.max(mPausedUntilMilliseconds, nowMilliseconds + milliseconds);
+    }
+
+    /** Returns the time for which the endpoint wants no calls, or 0. */
+    long pausedMilliseconds(long nowMilliseconds) {
+        return Math.max(0, mPausedUntilMilliseconds - nowMilliseconds);
+    }
+
+    /** Returns whether the endpoint accepts new calls of this gateway, as far as it has said. */
+    boolean acceptsCalls(long nowMilliseconds) {
+        return !mLeaving && pausedMilliseconds(nowMilliseconds) == 0;
+    }
+
+    boolean isLeaving() {
+        return mLeaving || mEndpoint.leaving();
+    }
+
     boolean isBackingOff(long nowMilliseconds) {
         return nowMilliseconds < mBackoffUntilMilliseconds;
     }
--- a/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EndpointSelector.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EndpointSelector.java
@@ -11,6 +11,7 @@
 import java.util.function.DoubleSupplier;
 import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
+import org.skylarkbend.base.StructuredLog;
 import org.skylarkbend.catalog.Endpoint;
 import org.skylarkbend.catalog.EndpointWork;
 import org.skylarkbend.catalog.Endpoints;
@@ -25,6 +26,8 @@
  * costs more than processing the shared parts on another engine. The state is confined to one task.
  */
 public final class EndpointSelector {
+    private static final StructuredLog LOG = StructuredLog.of(EndpointSelector.class);
+
     /** Assumed fraction of the shared tokens that the home engine of a prompt has to process. */
     private static final double HOME_MISS_RATIO = 0.15;
 
@@ -165,7 +168,7 @@
     public Optional<EngineChoice> choose(
             String service, PriorAttempts priorAttempts, long nowMilliseconds) {
         return cheapest(
-                        candidates(service, priorAttempts),
+                        candidates(service, priorAttempts, nowMilliseconds),
                         priorAttempts,
                         load ->
                                 (double) load.calls(nowMilliseconds)
@@ -182,7 +185,7 @@
             PriorAttempts priorAttempts,
             long nowMilliseconds) {
         String key = prompt.sharedKey();
-        List<EndpointLoad> candidates = candidates(service, priorAttempts);
+        List<EndpointLoad> candidates = candidates(service, priorAttempts, nowMilliseconds);
         Optional<Home> home =
                 key.isEmpty() ? Optional.empty() : homeOf(candidates, prompt, scope + key);
         Map<EndpointLoad, Integer> weightsLoadOrder = weightsLoadOrder(service, prompt.model());
@@ -284,6 +287,54 @@
         loadOf(endpoint).ifPresent(load -> load.refused(nowMilliseconds));
     }
 
+    /** Records that an endpoint said that it is shutting down. It gets no new calls. */
+    public void leaving(Endpoint endpoint) {
+        loadOf(endpoint)
+                .filter(load -> !load.isLeaving())
+                .ifPresent(
+                        load -> {
+                            LOG.info("endpoint.leaving", "endpoint", load.incarnation());
+                            load.leaving();
+                        });
+    }
+
+    /** Records that an endpoint asked for no calls for a time. It gets none until it is over. */
+    public void paused(Endpoint endpoint, long milliseconds, long nowMilliseconds) {
+        loadOf(endpoint)
+                .ifPresent(
+                        load -> {
+                            LOG.info(
+                                    "endpoint.paused",
+                                    "endpoint",
+                                    load.incarnation(),
+                                    "milliseconds",
+                                    milliseconds);
+                            load.pausedFor(milliseconds, nowMilliseconds);
+                        });
+    }
+
+    /** Returns whether an endpoint is listed and accepts new calls, as far as it has said. */
+    public boolean acceptsCalls(Endpoint endpoint, long nowMilliseconds) {
+        return loadOf(endpoint)
+                .filter(load -> !load.isLeaving() && load.acceptsCalls(nowMilliseconds))
+                .isPresent();
+    }
+
+    /**
+     * Returns the time until the first endpoint of a service accepts calls again, if all of them
+     * have asked for none.
+     */
+    public OptionalLong pausedMilliseconds(String service, long nowMilliseconds) {
+        List<EndpointLoad> staying =
+                mByService.getOrDefault(service, List.of()).stream()
+                        .filter(load -> !load.isLeaving())
+                        .toList();
+        boolean arePaused = staying.stream().noneMatch(load -> load.acceptsCalls(nowMilliseconds));
+        return arePaused
+                ? staying.stream().mapToLong(load -> load.pausedMilliseconds(nowMilliseconds)).min()
+                : OptionalLong.empty();
+    }
+
     /** Records the load that an endpoint reported. */
     public void reported(Endpoint endpoint, int running, int waiting, long nowMilliseconds) {
         loadOf(endpoint).ifPresent(load -> load.loadReported(running, waiting, nowMilliseconds));
@@ -293,9 +344,13 @@
         return Optional.ofNullable(mLoads.get(endpoint.incarnation()));
     }
 
-    private List<EndpointLoad> candidates(String service, PriorAttempts priorAttempts) {
-        return mSplits.candidates(
-                service, mByService.getOrDefault(service, List.of()), priorAttempts, mRandom);
+    private List<EndpointLoad> candidates(
+            String service, PriorAttempts priorAttempts, long nowMilliseconds) {
+        List<EndpointLoad> accepting =
+                mByService.getOrDefault(service, List.of()).stream()
+                        .filter(load -> load.acceptsCalls(nowMilliseconds))
+                        .toList();
+        return mSplits.candidates(service, accepting, priorAttempts, mRandom);
     }
 
     private Optional<EndpointLoad> cheapest(
--- a/gateway/src/main/java/org/skylarkbend/gateway/front/HttpCallerResponse.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/front/HttpCallerResponse.java
@@ -8,11 +8,10 @@
 import java.util.function.BooleanSupplier;
 import org.skylarkbend.base.ErrorKind;
 import org.skylarkbend.gateway.call.CallerResponse;
+import org.skylarkbend.gateway.call.RetryAfterHeader;
 
 /** HTTP response to a request of a caller. */
 final class HttpCallerResponse implements CallerResponse {
-    private static final double MILLISECONDS_PER_SECOND = 1_000.0;
-
     private final HttpServerRequest mRequest;
     private final BooleanSupplier mIsDraining;
 
@@ -67,8 +66,8 @@
         }
         HttpServerResponse response = begin(kind.httpStatus(), MultiMap.caseInsensitiveMultiMap());
         if (kind.retryable()) {
-            double seconds = Math.max(1, retryAfterMilliseconds) / MILLISECONDS_PER_SECOND;
-            response.putHeader("Retry-After", String.format(Locale.ROOT, "%.3f", seconds));
+            response.putHeader(
+                    RetryAfterHeader.NAME, RetryAfterHeader.format(retryAfterMilliseconds));
         }
         response.putHeader("Content-Type", "application/json");
         response.end(
--- a/gateway/src/test/java/org/skylarkbend/gateway/FakeEndpoint.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/FakeEndpoint.java
@@ -22,6 +22,7 @@
                     "Expect-Instance",
                     "Customer",
                     "Load",
+                    "Leaving",
                     "Last-Event-Id",
                     new HeaderNames.Engine(
                             "Model",
@@ -88,6 +89,20 @@
         return request -> head(request, 503).putHeader("Not-Run", "1").end();
     }
 
+    /** Returns a behavior that sends a valid response and says that the endpoint shuts down. */
+    public static Consumer<HttpServerRequest> leaving() {
+        return request -> head(request, 200).putHeader("Leaving", "1").end("last");
+    }
+
+    /** Returns a behavior that refuses each call and asks for none for a time. */
+    public static Consumer<HttpServerRequest> pausing(String seconds) {
+        return request ->
+                head(request, 503)
+                        .putHeader("Not-Run", "1")
+                        .putHeader("Retry-After", seconds)
+                        .end();
+    }
+
     /** Returns a behavior that closes the connection without a response. */
     public static Consumer<HttpServerRequest> breaking() {
         return request -> request.connection().close();
--- a/gateway/src/test/java/org/skylarkbend/gateway/endpoints/EndpointSelectorTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/endpoints/EndpointSelectorTest.java
@@ -46,6 +46,31 @@
                 .isEqualTo("a");
     }
 
+    @Test
+    public void anEndpointThatAskedForNoCallsGetsNoneUntilTheTimeIsOver() {
+        Endpoint paused = plain("a", 6);
+        EndpointSelector selector = selector(Set.of(), paused, plain("b", 6));
+        selector.paused(paused, 1_500, 0);
+        PriorAttempts afterB = new PriorAttempts(Set.of("b@1"), true);
+        assertThat(selector.choose("desk", afterB, 1_499)).isEmpty();
+        assertThat(selector.acceptsCalls(paused, 1_499)).isFalse();
+        assertThat(selector.pausedMilliseconds("desk", 500)).isEmpty();
+        assertThat(id(selector.choose("desk", afterB, 1_500))).isEqualTo("a");
+        selector.paused(plain("b", 6), 700, 0);
+        assertThat(selector.pausedMilliseconds("desk", 500)).hasValue(200);
+    }
+
+    @Test
+    public void anEndpointThatSaysItIsLeavingGetsNoCallsAlthoughItIsListedAsServing() {
+        Endpoint leaving = plain("a", 6);
+        EndpointSelector selector = selector(Set.of(), leaving, plain("b", 6));
+        selector.leaving(leaving);
+        selector.replace(new Endpoints(List.of(leaving, plain("b", 6)), Set.of()), 10);
+        assertThat(selector.choose("desk", new PriorAttempts(Set.of("b@1"), true), 60_000))
+                .isEmpty();
+        assertThat(selector.acceptsCalls(leaving, 60_000)).isFalse();
+    }
+
     @Test
     public void theLastTryOfACallGoesToNoEngineThatRefusedAndHasRespondedToNothingSince() {
         Endpoint refusing = engine("a", 1);
