Quarantine repeated calls that crash engines, not only parts of prompts

Cause: only parts that several calls share were suspects. Sound calls with the same parts were answered and cleared them, and nothing in the reports identified the call itself.

Change: a call's own part and a digest of its content are suspects too, also for calls without a prompt. Parts that others share are cleared by answers as before.

--- a/control/src/main/java/org/skylarkbend/control/site/EndpointsTask.java
+++ b/control/src/main/java/org/skylarkbend/control/site/EndpointsTask.java
@@ -238,17 +238,10 @@
     private void requestReport(String engine) {
         Endpoint endpoint = mEndpoints.get(engine);
         if (endpoint == null) {
-            mContext.runOnContext(ignored -> decide(new ReportFailed(engine)));
+            mContext.runOnContext(ignored -> decide(new ReportFailed(engine, 0)));
             return;
         }
-        mCommands
-                .report(endpoint)
-                .onSuccess(
-                        result ->
-                                decide(
-                                        result.fold(
-                                                reported -> (WeightsMessage) reported,
-                                                error -> new ReportFailed(engine))));
+        mCommands.report(endpoint).onSuccess(this::decide);
     }
 
     /**
--- a/control/src/test/java/org/skylarkbend/control/site/SiteControlProcessTest.java
+++ b/control/src/test/java/org/skylarkbend/control/site/SiteControlProcessTest.java
@@ -33,7 +33,7 @@
 import org.skylarkbend.moves.rollout.RolloutPhase;
 import org.skylarkbend.orders.weights.LoadAnswer;
 import org.skylarkbend.orders.weights.WeightsEffect.Load;
-import org.skylarkbend.orders.weights.WeightsMessage.Reported;
+import org.skylarkbend.orders.weights.WeightsMessage;
 import org.skylarkbend.testing.LoopbackPorts;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -260,9 +260,8 @@
     /** A site without engines. */
     private static final class NoEngines implements EngineCommands {
         @Override
-        public Future<Result<Reported>> report(Endpoint engine) {
-            return Future.succeededFuture(
-                    Result.failure(ErrorKind.NO_ENDPOINT, "there are no engines"));
+        public Future<WeightsMessage> report(Endpoint engine) {
+            return Future.succeededFuture(new WeightsMessage.ReportFailed(engine.incarnation(), 0));
         }
 
         @Override
--- /dev/null
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/CallFingerprint.java
@@ -0,0 +1,66 @@
+package org.skylarkbend.gateway.call;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.skylarkbend.base.Sha256;
+import org.skylarkbend.gateway.endpoints.Prompt;
+import org.skylarkbend.quarantine.PromptPart;
+
+/**
+ * What a call has in common with others that may crash the same endpoints: the parts of its prompt,
+ * and a digest that is the same for all repetitions of the call. Confined to the task that serves
+ * the calls.
+ */
+final class CallFingerprint {
+    private static final String DIGEST_PREFIX = "call-";
+
+    private final CallRequest mCall;
+    private List<PromptPart> mOwn = List.of();
+
+    CallFingerprint(CallRequest call) {
+        mCall = call;
+    }
+
+    /** Returns the parts that the call shares with calls of other content. */
+    List<PromptPart> sharedParts() {
+        return mCall.sharedParts();
+    }
+
+    /**
+     * Returns the parts that only calls of the same session or content have. They are computed on
+     * the first use, since few calls meet a crash.
+     */
+    List<PromptPart> ownParts() {
+        if (mOwn.isEmpty()) {
+            List<PromptPart> own = new ArrayList<>();
+            mCall.prompt().flatMap(Prompt::ownPart).ifPresent(own::add);
+            own.add(new PromptPart(subject(), DIGEST_PREFIX + digest()));
+            mOwn = List.copyOf(own);
+        }
+        return mOwn;
+    }
+
+    /** Returns all parts. */
+    List<PromptPart> parts() {
+        List<PromptPart> parts = new ArrayList<>(sharedParts());
+        parts.addAll(ownParts());
+        return parts;
+    }
+
+    /** Returns the model that reads the prompt, or the service of a call without a prompt. */
+    String subject() {
+        return mCall.prompt().map(Prompt::model).orElse(mCall.service());
+    }
+
+    /** Digests what the caller repeats. IDs, deadlines and keys differ between repetitions. */
+    private String digest() {
+        String head =
+                mCall.method()
+                        + " "
+                        + mCall.host()
+                        + mCall.uri()
+                        + " "
+                        + mCall.prompt().map(Prompt::toString).orElse("");
+        return Sha256.hexOf(head + Sha256.hexOf(mCall.body().getBytes()));
+    }
+}
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/CallLog.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/CallLog.java
@@ -1,6 +1,5 @@
 package org.skylarkbend.gateway.call;
 
-import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.skylarkbend.base.StructuredLog;
@@ -16,9 +15,11 @@
     private static final String NONE = "-";
 
     private final CallRequest mCall;
+    private final CallFingerprint mFingerprint;
 
-    CallLog(CallRequest call) {
+    CallLog(CallRequest call, CallFingerprint fingerprint) {
         mCall = call;
+        mFingerprint = fingerprint;
     }
 
     /**
@@ -51,7 +52,7 @@
                 "waiting",
                 isWaiting,
                 "parts",
-                sharedPartIds(),
+                partIds(),
                 "sent",
                 sent,
                 "elapsed_milliseconds",
@@ -70,16 +71,15 @@
                 "id",
                 mCall.id(),
                 "parts",
-                sharedPartIds(),
+                partIds(),
                 "waited",
                 waited,
                 "remaining_milliseconds",
                 remainingMilliseconds);
     }
 
-    private String sharedPartIds() {
-        List<String> ids = mCall.sharedParts().stream().map(PromptPart::id).toList();
-        return ids.isEmpty() ? NONE : String.join(",", ids);
+    private String partIds() {
+        return String.join(",", mFingerprint.parts().stream().map(PromptPart::id).toList());
     }
 
     /** Outcome of a call with the values that led to it. */
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/EndpointReports.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/EndpointReports.java
@@ -11,12 +11,14 @@
  */
 final class EndpointReports {
     private final CallRequest mCall;
+    private final CallFingerprint mFingerprint;
     private final CallResources mResources;
     private boolean mServed;
 
     /** Creates the reports of a call that has not started. */
-    EndpointReports(CallRequest call, CallResources resources) {
+    EndpointReports(CallRequest call, CallFingerprint fingerprint, CallResources resources) {
         mCall = call;
+        mFingerprint = fingerprint;
         mResources = resources;
     }
 
@@ -61,11 +63,17 @@
         }
     }
 
-    /** Records, once for the call, that an engine has survived its prompt. */
+    /** Records, once for the call, that an endpoint has survived it. */
     void promptServed() {
-        if (!mServed && mCall.prompt().isPresent()) {
+        if (!mServed) {
             mServed = true;
-            mResources.crashes().served(mCall.prompt().get().model(), mCall.sharedParts(), now());
+            mResources
+                    .crashes()
+                    .served(
+                            mFingerprint.subject(),
+                            mFingerprint.sharedParts(),
+                            mFingerprint::ownParts,
+                            now());
         }
     }
 
@@ -86,7 +94,7 @@
     }
 
     private SuspectCall suspect() {
-        return new SuspectCall(mCall.id(), mCall.sharedParts());
+        return new SuspectCall(mCall.id(), mFingerprint.parts());
     }
 
     private long now() {
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/GatewayCall.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/GatewayCall.java
@@ -41,6 +41,7 @@
     private final CallResources mResources;
     private final CallerResponse mResponse;
     private final Runnable mOnEnd;
+    private final CallFingerprint mFingerprint;
     private final CallLog mLog;
     private final EndpointReports mReports;
     private final Set<String> mTriedIncarnations = new HashSet<>();
@@ -73,8 +74,9 @@
         mResources = resources;
         mResponse = response;
         mOnEnd = onEnd;
-        mLog = new CallLog(call);
-        mReports = new EndpointReports(call, resources);
+        mFingerprint = new CallFingerprint(call);
+        mLog = new CallLog(call, mFingerprint);
+        mReports = new EndpointReports(call, mFingerprint, resources);
         mTiming = new StreamTiming(call.arrivedMilliseconds());
         mSilenceTimer = new SilenceTimer(resources.vertx(), call.route(), this::handleSilence);
     }
@@ -157,7 +159,7 @@
     }
 
     private OptionalLong quarantinedMilliseconds() {
-        return mResources.crashes().quarantinedMilliseconds(mCall.sharedParts(), now());
+        return mResources.crashes().quarantinedMilliseconds(mFingerprint::parts, now());
     }
 
     private void refuseQuarantined() {
--- a/gateway/src/main/java/org/skylarkbend/gateway/crashes/CrashGuard.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/crashes/CrashGuard.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.skylarkbend.base.StructuredLog;
 import org.skylarkbend.catalog.Endpoint;
 import org.skylarkbend.quarantine.CrashEvidence;
@@ -74,16 +75,35 @@
      * Returns the time until a call with these parts may come back, if they are quarantined; at
      * least 1. A quarantine holds until control lifts it, also beyond its expected end.
      */
-    public OptionalLong quarantinedMilliseconds(List<PromptPart> parts, long nowMilliseconds) {
+    public OptionalLong quarantinedMilliseconds(
+            Supplier<List<PromptPart>> callParts, long nowMilliseconds) {
+        if (mUntilMilliseconds.isEmpty()) {
+            return OptionalLong.empty();
+        }
+        List<PromptPart> parts = callParts.get();
         return mUntilMilliseconds.entrySet().stream()
                 .filter(quarantined -> quarantined.getKey().isIn(parts))
                 .mapToLong(quarantined -> Math.max(1, quarantined.getValue() - nowMilliseconds))
                 .max();
     }
 
-    /** Records that an engine answered a call of a model, with these parts. */
-    public void served(String model, List<PromptPart> parts, long nowMilliseconds) {
-        mServed.served(model, parts, nowMilliseconds);
+    /**
+     * Records that an endpoint answered a call.
+     *
+     * @param subject model that read the prompt, or service of a call without a prompt
+     * @param sharedParts parts that other calls may share
+     * @param ownParts returns the parts that only repetitions of the call share
+     * @param nowMilliseconds current time
+     */
+    public void served(
+            String subject,
+            List<PromptPart> sharedParts,
+            Supplier<List<PromptPart>> ownParts,
+            long nowMilliseconds) {
+        mServed.served(subject, sharedParts, nowMilliseconds);
+        if (!mNotice.watched().isEmpty()) {
+            mServed.addWatched(ownParts.get(), mNotice.watched(), nowMilliseconds);
+        }
         mChanged |= !mNotice.watched().isEmpty();
     }
 
--- a/gateway/src/main/java/org/skylarkbend/gateway/crashes/ServedParts.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/crashes/ServedParts.java
@@ -34,6 +34,16 @@
         parts.forEach(part -> mServedMilliseconds.put(part, nowMilliseconds));
     }
 
+    /**
+     * Records that a call with these parts was answered, for those of them that are watched. Parts
+     * that hardly any call shares would displace the others.
+     */
+    void addWatched(List<PromptPart> parts, Set<PromptPart> watched, long nowMilliseconds) {
+        parts.stream()
+                .filter(watched::contains)
+                .forEach(part -> mServedMilliseconds.put(part, nowMilliseconds));
+    }
+
     /** Returns the time since the last answer, for those of the parts that were answered. */
     Map<PromptPart, Long> servedAgesMilliseconds(Set<PromptPart> parts, long nowMilliseconds) {
         Map<PromptPart, Long> ages = new HashMap<>();
--- a/gateway/src/main/java/org/skylarkbend/gateway/endpoints/Prompt.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/endpoints/Prompt.java
@@ -1,6 +1,7 @@
 package org.skylarkbend.gateway.endpoints;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.stream.Stream;
 import org.skylarkbend.quarantine.PromptPart;
 
@@ -39,6 +40,13 @@
                 .toList();
     }
 
+    /** Returns the part that is private to the call or its session, if the prompt has parts. */
+    public Optional<PromptPart> ownPart() {
+        return parts.isEmpty()
+                ? Optional.empty()
+                : Optional.of(new PromptPart(model, parts.get(parts.size() - 1).id()));
+    }
+
     private Stream<Part> sharedPrefix() {
         return parts.stream().limit(Math.max(0, parts.size() - 1));
     }
--- a/gateway/src/test/java/org/skylarkbend/gateway/crashes/CrashGuardTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/crashes/CrashGuardTest.java
@@ -46,17 +46,17 @@
 
     @Test
     public void withoutCrashesNothingIsReported() {
-        mGuard.served("m", List.of(PART), 0);
+        mGuard.served("m", List.of(PART), List::of, 0);
         mGuard.reportIfDue(10_000);
         assertThat(mReports).isEmpty();
     }
 
     @Test
     public void answersWithAWatchedPartAreReportedWithTheTimeOfTheLastOne() {
-        mGuard.served("m", List.of(PART, OTHER), 100);
+        mGuard.served("m", List.of(PART, OTHER), List::of, 100);
         mGuard.noticeReceived(new QuarantineNotice(Set.of(PART), Map.of()), 300);
         assertThat(mReports.get(0).servedMilliseconds()).isEqualTo(Map.of(PART, 200L));
-        mGuard.served("m", List.of(PART), 400);
+        mGuard.served("m", List.of(PART), List::of, 400);
         mGuard.reportIfDue(410);
         assertThat(mReports.get(1).servedMilliseconds()).isEqualTo(Map.of(PART, 10L));
         assertThat(mReports.get(1).answeredCalls()).isEqualTo(Map.of("m", 2L));
@@ -66,17 +66,18 @@
     public void aCallIsRefusedOnlyWhileAllPartsOfACombinationAreQuarantined() {
         PartCombination both = PartCombination.of(List.of(PART, OTHER));
         mGuard.noticeReceived(new QuarantineNotice(Set.of(), Map.of(both, 5_000L)), 0);
-        assertThat(mGuard.quarantinedMilliseconds(List.of(PART), 1_000)).isEmpty();
-        assertThat(mGuard.quarantinedMilliseconds(List.of(OTHER, PART), 1_000)).hasValue(4_000);
+        assertThat(mGuard.quarantinedMilliseconds(() -> List.of(PART), 1_000)).isEmpty();
+        assertThat(mGuard.quarantinedMilliseconds(() -> List.of(OTHER, PART), 1_000))
+                .hasValue(4_000);
         mGuard.noticeReceived(QuarantineNotice.none(), 2_000);
-        assertThat(mGuard.quarantinedMilliseconds(List.of(OTHER, PART), 2_000)).isEmpty();
+        assertThat(mGuard.quarantinedMilliseconds(() -> List.of(OTHER, PART), 2_000)).isEmpty();
     }
 
     @Test
     public void aQuarantineHoldsUntilControlLiftsIt() {
         PartCombination part = PartCombination.of(List.of(PART));
         mGuard.noticeReceived(new QuarantineNotice(Set.of(), Map.of(part, 5_000L)), 0);
-        assertThat(mGuard.quarantinedMilliseconds(List.of(PART), 60_000)).hasValue(1);
+        assertThat(mGuard.quarantinedMilliseconds(() -> List.of(PART), 60_000)).hasValue(1);
     }
 
     private void crash(long atMilliseconds) {
--- a/gateway/src/test/java/org/skylarkbend/gateway/crashes/CrashSchedule.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/crashes/CrashSchedule.java
@@ -173,7 +173,7 @@
 
     private void send(Call call) {
         CrashGuard guard = mGateways.get(call.mGateway);
-        OptionalLong refused = guard.quarantinedMilliseconds(call.mParts, mNowMilliseconds);
+        OptionalLong refused = guard.quarantinedMilliseconds(() -> call.mParts, mNowMilliseconds);
         if (mGuarded && refused.isPresent()) {
             mSoundRefused += call.mDeadly ? 0 : 1;
             return;
@@ -208,7 +208,9 @@
                 50 + mRandom.nextInt(2_000),
                 () -> {
                     if (engine.mCalls.remove(call)) {
-                        mGateways.get(call.mGateway).served(MODEL, call.mParts, mNowMilliseconds);
+                        mGateways
+                                .get(call.mGateway)
+                                .served(MODEL, call.mParts, List::of, mNowMilliseconds);
                     }
                 });
     }
--- a/orders/src/main/java/org/skylarkbend/orders/weights/WeightsDecider.java
+++ b/orders/src/main/java/org/skylarkbend/orders/weights/WeightsDecider.java
@@ -168,7 +168,11 @@
             mEngines.computeIfPresent(
                     failed.engine(),
                     (engine, load) ->
-                            load.unreachable(nowMilliseconds, MIN_UNREACHABLE_RETRY_MILLISECONDS));
+                            load.unreachable(
+                                    nowMilliseconds,
+                                    Math.max(
+                                            MIN_UNREACHABLE_RETRY_MILLISECONDS,
+                                            failed.retryAfterMilliseconds())));
         } else if (message instanceof OrderCompleted completed) {
             completed(completed, nowMilliseconds);
         }
--- a/orders/src/main/java/org/skylarkbend/orders/weights/WeightsMessage.java
+++ b/orders/src/main/java/org/skylarkbend/orders/weights/WeightsMessage.java
@@ -61,8 +61,13 @@
         }
     }
 
-    /** An engine did not report its state. */
-    record ReportFailed(String engine) implements WeightsMessage {}
+    /**
+     * An engine did not report its state.
+     *
+     * @param engine incarnation of the engine
+     * @param retryAfterMilliseconds time for which the engine wants no requests; 0 if it named none
+     */
+    record ReportFailed(String engine, long retryAfterMilliseconds) implements WeightsMessage {}
 
     /** An order received a response or timed out. */
     record OrderCompleted(String engine, LoadAnswer answer) implements WeightsMessage {}
--- a/orders/src/test/java/org/skylarkbend/orders/weights/WeightsDeciderTest.java
+++ b/orders/src/test/java/org/skylarkbend/orders/weights/WeightsDeciderTest.java
@@ -102,16 +102,16 @@
     public void enginesThatDoNotRespondMakeRoomForOthers() {
         assertThat(requested(decide(new TargetVersionsChanged(Map.of("m", 2L)))))
                 .containsExactly("e0", "e1");
-        decide(new WeightsMessage.ReportFailed("e0"));
+        decide(new WeightsMessage.ReportFailed("e0", 0));
         assertThat(mDecider.loading()).containsExactlyInAnyOrder("e1", "e2");
-        decide(new WeightsMessage.ReportFailed("e1"));
+        decide(new WeightsMessage.ReportFailed("e1", 0));
         assertThat(mDecider.loading()).containsExactlyInAnyOrder("e2", "e3");
     }
 
     @Test
     public void anEngineThatDidNotRespondTakesNoPlaceFromOthersUntilItDoes() {
         decide(new TargetVersionsChanged(Map.of("m", 2L)));
-        decide(new WeightsMessage.ReportFailed("e0"));
+        decide(new WeightsMessage.ReportFailed("e0", 0));
         assertThat(mDecider.loading()).containsExactlyInAnyOrder("e1", "e2");
         mNowMilliseconds += WeightsDecider.MIN_UNREACHABLE_RETRY_MILLISECONDS;
         assertThat(requested(decide(new Tick()))).contains("e0");
@@ -120,6 +120,20 @@
         assertThat(mDecider.loading()).containsExactlyInAnyOrder("e1", "e2");
     }
 
+    /** Guards against reports that are requested from an engine that has asked for none. */
+    @Test
+    public void anEngineThatAskedForNoRequestsGetsNoneUntilTheTimeIsOver() {
+        decide(new TargetVersionsChanged(Map.of("m", 2L)));
+        decide(new WeightsMessage.ReportFailed("e0", 10_000));
+        for (long untilMilliseconds = mNowMilliseconds + 9_900;
+                mNowMilliseconds < untilMilliseconds;
+                mNowMilliseconds += 100) {
+            assertThat(requested(decide(new Tick()))).doesNotContain("e0");
+        }
+        mNowMilliseconds += 100;
+        assertThat(requested(decide(new Tick()))).contains("e0");
+    }
+
     @Test
     public void anEngineIsOrderedWhenItsQueueIsEmptyOrHadItsTime() {
         decide(new TargetVersionsChanged(Map.of("m", 2L)));
--- a/quarantine/src/main/java/org/skylarkbend/quarantine/PromptPart.java
+++ b/quarantine/src/main/java/org/skylarkbend/quarantine/PromptPart.java
@@ -3,9 +3,11 @@
 import java.util.Comparator;
 
 /**
- * Part of a prompt that several calls may share.
+ * Something that several calls may share and that may crash endpoints: a part of a prompt, or the
+ * digest of a whole call, which is shared by its repetitions.
  *
- * @param model model that reads the prompt; empty if the call names none
+ * @param model model that reads the prompt, or service of a call without a prompt; empty if the
+ *     call names none
  * @param id ID of the part, the same in all calls that share it
  */
 public record PromptPart(String model, String id) implements Comparable<PromptPart> {
--- a/quarantine/src/test/java/org/skylarkbend/quarantine/CrashAnalysisTest.java
+++ b/quarantine/src/test/java/org/skylarkbend/quarantine/CrashAnalysisTest.java
@@ -52,6 +52,18 @@
         assertThat(verdicts(REPORTED)).containsExactly(combination(DEADLY));
     }
 
+    /** Guards against a repeated call that crashes engines although its shared parts are sound. */
+    @Test
+    public void aCallThatIsRepeatedAndNeverAnsweredIsQuarantinedWithoutThePartsItShares() {
+        PromptPart digest = part("call-digest");
+        answered(-5_000, COMMON, TOPIC);
+        crash("e1", 0, call("c1", COMMON, TOPIC, digest));
+        answered(100, COMMON, TOPIC);
+        crash("e2", 500, call("c2", COMMON, TOPIC, digest));
+        answered(600, COMMON, TOPIC);
+        assertThat(verdicts(REPORTED)).containsExactly(combination(digest));
+    }
+
     @Test
     public void partsThatOnlyOccurTogetherAreQuarantinedTogether() {
         crash("e1", 0, call("c1", COMMON, TOPIC, DEADLY));
