Answer the calls that are left when a gateway ends its drain

It can happen here: calls that are left at the end of the drain were dropped with the process, so a caller of a call that may not be repeated learnt nothing, and with a grace period under 4 s calls were accepted until the very moment at which all calls were cut.

New calls are refused (not run) from the middle of a short grace period on, so that accepted ones have time. The drain also waits until responses are sent, not only until calls have ended.

--- a/gateway/src/main/java/org/skylarkbend/gateway/GatewayProcess.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/GatewayProcess.java
@@ -24,18 +24,6 @@
  * metrics page.
  */
 public final class GatewayProcess {
-    /**
-     * Minimum drain time. The load balancer checks readiness once a second and needs up to two
-     * checks to take a gateway out.
-     */
-    private static final long MIN_DRAIN_MILLISECONDS = 2_800;
-
-    /**
-     * Time between the end of the drain and the end of the grace period. A process on a third of a
-     * core needs most of it to end.
-     */
-    private static final long SHUTDOWN_MARGIN_MILLISECONDS = 1_200;
-
     private final Vertx mVertx;
     private final GatewaySettings mSettings;
     private final GatewayTask mGateway;
@@ -117,8 +105,6 @@
      * period is almost over.
      */
     public Future<Void> drain() {
-        return mGateway.drain(
-                MIN_DRAIN_MILLISECONDS,
-                mSettings.graceMilliseconds() - SHUTDOWN_MARGIN_MILLISECONDS);
+        return mGateway.drain(DrainSchedule.within(mSettings.graceMilliseconds()));
     }
 }
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/GatewayCall.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/GatewayCall.java
@@ -138,6 +138,18 @@
         }
     }
 
+    /**
+     * Ends the call because the gateway shuts down and cannot wait any longer. The caller learns
+     * whether the call may have run.
+     */
+    public void gatewayStopping() {
+        boolean mayHaveRun = mMayHaveRun || mAttempt.map(Attempt::isSent).orElse(false);
+        fail(
+                mayHaveRun ? ErrorKind.ENDPOINT_FAILED : ErrorKind.ROUTER_DRAINING,
+                "the gateway is shutting down",
+                RETRY_AFTER_MILLISECONDS);
+    }
+
     /**
      * Handles a change of the quarantined parts. A call that waits at an engine is taken back if it
      * would crash the engine.
--- a/gateway/src/main/java/org/skylarkbend/gateway/front/CallerConnections.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/front/CallerConnections.java
@@ -25,6 +25,11 @@
         mRequests.computeIfPresent(connection, (key, requests) -> Math.max(0, requests - 1));
     }
 
+    /** Returns whether no request is in progress, which includes the sending of its response. */
+    boolean areIdle() {
+        return mRequests.values().stream().allMatch(requests -> requests == 0);
+    }
+
     /** Closes all connections without a request in progress. */
     void closeIdle() {
         for (Map.Entry<HttpConnection, Integer> entry : List.copyOf(mRequests.entrySet())) {
--- a/gateway/src/main/java/org/skylarkbend/gateway/front/GatewayTask.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/front/GatewayTask.java
@@ -30,6 +30,7 @@
 import org.skylarkbend.catalog.SiteLimits;
 import org.skylarkbend.catalog.SiteMessage.WorkUnderWay;
 import org.skylarkbend.catalog.VersionSplit;
+import org.skylarkbend.gateway.DrainSchedule;
 import org.skylarkbend.gateway.GatewaySettings;
 import org.skylarkbend.gateway.call.CallRequest;
 import org.skylarkbend.gateway.call.CallResources;
@@ -68,6 +69,9 @@
 
     private static final long DRAIN_CHECK_INTERVAL_MILLISECONDS = 50;
 
+    /** Time for the responses to the calls that are left at the end of a drain. */
+    private static final long LAST_RESPONSES_MILLISECONDS = 200;
+
     private final GatewaySettings mSettings;
     private final MetricRegistry mMetrics;
     private final MillisecondClock mClock;
@@ -269,11 +273,9 @@
     /**
      * Drains the gateway: reports it as not ready and serves calls until the load balancer has
      * noticed, then closes idle connections, refuses new calls and ends when no call is in flight.
-     *
-     * @param minMilliseconds time that the load balancer needs
-     * @param maxMilliseconds time after which the remaining calls are abandoned
+     * Calls that are left at the end get an error.
      */
-    public Future<Void> drain(long minMilliseconds, long maxMilliseconds) {
+    public Future<Void> drain(DrainSchedule schedule) {
         Promise<Void> drained = Promise.promise();
         mContext.runOnContext(
                 ignored -> {
@@ -281,8 +283,9 @@
                     mGate.shutDown(now());
                     LOG.info("gateway.draining", "calls", mCalls.size());
                     updateReadiness();
-                    vertx.setTimer(minMilliseconds, id -> startRefusing());
-                    awaitCalls(now(), minMilliseconds, maxMilliseconds, drained);
+                    vertx.setTimer(
+                            Math.max(1, schedule.refuseAfterMilliseconds()), id -> startRefusing());
+                    awaitCalls(now(), schedule, drained);
                 });
         return drained.future();
     }
@@ -307,20 +310,19 @@
         mConnections.closeIdle();
     }
 
-    private void awaitCalls(
-            long sinceMilliseconds,
-            long minMilliseconds,
-            long maxMilliseconds,
-            Promise<Void> drained) {
+    private void awaitCalls(long sinceMilliseconds, DrainSchedule schedule, Promise<Void> drained) {
         long waitedMilliseconds = now() - sinceMilliseconds;
-        boolean isIdle = mCalls.isEmpty() && waitedMilliseconds >= minMilliseconds;
-        if (isIdle || waitedMilliseconds >= maxMilliseconds) {
+        if (waitedMilliseconds >= schedule.endAfterMilliseconds()) {
             LOG.info("gateway.drained", "calls_left", mCalls.size());
+            List.copyOf(mCalls).forEach(GatewayCall::gatewayStopping);
+            vertx.setTimer(LAST_RESPONSES_MILLISECONDS, id -> drained.complete());
+        } else if (mRefusing && mCalls.isEmpty() && mConnections.areIdle()) {
+            LOG.info("gateway.drained", "calls_left", 0);
             drained.complete();
         } else {
             vertx.setTimer(
                     DRAIN_CHECK_INTERVAL_MILLISECONDS,
-                    id -> awaitCalls(sinceMilliseconds, minMilliseconds, maxMilliseconds, drained));
+                    id -> awaitCalls(sinceMilliseconds, schedule, drained));
         }
     }
 
--- a/gateway/src/test/java/org/skylarkbend/gateway/front/GatewayTaskTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/front/GatewayTaskTest.java
@@ -13,6 +13,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.skylarkbend.catalog.CallKind;
+import org.skylarkbend.gateway.DrainSchedule;
 import org.skylarkbend.gateway.FakeEndpoint;
 import org.skylarkbend.gateway.Routes;
 import org.skylarkbend.quarantine.PartCombination;
@@ -246,7 +247,7 @@
     public void aDrainingGatewayServesUntilTheLoadBalancerHasNoticedAndThenRefuses()
             throws Exception {
         serve(CallKind.ONCE, 1, false, respondingWith(200, "done"));
-        Future<Void> drained = mGateway.drain(5_000, 10_000);
+        Future<Void> drained = mGateway.drain(new DrainSchedule(5_000, 10_000));
         Response served = call(Map.of());
         assertThat(served.status()).isEqualTo(200);
         assertThat(served.head()).containsEntry("connection", "close");
@@ -254,6 +255,19 @@
         assertThat(call(Map.of()).status()).isEqualTo(503);
     }
 
+    /** Guards against calls that a planned stop cuts without a response. */
+    @Test
+    public void aCallThatIsStillRunningWhenTheDrainEndsGetsAResponse() throws Exception {
+        FakeEndpoint[] endpoints = serve(CallKind.ONCE, 1, false, request -> {});
+        Future<Response> running = send(Map.of());
+        awaitUntil(() -> endpoints[0].heads().size() == 1);
+        Future<Void> drained = mGateway.drain(new DrainSchedule(50, 100));
+        Response response = await(running);
+        assertThat(response.status()).isEqualTo(502);
+        assertThat(response.body().orElse("")).contains("may_have_run");
+        await(drained);
+    }
+
     @SafeVarargs
     private FakeEndpoint[] serve(
             CallKind kind,
