Break off a stream at once that the next endpoint answers with an error

Here the text did not reach callers, but the stream was left open and silent until the timeout of its route: the error was written as a new response after the head of the stream, which throws. A status below 400 other than 200 ended the stream as if it were complete.

Change: while a stream is under way only status 200 goes on with it. Everything else counts as a failed attempt: the stream is resumed elsewhere if its route allows it, else its connection is closed at once.

GatewayTaskTest.aStreamThatNoEndpointResumesIsBrokenOffWithoutTheTextOfTheError (400, 404, 500, 503, 204) timed out before.

--- a/gateway/src/main/java/org/skylarkbend/gateway/call/GatewayCall.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/GatewayCall.java
@@ -33,6 +33,7 @@
     private static final long SURVIVED_MILLISECONDS = 500;
 
     private static final long RETRY_AFTER_MILLISECONDS = 100;
+    private static final int OK = 200;
     private static final int MIN_ERROR_STATUS = 400;
     private static final int MIN_SERVER_ERROR_STATUS = 500;
     private static final String SHARED_CACHE_SCOPE = "shared";
@@ -269,6 +270,14 @@
                     attempt,
                     AttemptOutcome.BROKEN,
                     "the response has another request ID or no seal");
+        } else if (mStreaming && head.statusCode() != OK) {
+            attempt.stop();
+            aborted(
+                    attempt,
+                    hasHeader(mResources.names().notRun())
+                            ? AttemptOutcome.NOT_RUN
+                            : AttemptOutcome.FAILED,
+                    "the endpoint did not resume the stream: status " + head.statusCode());
         }
     }
 
--- a/gateway/src/test/java/org/skylarkbend/gateway/front/GatewayTaskTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/front/GatewayTaskTest.java
@@ -8,6 +8,7 @@
 
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
+import io.vertx.core.buffer.Buffer;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -268,6 +269,49 @@
         await(drained);
     }
 
+    /** Guards against the text of an error in a stream, and against streams that never end. */
+    @Test
+    public void aStreamThatNoEndpointResumesIsBrokenOffWithoutTheTextOfTheError() throws Exception {
+        for (int status : new int[] {400, 404, 500, 503, 204}) {
+            FakeEndpoint first = new FakeEndpoint("first", FakeEndpoint.streaming(3, false));
+            FakeEndpoint next =
+                    new FakeEndpoint(
+                            "next",
+                            request -> {
+                                if (request.getHeader("Last-Event-Id") == null) {
+                                    FakeEndpoint.refusing().accept(request);
+                                } else {
+                                    FakeEndpoint.respondingWith(status, "error").accept(request);
+                                }
+                            });
+            await(first.listen(mVertx));
+            await(next.listen(mVertx));
+            publish(Routes.of(CallKind.STREAM, 3, true, 120_000), first, next);
+            assertThat(receivedBeforeTheEnd())
+                    .as("status %d", status)
+                    .contains("id: 3")
+                    .doesNotContain("error")
+                    .doesNotContain("id: 4")
+                    .endsWith("broken");
+        }
+    }
+
+    /** Returns what a caller receives, followed by how the response ended. */
+    private String receivedBeforeTheEnd() throws Exception {
+        Promise<String> received = Promise.promise();
+        StringBuilder text = new StringBuilder();
+        request(Map.of())
+                .compose(request -> request.send(Buffer.buffer("body")))
+                .onSuccess(
+                        response -> {
+                            response.handler(text::append);
+                            response.endHandler(done -> received.tryComplete(text + "complete"));
+                            response.exceptionHandler(e -> received.tryComplete(text + "broken"));
+                        })
+                .onFailure(received::tryFail);
+        return await(received.future());
+    }
+
     @SafeVarargs
     private FakeEndpoint[] serve(
             CallKind kind,
