--- a/base/src/main/java/org/skylarkbend/base/ByteBudget.java
+++ b/base/src/main/java/org/skylarkbend/base/ByteBudget.java
@@ -21,6 +21,7 @@
     private final long mLimitBytes;
     private final Counter mUsed;
     private final Counter mRefused;
+    private Runnable mOnRelease = () -> {};
     private long mUsedBytes;
     private boolean mFull;
 
@@ -38,6 +39,11 @@
         mRefused = metrics.counter(name + "_bytes_refused");
     }
 
+    /** Sets what runs after each release, for work that waits for room. */
+    public void onRelease(Runnable handler) {
+        mOnRelease = handler;
+    }
+
     /** Takes bytes if the limit allows it, and returns whether it does. */
     public boolean tryTake(long bytes) {
         if (mUsedBytes + bytes > mLimitBytes) {
@@ -58,6 +64,7 @@
             mFull = false;
             LOG.info("memory.free", "of", mName, "used_bytes", mUsedBytes);
         }
+        mOnRelease.run();
     }
 
     /** Returns the number of bytes in use. */
--- a/gateway/src/main/java/org/skylarkbend/gateway/GatewayProcess.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/GatewayProcess.java
@@ -4,6 +4,7 @@
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import java.util.List;
+import org.skylarkbend.base.ByteBudget;
 import org.skylarkbend.base.MillisecondClock;
 import org.skylarkbend.catalog.CatalogReader;
 import org.skylarkbend.catalog.EndpointSource;
@@ -24,6 +25,12 @@
  * metrics page.
  */
 public final class GatewayProcess {
+    /**
+     * Bodies of requests and responses may take this part of the heap. Their buffers are copied as
+     * they grow.
+     */
+    private static final int HEAP_PARTS_OF_BODIES = 3;
+
     private final Vertx mVertx;
     private final GatewaySettings mSettings;
     private final GatewayTask mGateway;
@@ -50,6 +57,10 @@
         mGateway =
                 new GatewayTask(
                         settings,
+                        new ByteBudget(
+                                "gateway_held",
+                                Runtime.getRuntime().maxMemory() / HEAP_PARTS_OF_BODIES,
+                                metrics),
                         metrics,
                         clock,
                         this::sendToLimitOwner,
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/Attempt.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/Attempt.java
@@ -1,5 +1,6 @@
 package org.skylarkbend.gateway.call;
 
+import io.vertx.core.Future;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientRequest;
@@ -24,6 +25,9 @@
         /** Returns whether the call is still to be sent, now that there is a connection for it. */
         boolean isStillWanted(Attempt attempt);
 
+        /** Called when the request was written to the connection completely. */
+        void bodySent(Attempt attempt);
+
         /** Called when the status and headers of the response have arrived. */
         void headReceived(Attempt attempt, HttpClientResponse response);
 
@@ -41,6 +45,7 @@
     private final Endpoint mEndpoint;
     private final Listener mListener;
     private Optional<HttpClientRequest> mRequest = Optional.empty();
+    private Optional<HttpClientResponse> mResponse = Optional.empty();
     private boolean mEnded;
     private boolean mSent;
     private boolean mPromptRead;
@@ -79,15 +84,28 @@
         return isFirst;
     }
 
-    void start(
-            HttpClient client,
+    /**
+     * What an attempt sends.
+     *
+     * @param call the call
+     * @param body its body
+     * @param urgency its urgency at the engine
+     * @param cacheScope the scope within which the engine may reuse cached prompt parts
+     * @param lastEventId the ID of the event after which a stream is to go on
+     * @param connectMilliseconds the timeout for opening a connection
+     * @param remainingMilliseconds the time that the caller still waits
+     */
+    record Content(
             CallRequest call,
-            HeaderNames names,
+            Buffer body,
             Urgency urgency,
             String cacheScope,
             Optional<String> lastEventId,
             long connectMilliseconds,
-            long remainingMilliseconds) {
+            long remainingMilliseconds) {}
+
+    void start(HttpClient client, HeaderNames names, Content content) {
+        CallRequest call = content.call();
         RequestOptions options =
                 new RequestOptions()
                         .setServer(
@@ -96,7 +114,7 @@
                         .setPort(mEndpoint.port())
                         .setMethod(call.method())
                         .setURI(call.uri())
-                        .setConnectTimeout(connectMilliseconds);
+                        .setConnectTimeout(content.connectMilliseconds());
         client.request(options)
                 .onFailure(
                         e -> aborted(AttemptOutcome.NOT_CONNECTED, String.valueOf(e.getMessage())))
@@ -117,14 +135,16 @@
                             request.putHeader("Host", call.host());
                             request.putHeader(names.expectInstance(), mEndpoint.id());
                             request.putHeader(
-                                    names.deadline(), Long.toString(remainingMilliseconds));
+                                    names.deadline(),
+                                    Long.toString(content.remainingMilliseconds()));
                             call.customer()
                                     .ifPresent(c -> request.putHeader(names.customer(), c.name()));
                             if (call.prompt().isPresent()) {
-                                putEngineHeaders(request, names.engine(), urgency, cacheScope);
+                                putEngineHeaders(request, names.engine(), content);
                             }
-                            lastEventId.ifPresent(id -> request.putHeader(names.lastEventId(), id));
-                            send(request, call.body());
+                            content.lastEventId()
+                                    .ifPresent(id -> request.putHeader(names.lastEventId(), id));
+                            send(request, content.body());
                         });
     }
 
@@ -134,11 +154,9 @@
      * they come from.
      */
     private void putEngineHeaders(
-            HttpClientRequest request,
-            HeaderNames.Engine names,
-            Urgency urgency,
-            String cacheScope) {
-        request.putHeader(names.urgency(), urgency.header());
+            HttpClientRequest request, HeaderNames.Engine names, Content content) {
+        String cacheScope = content.cacheScope();
+        request.putHeader(names.urgency(), content.urgency().header());
         if (mChoice.weights().isEmpty()) {
             request.putHeader(names.cacheScope(), cacheScope);
             return;
@@ -155,10 +173,24 @@
         request.response()
                 .onSuccess(this::receive)
                 .onFailure(e -> aborted(AttemptOutcome.BROKEN, String.valueOf(e.getMessage())));
-        if (body.length() > 0) {
-            request.end(body);
-        } else {
-            request.end();
+        Future<Void> written = body.length() > 0 ? request.end(body) : request.end();
+        written.onSuccess(
+                ignored -> {
+                    if (!mEnded) {
+                        mListener.bodySent(this);
+                    }
+                });
+    }
+
+    /** Stops reading the response until {@link #resume}. */
+    void pause() {
+        mResponse.ifPresent(HttpClientResponse::pause);
+    }
+
+    /** Reads the response again. */
+    void resume() {
+        if (!mEnded) {
+            mResponse.ifPresent(HttpClientResponse::resume);
         }
     }
 
@@ -189,6 +221,7 @@
                         mListener.ended(this);
                     }
                 });
+        mResponse = Optional.of(response);
         mListener.headReceived(this, response);
     }
 
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/CallFingerprint.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/CallFingerprint.java
@@ -1,7 +1,11 @@
 package org.skylarkbend.gateway.call;
 
+import io.vertx.core.buffer.Buffer;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
+import java.util.function.Supplier;
+import java.util.zip.CRC32C;
 import org.skylarkbend.base.Sha256;
 import org.skylarkbend.gateway.endpoints.Prompt;
 import org.skylarkbend.quarantine.PromptPart;
@@ -15,10 +19,24 @@
     private static final String DIGEST_PREFIX = "call-";
 
     private final CallRequest mCall;
+    private final Supplier<Buffer> mBody;
+    private Optional<String> mBodyChecksum = Optional.empty();
     private List<PromptPart> mOwn = List.of();
 
-    CallFingerprint(CallRequest call) {
+    /**
+     * Creates the fingerprint of a call.
+     *
+     * @param call the call
+     * @param body returns the body until {@link #bodyReleased} is called
+     */
+    CallFingerprint(CallRequest call, Supplier<Buffer> body) {
         mCall = call;
+        mBody = body;
+    }
+
+    /** Keeps what identifies the body, which is about to be released. */
+    void bodyReleased() {
+        bodyChecksum();
     }
 
     /** Returns the parts that the call shares with calls of other content. */
@@ -54,13 +72,23 @@
 
     /** Digests what the caller repeats. IDs, deadlines and keys differ between repetitions. */
     private String digest() {
-        String head =
-                mCall.method()
-                        + " "
-                        + mCall.host()
-                        + mCall.uri()
-                        + " "
-                        + mCall.prompt().map(Prompt::toString).orElse("");
-        return Sha256.hexOf(head + Sha256.hexOf(mCall.body().getBytes()));
+        return Sha256.hexOf(
+                String.join(
+                        " ",
+                        mCall.method().name(),
+                        mCall.host(),
+                        mCall.uri(),
+                        mCall.prompt().map(Prompt::toString).orElse(""),
+                        bodyChecksum()));
+    }
+
+    private String bodyChecksum() {
+        if (mBodyChecksum.isEmpty()) {
+            byte[] body = mBody.get().getBytes();
+            CRC32C checksum = new CRC32C();
+            checksum.update(body);
+            mBodyChecksum = Optional.of(body.length + ":" + checksum.getValue());
+        }
+        return mBodyChecksum.get();
     }
 }
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/CallRequest.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/CallRequest.java
@@ -1,7 +1,6 @@
 package org.skylarkbend.gateway.call;
 
 import io.vertx.core.MultiMap;
-import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
 import java.util.List;
 import java.util.Optional;
@@ -18,7 +17,6 @@
  * @param uri path and query
  * @param host host that the caller requested
  * @param headers headers that are forwarded to the endpoint; not modified after construction
- * @param body request body
  * @param route route of the call
  * @param service service selected by the route
  * @param customer customer that made the call; empty on routes that need no key
@@ -33,7 +31,6 @@
         String uri,
         String host,
         MultiMap headers,
-        Buffer body,
         Route route,
         String service,
         Optional<Customer> customer,
@@ -41,6 +38,8 @@
         long arrivedMilliseconds,
         long callerTimeoutMilliseconds,
         long catalogNumber) {
+    private static final String SHARED_CACHE_SCOPE = "shared";
+
     /** Returns the time by which the caller must have a response. */
     public long deadlineMilliseconds() {
         return arrivedMilliseconds
@@ -52,6 +51,16 @@
         return prompt.map(Prompt::sharedParts).orElse(List.of());
     }
 
+    /**
+     * Returns the scope within which engines may reuse cached parts of the prompt. Isolated
+     * customers share none with others.
+     */
+    public String cacheScope() {
+        return customer.filter(Customer::isolated)
+                .map(isolated -> "only-" + isolated.name())
+                .orElse(SHARED_CACHE_SCOPE);
+    }
+
     /** Returns the number of units that the call uses of its customer's rate limit. */
     public long units() {
         long defaultUnits = customer.map(Customer::defaultUnitsPerCall).orElse(0L);
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/CallResources.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/CallResources.java
@@ -23,6 +23,7 @@
  * @param outcomes counts the outcomes of calls by version
  * @param crashes reports crashes of endpoints and knows the quarantined parts of prompts
  * @param probes checks endpoints whose connections broke
+ * @param responses memory for responses that callers have not got yet
  * @param metrics registry of the call metrics
  * @param clock monotonic clock
  */
@@ -36,5 +37,6 @@
         OutcomeRecorder outcomes,
         CrashGuard crashes,
         EndpointProbes probes,
+        ResponseMemory responses,
         MetricRegistry metrics,
         MillisecondClock clock) {}
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/GatewayCall.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/GatewayCall.java
@@ -1,19 +1,17 @@
 package org.skylarkbend.gateway.call;
 
-import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientResponse;
-import java.util.HashSet;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 import org.skylarkbend.base.ErrorKind;
-import org.skylarkbend.catalog.CallKind;
 import org.skylarkbend.catalog.Customer;
 import org.skylarkbend.catalog.Endpoint;
+import org.skylarkbend.gateway.endpoints.EndpointSelector;
 import org.skylarkbend.gateway.endpoints.EngineChoice;
 import org.skylarkbend.gateway.endpoints.PriorAttempts;
 import org.skylarkbend.gateway.limits.TokenGate;
+import org.skylarkbend.wire.HeldBytes;
 
 /**
  * Call in progress, from its admission to the end of the response. It is confined to the task that
@@ -23,61 +21,57 @@
     /** Timeout for opening a connection to an endpoint. */
     private static final long CONNECT_TIMEOUT_MILLISECONDS = 250;
 
-    /** Maximum size of a response body that is kept until it is complete. */
-    private static final int MAX_BODY_BYTES = 16 * 1024 * 1024;
-
-    /** Maximum size of an event, and of the chunk that completes it. */
-    private static final int MAX_EVENT_BYTES = 1024 * 1024;
-
     /** An engine that goes on sending events for this time has survived the prompt. */
     private static final long SURVIVED_MILLISECONDS = 500;
 
     private static final long RETRY_AFTER_MILLISECONDS = 100;
-    private static final int OK = 200;
-    private static final int MIN_ERROR_STATUS = 400;
-    private static final int MIN_SERVER_ERROR_STATUS = 500;
-    private static final String SHARED_CACHE_SCOPE = "shared";
 
     private final CallRequest mCall;
+    private final HeldBytes mRequestBody;
     private final CallResources mResources;
     private final CallerResponse mResponse;
     private final Runnable mOnEnd;
     private final CallFingerprint mFingerprint;
     private final CallLog mLog;
     private final EndpointReports mReports;
-    private final Set<String> mTriedIncarnations = new HashSet<>();
-    private final EventSplitter mEvents = new EventSplitter();
+    private final AttemptHistory mHistory;
+    private final ReceivedResponse mReceived;
     private final StreamTiming mTiming;
     private final SilenceTimer mSilenceTimer;
     private Optional<Attempt> mAttempt = Optional.empty();
     private Optional<EngineChoice> mLastChoice = Optional.empty();
     private OptionalLong mReservation = OptionalLong.empty();
     private long mTimeoutTimer = -1;
-    private int mSent;
-    private int mConnectFailures;
-    private boolean mMayHaveRun;
     private boolean mStreaming;
     private boolean mEnded;
-    private HttpClientResponse mHead;
-    private Buffer mBody = Buffer.buffer();
+    private ResponseHead mHead;
+    private boolean mSendingResponse;
 
     /**
      * Creates a call that has not started.
      *
      * @param call the admitted call
+     * @param requestBody body of the call, released as soon as no attempt can need it
      * @param resources resources shared by all calls
      * @param response response to the caller
      * @param onEnd run once when the call has ended
      */
     public GatewayCall(
-            CallRequest call, CallResources resources, CallerResponse response, Runnable onEnd) {
+            CallRequest call,
+            HeldBytes requestBody,
+            CallResources resources,
+            CallerResponse response,
+            Runnable onEnd) {
         mCall = call;
+        mRequestBody = requestBody;
         mResources = resources;
         mResponse = response;
         mOnEnd = onEnd;
-        mFingerprint = new CallFingerprint(call);
+        mFingerprint = new CallFingerprint(call, requestBody::content);
+        mHistory = new AttemptHistory(call.route());
         mLog = new CallLog(call, mFingerprint);
         mReports = new EndpointReports(call, mFingerprint, resources);
+        mReceived = new ReceivedResponse(resources.responses(), this::giveUpResponse);
         mTiming = new StreamTiming(call.arrivedMilliseconds());
         mSilenceTimer = new SilenceTimer(resources.vertx(), call.route(), this::handleSilence);
     }
@@ -144,9 +138,9 @@
      * whether the call may have run.
      */
     public void gatewayStopping() {
-        boolean mayHaveRun = mMayHaveRun || mAttempt.map(Attempt::isSent).orElse(false);
+        mAttempt.ifPresent(mHistory::mayHaveRunAt);
         fail(
-                mayHaveRun ? ErrorKind.ENDPOINT_FAILED : ErrorKind.ROUTER_DRAINING,
+                mHistory.mayHaveRun() ? ErrorKind.ENDPOINT_FAILED : ErrorKind.ROUTER_DRAINING,
                 "the gateway is shutting down",
                 RETRY_AFTER_MILLISECONDS);
     }
@@ -158,7 +152,7 @@
     public void quarantineChanged() {
         boolean isWaiting = mAttempt.filter(attempt -> !attempt.isPromptRead()).isPresent();
         if (!mEnded && isWaiting && isQuarantined()) {
-            mMayHaveRun |= mAttempt.map(Attempt::isSent).orElse(false);
+            mAttempt.ifPresent(mHistory::mayHaveRunAt);
             refuseQuarantined();
         }
     }
@@ -179,7 +173,7 @@
         long remainingMilliseconds = quarantinedMilliseconds().orElse(RETRY_AFTER_MILLISECONDS);
         mLog.quarantined(mAttempt.isPresent(), remainingMilliseconds);
         fail(
-                mMayHaveRun ? ErrorKind.ENDPOINT_FAILED : ErrorKind.PROMPT_QUARANTINED,
+                mHistory.mayHaveRun() ? ErrorKind.ENDPOINT_FAILED : ErrorKind.PROMPT_QUARANTINED,
                 "a part of the prompt crashes engines",
                 remainingMilliseconds);
     }
@@ -191,7 +185,8 @@
         }
         Optional<EngineChoice> chosen = choose();
         if (chosen.isEmpty()) {
-            ErrorKind kind = mMayHaveRun ? ErrorKind.ENDPOINT_FAILED : ErrorKind.NO_ENDPOINT;
+            ErrorKind kind =
+                    mHistory.mayHaveRun() ? ErrorKind.ENDPOINT_FAILED : ErrorKind.NO_ENDPOINT;
             long pausedMilliseconds =
                     mResources
                             .selector()
@@ -202,46 +197,34 @@
         }
         Endpoint endpoint = chosen.get().endpoint();
         mLastChoice = chosen;
-        mTriedIncarnations.add(endpoint.incarnation());
+        mHistory.started(endpoint);
         Attempt attempt = new Attempt(chosen.get(), this);
         mAttempt = Optional.of(attempt);
-        mBody = Buffer.buffer();
-        mEvents.discardPartial();
+        mReceived.discard();
         mTiming.attemptStarted(now());
         mResources.outcomes().sent(endpoint);
         mResources.selector().sent(endpoint, attempt.tokensToRead(), now());
         attempt.start(
                 mResources.client(),
-                mCall,
                 mResources.names(),
-                Urgency.of(mCall, chosen.get()),
-                cacheScope(),
-                mEvents.lastEventId(),
-                CONNECT_TIMEOUT_MILLISECONDS,
-                Math.max(1, mCall.deadlineMilliseconds() - now()));
+                new Attempt.Content(
+                        mCall,
+                        mRequestBody.content(),
+                        Urgency.of(mCall, chosen.get()),
+                        mCall.cacheScope(),
+                        mReceived.lastEventId(),
+                        CONNECT_TIMEOUT_MILLISECONDS,
+                        Math.max(1, mCall.deadlineMilliseconds() - now())));
         mSilenceTimer.restart(mStreaming);
     }
 
     private Optional<EngineChoice> choose() {
-        PriorAttempts priorAttempts =
-                new PriorAttempts(mTriedIncarnations, mSent + 1 >= mCall.route().maxAttempts());
-        if (mCall.prompt().isEmpty()) {
-            return mResources.selector().choose(mCall.service(), priorAttempts, now());
-        }
-        return mResources
-                .selector()
-                .choose(mCall.service(), mCall.prompt().get(), cacheScope(), priorAttempts, now());
-    }
-
-    /**
-     * Returns the cache scope of the call. Isolated customers share no cached prompt parts with
-     * others.
-     */
-    private String cacheScope() {
-        return mCall.customer()
-                .filter(Customer::isolated)
-                .map(customer -> "only-" + customer.name())
-                .orElse(SHARED_CACHE_SCOPE);
+        EndpointSelector selector = mResources.selector();
+        String service = mCall.service();
+        PriorAttempts prior = mHistory.prior();
+        return mCall.prompt().isEmpty()
+                ? selector.choose(service, prior, now())
+                : selector.choose(service, mCall.prompt().get(), mCall.cacheScope(), prior, now());
     }
 
     @Override
@@ -250,84 +233,111 @@
     }
 
     @Override
-    public void headReceived(Attempt attempt, HttpClientResponse head) {
-        mHead = head;
+    public void headReceived(Attempt attempt, HttpClientResponse response) {
+        mHead = new ResponseHead(response, mCall, mResources.names());
         mResources.selector().responded(attempt.endpoint(), now());
-        mReports.loadReceived(attempt.endpoint(), head);
+        mReports.loadReceived(attempt.endpoint(), response);
         mSilenceTimer.restart(mStreaming);
-        String id = head.getHeader(mResources.names().requestId());
-        boolean isOk = head.statusCode() < MIN_ERROR_STATUS;
-        // A response without ID may be an earlier one that the endpoint sent again. Even its
-        // statement that the call did not run cannot be trusted.
-        boolean isForThisCall = mCall.id().isEmpty() ? id == null && !isOk : mCall.id().equals(id);
-        boolean isSealed = head.getHeader(mResources.names().seal()) != null;
-        if (isForThisCall) {
-            mReports.responded(attempt.endpoint(), head);
-        }
-        if (!isForThisCall || isOk && !isSealed) {
-            attempt.stop();
-            aborted(
-                    attempt,
-                    AttemptOutcome.BROKEN,
-                    "the response has another request ID or no seal");
-        } else if (mStreaming && head.statusCode() != OK) {
-            attempt.stop();
-            aborted(
+        if (mHead.isForThisCall()) {
+            mReports.responded(attempt.endpoint(), response);
+        }
+        if (!mHead.isForThisCall() || !mHead.isError() && !mHead.isSealed()) {
+            stop(attempt, AttemptOutcome.BROKEN, "the response has another request ID or no seal");
+        } else if (mStreaming && !mHead.resumesStream()) {
+            stop(
                     attempt,
-                    hasHeader(mResources.names().notRun())
-                            ? AttemptOutcome.NOT_RUN
-                            : AttemptOutcome.FAILED,
-                    "the endpoint did not resume the stream: status " + head.statusCode());
+                    mHead.statesNotRun() ? AttemptOutcome.NOT_RUN : AttemptOutcome.FAILED,
+                    "the endpoint did not resume the stream: status " + mHead.status());
         }
     }
 
+    private void stop(Attempt attempt, AttemptOutcome outcome, String cause) {
+        attempt.stop();
+        aborted(attempt, outcome, cause);
+    }
+
     @Override
     public void chunk(Attempt attempt, Buffer chunk) {
         mResources.selector().responded(attempt.endpoint(), now());
-        boolean isStream = isStreamResponse();
-        int keptBytes = isStream ? mEvents.pendingBytes() : mBody.length();
-        if (keptBytes + chunk.length() > (isStream ? MAX_EVENT_BYTES : MAX_BODY_BYTES)) {
-            attempt.stop();
-            aborted(attempt, AttemptOutcome.BROKEN, "the response is too large");
-            return;
-        }
-        if (isStream) {
-            Buffer events = mEvents.feed(chunk);
-            if (events.length() > 0) {
-                mSilenceTimer.restart(mStreaming);
-                mTiming.eventsArrived(now());
-                promptRead(attempt);
-                if (mTiming.attemptStreamMilliseconds(now()) >= SURVIVED_MILLISECONDS) {
-                    mReports.promptServed();
-                }
-                forward(events);
-            }
-        } else {
+        if (mHead.isStream()) {
+            mReceived
+                    .appendToStream(chunk)
+                    .ifPresentOrElse(events -> forward(attempt, events), this::giveUpResponse);
+        } else if (mReceived.appendToBody(chunk)) {
             mSilenceTimer.restart(mStreaming);
-            mBody.appendBuffer(chunk);
+        } else {
+            giveUpResponse();
         }
     }
 
-    private boolean isStreamResponse() {
-        return mCall.route().kind() == CallKind.STREAM && mHead.statusCode() < MIN_ERROR_STATUS;
+    /** Gives up a response for which there is no memory. */
+    private void giveUpResponse() {
+        if (mSendingResponse) {
+            mResponse.abortStream();
+            return;
+        }
+        mAttempt.ifPresent(
+                attempt -> stop(attempt, AttemptOutcome.BROKEN, "the response is too large"));
     }
 
-    private void forward(Buffer events) {
+    private void forward(Attempt attempt, Buffer events) {
+        if (events.length() == 0) {
+            return;
+        }
+        mTiming.eventsArrived(now());
+        promptRead(attempt);
+        if (mTiming.attemptStreamMilliseconds(now()) >= SURVIVED_MILLISECONDS) {
+            mReports.promptServed();
+        }
         if (!mStreaming) {
             mStreaming = true;
-            mResponse.beginStream(mHead.statusCode(), mHead.headers());
+            mResponse.beginStream(mHead.status(), mHead.headers());
             mResources
                     .metrics()
                     .histogram("gateway_first_event_milliseconds")
                     .update(now() - mCall.arrivedMilliseconds());
+            releaseRequestBodyIfUnneeded();
         }
         mResponse.events(events);
+        if (mResponse.isCongested()) {
+            waitForCaller(attempt);
+        } else {
+            mSilenceTimer.restart(mStreaming);
+        }
+    }
+
+    /** Stops reading the stream until the caller has read more of it. */
+    private void waitForCaller(Attempt attempt) {
+        attempt.pause();
+        mSilenceTimer.cancel();
+        mResponse.onDrained(
+                () -> {
+                    if (!mEnded && mAttempt.filter(own -> own == attempt).isPresent()) {
+                        mSilenceTimer.restart(mStreaming);
+                        attempt.resume();
+                    }
+                });
+    }
+
+    @Override
+    public void bodySent(Attempt attempt) {
+        releaseRequestBodyIfUnneeded();
+    }
+
+    /** Releases the body unless another attempt may have to send it. */
+    private void releaseRequestBodyIfUnneeded() {
+        boolean mayBeSentAgain =
+                !mHistory.isLastAttempt() && (!mStreaming || mCall.route().resumable());
+        if (mEnded || !mayBeSentAgain) {
+            mFingerprint.bodyReleased();
+            mRequestBody.release();
+        }
     }
 
     @Override
     public void ended(Attempt attempt) {
-        if (isStreamResponse()) {
-            if (mEvents.hasPartial()) {
+        if (mHead.isStream()) {
+            if (mReceived.hasPartialEvent()) {
                 aborted(
                         attempt,
                         AttemptOutcome.BROKEN,
@@ -337,45 +347,44 @@
             }
             return;
         }
-        int status = mHead.statusCode();
-        if (status >= MIN_ERROR_STATUS && hasHeader(mResources.names().notRun())) {
-            aborted(
-                    attempt,
-                    AttemptOutcome.NOT_RUN,
-                    "the endpoint responded with status " + status);
-        } else if (status >= MIN_SERVER_ERROR_STATUS && mayRetryFault()) {
-            aborted(attempt, AttemptOutcome.FAILED, "the endpoint responded with status " + status);
+        String cause = "the endpoint responded with status " + mHead.status();
+        if (mHead.statesNotRun()) {
+            aborted(attempt, AttemptOutcome.NOT_RUN, cause);
+        } else if (mHead.isServerError() && mHistory.mayRetryServerError()) {
+            aborted(attempt, AttemptOutcome.FAILED, cause);
         } else {
-            endAttempt(attempt);
-            mResources.selector().succeeded(attempt.endpoint());
-            recordOutcome(attempt, status < MIN_SERVER_ERROR_STATUS);
-            if (status < MIN_ERROR_STATUS) {
-                mReports.promptServed();
-            }
-            mMayHaveRun = true;
-            mResponse.complete(status, mHead.headers(), mBody);
-            finish("answered", status);
+            answered(attempt);
+            sendCompleteResponse();
         }
     }
 
-    private void endCompleteStream(Attempt attempt) {
+    private void answered(Attempt attempt) {
         endAttempt(attempt);
-        mReports.promptServed();
-        mMayHaveRun = true;
+        mHistory.mayHaveRunAt(attempt);
         mResources.selector().succeeded(attempt.endpoint());
-        recordOutcome(attempt, true);
+        recordOutcome(attempt, !mHead.isServerError());
+        if (!mHead.isError()) {
+            mReports.promptServed();
+        }
+    }
+
+    private void endCompleteStream(Attempt attempt) {
+        answered(attempt);
         if (mStreaming) {
             mResponse.endStream();
+            finish("answered", mHead.status());
         } else {
-            mResponse.complete(mHead.statusCode(), mHead.headers(), mBody);
+            sendCompleteResponse();
         }
-        finish("answered", mHead.statusCode());
     }
 
-    private boolean mayRetryFault() {
-        return mCall.route().mayRunAgain()
-                && AttemptPolicy.mayRetry(
-                        mCall.route(), mSent + 1, mConnectFailures, AttemptOutcome.FAILED);
+    /** Sends the response, which takes memory until the caller has got it. */
+    private void sendCompleteResponse() {
+        mSendingResponse = true;
+        mResponse
+                .complete(mHead.status(), mHead.headers(), mReceived.body())
+                .onComplete(ignored -> mReceived.discard());
+        finish("answered", mHead.status());
     }
 
     @Override
@@ -391,21 +400,22 @@
         } else if (outcome != AttemptOutcome.WITHDRAWN) {
             mResources.selector().failed(attempt.endpoint(), now());
         }
-        mMayHaveRun |= outcome.mayHaveRun();
+        mHistory.failed(outcome);
         if (outcome.mayHaveRun()) {
             recordOutcome(attempt, false);
         }
-        mConnectFailures += outcome.isSent() ? 0 : 1;
-        mSent += outcome.isSent() ? 1 : 0;
-        mLog.attemptFailed(attempt.endpoint(), outcome, cause, isWaiting, mSent, now());
+        mLog.attemptFailed(attempt.endpoint(), outcome, cause, isWaiting, mHistory.sent(), now());
         boolean willRetry =
-                AttemptPolicy.mayRetry(mCall.route(), mSent, mConnectFailures, outcome)
+                mHistory.mayRetryAfter(outcome)
                         && now() < mCall.deadlineMilliseconds()
                         && (!outcome.isSent() || mResources.retries().tryTake(mCall.service()));
         if (willRetry) {
             sendToNextEndpoint();
         } else {
-            fail(AttemptPolicy.failure(outcome, mMayHaveRun), cause, RETRY_AFTER_MILLISECONDS);
+            fail(
+                    AttemptPolicy.failure(outcome, mHistory.mayHaveRun()),
+                    cause,
+                    RETRY_AFTER_MILLISECONDS);
         }
     }
 
@@ -426,22 +436,12 @@
         mAttempt = Optional.empty();
     }
 
-    private boolean hasHeader(String name) {
-        MultiMap headers = mHead.headers();
-        return headers.contains(name);
-    }
-
     private void handleSilence() {
         if (mEnded || mAttempt.isEmpty()) {
             return;
         }
-        boolean mayRetryElsewhere =
-                AttemptPolicy.mayRetry(
-                        mCall.route(), mSent + 1, mConnectFailures, AttemptOutcome.SILENT);
-        if (mayRetryElsewhere) {
-            Attempt attempt = mAttempt.get();
-            attempt.stop();
-            aborted(attempt, AttemptOutcome.SILENT, "the endpoint was silent");
+        if (mHistory.mayRetryIfCurrentEndsWith(AttemptOutcome.SILENT)) {
+            stop(mAttempt.get(), AttemptOutcome.SILENT, "the endpoint was silent");
         }
     }
 
@@ -449,8 +449,8 @@
         if (mEnded) {
             return;
         }
-        boolean sent = mAttempt.map(Attempt::isSent).orElse(false) || mMayHaveRun;
-        ErrorKind kind = sent ? ErrorKind.ENDPOINT_TIMEOUT : ErrorKind.OVERLOADED;
+        mAttempt.ifPresent(mHistory::mayHaveRunAt);
+        ErrorKind kind = mHistory.mayHaveRun() ? ErrorKind.ENDPOINT_TIMEOUT : ErrorKind.OVERLOADED;
         fail(kind, "the deadline of the call has passed", RETRY_AFTER_MILLISECONDS);
     }
 
@@ -475,14 +475,18 @@
                 });
         mResources.vertx().cancelTimer(mTimeoutTimer);
         mSilenceTimer.cancel();
+        releaseRequestBodyIfUnneeded();
+        if (!mSendingResponse) {
+            mReceived.discard();
+        }
         mReservation.ifPresent(number -> mResources.gate().cancel(number, now()));
         mResources.metrics().counter("gateway_calls_" + outcome).inc();
         mLog.ended(
                 new CallLog.End(
                         outcome,
                         status,
-                        mSent,
-                        mTriedIncarnations.size(),
+                        mHistory.sent(),
+                        mHistory.tried(),
                         mLastChoice,
                         mTiming,
                         mResources.selector().ageMilliseconds(now())),
--- /dev/null
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/ResponseHead.java
@@ -0,0 +1,64 @@
+package org.skylarkbend.gateway.call;
+
+import io.vertx.core.MultiMap;
+import io.vertx.core.http.HttpClientResponse;
+import org.skylarkbend.catalog.CallKind;
+import org.skylarkbend.gateway.HeaderNames;
+
+/**
+ * Status and headers of an endpoint's response to a call.
+ *
+ * @param response the response
+ * @param call the call
+ * @param names names of the HTTP headers
+ */
+record ResponseHead(HttpClientResponse response, CallRequest call, HeaderNames names) {
+    private static final int OK = 200;
+    private static final int MIN_ERROR_STATUS = 400;
+    private static final int MIN_SERVER_ERROR_STATUS = 500;
+
+    int status() {
+        return response.statusCode();
+    }
+
+    MultiMap headers() {
+        return response.headers();
+    }
+
+    boolean isError() {
+        return status() >= MIN_ERROR_STATUS;
+    }
+
+    boolean isServerError() {
+        return status() >= MIN_SERVER_ERROR_STATUS;
+    }
+
+    /**
+     * Returns whether the response is to this call. A response without ID may be an earlier one
+     * that the endpoint sent again; even its statement that the call did not run cannot be trusted.
+     */
+    boolean isForThisCall() {
+        String id = response.getHeader(names.requestId());
+        return call.id().isEmpty() ? id == null && isError() : call.id().equals(id);
+    }
+
+    /** Returns whether the endpoint has signed the response. */
+    boolean isSealed() {
+        return response.getHeader(names.seal()) != null;
+    }
+
+    /** Returns whether the endpoint states that it did not run the call. */
+    boolean statesNotRun() {
+        return isError() && response.getHeader(names.notRun()) != null;
+    }
+
+    /** Returns whether the body is a stream of events. */
+    boolean isStream() {
+        return call.route().kind() == CallKind.STREAM && !isError();
+    }
+
+    /** Returns whether the body goes on with a stream that another endpoint began. */
+    boolean resumesStream() {
+        return status() == OK;
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/skylarkbend/gateway/front/BodyIntake.java
@@ -0,0 +1,166 @@
+package org.skylarkbend.gateway.front;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServerRequest;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.skylarkbend.base.ByteBudget;
+import org.skylarkbend.base.ErrorKind;
+import org.skylarkbend.base.MillisecondClock;
+import org.skylarkbend.base.SkylarkError;
+import org.skylarkbend.wire.HeldBytes;
+
+/**
+ * Reads the bodies of requests within the memory for all of them.
+ *
+ * <p>A body of known size is read once there is room for all of it; until then its connection is
+ * not read, so that its caller waits. Requests wait in order of arrival, and not for long. Confined
+ * to the task that serves the calls.
+ */
+final class BodyIntake {
+    /** A caller gives up a connection that does not read its request within a second. */
+    private static final long MAX_WAIT_MILLISECONDS = 500;
+
+    /** Bodies up to this size are read before larger ones that wait. */
+    private static final long SMALL_BYTES = 64 * 1024;
+
+    private final Vertx mVertx;
+    private final ByteBudget mBudget;
+    private final MillisecondClock mClock;
+    private final Deque<Reading> mWaiting = new ArrayDeque<>();
+    private final Set<Reading> mReadings = new HashSet<>();
+
+    /** Receives a complete body, or the reason why there is none. Exactly one method is called. */
+    interface Listener {
+        /** Called with the complete body, which the listener must release. */
+        void complete(HeldBytes body);
+
+        /** Called if the body is not read. The rest of it is discarded. */
+        void refused(SkylarkError error);
+    }
+
+    BodyIntake(Vertx vertx, ByteBudget budget, MillisecondClock clock) {
+        mVertx = vertx;
+        mBudget = budget;
+        mClock = clock;
+        budget.onRelease(this::startWaiting);
+    }
+
+    /** Starts to read the body of a request. */
+    void read(HttpServerRequest request, int maxBodyBytes, Listener listener) {
+        Reading reading = new Reading(request, maxBodyBytes, listener);
+        mReadings.add(reading);
+        request.handler(reading::append);
+        request.endHandler(ignored -> reading.complete());
+        request.exceptionHandler(e -> reading.stop());
+        long length = contentLength(request);
+        if (length > maxBodyBytes) {
+            reading.refuse(
+                    new SkylarkError(ErrorKind.BODY_TOO_LARGE, "the request body is too large"));
+        } else if (!mWaiting.isEmpty() && length > SMALL_BYTES || !reading.mBody.reserve(length)) {
+            waitForRoom(reading, length);
+        }
+    }
+
+    /** Closes the connections whose callers have sent nothing of a body for a time. */
+    void closeStalled(long idleMilliseconds) {
+        long oldestMilliseconds = mClock.nowMilliseconds() - idleMilliseconds;
+        for (Reading reading : List.copyOf(mReadings)) {
+            if (reading.mLastMilliseconds < oldestMilliseconds) {
+                reading.stop();
+                reading.mRequest.connection().close();
+            }
+        }
+    }
+
+    private void waitForRoom(Reading reading, long length) {
+        reading.mNeededBytes = length;
+        reading.mRequest.pause();
+        mWaiting.add(reading);
+        mVertx.setTimer(
+                MAX_WAIT_MILLISECONDS,
+                id -> {
+                    if (mWaiting.remove(reading)) {
+                        reading.mRequest.resume();
+                        reading.refuse(noRoom());
+                    }
+                });
+    }
+
+    private void startWaiting() {
+        while (!mWaiting.isEmpty() && mWaiting.peek().mBody.reserve(mWaiting.peek().mNeededBytes)) {
+            mWaiting.poll().mRequest.resume();
+        }
+    }
+
+    private static SkylarkError noRoom() {
+        return new SkylarkError(ErrorKind.OVERLOADED, "there is no memory for the request body");
+    }
+
+    private static long contentLength(HttpServerRequest request) {
+        String value = request.getHeader("Content-Length");
+        boolean isNumber = value != null && value.matches("\\d{1,18}");
+        return isNumber ? Long.parseLong(value) : 0;
+    }
+
+    /** A body that is being read. */
+    private final class Reading {
+        private final HttpServerRequest mRequest;
+        private final int mMaxBodyBytes;
+        private final Listener mListener;
+        private final HeldBytes mBody = new HeldBytes(mBudget);
+        private long mNeededBytes;
+        private long mLastMilliseconds = mClock.nowMilliseconds();
+        private boolean mEnded;
+
+        Reading(HttpServerRequest request, int maxBodyBytes, Listener listener) {
+            mRequest = request;
+            mMaxBodyBytes = maxBodyBytes;
+            mListener = listener;
+        }
+
+        void append(Buffer chunk) {
+            mLastMilliseconds = mClock.nowMilliseconds();
+            if (mEnded) {
+                return;
+            }
+            if (mBody.lengthBytes() + chunk.length() > mMaxBodyBytes) {
+                refuse(new SkylarkError(ErrorKind.BODY_TOO_LARGE, "the request body is too large"));
+            } else if (!mBody.append(chunk)) {
+                refuse(noRoom());
+            }
+        }
+
+        void complete() {
+            if (end()) {
+                mListener.complete(mBody);
+            }
+        }
+
+        void refuse(SkylarkError error) {
+            if (end()) {
+                mBody.release();
+                mListener.refused(error);
+            }
+        }
+
+        /** Ends the reading because the connection is lost. */
+        void stop() {
+            if (end()) {
+                mBody.release();
+            }
+        }
+
+        private boolean end() {
+            boolean isFirst = !mEnded;
+            mEnded = true;
+            mReadings.remove(this);
+            mWaiting.remove(this);
+            return isFirst;
+        }
+    }
+}
--- a/gateway/src/main/java/org/skylarkbend/gateway/front/GatewayTask.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/front/GatewayTask.java
@@ -5,7 +5,6 @@
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.VerticleBase;
-import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
@@ -19,8 +18,10 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.skylarkbend.base.ByteBudget;
 import org.skylarkbend.base.ErrorKind;
 import org.skylarkbend.base.MillisecondClock;
+import org.skylarkbend.base.Result;
 import org.skylarkbend.base.SkylarkError;
 import org.skylarkbend.base.StructuredLog;
 import org.skylarkbend.catalog.CallerLimits;
@@ -35,6 +36,7 @@
 import org.skylarkbend.gateway.call.CallRequest;
 import org.skylarkbend.gateway.call.CallResources;
 import org.skylarkbend.gateway.call.GatewayCall;
+import org.skylarkbend.gateway.call.ResponseMemory;
 import org.skylarkbend.gateway.call.RetryBudget;
 import org.skylarkbend.gateway.crashes.CrashGuard;
 import org.skylarkbend.gateway.endpoints.EndpointProbes;
@@ -47,6 +49,7 @@
 import org.skylarkbend.limits.LimitPolicy;
 import org.skylarkbend.limits.LimitShareDecider;
 import org.skylarkbend.quarantine.QuarantineNotice;
+import org.skylarkbend.wire.HeldBytes;
 
 /** Owns the connections to callers and endpoints, and all calls in progress between them. */
 public final class GatewayTask extends VerticleBase implements SiteListener {
@@ -64,15 +67,14 @@
     /** Endpoints that announce no keep-alive timeout close idle connections after some seconds. */
     private static final int KEEP_ALIVE_SECONDS = 4;
 
+    /** Time for which the rest of a refused body is read. */
+    private static final long DISCARD_MILLISECONDS = 1_000;
+
     private static final int MAX_REQUEST_LINE_BYTES = 8 * 1024;
     private static final long PROBE_INTERVAL_MILLISECONDS = 250;
 
-    private static final long DRAIN_CHECK_INTERVAL_MILLISECONDS = 50;
-
-    /** Time for the responses to the calls that are left at the end of a drain. */
-    private static final long LAST_RESPONSES_MILLISECONDS = 200;
-
     private final GatewaySettings mSettings;
+    private final ByteBudget mMemory;
     private final MetricRegistry mMetrics;
     private final MillisecondClock mClock;
     private final Consumer<LimitMessage> mLimitOwner;
@@ -88,19 +90,20 @@
     private Optional<ServingState> mServingState = Optional.empty();
     private CallResources mResources;
     private TokenGate mGate;
+    private BodyIntake mIntake;
     private StoreProbe mStoreProbe;
     private HttpServer mServer;
     private long mGateTimer = -1;
     private StartupQueue mStartupQueue;
     private boolean mLimitOwnerKnown;
     private boolean mReady;
-    private boolean mDraining;
-    private boolean mRefusing;
+    private Optional<Drain> mDrain = Optional.empty();
 
     /**
      * Creates a task that listens once it is deployed.
      *
      * @param settings addresses, header names and budgets
+     * @param memory memory for the bodies of requests and responses
      * @param metrics registry of the call metrics
      * @param clock monotonic clock
      * @param limitOwner sends a message to the limit owner
@@ -109,12 +112,14 @@
      */
     public GatewayTask(
             GatewaySettings settings,
+            ByteBudget memory,
             MetricRegistry metrics,
             MillisecondClock clock,
             Consumer<LimitMessage> limitOwner,
             GatewayReports reports,
             Consumer<Boolean> onReady) {
         mSettings = settings;
+        mMemory = memory;
         mMetrics = metrics;
         mClock = clock;
         mLimitOwner = limitOwner;
@@ -138,6 +143,7 @@
                         new LimitShareDecider(LimitPolicy.forGateways(), now()),
                         mLimitOwner,
                         this::wakeGateAt);
+        mIntake = new BodyIntake(vertx, mMemory, mClock);
         EndpointProbes probes = new EndpointProbes(vertx, mSelector, mClock, probeListener());
         mResources =
                 new CallResources(
@@ -156,15 +162,11 @@
                         mOutcomes,
                         mCrashes,
                         probes,
+                        new ResponseMemory(mMemory),
                         mMetrics,
                         mClock);
         mStoreProbe = new StoreProbe(vertx, mSelector);
-        vertx.setPeriodic(
-                PROBE_INTERVAL_MILLISECONDS,
-                id -> {
-                    probes.probe();
-                    mStoreProbe.connect();
-                });
+        vertx.setPeriodic(PROBE_INTERVAL_MILLISECONDS, id -> check(probes));
         scheduleWorkReport();
         mServer = vertx.createHttpServer(serverOptions());
         mServer.connectionHandler(mConnections::opened);
@@ -172,6 +174,12 @@
         return mServer.listen(mSettings.callers().port(), mSettings.callers().host());
     }
 
+    private void check(EndpointProbes probes) {
+        probes.probe();
+        mStoreProbe.connect();
+        mIntake.closeStalled(callerLimits().idleMilliseconds());
+    }
+
     private void scheduleWorkReport() {
         vertx.setTimer(
                 mWorkReport.intervalMilliseconds(),
@@ -279,13 +287,9 @@
         Promise<Void> drained = Promise.promise();
         mContext.runOnContext(
                 ignored -> {
-                    mDraining = true;
                     mGate.shutDown(now());
-                    LOG.info("gateway.draining", "calls", mCalls.size());
+                    mDrain = Optional.of(new Drain(vertx, schedule, mCalls, mConnections, drained));
                     updateReadiness();
-                    vertx.setTimer(
-                            Math.max(1, schedule.refuseAfterMilliseconds()), id -> startRefusing());
-                    awaitCalls(now(), schedule, drained);
                 });
         return drained.future();
     }
@@ -305,27 +309,6 @@
         };
     }
 
-    private void startRefusing() {
-        mRefusing = true;
-        mConnections.closeIdle();
-    }
-
-    private void awaitCalls(long sinceMilliseconds, DrainSchedule schedule, Promise<Void> drained) {
-        long waitedMilliseconds = now() - sinceMilliseconds;
-        if (waitedMilliseconds >= schedule.endAfterMilliseconds()) {
-            LOG.info("gateway.drained", "calls_left", mCalls.size());
-            List.copyOf(mCalls).forEach(GatewayCall::gatewayStopping);
-            vertx.setTimer(LAST_RESPONSES_MILLISECONDS, id -> drained.complete());
-        } else if (mRefusing && mCalls.isEmpty() && mConnections.areIdle()) {
-            LOG.info("gateway.drained", "calls_left", 0);
-            drained.complete();
-        } else {
-            vertx.setTimer(
-                    DRAIN_CHECK_INTERVAL_MILLISECONDS,
-                    id -> awaitCalls(sinceMilliseconds, schedule, drained));
-        }
-    }
-
     private boolean isFullyInitialized() {
         return mServingState.isPresent() && mSelector.isInitialized() && mLimitOwnerKnown;
     }
@@ -334,7 +317,7 @@
         if (isFullyInitialized()) {
             mStartupQueue.releaseAll();
         }
-        boolean ready = isFullyInitialized() && !mDraining;
+        boolean ready = isFullyInitialized() && !mDrain.isPresent();
         if (ready != mReady) {
             mReady = ready;
             LOG.info("gateway.ready", "ready", ready);
@@ -351,63 +334,81 @@
         long arrivedMilliseconds = now();
         mConnections.begun(request.connection());
         request.response().endHandler(ignored -> mConnections.ended(request.connection()));
-        int maxBodyBytes =
-                mServingState
-                        .map(state -> state.catalog().callerLimits())
-                        .orElse(CallerLimits.defaults())
-                        .bodyBytes();
-        Buffer body = Buffer.buffer();
-        request.handler(
-                chunk -> {
-                    if (body.length() + chunk.length() <= maxBodyBytes) {
-                        body.appendBuffer(chunk);
-                    } else if (!request.response().ended()) {
-                        request.response().putHeader("Connection", "close");
-                        responseTo(request)
-                                .failure(
-                                        ErrorKind.BODY_TOO_LARGE,
-                                        "the request body is too large",
-                                        0);
-                        request.connection().close();
+        mIntake.read(
+                request,
+                callerLimits().bodyBytes(),
+                new BodyIntake.Listener() {
+                    @Override
+                    public void complete(HeldBytes body) {
+                        beginOrQueue(request, body, arrivedMilliseconds);
                     }
-                });
-        request.exceptionHandler(e -> LOG.debug("caller.broke", "cause", e.getMessage()));
-        request.endHandler(
-                ignored -> {
-                    Runnable begin = () -> begin(request, body, arrivedMilliseconds);
-                    if (isFullyInitialized() || mDraining || !mStartupQueue.offer(begin)) {
-                        begin.run();
+
+                    @Override
+                    public void refused(SkylarkError error) {
+                        refuseBody(request, error);
                     }
                 });
     }
 
-    private void begin(HttpServerRequest request, Buffer body, long arrivedMilliseconds) {
-        String host = request.getHeader("Host");
+    private CallerLimits callerLimits() {
+        return mServingState
+                .map(state -> state.catalog().callerLimits())
+                .orElse(CallerLimits.defaults());
+    }
+
+    private void beginOrQueue(HttpServerRequest request, HeldBytes body, long arrivedMilliseconds) {
+        Runnable begin = () -> begin(request, body, arrivedMilliseconds);
+        if (isFullyInitialized() || mDrain.isPresent() || !mStartupQueue.offer(begin)) {
+            begin.run();
+        }
+    }
+
+    /**
+     * Refuses a request whose body has not arrived completely. The rest is read and discarded for a
+     * while, since closing a connection with unread bytes could reset it before the response is
+     * read.
+     */
+    private void refuseBody(HttpServerRequest request, SkylarkError error) {
+        request.response().putHeader("Connection", "close");
+        refuse(request, error);
+        vertx.setTimer(DISCARD_MILLISECONDS, id -> request.connection().close());
+    }
+
+    private void begin(HttpServerRequest request, HeldBytes body, long arrivedMilliseconds) {
         if (request.response().ended() || request.response().closed()) {
             LOG.info("caller.gone", "id", request.getHeader(mSettings.headers().requestId()));
-        } else if (mRefusing) {
-            refuse(
-                    request,
-                    new SkylarkError(ErrorKind.ROUTER_DRAINING, "this gateway is shutting down"));
-        } else if (mServingState.isEmpty()) {
-            refuse(
-                    request,
-                    new SkylarkError(
-                            ErrorKind.ROUTER_STALE, "this gateway has not received a catalog yet"));
-        } else if (host == null) {
-            refuse(request, new SkylarkError(ErrorKind.BAD_REQUEST, "the Host header is missing"));
-        } else {
-            ServingState state = mServingState.get();
-            state.admit(host, request.path(), mHeadReader.keyDigest(request.headers()))
-                    .match(
-                            admission -> serve(request, body, arrivedMilliseconds, admission),
-                            error -> refuse(request, error));
+            body.release();
+            return;
         }
+        admit(request)
+                .match(
+                        admission -> serve(request, body, arrivedMilliseconds, admission),
+                        error -> {
+                            body.release();
+                            refuse(request, error);
+                        });
+    }
+
+    private Result<ServingState.Admission> admit(HttpServerRequest request) {
+        String host = request.getHeader("Host");
+        if (mDrain.filter(Drain::isRefusing).isPresent()) {
+            return Result.failure(ErrorKind.ROUTER_DRAINING, "this gateway is shutting down");
+        }
+        if (mServingState.isEmpty()) {
+            return Result.failure(
+                    ErrorKind.ROUTER_STALE, "this gateway has not received a catalog yet");
+        }
+        if (host == null) {
+            return Result.failure(ErrorKind.BAD_REQUEST, "the Host header is missing");
+        }
+        return mServingState
+                .get()
+                .admit(host, request.path(), mHeadReader.keyDigest(request.headers()));
     }
 
     private void serve(
             HttpServerRequest request,
-            Buffer body,
+            HeldBytes body,
             long arrivedMilliseconds,
             ServingState.Admission admission) {
         String id = request.getHeader(mSettings.headers().requestId());
@@ -418,7 +419,6 @@
                         request.uri(),
                         request.getHeader("Host"),
                         mHeadReader.forwardedHeaders(request.headers()),
-                        body,
                         admission.route(),
                         admission.route().serviceAt(ThreadLocalRandom.current().nextDouble()),
                         admission.customer(),
@@ -429,7 +429,11 @@
         GatewayCall[] started = new GatewayCall[1];
         started[0] =
                 new GatewayCall(
-                        call, mResources, responseTo(request), () -> mCalls.remove(started[0]));
+                        call,
+                        body,
+                        mResources,
+                        responseTo(request),
+                        () -> mCalls.remove(started[0]));
         mCalls.add(started[0]);
         request.response().closeHandler(ignored -> started[0].callerDisconnected());
         request.response().exceptionHandler(e -> started[0].callerDisconnected());
@@ -437,7 +441,7 @@
     }
 
     private HttpCallerResponse responseTo(HttpServerRequest request) {
-        return new HttpCallerResponse(request, () -> mDraining);
+        return new HttpCallerResponse(request, () -> mDrain.isPresent());
     }
 
     private void refuse(HttpServerRequest request, SkylarkError error) {
--- a/gateway/src/main/java/org/skylarkbend/gateway/front/HttpCallerResponse.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/front/HttpCallerResponse.java
@@ -1,5 +1,6 @@
 package org.skylarkbend.gateway.front;
 
+import io.vertx.core.Future;
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerRequest;
@@ -27,10 +28,10 @@
     }
 
     @Override
-    public void complete(int httpStatus, MultiMap headers, Buffer body) {
-        if (isOpen()) {
-            begin(httpStatus, headers).end(body);
-        }
+    public Future<Void> complete(int httpStatus, MultiMap headers, Buffer body) {
+        return isOpen()
+                ? begin(httpStatus, headers).end(body).otherwiseEmpty()
+                : Future.succeededFuture();
     }
 
     @Override
@@ -47,6 +48,21 @@
         }
     }
 
+    @Override
+    public boolean isCongested() {
+        return isOpen() && mRequest.response().writeQueueFull();
+    }
+
+    @Override
+    public void onDrained(Runnable handler) {
+        mRequest.response()
+                .drainHandler(
+                        ignored -> {
+                            mRequest.response().drainHandler(null);
+                            handler.run();
+                        });
+    }
+
     @Override
     public void endStream() {
         if (isOpen()) {
--- a/gateway/src/test/java/org/skylarkbend/gateway/call/UrgencyTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/call/UrgencyTest.java
@@ -3,7 +3,6 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.vertx.core.MultiMap;
-import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
 import java.util.List;
 import java.util.Map;
@@ -59,7 +58,6 @@
                 "/x/y",
                 "a.example",
                 MultiMap.caseInsensitiveMultiMap(),
-                Buffer.buffer(),
                 Routes.of(CallKind.STREAM, 1, true),
                 "desk",
                 Optional.of(customer),
--- a/gateway/src/test/java/org/skylarkbend/gateway/front/GatewayFixture.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/front/GatewayFixture.java
@@ -17,6 +17,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import org.skylarkbend.base.ByteBudget;
 import org.skylarkbend.base.MillisecondClock;
 import org.skylarkbend.base.ObjectName;
 import org.skylarkbend.base.Sha256;
@@ -44,6 +45,7 @@
     protected Vertx mVertx;
     protected HttpClient mClient;
     protected GatewayTask mGateway;
+    protected MetricRegistry mMetrics;
     private int mPort;
 
     /** Response as received by the caller. */
@@ -54,6 +56,7 @@
         mVertx = Vertx.vertx();
         mClient = mVertx.createHttpClient();
         mPort = LoopbackPorts.next();
+        mMetrics = new MetricRegistry();
         GatewaySettings settings =
                 new GatewaySettings(
                         ObjectName.of("front-1"),
@@ -70,7 +73,8 @@
         mGateway =
                 new GatewayTask(
                         settings,
-                        new MetricRegistry(),
+                        new ByteBudget("gateway_held", memoryBytes(), mMetrics),
+                        mMetrics,
                         MillisecondClock.monotonic(),
                         message -> {},
                         new GatewayReports(work -> {}, outcomes -> {}, crashes -> {}),
@@ -83,6 +87,11 @@
         await(mVertx.close());
     }
 
+    /** Returns the memory for bodies. */
+    protected long memoryBytes() {
+        return 64 * 1024 * 1024;
+    }
+
     protected void publish(Route route, FakeEndpoint... endpoints) {
         publish(
                 route,
@@ -129,8 +138,12 @@
     }
 
     protected Future<Response> send(Map<String, String> headers) {
+        return send(headers, Buffer.buffer("body"));
+    }
+
+    protected Future<Response> send(Map<String, String> headers, Buffer body) {
         return request(headers)
-                .compose(request -> request.send(Buffer.buffer("body")))
+                .compose(request -> request.send(body))
                 .compose(GatewayTaskTest::toResponse);
     }
 
--- a/wire/src/main/java/org/skylarkbend/wire/HeldBytes.java
+++ b/wire/src/main/java/org/skylarkbend/wire/HeldBytes.java
@@ -10,6 +10,7 @@
 public final class HeldBytes {
     private final ByteBudget mBudget;
     private Buffer mContent = Buffer.buffer();
+    private long mTakenBytes;
     private boolean mReleased;
 
     /** Creates an empty body. */
@@ -17,9 +18,19 @@
         mBudget = budget;
     }
 
+    /** Takes room for a body whose size is known, and returns whether there is any. */
+    public boolean reserve(long bytes) {
+        long missingBytes = bytes - mTakenBytes;
+        if (mReleased || missingBytes > 0 && !mBudget.tryTake(missingBytes)) {
+            return false;
+        }
+        mTakenBytes = Math.max(mTakenBytes, bytes);
+        return true;
+    }
+
     /** Appends a chunk. Returns false, and keeps nothing of it, if the budget has no room. */
     public boolean append(Buffer chunk) {
-        if (mReleased || !mBudget.tryTake(chunk.length())) {
+        if (!reserve((long) mContent.length() + chunk.length())) {
             return false;
         }
         mContent.appendBuffer(chunk);
@@ -40,8 +51,8 @@
     public void release() {
         if (!mReleased) {
             mReleased = true;
-            mBudget.release(mContent.length());
             mContent = Buffer.buffer();
+            mBudget.release(mTakenBytes);
         }
     }
 }
