Give every call that may use a cache the scope of its customer

Cause: the cache scope was one of the headers that are set only for calls with a readable description of the prompt, so it depended on what the caller sends.

Change: the scope depends on the key, the route and the list of endpoints. Calls with a model or parts but without numbers of tokens are routed by them, with the expected version of the weights, and count with their customer's default.

--- a/gateway/src/main/java/org/skylarkbend/gateway/call/Attempt.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/Attempt.java
@@ -7,7 +7,9 @@
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.RequestOptions;
 import io.vertx.core.net.SocketAddress;
+import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 import org.skylarkbend.catalog.Endpoint;
 import org.skylarkbend.gateway.HeaderNames;
 import org.skylarkbend.gateway.endpoints.EngineChoice;
@@ -90,7 +92,6 @@
      * @param call the call
      * @param body its body
      * @param urgency its urgency at the engine
-     * @param cacheScope the scope within which the engine may reuse cached prompt parts
      * @param lastEventId the ID of the event after which a stream is to go on
      * @param connectMilliseconds the timeout for opening a connection
      * @param remainingMilliseconds the time that the caller still waits
@@ -99,7 +100,6 @@
             CallRequest call,
             Buffer body,
             Urgency urgency,
-            String cacheScope,
             Optional<String> lastEventId,
             long connectMilliseconds,
             long remainingMilliseconds) {}
@@ -131,41 +131,56 @@
                                         "the endpoint stopped accepting calls");
                                 return;
                             }
-                            request.headers().addAll(call.headers());
-                            request.putHeader("Host", call.host());
-                            request.putHeader(names.expectInstance(), mEndpoint.id());
-                            request.putHeader(
-                                    names.deadline(),
-                                    Long.toString(content.remainingMilliseconds()));
-                            call.customer()
-                                    .ifPresent(c -> request.putHeader(names.customer(), c.name()));
-                            if (call.prompt().isPresent()) {
-                                putEngineHeaders(request, names.engine(), content);
-                            }
-                            content.lastEventId()
-                                    .ifPresent(id -> request.putHeader(names.lastEventId(), id));
+                            putHeaders(request, names, content);
                             send(request, content.body());
                         });
     }
 
+    private void putHeaders(HttpClientRequest request, HeaderNames names, Content content) {
+        CallRequest call = content.call();
+        request.headers().addAll(call.headers());
+        request.putHeader("Host", call.host());
+        request.putHeader(names.expectInstance(), mEndpoint.id());
+        request.putHeader(names.deadline(), Long.toString(content.remainingMilliseconds()));
+        call.customer().ifPresent(c -> request.putHeader(names.customer(), c.name()));
+        if (mayUseCache(call)) {
+            request.putHeader(names.engine().cacheScope(), cacheScope(call));
+        }
+        if (call.prompt().isPresent()) {
+            putEngineHeaders(request, names.engine(), content);
+        }
+        content.lastEventId().ifPresent(id -> request.putHeader(names.lastEventId(), id));
+    }
+
+    private boolean mayUseCache(CallRequest call) {
+        return call.route().carriesPrompt()
+                || call.prompt().isPresent()
+                || !mEndpoint.weights().isEmpty();
+    }
+
     /**
-     * Sets the headers for engines. The version of the weights is part of the cache scope, so an
-     * engine never uses cached prompt parts that were computed with other weights, whichever engine
-     * they come from.
+     * Returns the scope within which the endpoint may reuse cached parts of prompts. It does not
+     * depend on what the caller says about its prompt, so every call has the scope of its customer.
+     * The version of the weights is part of it, so an engine never uses parts that were computed
+     * with other weights, whichever engine they come from.
      */
+    private String cacheScope(CallRequest call) {
+        if (mChoice.weights().isPresent()) {
+            return call.cacheScope() + "-" + mChoice.weights().getAsLong();
+        }
+        Map<String, Long> weights = new TreeMap<>(mEndpoint.weights());
+        return weights.isEmpty() ? call.cacheScope() : call.cacheScope() + "-" + weights;
+    }
+
     private void putEngineHeaders(
             HttpClientRequest request, HeaderNames.Engine names, Content content) {
-        String cacheScope = content.cacheScope();
         request.putHeader(names.urgency(), content.urgency().header());
-        if (mChoice.weights().isEmpty()) {
-            request.putHeader(names.cacheScope(), cacheScope);
-            return;
+        if (mChoice.weights().isPresent()) {
+            request.putHeader(names.expectVersion(), Long.toString(mChoice.weights().getAsLong()));
+            mChoice.cacheSource()
+                    .ifPresent(source -> request.putHeader(names.cacheSource(), source));
+            mChoice.store().ifPresent(store -> request.putHeader(names.cacheStore(), store));
         }
-        String version = Long.toString(mChoice.weights().getAsLong());
-        request.putHeader(names.cacheScope(), cacheScope + "-" + version);
-        request.putHeader(names.expectVersion(), version);
-        mChoice.cacheSource().ifPresent(source -> request.putHeader(names.cacheSource(), source));
-        mChoice.store().ifPresent(store -> request.putHeader(names.cacheStore(), store));
     }
 
     private void send(HttpClientRequest request, Buffer body) {
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/CallRequest.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/CallRequest.java
@@ -64,6 +64,8 @@
     /** Returns the number of units that the call uses of its customer's rate limit. */
     public long units() {
         long defaultUnits = customer.map(Customer::defaultUnitsPerCall).orElse(0L);
-        return prompt.map(p -> p.promptTokens() + p.maxAnswerTokens()).orElse(defaultUnits);
+        return prompt.filter(Prompt::isUsageKnown)
+                .map(p -> p.promptTokens() + p.maxAnswerTokens())
+                .orElse(defaultUnits);
     }
 }
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/GatewayCall.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/GatewayCall.java
@@ -211,7 +211,6 @@
                         mCall,
                         mRequestBody.content(),
                         Urgency.of(mCall, chosen.get()),
-                        mCall.cacheScope(),
                         mReceived.lastEventId(),
                         CONNECT_TIMEOUT_MILLISECONDS,
                         Math.max(1, mCall.deadlineMilliseconds() - now())));
--- a/gateway/src/main/java/org/skylarkbend/gateway/endpoints/Prompt.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/endpoints/Prompt.java
@@ -12,8 +12,14 @@
  * @param parts parts of the prompt in order; the last one is private to the call or its session
  * @param promptTokens total number of prompt tokens
  * @param maxAnswerTokens maximum number of answer tokens
+ * @param isUsageKnown true if the caller named both numbers of tokens; otherwise they are estimates
  */
-public record Prompt(String model, List<Part> parts, long promptTokens, long maxAnswerTokens) {
+public record Prompt(
+        String model,
+        List<Part> parts,
+        long promptTokens,
+        long maxAnswerTokens,
+        boolean isUsageKnown) {
     private static final int MAX_SHARED_PARTS = 64;
 
     /** Creates a prompt with a copy of {@code parts}. */
@@ -21,6 +27,17 @@
         parts = List.copyOf(parts);
     }
 
+    /** Creates a prompt whose caller named both numbers of tokens. */
+    public Prompt(String model, List<Part> parts, long promptTokens, long maxAnswerTokens) {
+        this(model, parts, promptTokens, maxAnswerTokens, true);
+    }
+
+    /** Creates a prompt whose caller named only its parts. */
+    public static Prompt ofParts(String model, List<Part> parts) {
+        long promptTokens = parts.stream().mapToLong(Part::tokens).sum();
+        return new Prompt(model, parts, promptTokens, 0, false);
+    }
+
     /** Part of a prompt with its number of tokens. */
     public record Part(String id, long tokens) {}
 
--- a/gateway/src/main/java/org/skylarkbend/gateway/front/CallHeadReader.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/front/CallHeadReader.java
@@ -63,20 +63,26 @@
         return isNumber ? Long.parseLong(value) : DEFAULT_TIMEOUT_MILLISECONDS;
     }
 
-    /** Returns the description of the prompt; empty if the numbers are absent or malformed. */
+    /**
+     * Returns the description of the prompt; empty if no header describes one. Without readable
+     * numbers of tokens they are estimated from the parts.
+     */
     Optional<Prompt> prompt(MultiMap headers) {
+        String model = headers.get(mNames.engine().model());
+        List<Prompt.Part> parts = parts(headers.get(mNames.engine().promptPrefix()));
         String tokens = headers.get(mNames.engine().tokens());
-        if (tokens == null || !tokens.matches("\\d{1,9}\\s*,\\s*\\d{1,9}")) {
-            return Optional.empty();
+        String knownModel = model == null ? "" : model;
+        if (tokens != null && tokens.matches("\\d{1,9}\\s*,\\s*\\d{1,9}")) {
+            String[] counts = tokens.split(",");
+            return Optional.of(
+                    new Prompt(
+                            knownModel,
+                            parts,
+                            Long.parseLong(counts[0].trim()),
+                            Long.parseLong(counts[1].trim())));
         }
-        String[] counts = tokens.split(",");
-        String model = headers.get(mNames.engine().model());
-        return Optional.of(
-                new Prompt(
-                        model == null ? "" : model,
-                        parts(headers.get(mNames.engine().promptPrefix())),
-                        Long.parseLong(counts[0].trim()),
-                        Long.parseLong(counts[1].trim())));
+        boolean isDescribed = model != null || !parts.isEmpty();
+        return isDescribed ? Optional.of(Prompt.ofParts(knownModel, parts)) : Optional.empty();
     }
 
     private static List<Prompt.Part> parts(String value) {
--- a/gateway/src/test/java/org/skylarkbend/gateway/front/GatewayFixture.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/front/GatewayFixture.java
@@ -87,6 +87,11 @@
         await(mVertx.close());
     }
 
+    /** Returns whether the customer shares no cached parts of prompts with others. */
+    protected boolean isIsolated() {
+        return false;
+    }
+
     /** Returns the memory for bodies. */
     protected long memoryBytes() {
         return 64 * 1024 * 1024;
@@ -103,7 +108,13 @@
     protected void publish(Route route, Endpoint... endpoints) {
         Customer customer =
                 new Customer(
-                        "one", List.of(Sha256.hexOf(KEY)), OptionalInt.empty(), false, 0, 0, 1);
+                        "one",
+                        List.of(Sha256.hexOf(KEY)),
+                        OptionalInt.empty(),
+                        isIsolated(),
+                        0,
+                        0,
+                        1);
         mGateway.catalogChanged(
                 new Catalog(
                         1,
