Let a first start survive processes that are killed during it

Cause: that the system has never run was known from the settings of the first start of a process only. A process that started again named no bootstrap member, so the log was never created.

Change: the identity on disk says that its folder was empty at the first start, and members announce it. The bootstrap member creates the log when all seeds are uninitialized and a majority of them have such disks; the others may have written nothing before they were killed, or have lost their disks. A log that such a bootstrap member creates begins in a term of its own. A member whose log is empty counts as uninitialized although it has voted.

--- a/agreement/src/main/java/org/skylarkbend/agreement/AgreementCodec.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/AgreementCodec.java
@@ -52,7 +52,9 @@
         }
         if (message instanceof Announcement announcement) {
             MessageWriter writer =
-                    startMessage(ANNOUNCEMENT, envelope).flag(announcement.uninitialized());
+                    startMessage(ANNOUNCEMENT, envelope)
+                            .flag(announcement.uninitialized())
+                            .flag(announcement.ofFirstStart());
             EntryEncoding.write(writer, announcement.knownBootstrapMember());
             return writer.toBytes();
         }
@@ -139,7 +141,8 @@
                     new SnapshotResponse(
                             term, reader.number(), reader.number(), (int) reader.number());
             case ANNOUNCEMENT ->
-                    new Announcement(reader.flag(), EntryEncoding.readOptionalMember(reader));
+                    new Announcement(
+                            reader.flag(), reader.flag(), EntryEncoding.readOptionalMember(reader));
             default -> MessageReader.unknownType(type);
         };
     }
--- a/agreement/src/main/java/org/skylarkbend/agreement/AgreementDecider.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/AgreementDecider.java
@@ -172,8 +172,9 @@
     }
 
     private void appendInitialMembership(Membership membership) {
-        mState.setTermAndVote(1, Optional.empty());
-        mState.append(new LogEntry(1, 1, new MembershipChange(membership)));
+        long term = mBootstrap.initialTerm();
+        mState.setTermAndVote(term, Optional.empty());
+        mState.append(new LogEntry(1, term, new MembershipChange(membership)));
     }
 
     private void changeMembership(MembershipChange change) {
@@ -211,6 +212,9 @@
     }
 
     private void receive(MemberId from, AgreementMessage message) {
+        if (!(message instanceof Announcement) && mBootstrap.isSuperseded(from)) {
+            return;
+        }
         if (message instanceof PreVoteRequest request) {
             mElections.receive(from, request, mNowMilliseconds);
         } else if (message instanceof PreVoteResponse response) {
--- a/agreement/src/main/java/org/skylarkbend/agreement/AgreementMessage.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/AgreementMessage.java
@@ -135,11 +135,13 @@
     /**
      * Announces a member that is not a voter or knows no leader.
      *
-     * @param uninitialized true if the member has never voted and its log is empty
+     * @param uninitialized true if the log of the member is empty
+     * @param ofFirstStart true if its disk was empty at the first start of the system
      * @param knownBootstrapMember the member on the bootstrap VM from which the sender last
      *     received an announcement
      */
-    record Announcement(boolean uninitialized, Optional<MemberId> knownBootstrapMember)
+    record Announcement(
+            boolean uninitialized, boolean ofFirstStart, Optional<MemberId> knownBootstrapMember)
             implements AgreementMessage {
         @Override
         public long term() {
--- a/agreement/src/main/java/org/skylarkbend/agreement/AgreementStorage.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/AgreementStorage.java
@@ -24,14 +24,20 @@
 public final class AgreementStorage implements Closeable {
     private static final String IDENTITY_FILE_NAME = "identity";
     private static final int IDENTITY = 4;
+    private static final int IDENTITY_OF_FIRST_START = 5;
 
     private final DataFolder mFolder;
     private final LogFile mLogFile;
     private final SnapshotFile mSnapshotFile;
+    private final boolean mIsFirstStart;
     private DurableState mRecovered;
 
-    private AgreementStorage(DataFolder folder) {
+    /** The identity of a member as stored in its folder. */
+    private record Identity(MemberId self, boolean isOfFirstStart) {}
+
+    private AgreementStorage(DataFolder folder, boolean isFirstStart) {
         mFolder = folder;
+        mIsFirstStart = isFirstStart;
         mLogFile = new LogFile(folder);
         mSnapshotFile = new SnapshotFile(folder);
     }
@@ -46,11 +52,17 @@
      * @param vm the VM that the folder belongs to
      * @param randomNumber generates the number of a new identity
      * @param channelWriter writes to files
+     * @param isFirstStart true if the system has never run, so that an empty folder replaces none
      */
     public static Result<AgreementStorage> open(
-            Path path, ObjectName vm, LongSupplier randomNumber, ChannelWriter channelWriter) {
+            Path path,
+            ObjectName vm,
+            LongSupplier randomNumber,
+            ChannelWriter channelWriter,
+            boolean isFirstStart) {
         try {
-            AgreementStorage storage = new AgreementStorage(DataFolder.open(path, channelWriter));
+            AgreementStorage storage =
+                    new AgreementStorage(DataFolder.open(path, channelWriter), isFirstStart);
             Result<DurableState> recovered = storage.recoverOrClose(vm, randomNumber);
             return recovered.map(storage::withRecovered);
         } catch (IOException e) {
@@ -138,10 +150,11 @@
                             + " one. The VM then joins as a new member.");
         }
         return MessageReader.decode(payload.get(), AgreementStorage::read)
-                .flatMap(self -> recoverAs(vm, self));
+                .flatMap(identity -> recoverAs(vm, identity));
     }
 
-    private Result<DurableState> recoverAs(ObjectName vm, MemberId self) {
+    private Result<DurableState> recoverAs(ObjectName vm, Identity identity) {
+        MemberId self = identity.self();
         if (!self.vm().equals(vm)) {
             return Result.failure(
                     ErrorKind.STORAGE_FAILED,
@@ -150,16 +163,17 @@
         try {
             Result<Optional<Snapshot>> snapshot = mSnapshotFile.read();
             return snapshot.fold(
-                    present -> recoverAfter(self, present), error -> Result.failure(error));
+                    present -> recoverAfter(identity, present), error -> Result.failure(error));
         } catch (IOException e) {
             return Result.failure(ErrorKind.STORAGE_FAILED, String.valueOf(e));
         }
     }
 
-    private Result<DurableState> recoverAfter(MemberId self, Optional<Snapshot> snapshot) {
+    private Result<DurableState> recoverAfter(Identity identity, Optional<Snapshot> snapshot) {
         RecoveredLog log = new RecoveredLog(snapshot);
         try {
-            return mLogFile.read(log::add).flatMap(ignored -> log.stateOf(self));
+            return mLogFile.read(log::add)
+                    .flatMap(ignored -> log.stateOf(identity.self(), identity.isOfFirstStart()));
         } catch (IOException e) {
             return Result.failure(ErrorKind.STORAGE_FAILED, String.valueOf(e));
         }
@@ -175,18 +189,20 @@
         }
         MemberId self = new MemberId(vm, randomNumber.getAsLong());
         mLogFile.replace(0, List.of());
-        MessageWriter writer = new MessageWriter(IDENTITY);
+        MessageWriter writer =
+                new MessageWriter(mIsFirstStart ? IDENTITY_OF_FIRST_START : IDENTITY);
         EntryEncoding.write(writer, self);
         byte[] payload = writer.toBytes();
         mFolder.replace(IDENTITY_FILE_NAME, file -> LogRecord.write(payload, file));
-        return Result.success(DurableState.uninitialized(self));
+        return Result.success(DurableState.uninitialized(self, mIsFirstStart));
     }
 
-    private static MemberId read(MessageReader reader) {
-        if (reader.type() != IDENTITY) {
+    private static Identity read(MessageReader reader) {
+        int type = reader.type();
+        if (type != IDENTITY && type != IDENTITY_OF_FIRST_START) {
             throw new IllegalArgumentException("not an identity record");
         }
-        return EntryEncoding.readMember(reader);
+        return new Identity(EntryEncoding.readMember(reader), type == IDENTITY_OF_FIRST_START);
     }
 
     private Result<Long> execute(long number, DiskOperation operation) {
--- a/agreement/src/main/java/org/skylarkbend/agreement/MemberState.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/MemberState.java
@@ -10,6 +10,7 @@
 /** The Raft state of a member, shared by the parts of one {@link AgreementDecider}. */
 final class MemberState {
     final MemberId mSelf;
+    final boolean mIsOfFirstStart;
     final AgreementOptions mOptions;
     final ReplicatedLog mLog;
     final Outbox mOutbox = new Outbox();
@@ -50,6 +51,7 @@
             long startedMilliseconds,
             long nowMilliseconds) {
         mSelf = durable.self();
+        mIsOfFirstStart = durable.isOfFirstStart();
         mOptions = options;
         mRandomBelow = randomBelow;
         mLog = ReplicatedLog.recovered(durable);
@@ -72,9 +74,12 @@
         return mRole == MemberRole.LEADER;
     }
 
-    /** Returns whether the member has never voted and its log is empty. */
+    /**
+     * Returns whether the log is empty. The member may have voted for a member that has lost its
+     * disk since.
+     */
     boolean isUninitialized() {
-        return mTerm == 0 && mLog.lastIndex() == 0;
+        return mLog.lastIndex() == 0;
     }
 
     boolean isVoter() {
--- a/agreement/src/main/java/org/skylarkbend/agreement/RecoveredLog.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/RecoveredLog.java
@@ -26,7 +26,7 @@
     }
 
     /** Returns the state; fails with {@code STORAGE_FAILED} if an entry is missing. */
-    Result<DurableState> stateOf(MemberId self) {
+    Result<DurableState> stateOf(MemberId self, boolean isOfFirstStart) {
         // Entries that follow a conflicting one were never committed.
         List<LogEntry> following = mConflictsWithSnapshot ? List.of() : mFollowing;
         long firstIndex = snapshotIndex() + 1;
@@ -37,7 +37,8 @@
                         "entry " + (firstIndex + i) + " is missing from the log");
             }
         }
-        return Result.success(new DurableState(self, mHardState, mSnapshot, following));
+        return Result.success(
+                new DurableState(self, isOfFirstStart, mHardState, mSnapshot, following));
     }
 
     private void add(LogEntry entry) {
--- a/agreement/src/test/java/org/skylarkbend/agreement/AgreementCodecTest.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/AgreementCodecTest.java
@@ -39,7 +39,7 @@
                     new AppendResponse(1, 2, true, 9),
                     new SnapshotChunk(1, 2, 3, 4, MEMBERS, 5, new byte[] {7}, true),
                     new SnapshotResponse(1, 2, 3, 4),
-                    new Announcement(true, Optional.of(B)));
+                    new Announcement(true, false, Optional.of(B)));
 
     private final AgreementCodec mCodec = new AgreementCodec();
 
--- a/agreement/src/test/java/org/skylarkbend/agreement/AgreementDeciderTest.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/AgreementDeciderTest.java
@@ -38,7 +38,11 @@
     public void aResponseToARequestOfAnOlderTermEchoesNoRound() {
         DurableState durable =
                 new DurableState(
-                        SELF, new HardState(3, Optional.empty()), Optional.empty(), List.of());
+                        SELF,
+                        true,
+                        new HardState(3, Optional.empty()),
+                        Optional.empty(),
+                        List.of());
         AgreementDecider decider = member(durable);
         AppendRequest request = new AppendRequest(2, 28, 0, 0, 0, List.of());
         assertThat(decider.decide(new Received(LEADER, request), 1))
@@ -50,7 +54,11 @@
         Snapshot snapshot = new Snapshot(10, 2, MEMBERS, new byte[0]);
         DurableState durable =
                 new DurableState(
-                        SELF, new HardState(2, Optional.empty()), Optional.of(snapshot), List.of());
+                        SELF,
+                        true,
+                        new HardState(2, Optional.empty()),
+                        Optional.of(snapshot),
+                        List.of());
         AgreementDecider decider = member(durable);
         AppendRequest request = new AppendRequest(2, 1, 5, 1, 5, List.of());
         assertThat(decider.decide(new Received(LEADER, request), 1))
@@ -159,6 +167,7 @@
                 new AgreementDecider(
                         new DurableState(
                                 SELF,
+                                true,
                                 new HardState(2, Optional.empty()),
                                 Optional.of(snapshot),
                                 List.of()),
@@ -194,7 +203,7 @@
     private static DurableState voterWithSnapshot() {
         Snapshot snapshot = new Snapshot(10, 2, MEMBERS, new byte[0]);
         return new DurableState(
-                SELF, new HardState(2, Optional.empty()), Optional.of(snapshot), List.of());
+                SELF, true, new HardState(2, Optional.empty()), Optional.of(snapshot), List.of());
     }
 
     private static boolean isPreVoteRequest(AgreementEffect effect) {
@@ -210,6 +219,7 @@
                 member(
                         new DurableState(
                                 SELF,
+                                true,
                                 new HardState(2, Optional.empty()),
                                 Optional.of(snapshot),
                                 List.of(old)));
--- a/agreement/src/test/java/org/skylarkbend/agreement/AgreementSimulationTest.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/AgreementSimulationTest.java
@@ -14,6 +14,7 @@
 public class AgreementSimulationTest {
     private static final long FIRST_SEED = 1;
     private static final int FIXED_MEMBER_SIMULATIONS = 10_000;
+    private static final int FIRST_START_SIMULATIONS = 3_000;
     private static final int OPEN_MEMBERSHIP_SIMULATIONS = 3_000;
 
     @Test
@@ -26,6 +27,15 @@
         run("open", OPEN_MEMBERSHIP_SIMULATIONS, ClusterSimulation::joiningMembers);
     }
 
+    /** Guards against a first start that a killed process keeps from ever ending. */
+    @Test
+    public void aFirstStartDuringWhichProcessesAreKilledMakesOneLogAndServesIt() {
+        SeededRuns.forEachSeed(
+                FIRST_SEED,
+                FIRST_START_SIMULATIONS,
+                seed -> ClusterSimulation.joiningMembers(seed).runFirstStart());
+    }
+
     private static void run(
             String kind, int simulations, LongFunction<ClusterSimulation> simulation) {
         AtomicLong acknowledged = new AtomicLong();
--- a/agreement/src/test/java/org/skylarkbend/agreement/AgreementStorageTest.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/AgreementStorageTest.java
@@ -159,7 +159,8 @@
                                         mFolder,
                                         ObjectName.of("vm-2"),
                                         () -> 7,
-                                        ChannelWriter.direct())
+                                        ChannelWriter.direct(),
+                                        true)
                                 .isSuccess())
                 .isFalse();
         Files.delete(log());
@@ -196,7 +197,7 @@
     }
 
     private Result<AgreementStorage> openResult(ChannelWriter channelWriter) {
-        return AgreementStorage.open(mFolder, VM, () -> 42, channelWriter);
+        return AgreementStorage.open(mFolder, VM, () -> 42, channelWriter, true);
     }
 
     private void assertRefused(String reason) {
--- a/agreement/src/test/java/org/skylarkbend/agreement/AgreementTaskTest.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/AgreementTaskTest.java
@@ -150,7 +150,8 @@
                                 mFolder.resolve(vm.value()),
                                 vm,
                                 () -> ThreadLocalRandom.current().nextLong(Long.MAX_VALUE),
-                                this::writeUnlessFull)
+                                this::writeUnlessFull,
+                                true)
                         .fold(
                                 opened -> opened,
                                 error -> {
--- a/agreement/src/test/java/org/skylarkbend/agreement/ClusterSimulation.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/ClusterSimulation.java
@@ -21,6 +21,7 @@
     private static final long FAULTS_MILLISECONDS = 4_000;
     private static final long RECOVERY_MILLISECONDS = 30_000;
     private static final long FAULT_FREE_MILLISECONDS = 2_000;
+    private static final long START_SPREAD_MILLISECONDS = 300;
     private static final int SEED_VMS = 3;
     private static final long REMOVE_UNRESPONSIVE_MILLISECONDS = 700;
 
@@ -106,6 +107,42 @@
         return mChecks;
     }
 
+    /**
+     * Starts the system for the first time while processes are killed, some before they have
+     * written anything. Then waits until the log is in service.
+     */
+    SafetyChecks runFirstStart() {
+        mMembers.values()
+                .forEach(
+                        member ->
+                                after(mRandom.nextLong(START_SPREAD_MILLISECONDS), member::start));
+        after(START_SPREAD_MILLISECONDS, this::nextRequest);
+        int kills = mRandom.nextInt(1, 4);
+        for (int i = 0; i < kills; i++) {
+            boolean hasWrittenNothing = i == 0 && mRandom.nextBoolean();
+            long atMilliseconds =
+                    START_SPREAD_MILLISECONDS + mRandom.nextLong(hasWrittenNothing ? 50 : 1_500);
+            SimulatedMember member =
+                    List.copyOf(mMembers.values()).get(mRandom.nextInt(mMembers.size()));
+            after(atMilliseconds, () -> killInFirstStart(member, hasWrittenNothing));
+        }
+        runUntil(FAULTS_MILLISECONDS);
+        mFaultsStopped = true;
+        long limitMilliseconds = mNowMilliseconds + RECOVERY_MILLISECONDS;
+        while (mChecks.acknowledgedIndex() == 0 && mNowMilliseconds < limitMilliseconds) {
+            runUntil(mNowMilliseconds + mOptions.heartbeatMilliseconds());
+        }
+        SafetyChecks.check(mChecks.acknowledgedIndex() > 0, "there is no log: " + mMembers);
+        return mChecks;
+    }
+
+    private void killInFirstStart(SimulatedMember member, boolean hasWrittenNothing) {
+        crash(member, mRandom.nextLong(50, 1_200));
+        if (hasWrittenNothing) {
+            member.loseDisk();
+        }
+    }
+
     SplittableRandom random() {
         return mRandom;
     }
@@ -114,15 +151,25 @@
         return mOptions;
     }
 
-    /** Returns the rules for a member. Initial VMs are only set before a log exists. */
+    /** Returns the rules for a member. */
     MembershipRules rules() {
-        if (!mMayJoin) {
-            return MembershipRules.fixed(vms());
-        }
-        boolean isFirstStart = mChecks.committedMembership().voters().isEmpty();
-        Set<ObjectName> seedVms = new TreeSet<>(vms().stream().limit(SEED_VMS).toList());
-        return MembershipRules.open(
-                isFirstStart ? seedVms : Set.of(), REMOVE_UNRESPONSIVE_MILLISECONDS);
+        return mMayJoin
+                ? MembershipRules.open(initialVms(), REMOVE_UNRESPONSIVE_MILLISECONDS)
+                : MembershipRules.fixed(vms());
+    }
+
+    boolean hasFixedMembers() {
+        return !mMayJoin;
+    }
+
+    boolean isInitialVm(ObjectName vm) {
+        return initialVms().contains(vm);
+    }
+
+    private Set<ObjectName> initialVms() {
+        return mMayJoin
+                ? new TreeSet<>(vms().stream().limit(SEED_VMS).toList())
+                : Set.copyOf(vms());
     }
 
     Set<ObjectName> vms() {
--- a/agreement/src/test/java/org/skylarkbend/agreement/SimulatedDisk.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/SimulatedDisk.java
@@ -12,13 +12,20 @@
 /** An in-memory disk that loses unsynced writes when its VM crashes. */
 final class SimulatedDisk {
     private final MemberId mIdentity;
+    private final boolean mIsOfFirstStart;
     private final Deque<AgreementEffect> mUnsynced = new ArrayDeque<>();
     private HardState mHardState = HardState.initial();
     private Optional<Snapshot> mSnapshot = Optional.empty();
     private List<LogEntry> mEntries = new ArrayList<>();
 
-    SimulatedDisk(MemberId identity) {
+    /**
+     * Creates an empty disk.
+     *
+     * @param isOfFirstStart true if it replaces no other disk, as far as its member can know
+     */
+    SimulatedDisk(MemberId identity, boolean isOfFirstStart) {
         mIdentity = identity;
+        mIsOfFirstStart = isOfFirstStart;
     }
 
     MemberId identity() {
@@ -60,6 +67,7 @@
         long snapshotIndex = mSnapshot.map(Snapshot::index).orElse(0L);
         return new DurableState(
                 mIdentity,
+                mIsOfFirstStart,
                 mHardState,
                 mSnapshot,
                 mEntries.stream().filter(entry -> entry.index() > snapshotIndex).toList());
--- a/agreement/src/test/java/org/skylarkbend/agreement/SimulatedMember.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/SimulatedMember.java
@@ -59,7 +59,7 @@
         mVm = vm;
         mClockRate = simulation.random().nextDouble(0.96, 1.04);
         mClockOffsetMilliseconds = simulation.random().nextLong(1_000_000);
-        mDisk = new SimulatedDisk(simulation.newIdentity(vm));
+        mDisk = new SimulatedDisk(simulation.newIdentity(vm), simulation.isInitialVm(vm));
     }
 
     ObjectName vm() {
@@ -130,7 +130,7 @@
     }
 
     void loseDisk() {
-        mDisk = new SimulatedDisk(mSimulation.newIdentity(mVm));
+        mDisk = new SimulatedDisk(mSimulation.newIdentity(mVm), mSimulation.hasFixedMembers());
     }
 
     void setDiskFull(boolean full) {
--- a/control/src/main/java/org/skylarkbend/control/ControlProcess.java
+++ b/control/src/main/java/org/skylarkbend/control/ControlProcess.java
@@ -59,6 +59,13 @@
  */
 public final class ControlProcess {
     private static final StructuredLog LOG = StructuredLog.of(ControlProcess.class);
+
+    /**
+     * The settings do not tell whether the site has run before. Since they name all members, a log
+     * is created only when none of them has one.
+     */
+    private static final boolean IS_FIRST_START = true;
+
     private static final SecureRandom RANDOM = new SecureRandom();
 
     private final ControlParts mParts;
@@ -124,7 +131,8 @@
                         mParts.settings().dataFolder(),
                         mParts.settings().vm(),
                         RANDOM::nextLong,
-                        ChannelWriter.direct());
+                        ChannelWriter.direct(),
+                        IS_FIRST_START);
         return opened.fold(this::startTasks, error -> Future.failedFuture(error.detail()));
     }
 
--- a/control/src/main/java/org/skylarkbend/control/site/SiteControlProcess.java
+++ b/control/src/main/java/org/skylarkbend/control/site/SiteControlProcess.java
@@ -159,7 +159,8 @@
                         mParts.dataFolder(),
                         mParts.self(),
                         RANDOM::nextLong,
-                        ChannelWriter.direct());
+                        ChannelWriter.direct(),
+                        mParts.bootstrapsLog() && mParts.seeds().contains(mParts.self()));
         return opened.fold(this::startTasks, error -> Future.failedFuture(error.detail()));
     }
 
@@ -236,11 +237,10 @@
     }
 
     private MemberDirectory directory() {
-        Set<ObjectName> initialVms = mParts.bootstrapsLog() ? mParts.seeds() : Set.of();
         return new MemberDirectory(
                 mParts.seeds(),
                 vm -> Optional.of(new MemberAddress(vm.value(), mParts.ports().agreement())),
-                MembershipRules.open(initialVms, mParts.removeUnresponsiveAfterMilliseconds()));
+                MembershipRules.open(mParts.seeds(), mParts.removeUnresponsiveAfterMilliseconds()));
     }
 
     private void documentChanged(NumberedDocument document) {
