Let the stand-ins say that they leave, and for how long they want no calls

Responses of a leaving engine or service have Server-Leaving, and refusals of the fake service can name a Retry-After (fault retry_after_seconds).

--- a/standin/src/main/java/org/skylarkbend/standin/StandinServer.java
+++ b/standin/src/main/java/org/skylarkbend/standin/StandinServer.java
@@ -27,6 +27,9 @@
  * <p>A server belongs to the task that created it and runs on the context of that task.
  */
 public final class StandinServer {
+    /** The header of the responses of an endpoint that is about to stop. */
+    public static final String LEAVING_HEADER = "Server-Leaving";
+
     private static final StructuredLog LOG = StructuredLog.of(StandinServer.class);
     private static final int MAX_RECORDED_REQUESTS = 200;
     private static final int MAX_HEADER_BYTES = 64 * 1024;
--- a/standin/src/main/java/org/skylarkbend/standin/engine/EngineFaults.java
+++ b/standin/src/main/java/org/skylarkbend/standin/engine/EngineFaults.java
@@ -6,7 +6,7 @@
  * @param crashed every response is empty and its connection is closed; the crash clears the cache
  *     and all streams
  * @param hang requests are accepted and never get a response
- * @param leaving the load report says that the endpoint is about to stop
+ * @param leaving the load report and all responses say that the endpoint is about to stop
  * @param crossedAttempts responses carry the attempt ID of another request
  * @param slowFactor the factor by which every response takes longer
  * @param eventGapEvery one cache event in this many is lost; 0 loses none
--- a/standin/src/main/java/org/skylarkbend/standin/engine/EngineTask.java
+++ b/standin/src/main/java/org/skylarkbend/standin/engine/EngineTask.java
@@ -117,6 +117,9 @@
                         mDecider.view(now()).activeVersion(),
                         streaming);
         mWriters.put(attempt, writer);
+        if (mDecider.faults().leaving()) {
+            request.response().putHeader(StandinServer.LEAVING_HEADER, "1");
+        }
         request.response()
                 .closeHandler(
                         ignored -> {
--- a/standin/src/main/java/org/skylarkbend/standin/service/ServiceCodec.java
+++ b/standin/src/main/java/org/skylarkbend/standin/service/ServiceCodec.java
@@ -36,6 +36,7 @@
     static ServiceFaults faults(JsonObject body) {
         return new ServiceFaults(
                 body.getBoolean("refuse", false),
+                body.getLong("retry_after_seconds", 0L),
                 body.getBoolean("close_before_run", false),
                 body.getBoolean("close_after_run", false),
                 body.getBoolean("hang_after_run", false),
--- a/standin/src/main/java/org/skylarkbend/standin/service/ServiceTask.java
+++ b/standin/src/main/java/org/skylarkbend/standin/service/ServiceTask.java
@@ -76,6 +76,9 @@
         if (attempt != null) {
             request.response().putHeader(ATTEMPT_HEADER, attempt);
         }
+        if (mDecider.faults().leaving()) {
+            request.response().putHeader(StandinServer.LEAVING_HEADER, "1");
+        }
         execute(request, mDecider.decide(call));
     }
 
@@ -84,6 +87,10 @@
             respondAfterDelay(request, run);
         } else if (effect instanceof RespondNotRun) {
             request.response().putHeader(NOT_RUN_HEADER, "true");
+            long retryAfterSeconds = mDecider.faults().retryAfterSeconds();
+            if (retryAfterSeconds > 0) {
+                request.response().putHeader("Retry-After", Long.toString(retryAfterSeconds));
+            }
             mServer.respond(request, 503, new JsonObject().put("error", "the call was not run"));
         } else if (effect instanceof CloseConnection) {
             request.connection().close();
--- a/standin/src/test/java/org/skylarkbend/standin/service/ServiceTaskTest.java
+++ b/standin/src/test/java/org/skylarkbend/standin/service/ServiceTaskTest.java
@@ -57,6 +57,25 @@
         assertThat(count().getLong("total")).isZero();
     }
 
+    @Test
+    public void aRefusalCanNameTheTimeForWhichNoCallsAreWanted() throws Exception {
+        mCaller.send(
+                HttpMethod.POST,
+                "/faults",
+                Map.of(),
+                new JsonObject().put("refuse", true).put("retry_after_seconds", 3).encode());
+        FakeResponse refused = book("key-1");
+        assertThat(refused.status()).isEqualTo(503);
+        assertThat(refused.header("retry-after")).isEqualTo("3");
+    }
+
+    @Test
+    public void theResponsesOfALeavingServiceSaySo() throws Exception {
+        assertThat(book("key-1").header("server-leaving")).isNull();
+        activateFault("leaving");
+        assertThat(book("key-2").header("server-leaving")).isEqualTo("1");
+    }
+
     @Test
     public void aCallWhoseResponseIsLostIsCounted() throws Exception {
         activateFault("close_after_run");
