Bound the bodies and responses that a router holds, over all calls

The same class as in the gateway: a limit for each call and none for all. Bodies of requests and incomplete responses take from two accounts of an eighth of the heap each. Load reports and the endpoint list are read up to 4 MB.

--- a/router/src/main/java/org/skylarkbend/router/RouterProcess.java
+++ b/router/src/main/java/org/skylarkbend/router/RouterProcess.java
@@ -6,6 +6,7 @@
 import io.vertx.core.Vertx;
 import java.util.List;
 import java.util.function.Consumer;
+import org.skylarkbend.base.ByteBudget;
 import org.skylarkbend.base.MillisecondClock;
 import org.skylarkbend.base.Result;
 import org.skylarkbend.base.StructuredLog;
@@ -39,6 +40,9 @@
 
 /** Creates the tasks of a router and connects them to each other. */
 public final class RouterProcess {
+    /** Responses that are not complete may take this part of the heap; joining copies them. */
+    private static final int HEAP_PARTS_OF_RESPONSES = 8;
+
     private static final StructuredLog LOG = StructuredLog.of(RouterProcess.class);
 
     private static final long FINAL_REPORT_TIMEOUT_MILLISECONDS = 2_000;
@@ -118,6 +122,10 @@
                 mSettings,
                 mForward,
                 responses,
+                new ByteBudget(
+                        "forward_responses",
+                        Runtime.getRuntime().maxMemory() / HEAP_PARTS_OF_RESPONSES,
+                        mMetrics),
                 mWatch,
                 new PlacementDecider(parameters, new PrefixCostPolicy(parameters)),
                 message -> sendToControl(LedgerMessage.SLICE, mLedgerCodec.encode(message)),
--- a/router/src/main/java/org/skylarkbend/router/forward/ForwardCall.java
+++ b/router/src/main/java/org/skylarkbend/router/forward/ForwardCall.java
@@ -55,7 +55,9 @@
         mResources = resources;
         mRequests = new EndpointRequests(resources.endpointCredential(), resources.propagator());
         mOwner = owner;
-        mBuffer = new ResponseBuffer(resources.bounds().maxResponseBytes());
+        mBuffer =
+                new ResponseBuffer(
+                        resources.bounds().maxResponseBytes(), resources.responseMemory());
         mState = AttemptState.waiting(call.id(), call.traits());
         mTrace = call.trace();
         mStartedMilliseconds = resources.clock().nowMilliseconds();
@@ -390,6 +392,7 @@
         if (!mFinished) {
             mFinished = true;
             mOwner.callEnded(this, outcome, httpStatus);
+            mBuffer.release();
         }
     }
 
--- a/router/src/main/java/org/skylarkbend/router/forward/ForwardResources.java
+++ b/router/src/main/java/org/skylarkbend/router/forward/ForwardResources.java
@@ -4,6 +4,7 @@
 import io.opentelemetry.context.propagation.TextMapPropagator;
 import io.vertx.core.http.HttpClient;
 import java.util.function.Consumer;
+import org.skylarkbend.base.ByteBudget;
 import org.skylarkbend.base.MillisecondClock;
 import org.skylarkbend.router.RouterBounds;
 
@@ -15,6 +16,7 @@
  * @param endpointCredential the bearer token that authenticates the router to endpoints
  * @param bounds the limits of the router
  * @param clock the monotonic clock
+ * @param responseMemory memory for responses until they are complete
  * @param responses receives the responses for callers
  * @param tracer creates spans
  * @param propagator injects the trace context into request headers
@@ -26,6 +28,7 @@
         String endpointCredential,
         RouterBounds bounds,
         MillisecondClock clock,
+        ByteBudget responseMemory,
         Consumer<ResponseMessage> responses,
         Tracer tracer,
         TextMapPropagator propagator,
--- a/router/src/main/java/org/skylarkbend/router/forward/ForwardTask.java
+++ b/router/src/main/java/org/skylarkbend/router/forward/ForwardTask.java
@@ -13,6 +13,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import org.skylarkbend.access.WithdrawalPolicy;
+import org.skylarkbend.base.ByteBudget;
 import org.skylarkbend.base.ErrorKind;
 import org.skylarkbend.base.MillisecondClock;
 import org.skylarkbend.base.ObjectName;
@@ -53,6 +54,7 @@
     private final RouterSettings mSettings;
     private final Mailbox<ForwardMessage> mMailbox;
     private final Consumer<ResponseMessage> mResponses;
+    private final ByteBudget mResponseMemory;
     private final CallPlacement mPlacement;
     private final Consumer<WatchMessage> mWatch;
     private final CallLedger mLedger;
@@ -76,6 +78,7 @@
             RouterSettings settings,
             Mailbox<ForwardMessage> mailbox,
             Consumer<ResponseMessage> responses,
+            ByteBudget responseMemory,
             Consumer<WatchMessage> watch,
             PlacementDecider placement,
             Consumer<LedgerMessage> ledger,
@@ -87,6 +90,7 @@
         mSettings = settings;
         mMailbox = mailbox;
         mResponses = responses;
+        mResponseMemory = responseMemory;
         mWatch = watch;
         mPlacement = new CallPlacement(placement);
         mLedger = new CallLedger(ledger);
@@ -113,6 +117,7 @@
                         mSettings.endpointCredential(),
                         mSettings.bounds(),
                         mClock,
+                        mResponseMemory,
                         mResponses,
                         mTracing.tracer(),
                         mTracing.propagator(),
--- a/router/src/main/java/org/skylarkbend/router/front/CallerExchange.java
+++ b/router/src/main/java/org/skylarkbend/router/front/CallerExchange.java
@@ -10,6 +10,7 @@
 import org.skylarkbend.base.SkylarkError;
 import org.skylarkbend.router.RouterBounds;
 import org.skylarkbend.router.forward.ResponseMessage;
+import org.skylarkbend.wire.HeldBytes;
 
 /** One HTTP request of a caller and its response. */
 final class CallerExchange {
@@ -17,7 +18,7 @@
     private final HttpServerRequest mRequest;
     private final RouterBounds mBounds;
     private final Span mSpan;
-    private final Buffer mBody = Buffer.buffer();
+    private final HeldBytes mBody;
     private Consumer<Buffer> mOnBody = body -> {};
     private Consumer<SkylarkError> mOnRefused = error -> {};
     private Consumer<Boolean> mOnPause = paused -> {};
@@ -28,8 +29,14 @@
     private boolean mEnded;
     private boolean mCloseAfterResponse;
 
-    CallerExchange(Vertx vertx, HttpServerRequest request, RouterBounds bounds, Span span) {
+    CallerExchange(
+            Vertx vertx,
+            HttpServerRequest request,
+            RouterBounds bounds,
+            HeldBytes body,
+            Span span) {
         mVertx = vertx;
+        mBody = body;
         mRequest = request;
         mBounds = bounds;
         mSpan = span;
@@ -78,10 +85,13 @@
         if (!mReading) {
             return;
         }
-        mBody.appendBuffer(chunk);
-        if (mBody.length() > mBounds.maxBodyBytes()) {
+        if (mBody.lengthBytes() + chunk.length() > mBounds.maxBodyBytes()) {
             mReading = false;
             mOnRefused.accept(RequestErrors.bodyTooLarge(mBounds.maxBodyBytes()));
+        } else if (!mBody.append(chunk)) {
+            mReading = false;
+            closeAfterResponse();
+            mOnRefused.accept(RequestErrors.noMemory());
         }
     }
 
@@ -89,7 +99,7 @@
         mVertx.cancelTimer(mReadTimerId);
         if (mReading) {
             mReading = false;
-            mOnBody.accept(mBody);
+            mOnBody.accept(mBody.content());
         }
     }
 
@@ -189,6 +199,7 @@
     private void finish() {
         if (!mEnded) {
             mEnded = true;
+            mBody.release();
             mVertx.cancelTimer(mStallTimerId);
             mSpan.end();
             mOnEnd.run();
--- a/router/src/main/java/org/skylarkbend/router/front/HttpFrontTask.java
+++ b/router/src/main/java/org/skylarkbend/router/front/HttpFrontTask.java
@@ -19,6 +19,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
+import org.skylarkbend.base.ByteBudget;
 import org.skylarkbend.base.ErrorKind;
 import org.skylarkbend.base.MillisecondClock;
 import org.skylarkbend.base.SkylarkError;
@@ -33,11 +34,19 @@
 import org.skylarkbend.router.forward.ForwardMessage;
 import org.skylarkbend.router.forward.ResponseMessage;
 import org.skylarkbend.router.link.ServingView;
+import org.skylarkbend.wire.HeldBytes;
 
 /** HTTP server task that owns the callers' connections, reads requests and writes responses. */
 public final class HttpFrontTask extends VerticleBase {
     private static final TextMapGetter<HttpServerRequest> HEADERS = new RequestHeaders();
     private static final double MILLISECONDS_PER_SECOND = 1_000;
+
+    /** Bodies of requests may take this part of the heap. The forwarding task copies them. */
+    private static final int HEAP_PARTS_OF_BODIES = 8;
+
+    /** Bodies that have taken the memory before are forwarded within the time. */
+    private static final long MEMORY_RETRY_MILLISECONDS = 1_000;
+
     private static final String JSON = "application/json";
     private static final String TEXT = "text/plain; version=0.0.4; charset=utf-8";
 
@@ -46,6 +55,7 @@
     private final Consumer<ForwardMessage> mForward;
     private final CallAdmission mAdmission;
     private final MetricRegistry mMetrics;
+    private final ByteBudget mBodies;
     private final Tracing mTracing;
     private final MillisecondClock mClock;
     private final Map<String, CallerExchange> mRunning = new HashMap<>();
@@ -71,6 +81,11 @@
         mForward = forward;
         mAdmission = new CallAdmission(callIdPrefix);
         mMetrics = metrics;
+        mBodies =
+                new ByteBudget(
+                        "front_bodies",
+                        Runtime.getRuntime().maxMemory() / HEAP_PARTS_OF_BODIES,
+                        metrics);
         mTracing = tracing;
         mClock = clock;
         metrics.gauge("front_open_requests", () -> () -> mOpenRequests);
@@ -156,12 +171,16 @@
                         .setParent(parent)
                         .setSpanKind(SpanKind.SERVER)
                         .startSpan();
-        CallerExchange exchange = new CallerExchange(vertx, request, mSettings.bounds(), span);
+        CallerExchange exchange =
+                new CallerExchange(
+                        vertx, request, mSettings.bounds(), new HeldBytes(mBodies), span);
         if (mDraining) {
             exchange.closeAfterResponse();
         }
         exchange.onEnd(() -> requestEnded(request));
-        exchange.read(body -> dispatch(exchange, parent, body), error -> exchange.fail(error, 0));
+        exchange.read(
+                body -> dispatch(exchange, parent, body),
+                error -> exchange.fail(error, MEMORY_RETRY_MILLISECONDS));
     }
 
     private void requestEnded(HttpServerRequest request) {
--- a/router/src/main/java/org/skylarkbend/router/front/RequestErrors.java
+++ b/router/src/main/java/org/skylarkbend/router/front/RequestErrors.java
@@ -17,6 +17,10 @@
         return new SkylarkError(ErrorKind.HEADERS_TOO_LARGE, detail);
     }
 
+    static SkylarkError noMemory() {
+        return new SkylarkError(ErrorKind.OVERLOADED, "there is no memory for the request body");
+    }
+
     static SkylarkError readTimedOut() {
         return new SkylarkError(ErrorKind.BAD_REQUEST, "the request was not completed in time");
     }
--- a/router/src/main/java/org/skylarkbend/router/watch/EndpointWatchTask.java
+++ b/router/src/main/java/org/skylarkbend/router/watch/EndpointWatchTask.java
@@ -1,6 +1,7 @@
 package org.skylarkbend.router.watch;
 
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.VerticleBase;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
@@ -36,6 +37,11 @@
  * that one unresponsive connection does not make an endpoint appear unreachable.
  */
 public final class EndpointWatchTask extends VerticleBase {
+    /**
+     * Maximum size of a load report or of the endpoint list of a site of some thousand endpoints.
+     */
+    private static final int MAX_BODY_BYTES = 4 * 1024 * 1024;
+
     private static final StructuredLog LOG = StructuredLog.of(EndpointWatchTask.class);
     private static final int STATUS_OK = 200;
     private static final long PUBLISH_INTERVAL_MILLISECONDS = 50;
@@ -183,9 +189,23 @@
                 .timeout(mSettings.bounds().silenceMilliseconds(), TimeUnit.MILLISECONDS);
     }
 
+    /** Reads a body up to the maximum size; an endpoint may go on sending without end. */
     private static Future<Buffer> bodyOf(HttpClientResponse response) {
-        return response.statusCode() == STATUS_OK
-                ? response.body()
-                : response.body().map(Buffer.buffer());
+        Promise<Buffer> complete = Promise.promise();
+        Buffer body = Buffer.buffer();
+        response.handler(
+                chunk -> {
+                    if (body.length() + chunk.length() <= MAX_BODY_BYTES) {
+                        body.appendBuffer(chunk);
+                    } else if (complete.tryFail("the response is too large")) {
+                        response.request().connection().close();
+                    }
+                });
+        response.exceptionHandler(complete::tryFail);
+        response.endHandler(
+                ignored ->
+                        complete.tryComplete(
+                                response.statusCode() == STATUS_OK ? body : Buffer.buffer()));
+        return complete.future();
     }
 }
