Drive a front at the limit of its memory with the load tool

skylark-standin pressure runs callers with small and long requests, slow readers and idle connections together, and prints what was served and refused for each kind, and the peak memory of a process.

Its first run found that the fake services keep the last 200 requests whatever their size and end in OutOfMemoryErrors; they are limited in size now.

--- a/standin/src/main/java/org/skylarkbend/standin/StandinMain.java
+++ b/standin/src/main/java/org/skylarkbend/standin/StandinMain.java
@@ -10,7 +10,10 @@
 import org.kohsuke.args4j.spi.SubCommands;
 import org.skylarkbend.base.StructuredLog;
 
-/** The program {@code skylark-standin}: fakes of the systems around the router, and a load tool. */
+/**
+ * The program {@code skylark-standin}: fakes of the systems around the router, and tools that load
+ * it.
+ */
 public final class StandinMain {
     private static final StructuredLog LOG = StructuredLog.of(StandinMain.class);
     private static final int EXIT_FAILED = 1;
@@ -19,14 +22,15 @@
 
     @Argument(
             required = true,
-            metaVar = "engine|service|platform|load",
+            metaVar = "engine|service|platform|load|pressure",
             usage = "what to run; add --help to list its options",
             handler = SubCommandHandler.class)
     @SubCommands({
         @SubCommand(name = "engine", impl = EngineCommand.class),
         @SubCommand(name = "service", impl = ServiceCommand.class),
         @SubCommand(name = "platform", impl = PlatformCommand.class),
-        @SubCommand(name = "load", impl = LoadCommand.class)
+        @SubCommand(name = "load", impl = LoadCommand.class),
+        @SubCommand(name = "pressure", impl = PressureCommand.class)
     })
     private StandinCommand mCommand;
 
--- a/standin/src/main/java/org/skylarkbend/standin/StandinServer.java
+++ b/standin/src/main/java/org/skylarkbend/standin/StandinServer.java
@@ -32,6 +32,7 @@
 
     private static final StructuredLog LOG = StructuredLog.of(StandinServer.class);
     private static final int MAX_RECORDED_REQUESTS = 200;
+    private static final int MAX_RECORDED_CHARS = 8 * 1024 * 1024;
     private static final int MAX_HEADER_BYTES = 64 * 1024;
     private static final TextMapGetter<HttpServerRequest> HEADER_GETTER = new HeaderGetter();
 
@@ -40,6 +41,7 @@
     private final Set<HttpConnection> mOpen = new HashSet<>();
     private final Set<HttpConnection> mSilent = new HashSet<>();
     private final Deque<String> mReceived = new ArrayDeque<>();
+    private long mReceivedChars;
     private HttpServer mServer;
 
     /** Creates a server that does not listen yet. */
@@ -165,9 +167,11 @@
         for (Map.Entry<String, String> header : request.headers()) {
             head.append(header.getKey()).append(": ").append(header.getValue()).append('\n');
         }
-        mReceived.add(head.append('\n').append(body).toString());
-        if (mReceived.size() > MAX_RECORDED_REQUESTS) {
-            mReceived.remove();
+        String received = head.append('\n').append(body).toString();
+        mReceived.add(received);
+        mReceivedChars += received.length();
+        while (mReceived.size() > MAX_RECORDED_REQUESTS || mReceivedChars > MAX_RECORDED_CHARS) {
+            mReceivedChars -= mReceived.remove().length();
         }
     }
 
