--- a/router/src/main/java/org/skylarkbend/router/watch/EndpointWatchTask.java
+++ b/router/src/main/java/org/skylarkbend/router/watch/EndpointWatchTask.java
@@ -1,7 +1,6 @@
 package org.skylarkbend.router.watch;
 
 import io.vertx.core.Future;
-import io.vertx.core.Promise;
 import io.vertx.core.VerticleBase;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
@@ -30,6 +29,7 @@
 import org.skylarkbend.router.RouterSettings;
 import org.skylarkbend.router.RouterSettings.HttpAddress;
 import org.skylarkbend.router.link.ServingView;
+import org.skylarkbend.wire.BoundedBody;
 
 /**
  * Task that polls the load of endpoints and the platform's list of VMs, subscribes to the cache
@@ -189,23 +189,8 @@
                 .timeout(mSettings.bounds().silenceMilliseconds(), TimeUnit.MILLISECONDS);
     }
 
-    /** Reads a body up to the maximum size; an endpoint may go on sending without end. */
     private static Future<Buffer> bodyOf(HttpClientResponse response) {
-        Promise<Buffer> complete = Promise.promise();
-        Buffer body = Buffer.buffer();
-        response.handler(
-                chunk -> {
-                    if (body.length() + chunk.length() <= MAX_BODY_BYTES) {
-                        body.appendBuffer(chunk);
-                    } else if (complete.tryFail("the response is too large")) {
-                        response.request().connection().close();
-                    }
-                });
-        response.exceptionHandler(complete::tryFail);
-        response.endHandler(
-                ignored ->
-                        complete.tryComplete(
-                                response.statusCode() == STATUS_OK ? body : Buffer.buffer()));
-        return complete.future();
+        Future<Buffer> body = BoundedBody.read(response, MAX_BODY_BYTES);
+        return response.statusCode() == STATUS_OK ? body : body.map(Buffer.buffer());
     }
 }
