Refuse bodies that no memory can hold for good, and shorten digests of calls

A body above the whole account waited for room and was told to return. It gets 413 at once (GatewayMemoryTest). Digests of calls have 128 bits, which keeps log lines and reports short.

--- a/gateway/src/main/java/org/skylarkbend/gateway/call/CallFingerprint.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/CallFingerprint.java
@@ -18,6 +18,9 @@
 final class CallFingerprint {
     private static final String DIGEST_PREFIX = "call-";
 
+    /** Length of a digest of 128 bits, which no two calls share by chance. */
+    private static final int DIGEST_CHARS = 32;
+
     private final CallRequest mCall;
     private final Supplier<Buffer> mBody;
     private Optional<String> mBodyChecksum = Optional.empty();
@@ -72,14 +75,15 @@
 
     /** Digests what the caller repeats. IDs, deadlines and keys differ between repetitions. */
     private String digest() {
-        return Sha256.hexOf(
+        String content =
                 String.join(
                         " ",
                         mCall.method().name(),
                         mCall.host(),
                         mCall.uri(),
                         mCall.prompt().map(Prompt::toString).orElse(""),
-                        bodyChecksum()));
+                        bodyChecksum());
+        return Sha256.hexOf(content).substring(0, DIGEST_CHARS);
     }
 
     private String bodyChecksum() {
--- a/gateway/src/main/java/org/skylarkbend/gateway/front/BodyIntake.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/front/BodyIntake.java
@@ -52,13 +52,14 @@
 
     /** Starts to read the body of a request. */
     void read(HttpServerRequest request, int maxBodyBytes, Listener listener) {
-        Reading reading = new Reading(request, maxBodyBytes, listener);
+        int maxBytes = (int) Math.min(maxBodyBytes, mBudget.limitBytes());
+        Reading reading = new Reading(request, maxBytes, listener);
         mReadings.add(reading);
         request.handler(reading::append);
         request.endHandler(ignored -> reading.complete());
         request.exceptionHandler(e -> reading.stop());
         long length = contentLength(request);
-        if (length > maxBodyBytes) {
+        if (length > maxBytes) {
             reading.refuse(
                     new SkylarkError(ErrorKind.BODY_TOO_LARGE, "the request body is too large"));
         } else if (!mWaiting.isEmpty() && length > SMALL_BYTES || !reading.mBody.reserve(length)) {
--- a/gateway/src/test/java/org/skylarkbend/gateway/front/GatewayMemoryTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/front/GatewayMemoryTest.java
@@ -59,6 +59,14 @@
         awaitUntil(() -> heldBytes() == 0);
     }
 
+    @Test
+    public void aBodyThatIsLargerThanAllOfTheMemoryIsRefusedForGoodAtOnce() throws Exception {
+        FakeEndpoint endpoint = new FakeEndpoint("e", FakeEndpoint.respondingWith(200, "x"));
+        await(endpoint.listen(mVertx));
+        publish(Routes.of(CallKind.ONCE, 1, false), endpoint);
+        assertThat(await(send(Map.of(), body(MEMORY_BYTES + 1))).status()).isEqualTo(413);
+    }
+
     @Test
     public void aBodyThatWasSentAndCannotBeSentAgainTakesNoRoom() throws Exception {
         List<HttpServerRequest> kept = new CopyOnWriteArrayList<>();
