--- a/gateway/src/main/java/org/skylarkbend/gateway/front/BodyIntake.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/front/BodyIntake.java
@@ -18,8 +18,8 @@
  * Reads the bodies of requests within the memory for all of them.
  *
  * <p>A body of known size is read once there is room for all of it; until then its connection is
- * not read, so that its caller waits. Requests wait in order of arrival, and not for long. Confined
- * to the task that serves the calls.
+ * not read, so that its caller waits. Large requests wait in order of arrival, and not for long;
+ * small ones pass them. Confined to the task that serves the calls.
  */
 final class BodyIntake {
     /** A caller gives up a connection that does not read its request within a second. */
@@ -34,7 +34,10 @@
     private final Deque<Reading> mWaiting = new ArrayDeque<>();
     private final Set<Reading> mReadings = new HashSet<>();
 
-    /** Receives a complete body, or the reason why there is none. Exactly one method is called. */
+    /**
+     * Receives a complete body, or the reason why there is none. Neither is called if the
+     * connection is lost first.
+     */
     interface Listener {
         /** Called with the complete body, which the listener must release. */
         void complete(HeldBytes body);
--- a/quarantine/src/main/java/org/skylarkbend/quarantine/package-info.java
+++ b/quarantine/src/main/java/org/skylarkbend/quarantine/package-info.java
@@ -1,6 +1,6 @@
 /**
- * Finds parts of prompts that crash every engine that begins to answer them, and excludes calls
- * with such a part from service.
+ * Finds parts of prompts, and whole calls, that crash every engine that begins to answer them, and
+ * excludes calls with such a part or content from service.
  *
  * <p>Gateways report which calls waited at an engine that crashed. The leader of the control VMs
  * compares the crashes of the whole site with the parts that were answered meanwhile. Its verdicts
