Log and count responses whose head contains another response

Nothing in logs or metrics tells a response that was parsed from the bytes of two from one of a wrong call: the library's lines name neither endpoint nor call. response.joined names the call, its endpoint, the accepted status and the part of the head with the second status line; gateway_responses_joined counts.

Nothing is decided by it yet.

--- a/gateway/src/main/java/org/skylarkbend/gateway/call/EndpointReports.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/EndpointReports.java
@@ -2,6 +2,7 @@
 
 import io.vertx.core.http.HttpClientResponse;
 import org.skylarkbend.base.ErrorKind;
+import org.skylarkbend.base.StructuredLog;
 import org.skylarkbend.catalog.Endpoint;
 import org.skylarkbend.quarantine.SuspectCall;
 
@@ -10,6 +11,8 @@
  * the task that serves the calls.
  */
 final class EndpointReports {
+    private static final StructuredLog LOG = StructuredLog.of(EndpointReports.class);
+
     private final CallRequest mCall;
     private final CallFingerprint mFingerprint;
     private final CallResources mResources;
@@ -22,6 +25,25 @@
         mResources = resources;
     }
 
+    /** Reports a head that contains the status line of another response. */
+    void headReceived(Endpoint endpoint, ResponseHead head) {
+        head.secondStatusLine().ifPresent(found -> responsesJoined(endpoint, head, found));
+    }
+
+    private void responsesJoined(Endpoint endpoint, ResponseHead head, String found) {
+        mResources.metrics().counter("gateway_responses_joined").inc();
+        LOG.warn(
+                "response.joined",
+                "id",
+                mCall.id(),
+                "endpoint",
+                endpoint.incarnation(),
+                "status",
+                head.status(),
+                "found",
+                found);
+    }
+
     /** Records what a response to the call says about the endpoint's wish for further calls. */
     void responded(Endpoint endpoint, HttpClientResponse head) {
         if (head.getHeader(mResources.names().leaving()) != null) {
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/GatewayCall.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/GatewayCall.java
@@ -234,6 +234,7 @@
     @Override
     public void headReceived(Attempt attempt, HttpClientResponse response) {
         mHead = new ResponseHead(response, mCall, mResources.names());
+        mReports.headReceived(attempt.endpoint(), mHead);
         mResources.selector().responded(attempt.endpoint(), now());
         mReports.loadReceived(attempt.endpoint(), response);
         mSilenceTimer.restart(mStreaming);
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/ResponseHead.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/ResponseHead.java
@@ -2,6 +2,10 @@
 
 import io.vertx.core.MultiMap;
 import io.vertx.core.http.HttpClientResponse;
+import java.util.Map;
+import java.util.Optional;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
 import org.skylarkbend.catalog.CallKind;
 import org.skylarkbend.gateway.HeaderNames;
 
@@ -13,6 +17,7 @@
  * @param names names of the HTTP headers
  */
 record ResponseHead(HttpClientResponse response, CallRequest call, HeaderNames names) {
+    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d(?: \\d{3}|$)");
     private static final int OK = 200;
     private static final int MIN_ERROR_STATUS = 400;
     private static final int MIN_SERVER_ERROR_STATUS = 500;
@@ -57,6 +62,22 @@
         return call.route().kind() == CallKind.STREAM && !isError();
     }
 
+    /**
+     * Returns the part of the head that contains the status line of another response, if any. The
+     * endpoint then sent the beginning of one response in front of another.
+     */
+    Optional<String> secondStatusLine() {
+        return Stream.concat(
+                        Stream.of(response.statusMessage()),
+                        response.headers().entries().stream().flatMap(ResponseHead::nameAndValue))
+                .filter(part -> STATUS_LINE.matcher(part).find())
+                .findFirst();
+    }
+
+    private static Stream<String> nameAndValue(Map.Entry<String, String> header) {
+        return Stream.of(header.getKey(), header.getValue());
+    }
+
     /** Returns whether the body goes on with a stream that another endpoint began. */
     boolean resumesStream() {
         return status() == OK;
