Let no byte of one response become part of another

Cause: the state of the HTTP decoder outlived the response that it belongs to. An endpoint that answers twice sent the beginning of its second copy; the decoder held it unreported, the connection went back to the pool, and the next response was appended: status line of the copy, ID, seal and body of the next call's failure. The check of the ID ran on the joined head and passed.

The new module exchange owns the connections of a gateway to endpoints. A connection serves one exchange at a time. Bytes that arrive while none is under way, or behind the end of a response, are never parsed: they are logged (endpoint.stray_bytes), counted (gateway_stray_receptions) and end the connection. Bytes in front of a response, which no one can tell from it by their time, make its head contain a second status line or an invalid name; such a head is a broken response, as is any part that the decoder marks as invalid.

--- /dev/null
+++ b/exchange/src/main/java/org/skylarkbend/exchange/EndpointConnection.java
@@ -0,0 +1,242 @@
+package org.skylarkbend.exchange;
+
+import com.codahale.metrics.Counter;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import io.vertx.core.MultiMap;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpHeaders;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.internal.net.NetSocketInternal;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.skylarkbend.base.MillisecondClock;
+import org.skylarkbend.base.StructuredLog;
+
+/** Open connection to an endpoint, which serves one exchange at a time. */
+final class EndpointConnection {
+    private static final StructuredLog LOG = StructuredLog.of(EndpointConnection.class);
+    private static final String VERTX_HANDLER = "handler";
+
+    private final NetSocketInternal mSocket;
+    private final ResponseDecoder mDecoder;
+    private final ExchangeOptions mOptions;
+    private final MillisecondClock mClock;
+    private final Counter mStrayReceptions;
+    private final Consumer<EndpointConnection> mOnFree;
+    private final Consumer<EndpointConnection> mOnClosed;
+    private Optional<Exchange> mExchange = Optional.empty();
+    private Optional<String> mFailure = Optional.empty();
+    private KeepAlive mKeepAlive;
+    private long mExpiryMilliseconds;
+    private int mServed;
+    private boolean mRequestWritten;
+    private boolean mReusable = true;
+
+    /**
+     * Takes over a new connection.
+     *
+     * @param socket the connection
+     * @param options bounds of the connection
+     * @param clock monotonic clock
+     * @param strayReceptions counts receptions of bytes that belong to no response
+     * @param onFree called when the connection can serve another exchange
+     * @param onClosed called once when the connection is closed
+     */
+    EndpointConnection(
+            NetSocketInternal socket,
+            ExchangeOptions options,
+            MillisecondClock clock,
+            Counter strayReceptions,
+            Consumer<EndpointConnection> onFree,
+            Consumer<EndpointConnection> onClosed) {
+        mSocket = socket;
+        mDecoder = new ResponseDecoder(options.maxHeadBytes());
+        mOptions = options;
+        mClock = clock;
+        mStrayReceptions = strayReceptions;
+        mOnFree = onFree;
+        mOnClosed = onClosed;
+        mKeepAlive = new KeepAlive(options.keepAliveMilliseconds());
+        keepFrom(clock.nowMilliseconds());
+        socket.channelHandlerContext()
+                .pipeline()
+                .addBefore(VERTX_HANDLER, "request", new HttpRequestEncoder())
+                .addBefore(VERTX_HANDLER, "response", mDecoder);
+        socket.messageHandler(this::received);
+        socket.exceptionHandler(e -> mFailure = Optional.of(String.valueOf(e.getMessage())));
+        socket.closeHandler(ignored -> closed());
+    }
+
+    /** Returns whether the endpoint is expected to keep the unused connection open until then. */
+    boolean isUsableAt(long nowMilliseconds) {
+        return nowMilliseconds < mExpiryMilliseconds;
+    }
+
+    /** Sends the request of an exchange, unless its listener cancels it. */
+    void serve(Exchange exchange) {
+        exchange.deliver(new ExchangeEvent.Sending());
+        if (exchange.isCancelled()) {
+            mOnFree.accept(this);
+            return;
+        }
+        FullHttpRequest request;
+        try {
+            request = encode(exchange.request());
+        } catch (IllegalArgumentException e) {
+            mOnFree.accept(this);
+            exchange.deliver(new ExchangeEvent.Lost("the request is invalid: " + e.getMessage()));
+            return;
+        }
+        mExchange = Optional.of(exchange);
+        mRequestWritten = false;
+        exchange.attach(this);
+        mDecoder.expectResponse(exchange.request().method().equals(HttpMethod.HEAD));
+        mSocket.writeMessage(request)
+                .onSuccess(ignored -> requestWritten(exchange))
+                .onFailure(e -> fail(String.valueOf(e.getMessage())));
+    }
+
+    /** Closes the connection. Its exchange is not notified if it was cancelled. */
+    void close() {
+        mReusable = false;
+        mSocket.close();
+    }
+
+    /** Starts or stops reading from the connection. */
+    void setReading(boolean reading) {
+        mSocket.channelHandlerContext().channel().config().setAutoRead(reading);
+    }
+
+    private FullHttpRequest encode(ExchangeRequest request) {
+        FullHttpRequest encoded =
+                new DefaultFullHttpRequest(
+                        HttpVersion.HTTP_1_1,
+                        request.method().toNetty(),
+                        request.uri(),
+                        Unpooled.wrappedBuffer(request.body().getBytes()));
+        request.headers()
+                .forEach(header -> encoded.headers().add(header.getKey(), header.getValue()));
+        if (request.body().length() > 0) {
+            encoded.headers().set(HttpHeaderNames.CONTENT_LENGTH, request.body().length());
+        }
+        if (mOptions.keepAliveMilliseconds() == 0) {
+            encoded.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        }
+        return encoded;
+    }
+
+    private void requestWritten(Exchange exchange) {
+        if (mExchange.filter(own -> own == exchange).isPresent()) {
+            mRequestWritten = true;
+            exchange.deliver(new ExchangeEvent.Sent());
+        }
+    }
+
+    private void received(Object message) {
+        try {
+            if (message instanceof ResponseDecoder.StrayBytes stray) {
+                strayBytesReceived(stray.bytes());
+            } else if (message instanceof HttpObject part && mExchange.isPresent()) {
+                received(mExchange.get(), part);
+            }
+        } finally {
+            ReferenceCountUtil.release(message);
+        }
+    }
+
+    private void received(Exchange exchange, HttpObject part) {
+        Optional<String> fault = mFailure.or(() -> ResponseFaults.in(part));
+        if (fault.isPresent()) {
+            fail(fault.get());
+            return;
+        }
+        if (part instanceof HttpResponse response) {
+            mKeepAlive = KeepAlive.of(response, mOptions.keepAliveMilliseconds());
+            exchange.deliver(
+                    new ExchangeEvent.HeadReceived(
+                            new ResponseStart(response.status().code(), headersOf(response))));
+        }
+        if (part instanceof HttpContent content && !exchange.isCancelled()) {
+            if (content.content().isReadable()) {
+                byte[] bytes = ByteBufUtil.getBytes(content.content());
+                exchange.deliver(new ExchangeEvent.ChunkReceived(Buffer.buffer(bytes)));
+            }
+            if (content instanceof LastHttpContent && !exchange.isCancelled()) {
+                responseComplete(exchange);
+            }
+        }
+    }
+
+    private static MultiMap headersOf(HttpResponse response) {
+        MultiMap headers = HttpHeaders.headers();
+        response.headers().forEach(header -> headers.add(header.getKey(), header.getValue()));
+        return headers;
+    }
+
+    /** Frees the connection before the listener is notified, which may start the next exchange. */
+    private void responseComplete(Exchange exchange) {
+        mExchange = Optional.empty();
+        exchange.detach();
+        setReading(true);
+        mServed++;
+        if (mReusable && mRequestWritten && mKeepAlive.isKept()) {
+            keepFrom(mClock.nowMilliseconds());
+            mOnFree.accept(this);
+        } else {
+            close();
+        }
+        exchange.deliver(new ExchangeEvent.Ended());
+    }
+
+    private void keepFrom(long nowMilliseconds) {
+        mExpiryMilliseconds = nowMilliseconds + mKeepAlive.milliseconds();
+    }
+
+    private void strayBytesReceived(int bytes) {
+        mStrayReceptions.inc();
+        LOG.warn(
+                "endpoint.stray_bytes",
+                "endpoint",
+                mSocket.remoteAddress(),
+                "bytes",
+                bytes,
+                "in_use",
+                mExchange.isPresent(),
+                "exchanges",
+                mServed);
+        if (mExchange.isPresent()) {
+            mReusable = false;
+        } else {
+            close();
+        }
+    }
+
+    private void fail(String cause) {
+        Optional<Exchange> failed = mExchange;
+        mExchange = Optional.empty();
+        close();
+        failed.ifPresent(
+                exchange -> {
+                    exchange.detach();
+                    exchange.deliver(new ExchangeEvent.Lost(cause));
+                });
+    }
+
+    private void closed() {
+        mReusable = false;
+        fail(mFailure.orElse("the connection was closed"));
+        mOnClosed.accept(this);
+    }
+}
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/Attempt.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/Attempt.java
@@ -1,16 +1,18 @@
 package org.skylarkbend.gateway.call;
 
-import io.vertx.core.Future;
+import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
-import io.vertx.core.http.HttpClient;
-import io.vertx.core.http.HttpClientRequest;
-import io.vertx.core.http.HttpClientResponse;
-import io.vertx.core.http.RequestOptions;
+import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.net.SocketAddress;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
 import org.skylarkbend.catalog.Endpoint;
+import org.skylarkbend.exchange.EndpointClient;
+import org.skylarkbend.exchange.Exchange;
+import org.skylarkbend.exchange.ExchangeEvent;
+import org.skylarkbend.exchange.ExchangeRequest;
+import org.skylarkbend.exchange.ResponseStart;
 import org.skylarkbend.gateway.HeaderNames;
 import org.skylarkbend.gateway.endpoints.EngineChoice;
 
@@ -31,7 +33,7 @@
         void bodySent(Attempt attempt);
 
         /** Called when the status and headers of the response have arrived. */
-        void headReceived(Attempt attempt, HttpClientResponse response);
+        void headReceived(Attempt attempt, ResponseStart response);
 
         /** Called for each chunk of the response body. */
         void chunk(Attempt attempt, Buffer chunk);
@@ -46,8 +48,7 @@
     private final EngineChoice mChoice;
     private final Endpoint mEndpoint;
     private final Listener mListener;
-    private Optional<HttpClientRequest> mRequest = Optional.empty();
-    private Optional<HttpClientResponse> mResponse = Optional.empty();
+    private Optional<Exchange> mExchange = Optional.empty();
     private boolean mEnded;
     private boolean mSent;
     private boolean mPromptRead;
@@ -93,7 +94,6 @@
      * @param body its body
      * @param urgency its urgency at the engine
      * @param lastEventId the ID of the event after which a stream is to go on
-     * @param connectMilliseconds the timeout for opening a connection
      * @param remainingMilliseconds the time that the caller still waits
      */
     record Content(
@@ -101,55 +101,38 @@
             Buffer body,
             Urgency urgency,
             Optional<String> lastEventId,
-            long connectMilliseconds,
             long remainingMilliseconds) {}
 
-    void start(HttpClient client, HeaderNames names, Content content) {
+    void start(EndpointClient client, HeaderNames names, Content content) {
         CallRequest call = content.call();
-        RequestOptions options =
-                new RequestOptions()
-                        .setServer(
-                                SocketAddress.inetSocketAddress(mEndpoint.port(), mEndpoint.host()))
-                        .setHost(mEndpoint.host())
-                        .setPort(mEndpoint.port())
-                        .setMethod(call.method())
-                        .setURI(call.uri())
-                        .setConnectTimeout(content.connectMilliseconds());
-        client.request(options)
-                .onFailure(
-                        e -> aborted(AttemptOutcome.NOT_CONNECTED, String.valueOf(e.getMessage())))
-                .onSuccess(
-                        request -> {
-                            if (mEnded) {
-                                request.reset();
-                                return;
-                            }
-                            mRequest = Optional.of(request);
-                            if (!mListener.isStillWanted(this)) {
-                                aborted(
-                                        AttemptOutcome.WITHDRAWN,
-                                        "the endpoint stopped accepting calls");
-                                return;
-                            }
-                            putHeaders(request, names, content);
-                            send(request, content.body());
-                        });
-    }
-
-    private void putHeaders(HttpClientRequest request, HeaderNames names, Content content) {
+        Exchange exchange =
+                new Exchange(
+                        new ExchangeRequest(
+                                SocketAddress.inetSocketAddress(mEndpoint.port(), mEndpoint.host()),
+                                call.method(),
+                                call.uri(),
+                                headers(names, content),
+                                content.body()),
+                        this::handle);
+        mExchange = Optional.of(exchange);
+        client.start(exchange);
+    }
+
+    private MultiMap headers(HeaderNames names, Content content) {
         CallRequest call = content.call();
-        request.headers().addAll(call.headers());
-        request.putHeader("Host", call.host());
-        request.putHeader(names.expectInstance(), mEndpoint.id());
-        request.putHeader(names.deadline(), Long.toString(content.remainingMilliseconds()));
-        call.customer().ifPresent(c -> request.putHeader(names.customer(), c.name()));
+        MultiMap headers = HttpHeaders.headers().addAll(call.headers());
+        headers.set("Host", call.host());
+        headers.set(names.expectInstance(), mEndpoint.id());
+        headers.set(names.deadline(), Long.toString(content.remainingMilliseconds()));
+        call.customer().ifPresent(c -> headers.set(names.customer(), c.name()));
         if (mayUseCache(call)) {
-            request.putHeader(names.engine().cacheScope(), cacheScope(call));
+            headers.set(names.engine().cacheScope(), cacheScope(call));
         }
         if (call.prompt().isPresent()) {
-            putEngineHeaders(request, names.engine(), content);
+            putEngineHeaders(headers, names.engine(), content);
         }
-        content.lastEventId().ifPresent(id -> request.putHeader(names.lastEventId(), id));
+        content.lastEventId().ifPresent(id -> headers.set(names.lastEventId(), id));
+        return headers;
     }
 
     private boolean mayUseCache(CallRequest call) {
@@ -172,40 +155,24 @@
         return weights.isEmpty() ? call.cacheScope() : call.cacheScope() + "-" + weights;
     }
 
-    private void putEngineHeaders(
-            HttpClientRequest request, HeaderNames.Engine names, Content content) {
-        request.putHeader(names.urgency(), content.urgency().header());
+    private void putEngineHeaders(MultiMap headers, HeaderNames.Engine names, Content content) {
+        headers.set(names.urgency(), content.urgency().header());
         if (mChoice.weights().isPresent()) {
-            request.putHeader(names.expectVersion(), Long.toString(mChoice.weights().getAsLong()));
-            mChoice.cacheSource()
-                    .ifPresent(source -> request.putHeader(names.cacheSource(), source));
-            mChoice.store().ifPresent(store -> request.putHeader(names.cacheStore(), store));
+            headers.set(names.expectVersion(), Long.toString(mChoice.weights().getAsLong()));
+            mChoice.cacheSource().ifPresent(source -> headers.set(names.cacheSource(), source));
+            mChoice.store().ifPresent(store -> headers.set(names.cacheStore(), store));
         }
     }
 
-    private void send(HttpClientRequest request, Buffer body) {
-        mSent = true;
-        request.response()
-                .onSuccess(this::receive)
-                .onFailure(e -> aborted(AttemptOutcome.BROKEN, String.valueOf(e.getMessage())));
-        Future<Void> written = body.length() > 0 ? request.end(body) : request.end();
-        written.onSuccess(
-                ignored -> {
-                    if (!mEnded) {
-                        mListener.bodySent(this);
-                    }
-                });
-    }
-
     /** Stops reading the response until {@link #resume}. */
     void pause() {
-        mResponse.ifPresent(HttpClientResponse::pause);
+        mExchange.ifPresent(Exchange::pause);
     }
 
     /** Reads the response again. */
     void resume() {
         if (!mEnded) {
-            mResponse.ifPresent(HttpClientResponse::resume);
+            mExchange.ifPresent(Exchange::resume);
         }
     }
 
@@ -213,37 +180,41 @@
     void stop() {
         if (!mEnded) {
             mEnded = true;
-            mRequest.ifPresent(HttpClientRequest::reset);
+            mExchange.ifPresent(Exchange::cancel);
+        }
+    }
+
+    private void handle(ExchangeEvent event) {
+        if (event instanceof ExchangeEvent.Sending) {
+            startSending();
+        } else if (event instanceof ExchangeEvent.Sent) {
+            mListener.bodySent(this);
+        } else if (event instanceof ExchangeEvent.HeadReceived head) {
+            mListener.headReceived(this, head.start());
+        } else if (event instanceof ExchangeEvent.ChunkReceived received) {
+            mListener.chunk(this, received.chunk());
+        } else if (event instanceof ExchangeEvent.Ended) {
+            mEnded = true;
+            mListener.ended(this);
+        } else if (event instanceof ExchangeEvent.NotConnected failed) {
+            aborted(AttemptOutcome.NOT_CONNECTED, failed.cause());
+        } else if (event instanceof ExchangeEvent.Lost lost) {
+            aborted(AttemptOutcome.BROKEN, lost.cause());
         }
     }
 
-    private void receive(HttpClientResponse response) {
-        if (mEnded) {
-            return;
+    private void startSending() {
+        if (mListener.isStillWanted(this)) {
+            mSent = true;
+        } else {
+            aborted(AttemptOutcome.WITHDRAWN, "the endpoint stopped accepting calls");
         }
-        response.exceptionHandler(
-                e -> aborted(AttemptOutcome.BROKEN, String.valueOf(e.getMessage())));
-        response.handler(
-                chunk -> {
-                    if (!mEnded) {
-                        mListener.chunk(this, chunk);
-                    }
-                });
-        response.endHandler(
-                ignored -> {
-                    if (!mEnded) {
-                        mEnded = true;
-                        mListener.ended(this);
-                    }
-                });
-        mResponse = Optional.of(response);
-        mListener.headReceived(this, response);
     }
 
     private void aborted(AttemptOutcome outcome, String cause) {
         if (!mEnded) {
             mEnded = true;
-            mRequest.ifPresent(HttpClientRequest::reset);
+            mExchange.ifPresent(Exchange::cancel);
             mListener.aborted(this, outcome, cause);
         }
     }
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/CallResources.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/CallResources.java
@@ -2,8 +2,8 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.vertx.core.Vertx;
-import io.vertx.core.http.HttpClient;
 import org.skylarkbend.base.MillisecondClock;
+import org.skylarkbend.exchange.EndpointClient;
 import org.skylarkbend.gateway.HeaderNames;
 import org.skylarkbend.gateway.crashes.CrashGuard;
 import org.skylarkbend.gateway.endpoints.EndpointProbes;
@@ -15,7 +15,7 @@
  * Resources shared by all calls of a gateway. They are confined to the task that serves the calls.
  *
  * @param vertx sets the timers
- * @param client HTTP client with the connections to endpoints
+ * @param client client with the connections to endpoints
  * @param names names of the HTTP headers
  * @param selector selects an endpoint for each attempt
  * @param gate holds calls until their customer has rate limit tokens
@@ -29,7 +29,7 @@
  */
 public record CallResources(
         Vertx vertx,
-        HttpClient client,
+        EndpointClient client,
         HeaderNames names,
         EndpointSelector selector,
         TokenGate gate,
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/EndpointReports.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/EndpointReports.java
@@ -1,9 +1,8 @@
 package org.skylarkbend.gateway.call;
 
-import io.vertx.core.http.HttpClientResponse;
 import org.skylarkbend.base.ErrorKind;
-import org.skylarkbend.base.StructuredLog;
 import org.skylarkbend.catalog.Endpoint;
+import org.skylarkbend.exchange.ResponseStart;
 import org.skylarkbend.quarantine.SuspectCall;
 
 /**
@@ -11,8 +10,6 @@
  * the task that serves the calls.
  */
 final class EndpointReports {
-    private static final StructuredLog LOG = StructuredLog.of(EndpointReports.class);
-
     private final CallRequest mCall;
     private final CallFingerprint mFingerprint;
     private final CallResources mResources;
@@ -25,32 +22,13 @@
         mResources = resources;
     }
 
-    /** Reports a head that contains the status line of another response. */
-    void headReceived(Endpoint endpoint, ResponseHead head) {
-        head.secondStatusLine().ifPresent(found -> responsesJoined(endpoint, head, found));
-    }
-
-    private void responsesJoined(Endpoint endpoint, ResponseHead head, String found) {
-        mResources.metrics().counter("gateway_responses_joined").inc();
-        LOG.warn(
-                "response.joined",
-                "id",
-                mCall.id(),
-                "endpoint",
-                endpoint.incarnation(),
-                "status",
-                head.status(),
-                "found",
-                found);
-    }
-
     /** Records what a response to the call says about the endpoint's wish for further calls. */
-    void responded(Endpoint endpoint, HttpClientResponse head) {
-        if (head.getHeader(mResources.names().leaving()) != null) {
+    void responded(Endpoint endpoint, ResponseStart head) {
+        if (head.header(mResources.names().leaving()) != null) {
             mResources.selector().leaving(endpoint);
         }
-        if (head.statusCode() == ErrorKind.OVERLOADED.httpStatus()) {
-            RetryAfterHeader.parseMilliseconds(head.getHeader(RetryAfterHeader.NAME))
+        if (head.status() == ErrorKind.OVERLOADED.httpStatus()) {
+            RetryAfterHeader.parseMilliseconds(head.header(RetryAfterHeader.NAME))
                     .ifPresent(
                             milliseconds ->
                                     mResources.selector().paused(endpoint, milliseconds, now()));
@@ -58,8 +36,8 @@
     }
 
     /** Records the load that an endpoint names in the headers of a response. */
-    void loadReceived(Endpoint endpoint, HttpClientResponse head) {
-        LoadHeader.parse(head.getHeader(mResources.names().load()))
+    void loadReceived(Endpoint endpoint, ResponseStart head) {
+        LoadHeader.parse(head.header(mResources.names().load()))
                 .ifPresent(
                         load ->
                                 mResources
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/GatewayCall.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/GatewayCall.java
@@ -1,12 +1,12 @@
 package org.skylarkbend.gateway.call;
 
 import io.vertx.core.buffer.Buffer;
-import io.vertx.core.http.HttpClientResponse;
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.skylarkbend.base.ErrorKind;
 import org.skylarkbend.catalog.Customer;
 import org.skylarkbend.catalog.Endpoint;
+import org.skylarkbend.exchange.ResponseStart;
 import org.skylarkbend.gateway.endpoints.EndpointSelector;
 import org.skylarkbend.gateway.endpoints.EngineChoice;
 import org.skylarkbend.gateway.endpoints.PriorAttempts;
@@ -18,9 +18,6 @@
  * serves the calls, and owns its timers and the current attempt.
  */
 public final class GatewayCall implements Attempt.Listener, TokenGate.Caller {
-    /** Timeout for opening a connection to an endpoint. */
-    private static final long CONNECT_TIMEOUT_MILLISECONDS = 250;
-
     /** An engine that goes on sending events for this time has survived the prompt. */
     private static final long SURVIVED_MILLISECONDS = 500;
 
@@ -212,7 +209,6 @@
                         mRequestBody.content(),
                         Urgency.of(mCall, chosen.get()),
                         mReceived.lastEventId(),
-                        CONNECT_TIMEOUT_MILLISECONDS,
                         Math.max(1, mCall.deadlineMilliseconds() - now())));
         mSilenceTimer.restart(mStreaming);
     }
@@ -232,9 +228,8 @@
     }
 
     @Override
-    public void headReceived(Attempt attempt, HttpClientResponse response) {
+    public void headReceived(Attempt attempt, ResponseStart response) {
         mHead = new ResponseHead(response, mCall, mResources.names());
-        mReports.headReceived(attempt.endpoint(), mHead);
         mResources.selector().responded(attempt.endpoint(), now());
         mReports.loadReceived(attempt.endpoint(), response);
         mSilenceTimer.restart(mStreaming);
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/ResponseHead.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/ResponseHead.java
@@ -1,12 +1,8 @@
 package org.skylarkbend.gateway.call;
 
 import io.vertx.core.MultiMap;
-import io.vertx.core.http.HttpClientResponse;
-import java.util.Map;
-import java.util.Optional;
-import java.util.regex.Pattern;
-import java.util.stream.Stream;
 import org.skylarkbend.catalog.CallKind;
+import org.skylarkbend.exchange.ResponseStart;
 import org.skylarkbend.gateway.HeaderNames;
 
 /**
@@ -16,14 +12,13 @@
  * @param call the call
  * @param names names of the HTTP headers
  */
-record ResponseHead(HttpClientResponse response, CallRequest call, HeaderNames names) {
-    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d(?: \\d{3}|$)");
+record ResponseHead(ResponseStart response, CallRequest call, HeaderNames names) {
     private static final int OK = 200;
     private static final int MIN_ERROR_STATUS = 400;
     private static final int MIN_SERVER_ERROR_STATUS = 500;
 
     int status() {
-        return response.statusCode();
+        return response.status();
     }
 
     MultiMap headers() {
@@ -43,18 +38,18 @@
      * that the endpoint sent again; even its statement that the call did not run cannot be trusted.
      */
     boolean isForThisCall() {
-        String id = response.getHeader(names.requestId());
+        String id = response.header(names.requestId());
         return call.id().isEmpty() ? id == null && isError() : call.id().equals(id);
     }
 
     /** Returns whether the endpoint has signed the response. */
     boolean isSealed() {
-        return response.getHeader(names.seal()) != null;
+        return response.header(names.seal()) != null;
     }
 
     /** Returns whether the endpoint states that it did not run the call. */
     boolean statesNotRun() {
-        return isError() && response.getHeader(names.notRun()) != null;
+        return isError() && response.header(names.notRun()) != null;
     }
 
     /** Returns whether the body is a stream of events. */
@@ -62,22 +57,6 @@
         return call.route().kind() == CallKind.STREAM && !isError();
     }
 
-    /**
-     * Returns the part of the head that contains the status line of another response, if any. The
-     * endpoint then sent the beginning of one response in front of another.
-     */
-    Optional<String> secondStatusLine() {
-        return Stream.concat(
-                        Stream.of(response.statusMessage()),
-                        response.headers().entries().stream().flatMap(ResponseHead::nameAndValue))
-                .filter(part -> STATUS_LINE.matcher(part).find())
-                .findFirst();
-    }
-
-    private static Stream<String> nameAndValue(Map.Entry<String, String> header) {
-        return Stream.of(header.getKey(), header.getValue());
-    }
-
     /** Returns whether the body goes on with a stream that another endpoint began. */
     boolean resumesStream() {
         return status() == OK;
--- a/gateway/src/main/java/org/skylarkbend/gateway/front/GatewayTask.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/front/GatewayTask.java
@@ -5,11 +5,9 @@
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.VerticleBase;
-import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
-import io.vertx.core.http.PoolOptions;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -31,6 +29,8 @@
 import org.skylarkbend.catalog.SiteLimits;
 import org.skylarkbend.catalog.SiteMessage.WorkUnderWay;
 import org.skylarkbend.catalog.VersionSplit;
+import org.skylarkbend.exchange.EndpointClient;
+import org.skylarkbend.exchange.ExchangeOptions;
 import org.skylarkbend.gateway.DrainSchedule;
 import org.skylarkbend.gateway.GatewaySettings;
 import org.skylarkbend.gateway.call.CallRequest;
@@ -61,11 +61,12 @@
      */
     private static final int IDLE_TIMEOUT_SECONDS = 120;
 
-    /** Maximum number of connections of a gateway to an endpoint. */
-    private static final int MAX_CONNECTIONS_PER_ENDPOINT = 64;
-
-    /** Endpoints that announce no keep-alive timeout close idle connections after some seconds. */
-    private static final int KEEP_ALIVE_SECONDS = 4;
+    /**
+     * Connections to endpoints. Endpoints that announce no keep-alive timeout close idle
+     * connections after some seconds.
+     */
+    private static final ExchangeOptions ENDPOINT_CONNECTIONS =
+            new ExchangeOptions(64, 250, 4_000, 8 * 1024);
 
     /** Time for which the rest of a refused body is read. */
     private static final long DISCARD_MILLISECONDS = 1_000;
@@ -148,11 +149,11 @@
         mResources =
                 new CallResources(
                         vertx,
-                        vertx.createHttpClient(
-                                new HttpClientOptions()
-                                        .setKeepAliveTimeout(KEEP_ALIVE_SECONDS)
-                                        .setTcpNoDelay(true),
-                                new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS_PER_ENDPOINT)),
+                        new EndpointClient(
+                                vertx,
+                                ENDPOINT_CONNECTIONS,
+                                mClock,
+                                mMetrics.counter("gateway_stray_receptions")),
                         mSettings.headers(),
                         mSelector,
                         mGate,
