Wait in the gateway's tests until what they publish is in force

Two races of the fixture, seen once each under load while other tests ran: a call could reach the gateway before the catalog and endpoints that the test had published on another thread (EndpointWishesTest: 503 for a sound call), and a response that was complete before the test's thread had composed its handlers was lost (JoinedResponsesTest: a call without a response in 30 s although the gateway had logged its end, 2 of some 30 runs). The second is deterministic with a pause of 30 ms before the composition: then no call of ResponseFramingTest gets its response. publish now waits for the gateway's context, and the handlers are composed before the request is sent.

--- a/gateway/src/test/java/org/skylarkbend/gateway/front/GatewayFixture.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/front/GatewayFixture.java
@@ -3,7 +3,10 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.codahale.metrics.MetricRegistry;
+import io.vertx.core.Context;
+import io.vertx.core.Deployable;
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
@@ -46,6 +49,7 @@
     protected HttpClient mClient;
     protected GatewayTask mGateway;
     protected MetricRegistry mMetrics;
+    private Context mGatewayContext;
     private int mPort;
 
     /** Response as received by the caller. */
@@ -79,7 +83,21 @@
                         message -> {},
                         new GatewayReports(work -> {}, outcomes -> {}, crashes -> {}),
                         ready -> {});
-        await(mVertx.deployVerticle(mGateway));
+        await(mVertx.deployVerticle(new ContextCapture()));
+    }
+
+    /** Deploys the gateway and keeps its context. */
+    private final class ContextCapture implements Deployable {
+        @Override
+        public Future<?> deploy(Context context) throws Exception {
+            mGatewayContext = context;
+            return mGateway.deploy(context);
+        }
+
+        @Override
+        public Future<?> undeploy(Context context) throws Exception {
+            return mGateway.undeploy(context);
+        }
     }
 
     @AfterMethod(alwaysRun = true)
@@ -97,7 +115,7 @@
         return 64 * 1024 * 1024;
     }
 
-    protected void publish(Route route, FakeEndpoint... endpoints) {
+    protected void publish(Route route, FakeEndpoint... endpoints) throws Exception {
         publish(
                 route,
                 java.util.Arrays.stream(endpoints)
@@ -105,7 +123,8 @@
                         .toArray(Endpoint[]::new));
     }
 
-    protected void publish(Route route, Endpoint... endpoints) {
+    /** Publishes a catalog and endpoints, and waits until the gateway has taken them over. */
+    protected void publish(Route route, Endpoint... endpoints) throws Exception {
         Customer customer =
                 new Customer(
                         "one",
@@ -124,6 +143,9 @@
                         CallerLimits.defaults()));
         mGateway.endpointsChanged(new Endpoints(List.of(endpoints), Set.of()));
         mGateway.limitMessageReceived(new LimitMessage.TermBegan(1));
+        Promise<Void> takenOver = Promise.promise();
+        mGatewayContext.runOnContext(ignored -> takenOver.complete());
+        await(takenOver.future());
     }
 
     protected Response call(Map<String, String> headers) throws Exception {
@@ -153,9 +175,9 @@
     }
 
     protected Future<Response> send(Map<String, String> headers, Buffer body) {
+        // Composed inside, or a response that is complete before the test's thread goes on is lost.
         return request(headers)
-                .compose(request -> request.send(body))
-                .compose(GatewayTaskTest::toResponse);
+                .compose(request -> request.send(body).compose(GatewayTaskTest::toResponse));
     }
 
     protected Future<HttpClientRequest> request(Map<String, String> headers) {
