Recognize the status line of a second response in any form

A status line in any form inside a head is a fault now, only the exact form begins a head, and status 101 is a fault.

--- a/exchange/src/main/java/org/skylarkbend/exchange/ResponseDecoder.java
+++ b/exchange/src/main/java/org/skylarkbend/exchange/ResponseDecoder.java
@@ -8,6 +8,8 @@
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.util.List;
+import java.util.Set;
+import java.util.regex.Pattern;
 
 /**
  * Decodes the response to one request at a time. Bytes that arrive while no response is expected,
@@ -15,6 +17,8 @@
  */
 final class ResponseDecoder extends HttpResponseDecoder {
     private static final int MIN_FINAL_STATUS = 200;
+    private static final Set<String> VERSIONS = Set.of("HTTP/1.0", "HTTP/1.1");
+    private static final Pattern STATUS = Pattern.compile("[1-5]\\d\\d");
 
     private boolean mExpecting;
     private boolean mWithoutBody;
@@ -63,6 +67,16 @@
         checkForEnd(in, out);
     }
 
+    /** Accepts only the exact form of a status line; the superclass reads others as well. */
+    @Override
+    protected HttpMessage createMessage(String[] statusLine) {
+        if (!VERSIONS.contains(statusLine[0]) || !STATUS.matcher(statusLine[1]).matches()) {
+            throw new IllegalArgumentException(
+                    "the status line begins with " + statusLine[0] + " " + statusLine[1]);
+        }
+        return super.createMessage(statusLine);
+    }
+
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
         return mWithoutBody || super.isContentAlwaysEmpty(message);
--- a/exchange/src/main/java/org/skylarkbend/exchange/ResponseFaults.java
+++ b/exchange/src/main/java/org/skylarkbend/exchange/ResponseFaults.java
@@ -8,7 +8,10 @@
 
 /** Finds parts of responses that must not be taken for what they look like. */
 final class ResponseFaults {
-    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d(?: \\d{3}|$)");
+    /** Status line in any form that some parser accepts. */
+    private static final Pattern STATUS_LINE = Pattern.compile("(?i)HTTP/\\d\\S*\\s+\\+?\\d");
+
+    private static final int SWITCHING_PROTOCOLS = 101;
 
     private ResponseFaults() {}
 
@@ -17,10 +20,14 @@
         if (part.decoderResult().isFailure()) {
             return Optional.of("invalid response: " + part.decoderResult().cause().getMessage());
         }
-        return part instanceof HttpResponse response
-                ? secondStatusLine(response)
-                        .map(found -> "the head contains a second status line: " + found)
-                : Optional.empty();
+        if (!(part instanceof HttpResponse response)) {
+            return Optional.empty();
+        }
+        if (response.status().code() == SWITCHING_PROTOCOLS) {
+            return Optional.of("the endpoint switches protocols without being asked to");
+        }
+        return secondStatusLine(response)
+                .map(found -> "the head contains a second status line: " + found);
     }
 
     /**
@@ -33,8 +40,7 @@
             return Optional.of(response.status().reasonPhrase());
         }
         for (Map.Entry<String, String> header : response.headers()) {
-            if (STATUS_LINE.matcher(header.getKey()).find()
-                    || STATUS_LINE.matcher(header.getValue()).find()) {
+            if (STATUS_LINE.matcher(header.getValue()).find()) {
                 return Optional.of(header.getKey() + ": " + header.getValue());
             }
         }
