--- a/exchange/src/main/java/org/skylarkbend/exchange/ConnectionPool.java
+++ b/exchange/src/main/java/org/skylarkbend/exchange/ConnectionPool.java
@@ -63,7 +63,9 @@
         while (!mFree.isEmpty()) {
             EndpointConnection free = mFree.pop();
             if (free.isUsableAt(mClock.nowMilliseconds())) {
-                free.serve(exchange);
+                if (!free.serve(exchange)) {
+                    free(free);
+                }
                 return;
             }
             free.close();
@@ -135,13 +137,15 @@
 
     /** Sends the next request on a free connection, or keeps the connection. */
     private void free(EndpointConnection connection) {
-        firstWaiting()
-                .ifPresentOrElse(
-                        exchange -> {
-                            stopWaiting(exchange);
-                            connection.serve(exchange);
-                        },
-                        () -> mFree.push(connection));
+        Optional<Exchange> next = firstWaiting();
+        while (next.isPresent()) {
+            stopWaiting(next.get());
+            if (connection.serve(next.get())) {
+                return;
+            }
+            next = firstWaiting();
+        }
+        mFree.push(connection);
     }
 
     private void closed(EndpointConnection connection) {
--- a/exchange/src/main/java/org/skylarkbend/exchange/EndpointConnection.java
+++ b/exchange/src/main/java/org/skylarkbend/exchange/EndpointConnection.java
@@ -3,6 +3,7 @@
 import com.codahale.metrics.Counter;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
@@ -79,25 +80,26 @@
         socket.closeHandler(ignored -> closed());
     }
 
-    /** Returns whether the endpoint is expected to keep the unused connection open until then. */
+    /** Returns whether the unused connection is open, and expected to stay open until then. */
     boolean isUsableAt(long nowMilliseconds) {
-        return nowMilliseconds < mExpiryMilliseconds;
+        return mReusable && channel().isActive() && nowMilliseconds < mExpiryMilliseconds;
     }
 
-    /** Sends the request of an exchange, unless its listener cancels it. */
-    void serve(Exchange exchange) {
+    /**
+     * Sends the request of an exchange, unless its listener cancels it. Returns whether the
+     * connection is in use now.
+     */
+    boolean serve(Exchange exchange) {
         exchange.deliver(new ExchangeEvent.Sending());
         if (exchange.isCancelled()) {
-            mOnFree.accept(this);
-            return;
+            return false;
         }
         FullHttpRequest request;
         try {
             request = encode(exchange.request());
         } catch (IllegalArgumentException e) {
-            mOnFree.accept(this);
             exchange.deliver(new ExchangeEvent.Lost("the request is invalid: " + e.getMessage()));
-            return;
+            return false;
         }
         mExchange = Optional.of(exchange);
         mRequestWritten = false;
@@ -105,18 +107,26 @@
         mDecoder.expectResponse(exchange.request().method().equals(HttpMethod.HEAD));
         mSocket.writeMessage(request)
                 .onSuccess(ignored -> requestWritten(exchange))
-                .onFailure(e -> fail(String.valueOf(e.getMessage())));
+                .onFailure(e -> fail("the request was not written: " + e));
+        return true;
     }
 
-    /** Closes the connection. Its exchange is not notified if it was cancelled. */
+    /**
+     * Closes the connection at once, without waiting until the endpoint has read the rest of a
+     * request. Its exchange is not notified if it was cancelled.
+     */
     void close() {
         mReusable = false;
-        mSocket.close();
+        channel().close();
     }
 
     /** Starts or stops reading from the connection. */
     void setReading(boolean reading) {
-        mSocket.channelHandlerContext().channel().config().setAutoRead(reading);
+        channel().config().setAutoRead(reading);
+    }
+
+    private Channel channel() {
+        return mSocket.channelHandlerContext().channel();
     }
 
     private FullHttpRequest encode(ExchangeRequest request) {
