Deliver a call's own response behind an earlier one

An endpoint that answers twice may send the second copy after the next call was sent. Complete responses that name another call are now skipped, at most four for a call, each with a log line, and the next one on the connection is awaited. A response with several IDs belongs to no call, and the load that a response of another call names is not recorded.

--- a/exchange/src/main/java/org/skylarkbend/exchange/EndpointConnection.java
+++ b/exchange/src/main/java/org/skylarkbend/exchange/EndpointConnection.java
@@ -15,10 +15,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
-import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
-import io.vertx.core.http.HttpHeaders;
-import io.vertx.core.http.HttpMethod;
 import io.vertx.core.internal.net.NetSocketInternal;
 import java.util.Optional;
 import java.util.function.Consumer;
@@ -104,7 +101,7 @@
         mExchange = Optional.of(exchange);
         mRequestWritten = false;
         exchange.attach(this);
-        mDecoder.expectResponse(exchange.request().method().equals(HttpMethod.HEAD));
+        mDecoder.expectResponse(exchange.request());
         mSocket.writeMessage(request)
                 .onSuccess(ignored -> requestWritten(exchange))
                 .onFailure(e -> fail("the request was not written: " + e));
@@ -158,6 +155,8 @@
         try {
             if (message instanceof ResponseDecoder.StrayBytes stray) {
                 strayBytesReceived(stray.bytes());
+            } else if (message instanceof ResponseDecoder.SkippedResponse skipped) {
+                responseSkipped(skipped.status());
             } else if (message instanceof HttpObject part && mExchange.isPresent()) {
                 received(mExchange.get(), part);
             }
@@ -174,9 +173,7 @@
         }
         if (part instanceof HttpResponse response) {
             mKeepAlive = KeepAlive.of(response, mOptions.keepAliveMilliseconds());
-            exchange.deliver(
-                    new ExchangeEvent.HeadReceived(
-                            new ResponseStart(response.status().code(), headersOf(response))));
+            exchange.deliver(new ExchangeEvent.HeadReceived(ResponseStart.of(response)));
         }
         if (part instanceof HttpContent content && !exchange.isCancelled()) {
             if (content.content().isReadable()) {
@@ -189,12 +186,6 @@
         }
     }
 
-    private static MultiMap headersOf(HttpResponse response) {
-        MultiMap headers = HttpHeaders.headers();
-        response.headers().forEach(header -> headers.add(header.getKey(), header.getValue()));
-        return headers;
-    }
-
     /** Frees the connection before the listener is notified, which may start the next exchange. */
     private void responseComplete(Exchange exchange) {
         mExchange = Optional.empty();
@@ -214,6 +205,18 @@
         mExpiryMilliseconds = nowMilliseconds + mKeepAlive.milliseconds();
     }
 
+    private void responseSkipped(int status) {
+        mStrayReceptions.inc();
+        LOG.warn(
+                "endpoint.response_skipped",
+                "endpoint",
+                mSocket.remoteAddress(),
+                "status",
+                status,
+                "exchanges",
+                mServed);
+    }
+
     private void strayBytesReceived(int bytes) {
         mStrayReceptions.inc();
         LOG.warn(
--- a/exchange/src/main/java/org/skylarkbend/exchange/ResponseDecoder.java
+++ b/exchange/src/main/java/org/skylarkbend/exchange/ResponseDecoder.java
@@ -2,11 +2,14 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import io.vertx.core.http.HttpMethod;
 import java.util.List;
 import java.util.Set;
 import java.util.regex.Pattern;
@@ -16,13 +19,19 @@
  * or after the end of one, are not parsed but reported as {@link StrayBytes}.
  */
 final class ResponseDecoder extends HttpResponseDecoder {
+    /**
+     * Maximum number of responses to other requests in front of one; further ones are passed on.
+     */
+    private static final int MAX_SKIPPED = 4;
+
     private static final int MIN_FINAL_STATUS = 200;
     private static final Set<String> VERSIONS = Set.of("HTTP/1.0", "HTTP/1.1");
     private static final Pattern STATUS = Pattern.compile("[1-5]\\d\\d");
 
     private boolean mExpecting;
-    private boolean mWithoutBody;
-    private boolean mInterim;
+    private ExchangeRequest mRequest;
+    private boolean mSkipping;
+    private int mSkipped;
 
     /**
      * Bytes that belong to no response.
@@ -31,6 +40,13 @@
      */
     record StrayBytes(int bytes) {}
 
+    /**
+     * Response to another request, which is not decoded further.
+     *
+     * @param status its status
+     */
+    record SkippedResponse(int status) {}
+
     ResponseDecoder(int maxHeadBytes) {
         super(
                 new HttpDecoderConfig()
@@ -39,32 +55,29 @@
                         .setStrictLineParsing(true));
     }
 
-    /**
-     * Expects a response from now on.
-     *
-     * @param withoutBody true if the method of the request is HEAD
-     */
-    void expectResponse(boolean withoutBody) {
+    /** Expects the response to a request from now on. */
+    void expectResponse(ExchangeRequest request) {
         mExpecting = true;
-        mWithoutBody = withoutBody;
+        mRequest = request;
+        mSkipped = 0;
     }
 
     @Override
     protected void decode(ChannelHandlerContext context, ByteBuf in, List<Object> out)
             throws Exception {
-        if (!mExpecting) {
+        if (mExpecting) {
+            super.decode(context, in, out);
+            check(in, out);
+        } else {
             takeStrayBytes(in, out);
-            return;
         }
-        super.decode(context, in, out);
-        checkForEnd(in, out);
     }
 
     @Override
     protected void decodeLast(ChannelHandlerContext context, ByteBuf in, List<Object> out)
             throws Exception {
         super.decodeLast(context, in, out);
-        checkForEnd(in, out);
+        check(in, out);
     }
 
     /** Accepts only the exact form of a status line; the superclass reads others as well. */
@@ -79,33 +92,62 @@
 
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
-        return mWithoutBody || super.isContentAlwaysEmpty(message);
+        return mRequest.method().equals(HttpMethod.HEAD) || super.isContentAlwaysEmpty(message);
     }
 
-    /**
-     * Reports bytes behind the end of the response before the end itself, because the connection
-     * may be used for the next request as soon as the end is known.
-     */
-    private void checkForEnd(ByteBuf in, List<Object> out) {
+    private void check(ByteBuf in, List<Object> out) {
         if (out.isEmpty()) {
             return;
         }
+        Object last = out.get(out.size() - 1);
         if (out.get(0) instanceof HttpResponse response) {
-            mInterim = response.status().code() < MIN_FINAL_STATUS;
+            skipIfUnwanted(response, out);
         }
-        Object last = out.get(out.size() - 1);
-        if (!(last instanceof LastHttpContent)) {
-            return;
+        if (mSkipping) {
+            out.removeIf(ResponseDecoder::isSoundContent);
+            mSkipping = !(last instanceof LastHttpContent);
+        } else if (last instanceof LastHttpContent) {
+            mExpecting = false;
+            reportBytesBehindEnd(in, out);
         }
-        if (mInterim) {
-            out.clear();
+    }
+
+    private void skipIfUnwanted(HttpResponse response, List<Object> out) {
+        int status = response.status().code();
+        mSkipping = false;
+        if (ResponseFaults.in(response).isPresent()) {
             return;
         }
-        mExpecting = false;
+        if (status < MIN_FINAL_STATUS) {
+            mSkipping = true;
+            out.remove(0);
+        } else if (mSkipped < MAX_SKIPPED
+                && mRequest.isOtherResponse().test(ResponseStart.of(response))) {
+            mSkipping = true;
+            mSkipped++;
+            out.set(0, new SkippedResponse(status));
+        }
+    }
+
+    /** Returns whether a part is valid content, and releases it in that case. */
+    private static boolean isSoundContent(Object part) {
+        boolean isSound =
+                part instanceof HttpContent content && content.decoderResult().isSuccess();
+        if (isSound) {
+            ReferenceCountUtil.release(part);
+        }
+        return isSound;
+    }
+
+    /**
+     * Reports bytes behind the end of the response before the end itself, because the connection
+     * may be used for the next request as soon as the end is known.
+     */
+    private static void reportBytesBehindEnd(ByteBuf in, List<Object> out) {
         if (in.isReadable()) {
-            out.remove(out.size() - 1);
+            Object end = out.remove(out.size() - 1);
             takeStrayBytes(in, out);
-            out.add(last);
+            out.add(end);
         }
     }
 
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/Attempt.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/Attempt.java
@@ -112,7 +112,8 @@
                                 call.method(),
                                 call.uri(),
                                 headers(names, content),
-                                content.body()),
+                                content.body(),
+                                start -> ResponseHead.isOfOtherCall(start, call, names)),
                         this::handle);
         mExchange = Optional.of(exchange);
         client.start(exchange);
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/GatewayCall.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/GatewayCall.java
@@ -231,9 +231,9 @@
     public void headReceived(Attempt attempt, ResponseStart response) {
         mHead = new ResponseHead(response, mCall, mResources.names());
         mResources.selector().responded(attempt.endpoint(), now());
-        mReports.loadReceived(attempt.endpoint(), response);
         mSilenceTimer.restart(mStreaming);
         if (mHead.isForThisCall()) {
+            mReports.loadReceived(attempt.endpoint(), response);
             mReports.responded(attempt.endpoint(), response);
         }
         if (!mHead.isForThisCall() || !mHead.isError() && !mHead.isSealed()) {
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/ResponseHead.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/ResponseHead.java
@@ -1,6 +1,7 @@
 package org.skylarkbend.gateway.call;
 
 import io.vertx.core.MultiMap;
+import java.util.List;
 import org.skylarkbend.catalog.CallKind;
 import org.skylarkbend.exchange.ResponseStart;
 import org.skylarkbend.gateway.HeaderNames;
@@ -38,8 +39,16 @@
      * that the endpoint sent again; even its statement that the call did not run cannot be trusted.
      */
     boolean isForThisCall() {
-        String id = response.header(names.requestId());
-        return call.id().isEmpty() ? id == null && isError() : call.id().equals(id);
+        List<String> ids = headers().getAll(names.requestId());
+        return call.id().isEmpty() ? ids.isEmpty() && isError() : ids.equals(List.of(call.id()));
+    }
+
+    /**
+     * Returns whether a response names another call, so that the one to this call may follow it.
+     */
+    static boolean isOfOtherCall(ResponseStart response, CallRequest call, HeaderNames names) {
+        List<String> ids = response.headers().getAll(names.requestId());
+        return !ids.isEmpty() && !call.id().isEmpty() && !ids.contains(call.id());
     }
 
     /** Returns whether the endpoint has signed the response. */
--- a/gateway/src/main/java/org/skylarkbend/gateway/front/GatewayTask.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/front/GatewayTask.java
@@ -61,12 +61,15 @@
      */
     private static final int IDLE_TIMEOUT_SECONDS = 120;
 
-    /**
-     * Connections to endpoints. Endpoints that announce no keep-alive timeout close idle
-     * connections after some seconds.
-     */
-    private static final ExchangeOptions ENDPOINT_CONNECTIONS =
-            new ExchangeOptions(64, 250, 4_000, 8 * 1024);
+    /** Maximum number of connections of a gateway to an endpoint. */
+    private static final int MAX_CONNECTIONS_PER_ENDPOINT = 64;
+
+    private static final long CONNECT_TIMEOUT_MILLISECONDS = 250;
+
+    /** Endpoints that announce no keep-alive timeout close idle connections after some seconds. */
+    private static final long KEEP_ALIVE_MILLISECONDS = 4_000;
+
+    private static final int MAX_RESPONSE_HEAD_BYTES = 8 * 1024;
 
     /** Time for which the rest of a refused body is read. */
     private static final long DISCARD_MILLISECONDS = 1_000;
@@ -151,7 +154,11 @@
                         vertx,
                         new EndpointClient(
                                 vertx,
-                                ENDPOINT_CONNECTIONS,
+                                new ExchangeOptions(
+                                        MAX_CONNECTIONS_PER_ENDPOINT,
+                                        CONNECT_TIMEOUT_MILLISECONDS,
+                                        KEEP_ALIVE_MILLISECONDS,
+                                        MAX_RESPONSE_HEAD_BYTES),
                                 mClock,
                                 mMetrics.counter("gateway_stray_receptions")),
                         mSettings.headers(),
--- a/gateway/src/test/java/org/skylarkbend/gateway/front/ResponseFramingTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/front/ResponseFramingTest.java
@@ -70,6 +70,39 @@
                 .doesNotContain(lastCall);
     }
 
+    @DataProvider
+    private Object[][] earlierResponses() {
+        String refusal =
+                "HTTP/1.1 503 Busy\r\nCall-Id: c1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+        String chunked =
+                "HTTP/1.1 200 OK\r\nCall-Id: c1\r\nSeal: seal\r\nTransfer-Encoding: chunked\r\n\r\n"
+                        + "4\r\ndone\r\n0\r\n\r\n";
+        return new Object[][] {
+            {"a response", DONE},
+            {"a response in chunks", chunked},
+            {"a refusal", refusal},
+            {"several", DONE + refusal + chunked},
+            {"interim responses and one", "HTTP/1.1 102 Processing\r\n\r\n" + DONE}
+        };
+    }
+
+    /** Guards against a call that has run and whose response is thrown away for an earlier one. */
+    @Test(dataProvider = "earlierResponses")
+    public void aCallGetsItsOwnResponseAlthoughEarlierOnesArriveOnceMoreInFrontOfIt(
+            String name, String earlier) throws Exception {
+        String own = DONE.replace("c1", "c2").replace("done", "mine");
+        ScriptedEndpoint endpoint =
+                new ScriptedEndpoint(
+                        "e0", new Step(DONE, Then.KEEP), new Step(earlier + own, Then.KEEP));
+        await(endpoint.listen(mVertx));
+        publish(Routes.of(CallKind.ONCE, 1, false, TIMEOUT_MILLISECONDS), endpoint.listed());
+        assertThat(call("c1").body()).contains("done");
+        Response reply = call("c2");
+        assertThat(reply.status()).isEqualTo(200);
+        assertThat(reply.body()).contains("mine");
+        assertThat(reply.head()).containsEntry("call-id", "c2");
+    }
+
     @Test
     public void aBodyWithoutLengthIsCompleteWhenItsConnectionIsClosed() throws Exception {
         Response reply = respond(CallKind.ONCE, new Step(UNFRAMED + "done", Then.CLOSE));
