Tell from logs what became of a request: skylarkctl explain

skylarkctl explain ID FILE... prints the story of a call out of the logs of several processes, as text or JSON; - is the standard input, which args4j took for an option. New exit code 8: no line is about the request. A file that cannot be read is 2, as for check.

--- a/ctl/src/main/java/org/skylarkbend/ctl/CtlEnvironment.java
+++ b/ctl/src/main/java/org/skylarkbend/ctl/CtlEnvironment.java
@@ -1,5 +1,6 @@
 package org.skylarkbend.ctl;
 
+import java.io.InputStream;
 import java.io.PrintStream;
 import java.util.Map;
 import java.util.function.Function;
@@ -8,6 +9,7 @@
 /**
  * External resources of a command. Tests replace them.
  *
+ * @param in standard input
  * @param out stream for results
  * @param err stream for errors and progress
  * @param variables environment variables
@@ -16,6 +18,7 @@
  * @param pause sleeps between polls and retries
  */
 public record CtlEnvironment(
+        InputStream in,
         PrintStream out,
         PrintStream err,
         Map<String, String> variables,
--- a/ctl/src/main/java/org/skylarkbend/ctl/CtlMain.java
+++ b/ctl/src/main/java/org/skylarkbend/ctl/CtlMain.java
@@ -6,7 +6,6 @@
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
 import org.kohsuke.args4j.spi.SubCommand;
-import org.kohsuke.args4j.spi.SubCommandHandler;
 import org.kohsuke.args4j.spi.SubCommands;
 import org.skylarkbend.base.MillisecondClock;
 
@@ -21,8 +20,9 @@
                    skylarkctl status                  show leader, revision and routers
                    skylarkctl usage [forecast]        show spend and grants, or a forecast
                    skylarkctl key new                 generate a key and its digest
+                   skylarkctl explain ID FILE...      tell from logs what became of a request
 
-            Every command accepts --json. All except check and key require
+            Every command accepts --json. All except check, key and explain require
             SKYLARK_OPERATOR_CREDENTIAL and --control HOST:PORT,... (or SKYLARK_CONTROL, or
             --settings FILE).
 
@@ -31,20 +31,22 @@
               skylarkctl get > set.yaml; vi set.yaml; skylarkctl publish set.yaml
               skylarkctl usage --month 2026-12 --csv > december.csv
               skylarkctl usage forecast --html > forecast.html
+              skylarkctl explain bb0b235bf20c5570 front-*.log core-*.log
               skylarkctl publish set.yaml --publish-id ctl-1234   # retry after a lost response
 
             exit codes:
               0 done                                  4 no leader reached; run again
-              1 invalid set or value       5 accepted, but not in force in time
-              2 invalid command line or settings        6 credential refused
-              3 another set was accepted first        7 internal error; see the log of control
+              1 invalid set or value                  5 accepted, but not in force in time
+              2 invalid command line or settings,     6 credential refused
+                or a file that cannot be read         7 internal error; see the log of control
+              3 another set was accepted first        8 no line is about the request
             """;
 
     @Argument(
             required = true,
             metaVar = "COMMAND",
             usage = "command to run",
-            handler = SubCommandHandler.class)
+            handler = CommandHandler.class)
     @SubCommands({
         @SubCommand(name = "check", impl = CheckCommand.class),
         @SubCommand(name = "diff", impl = DiffCommand.class),
@@ -52,7 +54,8 @@
         @SubCommand(name = "get", impl = GetCommand.class),
         @SubCommand(name = "status", impl = StatusCommand.class),
         @SubCommand(name = "usage", impl = UsageCommand.class),
-        @SubCommand(name = "key", impl = KeyCommand.class)
+        @SubCommand(name = "key", impl = KeyCommand.class),
+        @SubCommand(name = "explain", impl = ExplainCommand.class)
     })
     private CtlCommand mCommand;
 
@@ -62,6 +65,7 @@
     public static void main(String[] arguments) {
         CtlEnvironment environment =
                 new CtlEnvironment(
+                        System.in,
                         System.out,
                         System.err,
                         System.getenv(),
--- a/ctl/src/main/java/org/skylarkbend/ctl/ExitCode.java
+++ b/ctl/src/main/java/org/skylarkbend/ctl/ExitCode.java
@@ -19,7 +19,9 @@
     /** The operator's credential was refused. */
     REFUSED(6),
     /** An internal error of control or of this program. */
-    FAULT(7);
+    FAULT(7),
+    /** No line of the logs is about the call. */
+    NOT_FOUND(8);
 
     private final int mCode;
 
--- a/ctl/src/test/java/org/skylarkbend/ctl/CtlMainTest.java
+++ b/ctl/src/test/java/org/skylarkbend/ctl/CtlMainTest.java
@@ -4,6 +4,7 @@
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.io.InputStream;
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -227,6 +228,7 @@
         return CtlMain.run(
                 arguments,
                 new CtlEnvironment(
+                        InputStream.nullInputStream(),
                         new PrintStream(mOut, true, StandardCharsets.UTF_8),
                         new PrintStream(mErr, true, StandardCharsets.UTF_8),
                         mVariables,
