Read logs out of pipes once

Logs are read twice, and a log out of a pipe, such as <(zcat front.gz), has no second reading: the command waited for it for ever. Pipes are now kept in a temporary file, like the standard input. A folder is named in the error.

--- a/ctl/src/main/java/org/skylarkbend/ctl/LogFiles.java
+++ b/ctl/src/main/java/org/skylarkbend/ctl/LogFiles.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.InputStream;
+import java.nio.file.FileSystemException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
@@ -22,7 +23,7 @@
 
 /**
  * The logs from which a call is explained. They are read twice, line by line: first for the call,
- * then for what stands beside it. Standard input is kept in a temporary file for that.
+ * then for what stands beside it. Standard input and pipes are kept in temporary files for that.
  */
 final class LogFiles implements AutoCloseable {
     private static final String STANDARD_INPUT = "-";
@@ -31,8 +32,8 @@
     /** Far more lines than one call has, and few enough to keep. */
     private static final int MAX_EVENTS = 500;
 
-    private final List<LogFile> mFiles;
-    private final Optional<Path> mTemporary;
+    private final List<LogFile> mFiles = new ArrayList<>();
+    private final List<Path> mTemporary = new ArrayList<>();
 
     private record LogFile(String name, Path path) {}
 
@@ -44,25 +45,15 @@
      */
     record Reading(Optional<CallStory> story, List<ReadSummary> summaries) {}
 
-    private LogFiles(List<LogFile> files, Optional<Path> temporary) {
-        mFiles = files;
-        mTemporary = temporary;
-    }
+    private LogFiles() {}
 
     /** Opens the logs; {@code -} stands for the standard input. */
     static LogFiles open(List<String> names, InputStream standardInput) throws IOException {
-        Optional<Path> temporary = Optional.empty();
-        if (names.contains(STANDARD_INPUT)) {
-            temporary = Optional.of(Files.createTempFile("skylarkctl", SUFFIX));
-        }
-        LogFiles opened = new LogFiles(new ArrayList<>(), temporary);
+        LogFiles opened = new LogFiles();
         try {
-            if (temporary.isPresent()) {
-                Files.copy(standardInput, temporary.get(), StandardCopyOption.REPLACE_EXISTING);
-            }
             Set<String> taken = new HashSet<>();
             for (String name : new LinkedHashSet<>(names)) {
-                opened.add(name, taken);
+                opened.add(name, taken, standardInput);
             }
             return opened;
         } catch (IOException e) {
@@ -72,15 +63,35 @@
     }
 
     /** A file is called by its name without folder, unless another one has the same. */
-    private void add(String name, Set<String> taken) throws IOException {
+    private void add(String name, Set<String> taken, InputStream standardInput) throws IOException {
         boolean isStandardInput = name.equals(STANDARD_INPUT);
-        Path path = isStandardInput ? mTemporary.get() : Path.of(name);
-        String file = isStandardInput ? "stdin" : String.valueOf(path.getFileName());
+        Path path = isStandardInput ? copyOf(standardInput) : readableTwice(Path.of(name));
+        String file = isStandardInput ? "stdin" : String.valueOf(Path.of(name).getFileName());
         String process =
                 file.endsWith(SUFFIX) ? file.substring(0, file.length() - SUFFIX.length()) : file;
         mFiles.add(new LogFile(taken.add(process) ? process : name, path));
     }
 
+    private Path readableTwice(Path path) throws IOException {
+        if (Files.isRegularFile(path)) {
+            return path;
+        }
+        try (InputStream pipe = Files.newInputStream(path)) {
+            return copyOf(pipe);
+        } catch (FileSystemException e) {
+            throw e;
+        } catch (IOException e) {
+            throw new FileSystemException(path.toString(), null, e.getMessage());
+        }
+    }
+
+    private Path copyOf(InputStream input) throws IOException {
+        Path copy = Files.createTempFile("skylarkctl", SUFFIX);
+        mTemporary.add(copy);
+        Files.copy(input, copy, StandardCopyOption.REPLACE_EXISTING);
+        return copy;
+    }
+
     /** Reads the story of a call. */
     Reading read(String id, long aroundMicroseconds) throws IOException {
         List<CallEvent> events = new ArrayList<>();
@@ -131,8 +142,8 @@
 
     @Override
     public void close() throws IOException {
-        if (mTemporary.isPresent()) {
-            Files.deleteIfExists(mTemporary.get());
+        for (Path copy : mTemporary) {
+            Files.deleteIfExists(copy);
         }
     }
 }
--- a/ctl/src/test/java/org/skylarkbend/ctl/ExplainCommandTest.java
+++ b/ctl/src/test/java/org/skylarkbend/ctl/ExplainCommandTest.java
@@ -8,9 +8,11 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.PrintStream;
+import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
@@ -107,6 +109,27 @@
         assertThat(out()).contains("ends as BROKEN").contains("  stdin: 2 lines");
     }
 
+    /** Guards against logs out of pipes such as {@code <(zcat front.gz)}, which are read once. */
+    @Test(timeOut = 60_000)
+    public void aPipeIsReadOnceAndHasTheWholeStory() throws Exception {
+        Path pipe = mFolder.resolve("pipe");
+        assertThat(new ProcessBuilder("mkfifo", pipe.toString()).start().waitFor()).isZero();
+        Thread writer = new Thread(() -> write(pipe, FAILED + ENDED + STRAY));
+        writer.setDaemon(true);
+        writer.start();
+        assertThat(run("explain", ID, pipe.toString())).isEqualTo(ExitCode.OK);
+        assertThat(out()).contains("ends as BROKEN").contains("endpoint.stray_bytes");
+        writer.join();
+    }
+
+    private static void write(Path path, String text) {
+        try {
+            Files.writeString(path, text, StandardOpenOption.WRITE);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     @Test
     public void jsonHasTheStoryTheVerdictAndWhatWasRead() throws IOException {
         String log = file("front.log", FAILED + ENDED + STRAY + "no line of a log\n");
@@ -145,6 +168,8 @@
                 .isEqualTo(ExitCode.USAGE);
         assertThat(err()).contains("absent.log");
         assertThat(out()).isEmpty();
+        assertThat(run("explain", ID, log, mFolder.toString())).isEqualTo(ExitCode.USAGE);
+        assertThat(err()).contains(mFolder.toString());
     }
 
     @Test
