Compare the ID of a call with the value that a line holds

A caller may send an ID with spaces or quotes, which the log quotes. The first reading looked for the ID in the text of the line and skipped such a call.

anIdThatIsQuotedInTheLogIsFound failed before (NOT_FOUND) and passes now, with the other 28 tests of ctl and the 40 of explain.

--- a/ctl/src/main/java/org/skylarkbend/ctl/LogFiles.java
+++ b/ctl/src/main/java/org/skylarkbend/ctl/LogFiles.java
@@ -102,15 +102,12 @@
                     file,
                     (number, text, isCut) -> {
                         LogLine line = LogLineParser.parse(file.name(), number, text);
-                        boolean isMentioned = text.contains(id);
                         boolean isUsed =
-                                isMentioned
-                                        && line instanceof LogLine.Event structured
+                                line instanceof LogLine.Event event
                                         && events.size() < MAX_EVENTS
-                                        && CallEvent.of(id, structured)
-                                                .map(events::add)
-                                                .orElse(false);
-                        counter.count(line, isCut, isMentioned && !isUsed);
+                                        && CallEvent.of(id, event).map(events::add).orElse(false);
+                        boolean isUnused = !isUsed && text.contains(id);
+                        counter.count(line, isCut, isUnused);
                     });
             summaries.add(counter.summary());
         }
--- a/ctl/src/main/java/org/skylarkbend/ctl/StoryText.java
+++ b/ctl/src/main/java/org/skylarkbend/ctl/StoryText.java
@@ -241,7 +241,7 @@
                             read.unreadableLines()));
             append(text, read.droppedLines(), "dropped by the process");
             append(text, read.cutLines(), "read in part");
-            append(text, read.unusedMentions(), "with the ID that say nothing known here");
+            append(text, read.unusedMentions(), "with the ID that were not used");
             text.append('\n');
             for (ReadSummary.Example example : read.examples()) {
                 text.append(
--- a/ctl/src/test/java/org/skylarkbend/ctl/ExplainCommandTest.java
+++ b/ctl/src/test/java/org/skylarkbend/ctl/ExplainCommandTest.java
@@ -161,6 +161,13 @@
         assertThat(out()).contains("\"found\":false");
     }
 
+    /** Guards against comparing an ID with the line instead of the value that the line holds. */
+    @Test
+    public void anIdThatIsQuotedInTheLogIsFound() throws IOException {
+        String line = "1.0 front-1 event=caller.gone id=\"a\\\"b c\"\n";
+        assertThat(run("explain", "a\"b c", file("front.log", line))).isEqualTo(ExitCode.OK);
+    }
+
     @Test
     public void aFileThatCannotBeReadIsNamedAndIsAnErrorOfTheCommandLine() throws IOException {
         String log = file("front.log", FAILED + ENDED);
--- a/explain/src/main/java/org/skylarkbend/explain/ReadSummary.java
+++ b/explain/src/main/java/org/skylarkbend/explain/ReadSummary.java
@@ -13,7 +13,7 @@
  * @param droppedLines lines that the process did not write, as {@code log.dropped} says
  * @param unreadableLines lines that cannot be parsed
  * @param examples the first of those
- * @param unusedMentions lines that contain the ID and say nothing that is known here
+ * @param unusedMentions lines that contain the ID and are not part of the story
  */
 public record ReadSummary(
         String file,
