Let no byte of one endpoint's response become part of another at the router

Callers of skylark-router could get a success where the endpoint had answered with a failure, as at the gateway: its HTTP decoder kept the beginning of a second response, and the next one on the kept connection was joined to it. The check of the attempt ran on the joined head and passed.

The connections to engines and services are those of module exchange now, with the bounds as they were. Bytes that belong to no response end the connection and count in forward_stray_receptions. The slice's own ExchangeEvent is gone: calls handle the events of the module, and ReceivedHead reads what the router needs of a head.

--- a/router/src/main/java/org/skylarkbend/router/forward/ForwardCall.java
+++ b/router/src/main/java/org/skylarkbend/router/forward/ForwardCall.java
@@ -3,11 +3,12 @@
 import io.opentelemetry.api.trace.Span;
 import io.opentelemetry.api.trace.StatusCode;
 import io.opentelemetry.context.Context;
-import io.vertx.core.http.HttpClient;
 import java.util.Optional;
 import org.skylarkbend.base.ErrorKind;
 import org.skylarkbend.base.RunState;
 import org.skylarkbend.base.SkylarkError;
+import org.skylarkbend.exchange.EndpointClient;
+import org.skylarkbend.exchange.ExchangeEvent;
 import org.skylarkbend.forwarding.AttemptDecider;
 import org.skylarkbend.forwarding.AttemptDecision;
 import org.skylarkbend.forwarding.AttemptEffect;
@@ -23,7 +24,6 @@
 import org.skylarkbend.router.Call;
 import org.skylarkbend.router.SseEvent;
 import org.skylarkbend.router.forward.EngineEvent.TokenUsage;
-import org.skylarkbend.router.forward.ExchangeEvent.HeadReceived;
 
 /**
  * A running call, from its admission to its response. It executes the effects of the attempt
@@ -40,7 +40,7 @@
     private Optional<EngineStream> mStream = Optional.empty();
     private Endpoint mEndpoint;
     private EndpointExchange mExchange;
-    private HeadReceived mHead;
+    private ReceivedHead mHead;
     private Span mSpan = Span.getInvalid();
     private Context mTrace;
     private long mSentMilliseconds;
@@ -198,7 +198,7 @@
         if (mCall.chat().map(chat -> chat.requestsEngineStream()).orElse(false)) {
             openStream(send.attempt());
         }
-        HttpClient client =
+        EndpointClient client =
                 send.onNewConnection()
                         ? mResources.newConnectionClient()
                         : mResources.pooledClient();
@@ -223,11 +223,12 @@
         mStream.get().openedConnection(attempt);
     }
 
-    private void exchange(HttpClient client, EndpointRequest request, boolean isResume) {
+    private void exchange(EndpointClient client, EndpointRequest request, boolean isResume) {
         EndpointExchange[] self = new EndpointExchange[1];
         self[0] =
                 new EndpointExchange(
                         mResources.clock(),
+                        request,
                         event -> {
                             if (self[0] == mExchange) {
                                 handle(event, isResume);
@@ -237,7 +238,7 @@
         if (mPaused) {
             mExchange.pause();
         }
-        mExchange.open(client, request, mResources.bounds().connectTimeoutMilliseconds());
+        mExchange.open(client);
     }
 
     private void handle(ExchangeEvent event, boolean isResume) {
@@ -245,10 +246,10 @@
             notConnected(failure.cause(), isResume);
         } else if (event instanceof ExchangeEvent.Sending && !isResume) {
             apply(new AttemptMessage.Sending(mState.attempt()));
-        } else if (event instanceof HeadReceived head) {
-            handleHead(head, isResume);
+        } else if (event instanceof ExchangeEvent.HeadReceived head) {
+            handleHead(ReceivedHead.of(head.start()), isResume);
         } else if (event instanceof ExchangeEvent.ChunkReceived chunk) {
-            handleChunk(chunk.chunk());
+            handleChunk(chunk.chunk().getBytes());
         } else if (event instanceof ExchangeEvent.Ended) {
             ended();
         } else if (event instanceof ExchangeEvent.Lost lost) {
@@ -264,7 +265,7 @@
         }
     }
 
-    private void handleHead(HeadReceived head, boolean isResume) {
+    private void handleHead(ReceivedHead head, boolean isResume) {
         boolean resumed = head.isEventStream() && head.head().belongsTo(mState.attempt());
         if (isResume && !resumed) {
             mStream.orElseThrow().resumeRefused("the endpoint cannot resume the attempt");
@@ -402,11 +403,11 @@
     }
 
     private void cancel(AttemptId attempt) {
-        EndpointExchange exchange = new EndpointExchange(mResources.clock(), event -> {});
-        exchange.open(
-                mResources.newConnectionClient(),
-                mRequests.ofCancel(attempt, mEndpoint, mTrace),
-                mResources.bounds().connectTimeoutMilliseconds());
+        new EndpointExchange(
+                        mResources.clock(),
+                        mRequests.ofCancel(attempt, mEndpoint, mTrace),
+                        event -> {})
+                .open(mResources.newConnectionClient());
     }
 
     private void abandon() {
--- a/router/src/main/java/org/skylarkbend/router/forward/ForwardMetrics.java
+++ b/router/src/main/java/org/skylarkbend/router/forward/ForwardMetrics.java
@@ -1,5 +1,6 @@
 package org.skylarkbend.router.forward;
 
+import com.codahale.metrics.Counter;
 import com.codahale.metrics.Meter;
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.Timer;
@@ -10,6 +11,7 @@
     private final MetricRegistry mRegistry;
     private final Meter mAttempts;
     private final Meter mResumes;
+    private final Counter mStrayReceptions;
     private final Timer mQueueWait;
     private final Timer mFirstEvent;
     private final Timer mCalls;
@@ -19,6 +21,7 @@
         mRegistry = registry;
         mAttempts = registry.meter("forward_attempts");
         mResumes = registry.meter("forward_stream_resumes");
+        mStrayReceptions = registry.counter("forward_stray_receptions");
         mQueueWait = registry.timer("forward_queue_wait_seconds");
         mFirstEvent = registry.timer("forward_first_event_seconds");
         mCalls = registry.timer("forward_call_seconds");
@@ -42,6 +45,11 @@
         mResumes.mark();
     }
 
+    /** Returns the counter of receptions from endpoints that belong to no response. */
+    public Counter strayReceptions() {
+        return mStrayReceptions;
+    }
+
     /** Counts a failed call. */
     public void countFailure(ErrorKind kind) {
         mRegistry.meter(failureName(kind)).mark();
--- a/router/src/main/java/org/skylarkbend/router/forward/ForwardResources.java
+++ b/router/src/main/java/org/skylarkbend/router/forward/ForwardResources.java
@@ -2,17 +2,17 @@
 
 import io.opentelemetry.api.trace.Tracer;
 import io.opentelemetry.context.propagation.TextMapPropagator;
-import io.vertx.core.http.HttpClient;
 import java.util.function.Consumer;
 import org.skylarkbend.base.ByteBudget;
 import org.skylarkbend.base.MillisecondClock;
+import org.skylarkbend.exchange.EndpointClient;
 import org.skylarkbend.router.RouterBounds;
 
 /**
  * Resources shared by all calls of the forwarding task.
  *
- * @param pooledClient an HTTP client with a pool of keep-alive connections
- * @param newConnectionClient an HTTP client that opens a new connection for each request
+ * @param pooledClient client that keeps its connections
+ * @param newConnectionClient client that opens a new connection for each request
  * @param endpointCredential the bearer token that authenticates the router to endpoints
  * @param bounds the limits of the router
  * @param clock the monotonic clock
@@ -23,8 +23,8 @@
  * @param metrics the metrics of forwarding
  */
 record ForwardResources(
-        HttpClient pooledClient,
-        HttpClient newConnectionClient,
+        EndpointClient pooledClient,
+        EndpointClient newConnectionClient,
         String endpointCredential,
         RouterBounds bounds,
         MillisecondClock clock,
--- a/router/src/main/java/org/skylarkbend/router/forward/ForwardTask.java
+++ b/router/src/main/java/org/skylarkbend/router/forward/ForwardTask.java
@@ -2,9 +2,6 @@
 
 import io.vertx.core.Future;
 import io.vertx.core.VerticleBase;
-import io.vertx.core.http.HttpClient;
-import io.vertx.core.http.HttpClientOptions;
-import io.vertx.core.http.PoolOptions;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -19,6 +16,8 @@
 import org.skylarkbend.base.ObjectName;
 import org.skylarkbend.base.SkylarkError;
 import org.skylarkbend.base.telemetry.Tracing;
+import org.skylarkbend.exchange.EndpointClient;
+import org.skylarkbend.exchange.ExchangeOptions;
 import org.skylarkbend.forwarding.AdmissionDecider;
 import org.skylarkbend.forwarding.AdmissionEffect;
 import org.skylarkbend.forwarding.AdmissionLimits;
@@ -51,6 +50,9 @@
     private static final long MILLISECONDS_PER_DAY = 24L * 3600 * 1000;
     private static final int MAX_CONNECTIONS_PER_ENDPOINT = 4_096;
 
+    /** Time for which an unused connection is kept unless the endpoint names another. */
+    private static final long KEEP_ALIVE_MILLISECONDS = 60_000;
+
     private final RouterSettings mSettings;
     private final Mailbox<ForwardMessage> mMailbox;
     private final Consumer<ResponseMessage> mResponses;
@@ -112,8 +114,8 @@
     public Future<?> start() {
         mResources =
                 new ForwardResources(
-                        client(true),
-                        client(false),
+                        client(KEEP_ALIVE_MILLISECONDS),
+                        client(0),
                         mSettings.endpointCredential(),
                         mSettings.bounds(),
                         mClock,
@@ -127,17 +129,17 @@
         return Future.succeededFuture();
     }
 
-    private HttpClient client(boolean keepAlive) {
+    private EndpointClient client(long keepAliveMilliseconds) {
         RouterBounds bounds = mSettings.bounds();
-        HttpClientOptions options =
-                new HttpClientOptions()
-                        .setKeepAlive(keepAlive)
-                        .setPipelining(false)
-                        .setTcpNoDelay(true)
-                        .setMaxHeaderSize(bounds.maxHeaderBytes())
-                        .setConnectTimeout((int) bounds.connectTimeoutMilliseconds());
-        PoolOptions pool = new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS_PER_ENDPOINT);
-        return vertx.createHttpClient(options, pool);
+        return new EndpointClient(
+                vertx,
+                new ExchangeOptions(
+                        MAX_CONNECTIONS_PER_ENDPOINT,
+                        bounds.connectTimeoutMilliseconds(),
+                        keepAliveMilliseconds,
+                        bounds.maxHeaderBytes()),
+                mClock,
+                mMetrics.strayReceptions());
     }
 
     private void handle(ForwardMessage message) {
