Give each request of skylarkctl its own connection

Cause: responses of control have no ID, and the connection was kept between the requests of a command. The beginning of a second copy of a response gave its status to the next: 409 Conflict was read as 200.

HttpTransportTest: 2 of 2 cases failed before (cuts of 13 to 15, 30 to 47 and 72 to 84 bytes; not each of them in each arrival); both pass now, and CtlMainTest unchanged.

--- a/ctl/src/main/java/org/skylarkbend/ctl/HttpTransport.java
+++ b/ctl/src/main/java/org/skylarkbend/ctl/HttpTransport.java
@@ -14,7 +14,11 @@
 import org.skylarkbend.base.ErrorKind;
 import org.skylarkbend.base.Result;
 
-/** Sends requests over HTTP to each control VM in turn until the leader has responded. */
+/**
+ * Sends requests over HTTP to each control VM in turn until the leader has responded. Each request
+ * has a connection of its own: responses do not say to which request they belong, and on a kept
+ * connection an earlier one could be received again.
+ */
 final class HttpTransport implements ControlTransport, AutoCloseable {
     private static final int CONNECT_TIMEOUT_MILLISECONDS = 2_000;
     private static final long RESPONSE_TIMEOUT_MILLISECONDS = 15_000;
@@ -29,7 +33,9 @@
         mSettings = settings;
         mClient =
                 mVertx.createHttpClient(
-                        new HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MILLISECONDS));
+                        new HttpClientOptions()
+                                .setKeepAlive(false)
+                                .setConnectTimeout(CONNECT_TIMEOUT_MILLISECONDS));
     }
 
     @Override
