Test that each poll of an endpoint's load has its own connection

Load reports have no ID, so a kept connection would let an endpoint's earlier report count again. The client of the watch task and of the cache events keeps none; this passes on the code as it was.

--- a/router/src/test/java/org/skylarkbend/router/watch/EndpointWatchTaskTest.java
+++ b/router/src/test/java/org/skylarkbend/router/watch/EndpointWatchTaskTest.java
@@ -17,6 +17,7 @@
 import org.skylarkbend.router.RouterSettings;
 import org.skylarkbend.router.RouterSettingsReader;
 import org.skylarkbend.router.link.ServingView;
+import org.skylarkbend.testing.RawServer;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -25,6 +26,7 @@
 public class EndpointWatchTaskTest {
     private static final ObjectName ENGINE = ObjectName.of("engine-1");
     private static final long PATIENCE_SECONDS = 30;
+    private static final int POLLS = 6;
     private static final String LAGGING_LIST =
             "{\"generation\":1,\"endpoints\":[{\"name\":\"engine-1\",\"state\":\"live\"}]}";
 
@@ -57,6 +59,29 @@
         assertThat(firstStatusWith(closed, EndpointCondition.SUSPECT).isLive()).isFalse();
     }
 
+    /** Guards against a load report that is an earlier one, which the endpoint sends again. */
+    @Test
+    public void eachPollHasAConnectionOfItsOwn() throws Exception {
+        Promise<Void> polled = Promise.promise();
+        String load = "{\"incarnation\":1,\"running\":2,\"queued\":0,\"leaving\":true}";
+        RawServer engine =
+                new RawServer(
+                        mVertx,
+                        (request, socket) -> {
+                            socket.write(
+                                    "HTTP/1.1 200 OK\r\nContent-Length: "
+                                            + load.length()
+                                            + "\r\n\r\n"
+                                            + load);
+                            if (request.connection() >= POLLS) {
+                                polled.tryComplete();
+                            }
+                        });
+        firstStatusWith(await(engine.listen()), EndpointCondition.LEAVING);
+        await(polled.future());
+        assertThat(engine.requests()).allMatch(request -> request.number() == 1);
+    }
+
     private EndpointStatus firstStatusWith(int enginePort, EndpointCondition condition)
             throws Exception {
         Promise<EndpointStatus> found = Promise.promise();
