--- a/gateway/src/main/java/org/skylarkbend/gateway/call/CallLog.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/CallLog.java
@@ -45,6 +45,8 @@
                 mCall.id(),
                 "endpoint",
                 endpoint.incarnation(),
+                "address",
+                endpoint.host() + ":" + endpoint.port(),
                 "outcome",
                 outcome,
                 "cause",
