Read responses in gateway tests from the turn in which they arrive

A test of the gateway waited 30 s for a response that the gateway had sent: seen twice, once in a run of TruncatedResponsesTest (31 cases), once in 150 repetitions of one of its cases (at that point: 8 requests at the endpoint, 8 calls ended with 502).

Cause: the fixture set the handlers of a response in a callback that was added from the thread of the test. If that thread was delayed between sending and adding it, the response was over before it had a handler, and Vert.x drops what nobody reads. With a sleep of 600 ms there (scratch copy) the test hangs in the same way.

The callback is now added on the event loop, before anything can arrive. The same in GatewayTaskTest and GatewayMemoryTest. No assertion changes. 300 repetitions of the case pass, as do all 168 tests of the module.

--- a/gateway/src/test/java/org/skylarkbend/gateway/front/GatewayFixture.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/front/GatewayFixture.java
@@ -152,10 +152,13 @@
         return send(headers, Buffer.buffer("body"));
     }
 
+    /**
+     * Sends a call. Its response is read from the turn of the event loop in which it arrives; what
+     * arrives before a response has a handler is lost.
+     */
     protected Future<Response> send(Map<String, String> headers, Buffer body) {
         return request(headers)
-                .compose(request -> request.send(body))
-                .compose(GatewayTaskTest::toResponse);
+                .compose(request -> request.send(body).compose(GatewayTaskTest::toResponse));
     }
 
     protected Future<HttpClientRequest> request(Map<String, String> headers) {
--- a/gateway/src/test/java/org/skylarkbend/gateway/front/GatewayMemoryTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/front/GatewayMemoryTest.java
@@ -113,8 +113,10 @@
         publish(Routes.of(CallKind.STREAM, 1, false, 120_000), endpoint);
         await(
                 request(Map.of())
-                        .compose(request -> request.send(Buffer.buffer("body")))
-                        .onSuccess(response -> response.pause()));
+                        .compose(
+                                request ->
+                                        request.send(Buffer.buffer("body"))
+                                                .onSuccess(response -> response.pause())));
         long[] lastBytes = {-1};
         awaitUntil(
                 () -> {
--- a/gateway/src/test/java/org/skylarkbend/gateway/front/GatewayTaskTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/front/GatewayTaskTest.java
@@ -9,6 +9,7 @@
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClientResponse;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -49,8 +50,11 @@
         // without a body.
         Future<Response> reply =
                 request(Map.of("Expect", "100-continue"))
-                        .compose(request -> request.continueHandler(arrived::tryComplete).send())
-                        .compose(GatewayTaskTest::toResponse);
+                        .compose(
+                                request ->
+                                        request.continueHandler(arrived::tryComplete)
+                                                .send()
+                                                .compose(GatewayTaskTest::toResponse));
         await(arrived.future());
         publish(Routes.of(CallKind.ONCE, 1, false), endpoints);
         assertThat(await(reply).status()).isEqualTo(200);
@@ -301,17 +305,21 @@
         Promise<String> received = Promise.promise();
         StringBuilder text = new StringBuilder();
         request(Map.of())
-                .compose(request -> request.send(Buffer.buffer("body")))
-                .onSuccess(
-                        response -> {
-                            response.handler(text::append);
-                            response.endHandler(done -> received.tryComplete(text + "complete"));
-                            response.exceptionHandler(e -> received.tryComplete(text + "broken"));
-                        })
+                .compose(
+                        request ->
+                                request.send(Buffer.buffer("body"))
+                                        .onSuccess(response -> collect(response, text, received)))
                 .onFailure(received::tryFail);
         return await(received.future());
     }
 
+    private static void collect(
+            HttpClientResponse response, StringBuilder text, Promise<String> received) {
+        response.handler(text::append);
+        response.endHandler(done -> received.tryComplete(text + "complete"));
+        response.exceptionHandler(e -> received.tryComplete(text + "broken"));
+    }
+
     @SafeVarargs
     private FakeEndpoint[] serve(
             CallKind kind,
