Test responses that are cut at each byte

Operators of similar systems saw a success with an empty or short body where an endpoint had closed in the middle of its head.

--- a/ctl/src/test/java/org/skylarkbend/ctl/HttpTransportTest.java
+++ b/ctl/src/test/java/org/skylarkbend/ctl/HttpTransportTest.java
@@ -4,6 +4,7 @@
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import io.vertx.core.net.NetSocket;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -23,6 +24,9 @@
                     + "{\"revision\":8}";
     private static final String CONFLICT = "HTTP/1.1 409 Conflict\r\nContent-Length: 4\r\n\r\nlost";
 
+    /** Time in which the client reads the bytes before a reset, which might discard them. */
+    private static final long READ_MILLISECONDS = 5;
+
     private Vertx mVertx;
 
     @BeforeMethod
@@ -77,6 +81,63 @@
         assertThat(wrong).isEmpty();
     }
 
+    /** How a connection ends. */
+    private enum End {
+        CLOSE,
+        RESET
+    }
+
+    @DataProvider
+    private Object[][] responses() {
+        String body = "{\"revision\":8}";
+        String chunks = "e\r\n" + body + "\r\n0\r\nX-Check: 1\r\n\r\n";
+        String start = "HTTP/1.1 200 OK\r\n";
+        String type = "Content-Type: application/json\r\n";
+        List<Object[]> cases = new ArrayList<>();
+        for (End end : End.values()) {
+            String length = "Content-Length: 14\r\n";
+            cases.add(new Object[] {end, start + length + type + "\r\n" + body});
+            cases.add(new Object[] {end, start + type + length + "\r\n" + body});
+            cases.add(new Object[] {end, start + "Transfer-Encoding: chunked\r\n\r\n" + chunks});
+        }
+        cases.add(new Object[] {End.CLOSE, start + type + "\r\n"});
+        cases.add(new Object[] {End.RESET, start + type + "\r\n" + body + " "});
+        return cases.toArray(Object[][]::new);
+    }
+
+    /** Guards against a success made of the beginning of a response. */
+    @Test(dataProvider = "responses")
+    public void aResponseCutAtAnyByteIsNoSuccess(End end, String response) throws Exception {
+        AtomicInteger cutBytes = new AtomicInteger();
+        RawServer control =
+                new RawServer(
+                        mVertx,
+                        (request, socket) ->
+                                send(response.substring(0, cutBytes.get()), end, socket));
+        List<String> wrong = new ArrayList<>();
+        try (HttpTransport transport = transport(await(control.listen()))) {
+            for (int bytes = 0; bytes < response.length(); bytes++) {
+                cutBytes.set(bytes);
+                int status = statusOf(transport.send(ControlRequest.get("/x")));
+                if (status != 0) {
+                    wrong.add(bytes + " bytes: " + status);
+                }
+            }
+        }
+        assertThat(wrong).isEmpty();
+    }
+
+    private void send(String bytes, End end, NetSocket socket) {
+        if (!bytes.isEmpty()) {
+            socket.write(bytes);
+        }
+        if (end == End.CLOSE) {
+            socket.end();
+        } else {
+            mVertx.setTimer(READ_MILLISECONDS, id -> RawServer.reset(socket));
+        }
+    }
+
     private static HttpTransport transport(int port) {
         return new HttpTransport(new OperatorSettings(List.of("127.0.0.1:" + port), "sk"));
     }
