--- /dev/null
+++ b/exchange/src/test/java/org/skylarkbend/exchange/ExchangeTest.java
@@ -0,0 +1,228 @@
+package org.skylarkbend.exchange;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.net.NetSocket;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.skylarkbend.testing.RawServer;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests what an exchange reports, and which bytes belong to its response. */
+public class ExchangeTest extends ExchangeFixture {
+    private RawServer server(String response) {
+        return new RawServer(mVertx, (request, socket) -> socket.write(response));
+    }
+
+    @Test
+    public void theEventsOfAnExchangeComeInOrder() throws Exception {
+        int port = listen(server(OK));
+        RecordedExchange exchange = exchange(client(1), port);
+        assertThat(exchange.names())
+                .containsExactlyInAnyOrder(
+                        "Sending", "Sent", "HeadReceived", "ChunkReceived", "Ended")
+                .containsSubsequence("Sending", "HeadReceived", "ChunkReceived", "Ended");
+        assertThat(exchange.status()).isEqualTo(200);
+    }
+
+    @Test
+    public void aPausedExchangeLosesAndReordersNothing() throws Exception {
+        String body =
+                IntStream.range(0, 50_000).mapToObj(i -> i + ";").collect(Collectors.joining());
+        int port =
+                listen(
+                        server(
+                                "HTTP/1.1 200 OK\r\nContent-Length: "
+                                        + body.length()
+                                        + "\r\n\r\n"
+                                        + body));
+        EndpointClient client = client(1);
+        AtomicReference<RecordedExchange> self = new AtomicReference<>();
+        RecordedExchange exchange =
+                new RecordedExchange(
+                        request(port, HttpMethod.GET, "/", Buffer.buffer()),
+                        event -> {
+                            if (!(event instanceof ExchangeEvent.Ended)) {
+                                Exchange own = self.get().exchange();
+                                own.pause();
+                                mVertx.runOnContext(ignored -> own.resume());
+                            }
+                        });
+        self.set(exchange);
+        onContext(
+                () -> {
+                    client.start(exchange.exchange());
+                    return exchange;
+                });
+        await(exchange.end());
+        assertThat(exchange.body()).isEqualTo(body);
+        assertThat(exchange.isComplete()).isTrue();
+        assertThat(exchange(client, port).body()).as("on the same connection").isEqualTo(body);
+    }
+
+    @Test
+    public void aPausedExchangeIsNotNotifiedUntilItIsResumed() throws Exception {
+        RawServer server = server(OK);
+        int port = listen(server);
+        EndpointClient client = client(1);
+        RecordedExchange exchange =
+                new RecordedExchange(
+                        request(port, HttpMethod.GET, "/", Buffer.buffer()), event -> {});
+        onContext(
+                () -> {
+                    exchange.exchange().pause();
+                    client.start(exchange.exchange());
+                    return exchange;
+                });
+        awaitUntil(() -> server.requests().size() == 1);
+        assertThat(exchange.names()).isEmpty();
+        onContext(
+                () -> {
+                    exchange.exchange().resume();
+                    return exchange;
+                });
+        assertThat(await(exchange.end()).body()).isEqualTo("done");
+    }
+
+    @Test
+    public void theResponseToAHeadRequestHasNoBody() throws Exception {
+        RawServer server =
+                new RawServer(
+                        mVertx,
+                        (request, socket) ->
+                                socket.write(
+                                        request.head().startsWith("HEAD")
+                                                ? OK.replace("done", "")
+                                                : OK));
+        int port = listen(server);
+        EndpointClient client = client(1);
+        RecordedExchange head =
+                start(client, request(port, HttpMethod.HEAD, "/", Buffer.buffer()), event -> {});
+        assertThat(await(head.end()).isComplete()).isTrue();
+        assertThat(head.body()).isEmpty();
+        assertThat(exchange(client, port).body()).isEqualTo("done");
+        assertThat(server.connections()).isEqualTo(1);
+    }
+
+    @Test
+    public void interimResponsesAreNotReported() throws Exception {
+        RawServer server =
+                server(
+                        "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n"
+                                + "\r\n"
+                                + OK);
+        int port = listen(server);
+        EndpointClient client = client(1);
+        for (int i = 0; i < 2; i++) {
+            RecordedExchange exchange = exchange(client, port);
+            assertThat(exchange.status()).isEqualTo(200);
+            assertThat(exchange.body()).isEqualTo("done");
+        }
+        assertThat(server.connections()).isEqualTo(1);
+        assertThat(mStrayReceptions.getCount()).isZero();
+    }
+
+    /** Guards against bytes between two responses that become part of the second. */
+    @Test
+    public void bytesOnAnUnusedConnectionAreCountedAndCloseIt() throws Exception {
+        AtomicReference<NetSocket> last = new AtomicReference<>();
+        RawServer server =
+                new RawServer(
+                        mVertx,
+                        (request, socket) -> {
+                            last.set(socket);
+                            socket.write(OK);
+                        });
+        int port = listen(server);
+        EndpointClient client = client(1);
+        exchange(client, port);
+        last.get().write("HTTP/1.1 2");
+        awaitUntil(() -> server.openConnections() == 0);
+        assertThat(mStrayReceptions.getCount()).isEqualTo(1);
+        assertThat(exchange(client, port).isComplete()).isTrue();
+        assertThat(server.connections()).isEqualTo(2);
+    }
+
+    /** Guards against bytes behind a response that become part of the next. */
+    @Test
+    public void bytesBehindAResponseAreCountedAndTheNextExchangeHasANewConnection()
+            throws Exception {
+        RawServer server = server(OK + OK.substring(0, 30));
+        int port = listen(server);
+        EndpointClient client = client(1);
+        for (int i = 1; i <= 3; i++) {
+            RecordedExchange exchange = exchange(client, port);
+            assertThat(exchange.isComplete()).isTrue();
+            assertThat(exchange.body()).isEqualTo("done");
+            assertThat(mStrayReceptions.getCount()).isEqualTo(i);
+            assertThat(server.connections()).isEqualTo(i);
+        }
+    }
+
+    @DataProvider
+    private Object[][] joinedHeads() {
+        String own = "HTTP/1.1 404 Unknown\r\nContent-Length: 4\r\n\r\nfail";
+        return new Object[][] {
+            {"in the reason phrase", "HTTP/1.1 200 O" + own},
+            {"in place of the reason phrase", "HTTP/1.1 200 " + own},
+            {"in the value of a header", "HTTP/1.1 200 OK\r\nETag: a" + own},
+            {"in the name of a header", "HTTP/1.1 200 OK\r\nETHTTP/1.1 404: x\r\n\r\n"},
+            {"in the status line", "HTTP/1.1 20" + own},
+            {"as a line of its own", "HTTP/1.1 200 OK\r\n" + own}
+        };
+    }
+
+    /** Guards against a response made of the beginning of one and the rest of another. */
+    @Test(dataProvider = "joinedHeads")
+    public void aHeadWithASecondStatusLineIsABrokenResponse(String name, String response)
+            throws Exception {
+        RawServer server = server(response);
+        int port = listen(server);
+        RecordedExchange exchange = exchange(client(1), port);
+        assertThat(exchange.lastEvent()).isInstanceOf(ExchangeEvent.Lost.class);
+        assertThat(exchange.names()).doesNotContain("HeadReceived");
+        awaitUntil(() -> server.openConnections() == 0);
+    }
+
+    @Test
+    public void aHeadThatIsTooLargeIsABrokenResponse() throws Exception {
+        RawServer server = server("HTTP/1.1 200 OK\r\nETag: " + "x".repeat(2_000) + "\r\n\r\n");
+        int port = listen(server);
+        assertThat(exchange(client(1), port).lastEvent()).isInstanceOf(ExchangeEvent.Lost.class);
+        awaitUntil(() -> server.openConnections() == 0);
+    }
+
+    @Test
+    public void aRequestThatWasNotAnsweredIsLostWhenItsConnectionCloses() throws Exception {
+        int port = listen(new RawServer(mVertx, (request, socket) -> socket.close()));
+        RecordedExchange exchange = exchange(client(1), port);
+        assertThat(exchange.lastEvent()).isInstanceOf(ExchangeEvent.Lost.class);
+    }
+
+    @Test
+    public void aRequestThatCannotBeEncodedIsLostAndItsConnectionServesTheNext() throws Exception {
+        RawServer server = server(OK);
+        int port = listen(server);
+        EndpointClient client = client(1);
+        exchange(client, port);
+        ExchangeRequest invalid = request(port, HttpMethod.GET, "/", Buffer.buffer());
+        invalid.headers().add("X-Note", "a");
+        RecordedExchange broken =
+                start(
+                        client,
+                        new ExchangeRequest(
+                                invalid.endpoint(),
+                                invalid.method(),
+                                "/ \r\nX: y",
+                                invalid.headers(),
+                                invalid.body()),
+                        event -> {});
+        assertThat(await(broken.end()).lastEvent()).isInstanceOf(ExchangeEvent.Lost.class);
+        assertThat(exchange(client, port).isComplete()).isTrue();
+        assertThat(server.requests()).hasSize(2);
+    }
+}
--- /dev/null
+++ b/exchange/src/test/java/org/skylarkbend/exchange/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of exchanges against servers on the loopback interface. */
+package org.skylarkbend.exchange;
