--- a/gateway/src/test/java/org/skylarkbend/gateway/front/GatewayFixture.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/front/GatewayFixture.java
@@ -174,6 +174,10 @@
         return send(headers, Buffer.buffer("body"));
     }
 
+    /**
+     * Sends a call. Its response is read from the turn of the event loop in which it arrives; what
+     * arrives before a response has a handler is lost.
+     */
     protected Future<Response> send(Map<String, String> headers, Buffer body) {
         // Composed inside, or a response that is complete before the test's thread goes on is lost.
         return request(headers)
