--- a/gateway/src/test/java/org/skylarkbend/gateway/front/GatewayFixture.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/front/GatewayFixture.java
@@ -179,7 +179,6 @@
      * arrives before a response has a handler is lost.
      */
     protected Future<Response> send(Map<String, String> headers, Buffer body) {
-        // Composed inside, or a response that is complete before the test's thread goes on is lost.
         return request(headers)
                 .compose(request -> request.send(body).compose(GatewayTaskTest::toResponse));
     }
