Close connections of exchanges at once, also if the endpoint does not read

Cause: closing a socket of Vert.x first writes what is pending. An endpoint that stopped reading in the middle of a request, or responded early and read no more, kept the connection, the body and the place in the pool for as long as it liked, although the exchange was cancelled or complete.

Two tests of ExchangeTest failed before: with one connection allowed, the next exchange was not connected within its 10 s.

--- a/exchange/src/main/java/org/skylarkbend/exchange/EndpointConnection.java
+++ b/exchange/src/main/java/org/skylarkbend/exchange/EndpointConnection.java
@@ -108,10 +108,13 @@
                 .onFailure(e -> fail(String.valueOf(e.getMessage())));
     }
 
-    /** Closes the connection. Its exchange is not notified if it was cancelled. */
+    /**
+     * Closes the connection at once, also if the endpoint does not read what remains of a request.
+     * Its exchange is not notified if it was cancelled.
+     */
     void close() {
         mReusable = false;
-        mSocket.close();
+        mSocket.channelHandlerContext().close();
     }
 
     /** Starts or stops reading from the connection. */
--- a/exchange/src/test/java/org/skylarkbend/exchange/ExchangeTest.java
+++ b/exchange/src/test/java/org/skylarkbend/exchange/ExchangeTest.java
@@ -14,6 +14,8 @@
 
 /** Tests what an exchange reports, and which bytes belong to its response. */
 public class ExchangeTest extends ExchangeFixture {
+    private static final int BIG_BODY_BYTES = 32 * 1024 * 1024;
+
     private RawServer server(String response) {
         return new RawServer(mVertx, (request, socket) -> socket.write(response));
     }
@@ -126,6 +128,74 @@
         assertThat(mStrayReceptions.getCount()).isZero();
     }
 
+    /** Guards against the rest of a request in front of the next one on its connection. */
+    @Test
+    public void aConnectionWhoseResponseCameBeforeTheRequestWasWrittenIsNotUsedAgain()
+            throws Exception {
+        AtomicReference<NetSocket> slow = new AtomicReference<>();
+        int port =
+                await(
+                                mVertx.createNetServer()
+                                        .connectHandler(
+                                                socket -> {
+                                                    if (slow.compareAndSet(null, socket)) {
+                                                        socket.pause();
+                                                    }
+                                                    socket.write(OK);
+                                                })
+                                        .listen(0, HOST))
+                        .actualPort();
+        EndpointClient client = client(1);
+        RecordedExchange early =
+                start(
+                        client,
+                        request(
+                                port,
+                                HttpMethod.POST,
+                                "/",
+                                Buffer.buffer(new byte[BIG_BODY_BYTES])),
+                        event -> {});
+        assertThat(await(early.end()).isComplete()).isTrue();
+        assertThat(early.names()).doesNotContain("Sent");
+        NetSocket first = slow.get();
+        RecordedExchange next = exchange(client, port);
+        assertThat(next.body()).isEqualTo("done");
+        assertThat(slow.get()).isSameAs(first);
+    }
+
+    /** Guards against connections and bodies that stay after their exchanges are cancelled. */
+    @Test
+    public void aCancelledExchangeClosesAConnectionThatItsEndpointDoesNotRead() throws Exception {
+        AtomicReference<NetSocket> slow = new AtomicReference<>();
+        int port =
+                await(
+                                mVertx.createNetServer()
+                                        .connectHandler(
+                                                socket -> {
+                                                    if (slow.compareAndSet(null, socket)) {
+                                                        socket.pause();
+                                                    } else {
+                                                        socket.write(OK);
+                                                    }
+                                                })
+                                        .listen(0, HOST))
+                        .actualPort();
+        EndpointClient client = client(1);
+        RecordedExchange cancelled =
+                start(
+                        client,
+                        request(
+                                port,
+                                HttpMethod.POST,
+                                "/",
+                                Buffer.buffer(new byte[BIG_BODY_BYTES])),
+                        event -> {});
+        RecordedExchange waiting = start(client, port, "/");
+        awaitUntil(() -> cancelled.names().contains("Sending"));
+        cancel(cancelled);
+        assertThat(await(waiting.end()).body()).isEqualTo("done");
+    }
+
     /** Guards against bytes between two responses that become part of the second. */
     @Test
     public void bytesOnAnUnusedConnectionAreCountedAndCloseIt() throws Exception {
