Fail an exchange only for a connection that it needed

Cause: each connection that could not be opened failed the first waiting exchange, also when the exchange that it was opened for was cancelled or out of time, and another connection was being opened for the first one.

ConnectionPoolTest.aFailedConnectionLeavesAnExchangeWhoseConnectionIsStillBeingOpened failed before (NotConnected where nothing had failed) and passes now with the other 28 tests of the module.

--- a/exchange/src/main/java/org/skylarkbend/exchange/ConnectionPool.java
+++ b/exchange/src/main/java/org/skylarkbend/exchange/ConnectionPool.java
@@ -109,9 +109,13 @@
                         this::closed));
     }
 
+    /** Fails the first waiting exchange, unless a connection is being opened for each of them. */
     private void notConnected(Throwable failure) {
         mConnecting--;
-        firstWaiting().ifPresent(exchange -> fail(exchange, String.valueOf(failure.getMessage())));
+        if (mWaitingTimers.size() > mConnecting) {
+            firstWaiting()
+                    .ifPresent(exchange -> fail(exchange, String.valueOf(failure.getMessage())));
+        }
         connectIfNeeded();
         removeIfEmpty();
     }
--- a/exchange/src/test/java/org/skylarkbend/exchange/ConnectionPoolTest.java
+++ b/exchange/src/test/java/org/skylarkbend/exchange/ConnectionPoolTest.java
@@ -2,7 +2,13 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.vertx.core.Promise;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetSocket;
+import io.vertx.core.net.SocketAddress;
+import java.lang.reflect.Proxy;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -92,6 +98,54 @@
         assertThat(exchange(client, port).body()).isEqualTo("back");
     }
 
+    /** Guards against a failure that another exchange's connection has met. */
+    @Test
+    public void aFailedConnectionLeavesAnExchangeWhoseConnectionIsStillBeingOpened()
+            throws Exception {
+        List<Promise<NetSocket>> connecting = new ArrayList<>();
+        NetClient sockets =
+                (NetClient)
+                        Proxy.newProxyInstance(
+                                NetClient.class.getClassLoader(),
+                                new Class<?>[] {NetClient.class},
+                                (proxy, method, arguments) -> {
+                                    Promise<NetSocket> promise = Promise.promise();
+                                    connecting.add(promise);
+                                    return promise.future();
+                                });
+        ConnectionPool pool =
+                new ConnectionPool(
+                        mVertx,
+                        sockets,
+                        SocketAddress.inetSocketAddress(1, HOST),
+                        new ExchangeOptions(4, 10_000, KEEP_ALIVE_MILLISECONDS, 1_024),
+                        mNowMilliseconds::get,
+                        mStrayReceptions,
+                        address -> {});
+        RecordedExchange first = recorded();
+        RecordedExchange second = recorded();
+        onContext(
+                () -> {
+                    pool.submit(first.exchange());
+                    pool.submit(second.exchange());
+                    first.exchange().cancel();
+                    connecting.get(0).fail("refused");
+                    return pool;
+                });
+        assertThat(second.names()).as("its own connection may come").isEmpty();
+        onContext(
+                () -> {
+                    connecting.get(1).fail("refused");
+                    return pool;
+                });
+        assertThat(second.names()).containsExactly("NotConnected");
+        assertThat(first.names()).isEmpty();
+    }
+
+    private static RecordedExchange recorded() {
+        return new RecordedExchange(request(1, HttpMethod.GET, "/", Buffer.buffer()), event -> {});
+    }
+
     @Test
     public void anExchangeThatIsCancelledWhileItWaitsSendsNothing() throws Exception {
         RawServer server = holdingServer();
