--- a/exchange/src/main/java/org/skylarkbend/exchange/EndpointConnection.java
+++ b/exchange/src/main/java/org/skylarkbend/exchange/EndpointConnection.java
@@ -20,6 +20,7 @@
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.internal.net.NetSocketInternal;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.skylarkbend.base.MillisecondClock;
 import org.skylarkbend.base.StructuredLog;
@@ -29,6 +30,10 @@
     private static final StructuredLog LOG = StructuredLog.of(EndpointConnection.class);
     private static final String VERTX_HANDLER = "handler";
 
+    /** Methods whose requests name the length of their body also if it is empty (RFC 9110, 8.6). */
+    private static final Set<HttpMethod> METHODS_WITH_BODY =
+            Set.of(HttpMethod.POST, HttpMethod.PUT, HttpMethod.PATCH);
+
     private final NetSocketInternal mSocket;
     private final ResponseDecoder mDecoder;
     private final ExchangeOptions mOptions;
@@ -131,7 +136,7 @@
                         Unpooled.wrappedBuffer(request.body().getBytes()));
         request.headers()
                 .forEach(header -> encoded.headers().add(header.getKey(), header.getValue()));
-        if (request.body().length() > 0) {
+        if (request.body().length() > 0 || METHODS_WITH_BODY.contains(request.method())) {
             encoded.headers().set(HttpHeaderNames.CONTENT_LENGTH, request.body().length());
         }
         if (mOptions.keepAliveMilliseconds() == 0) {
--- a/exchange/src/test/java/org/skylarkbend/exchange/ExchangeTest.java
+++ b/exchange/src/test/java/org/skylarkbend/exchange/ExchangeTest.java
@@ -5,6 +5,7 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.net.NetSocket;
+import java.util.List;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
@@ -196,6 +197,22 @@
         assertThat(await(waiting.end()).body()).isEqualTo("done");
     }
 
+    /** Guards against an endpoint that waits for the body of a request that has none. */
+    @Test
+    public void anEmptyBodyHasALengthWhereTheMethodMayHaveABody() throws Exception {
+        RawServer server = server(OK);
+        int port = listen(server);
+        EndpointClient client = client(1);
+        for (HttpMethod method : List.of(HttpMethod.POST, HttpMethod.PUT, HttpMethod.PATCH)) {
+            ExchangeRequest request = request(port, method, "/", Buffer.buffer());
+            await(start(client, request, event -> {}).end());
+        }
+        exchange(client, port);
+        assertThat(server.requests())
+                .extracting(request -> request.head().toLowerCase().contains("content-length: 0"))
+                .containsExactly(true, true, true, false);
+    }
+
     /** Guards against bytes between two responses that become part of the second. */
     @Test
     public void bytesOnAnUnusedConnectionAreCountedAndCloseIt() throws Exception {
