Keep the connection behind a response that never has a body

Cause: a response with neither Content-Length nor chunks counted as one that ends with its connection, also where the status (204, 304) or the method HEAD rules a body out. Each such call then needed a new connection.

ExchangeTest.aResponseThatNeverHasABodyKeepsItsConnection failed before (three connections for three calls) and passes now with the other 30 tests of the module.

--- a/exchange/src/main/java/org/skylarkbend/exchange/EndpointConnection.java
+++ b/exchange/src/main/java/org/skylarkbend/exchange/EndpointConnection.java
@@ -171,7 +171,11 @@
             return;
         }
         if (part instanceof HttpResponse response) {
-            mKeepAlive = KeepAlive.of(response, mOptions.keepAliveMilliseconds());
+            mKeepAlive =
+                    KeepAlive.of(
+                            response,
+                            mDecoder.isWithoutBody(response),
+                            mOptions.keepAliveMilliseconds());
             exchange.deliver(
                     new ExchangeEvent.HeadReceived(
                             new ResponseStart(response.status().code(), headersOf(response))));
--- a/exchange/src/main/java/org/skylarkbend/exchange/KeepAlive.java
+++ b/exchange/src/main/java/org/skylarkbend/exchange/KeepAlive.java
@@ -18,12 +18,14 @@
      * Returns what a response says about its connection.
      *
      * @param response head of the response
+     * @param withoutBody true if the response cannot have a body
      * @param standardMilliseconds time if the response names none; 0 if none is kept
      */
-    static KeepAlive of(HttpResponse response, long standardMilliseconds) {
+    static KeepAlive of(HttpResponse response, boolean withoutBody, long standardMilliseconds) {
         boolean endsWithConnection =
                 !HttpUtil.isKeepAlive(response)
-                        || !HttpUtil.isContentLengthSet(response)
+                        || !withoutBody
+                                && !HttpUtil.isContentLengthSet(response)
                                 && !HttpUtil.isTransferEncodingChunked(response);
         if (standardMilliseconds == 0 || endsWithConnection) {
             return new KeepAlive(0);
--- a/exchange/src/main/java/org/skylarkbend/exchange/ResponseDecoder.java
+++ b/exchange/src/main/java/org/skylarkbend/exchange/ResponseDecoder.java
@@ -45,6 +45,11 @@
         mWithoutBody = withoutBody;
     }
 
+    /** Returns whether a response to the present request has no body, whatever its head says. */
+    boolean isWithoutBody(HttpResponse response) {
+        return isContentAlwaysEmpty(response);
+    }
+
     @Override
     protected void decode(ChannelHandlerContext context, ByteBuf in, List<Object> out)
             throws Exception {
--- a/exchange/src/test/java/org/skylarkbend/exchange/ExchangeTest.java
+++ b/exchange/src/test/java/org/skylarkbend/exchange/ExchangeTest.java
@@ -213,6 +213,22 @@
                 .containsExactly(true, true, true, false);
     }
 
+    /** Guards against a new connection for each request whose response has no body. */
+    @Test
+    public void aResponseThatNeverHasABodyKeepsItsConnection() throws Exception {
+        for (HttpMethod method : List.of(HttpMethod.GET, HttpMethod.HEAD)) {
+            String status = method.equals(HttpMethod.HEAD) ? "200 OK" : "204 No Content";
+            RawServer server = server("HTTP/1.1 " + status + "\r\n\r\n");
+            int port = listen(server);
+            EndpointClient client = client(1);
+            for (int i = 0; i < 3; i++) {
+                ExchangeRequest request = request(port, method, "/", Buffer.buffer());
+                assertThat(await(start(client, request, event -> {}).end()).isComplete()).isTrue();
+            }
+            assertThat(server.connections()).as(status).isEqualTo(1);
+        }
+    }
+
     /** Guards against bytes between two responses that become part of the second. */
     @Test
     public void bytesOnAnUnusedConnectionAreCountedAndCloseIt() throws Exception {
