--- a/exchange/src/test/java/org/skylarkbend/exchange/ExchangeTest.java
+++ b/exchange/src/test/java/org/skylarkbend/exchange/ExchangeTest.java
@@ -5,6 +5,7 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.net.NetSocket;
+import java.util.List;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
@@ -14,6 +15,8 @@
 
 /** Tests what an exchange reports, and which bytes belong to its response. */
 public class ExchangeTest extends ExchangeFixture {
+    private static final int BIG_BODY_BYTES = 32 * 1024 * 1024;
+
     private RawServer server(String response) {
         return new RawServer(mVertx, (request, socket) -> socket.write(response));
     }
@@ -126,6 +129,106 @@
         assertThat(mStrayReceptions.getCount()).isZero();
     }
 
+    /** Guards against the rest of a request in front of the next one on its connection. */
+    @Test
+    public void aConnectionWhoseResponseCameBeforeTheRequestWasWrittenIsNotUsedAgain()
+            throws Exception {
+        AtomicReference<NetSocket> slow = new AtomicReference<>();
+        int port =
+                await(
+                                mVertx.createNetServer()
+                                        .connectHandler(
+                                                socket -> {
+                                                    if (slow.compareAndSet(null, socket)) {
+                                                        socket.pause();
+                                                    }
+                                                    socket.write(OK);
+                                                })
+                                        .listen(0, HOST))
+                        .actualPort();
+        EndpointClient client = client(1);
+        RecordedExchange early =
+                start(
+                        client,
+                        request(
+                                port,
+                                HttpMethod.POST,
+                                "/",
+                                Buffer.buffer(new byte[BIG_BODY_BYTES])),
+                        event -> {});
+        assertThat(await(early.end()).isComplete()).isTrue();
+        assertThat(early.names()).doesNotContain("Sent");
+        NetSocket first = slow.get();
+        RecordedExchange next = exchange(client, port);
+        assertThat(next.body()).isEqualTo("done");
+        assertThat(slow.get()).isSameAs(first);
+    }
+
+    /** Guards against connections and bodies that stay after their exchanges are cancelled. */
+    @Test
+    public void aCancelledExchangeClosesAConnectionThatItsEndpointDoesNotRead() throws Exception {
+        AtomicReference<NetSocket> slow = new AtomicReference<>();
+        int port =
+                await(
+                                mVertx.createNetServer()
+                                        .connectHandler(
+                                                socket -> {
+                                                    if (slow.compareAndSet(null, socket)) {
+                                                        socket.pause();
+                                                    } else {
+                                                        socket.write(OK);
+                                                    }
+                                                })
+                                        .listen(0, HOST))
+                        .actualPort();
+        EndpointClient client = client(1);
+        RecordedExchange cancelled =
+                start(
+                        client,
+                        request(
+                                port,
+                                HttpMethod.POST,
+                                "/",
+                                Buffer.buffer(new byte[BIG_BODY_BYTES])),
+                        event -> {});
+        RecordedExchange waiting = start(client, port, "/");
+        awaitUntil(() -> cancelled.names().contains("Sending"));
+        cancel(cancelled);
+        assertThat(await(waiting.end()).body()).isEqualTo("done");
+    }
+
+    /** Guards against an endpoint that waits for the body of a request that has none. */
+    @Test
+    public void anEmptyBodyHasALengthWhereTheMethodMayHaveABody() throws Exception {
+        RawServer server = server(OK);
+        int port = listen(server);
+        EndpointClient client = client(1);
+        for (HttpMethod method : List.of(HttpMethod.POST, HttpMethod.PUT, HttpMethod.PATCH)) {
+            ExchangeRequest request = request(port, method, "/", Buffer.buffer());
+            await(start(client, request, event -> {}).end());
+        }
+        exchange(client, port);
+        assertThat(server.requests())
+                .extracting(request -> request.head().toLowerCase().contains("content-length: 0"))
+                .containsExactly(true, true, true, false);
+    }
+
+    /** Guards against a new connection for each request whose response has no body. */
+    @Test
+    public void aResponseThatNeverHasABodyKeepsItsConnection() throws Exception {
+        for (HttpMethod method : List.of(HttpMethod.GET, HttpMethod.HEAD)) {
+            String status = method.equals(HttpMethod.HEAD) ? "200 OK" : "204 No Content";
+            RawServer server = server("HTTP/1.1 " + status + "\r\n\r\n");
+            int port = listen(server);
+            EndpointClient client = client(1);
+            for (int i = 0; i < 3; i++) {
+                ExchangeRequest request = request(port, method, "/", Buffer.buffer());
+                assertThat(await(start(client, request, event -> {}).end()).isComplete()).isTrue();
+            }
+            assertThat(server.connections()).as(status).isEqualTo(1);
+        }
+    }
+
     /** Guards against bytes between two responses that become part of the second. */
     @Test
     public void bytesOnAnUnusedConnectionAreCountedAndCloseIt() throws Exception {
