Write the log again once the disk has room after a failed sync, cut or rename

Cause: LogFile closed its channel when a sync or a truncation failed, and before it moved a new log into place. Nothing opened it again, so every later write failed on the closed channel until the process was started anew, also when the disk had room. A member whose lack of room showed only at the sync was lost for the log, and as a leader it refused all changes of the group.

Change: after a failed operation the file counts as not intact. It is then opened anew, cut behind the last synced length, synced and checked before anything else is written; a new log that may or may not be in place after a failed move or folder sync is recognised by its generation. A file that could not be finished is removed. ChannelWriter becomes FileOperations: write, sync, truncate and replace, so that tests can make each of them fail. agreement.disk.failed is written once, with the operation and the cause; agreement.disk.recovered says after how long a write succeeded again.

Evidence: DiskWithoutRoomTest and DisksWithoutRoomInTurnTest. AgreementStorageTest and AgreementTaskTest changed in the name of the seam only; the simulation has its disk behind an interface now.

--- a/agreement/src/main/java/org/skylarkbend/agreement/AgreementStorage.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/AgreementStorage.java
@@ -51,18 +51,18 @@
      * @param path the folder
      * @param vm the VM that the folder belongs to
      * @param randomNumber generates the number of a new identity
-     * @param channelWriter writes to files
+     * @param fileOperations the operations that change files
      * @param isFirstStart true if the system has never run, so that an empty folder replaces none
      */
     public static Result<AgreementStorage> open(
             Path path,
             ObjectName vm,
             LongSupplier randomNumber,
-            ChannelWriter channelWriter,
+            FileOperations fileOperations,
             boolean isFirstStart) {
         try {
             AgreementStorage storage =
-                    new AgreementStorage(DataFolder.open(path, channelWriter), isFirstStart);
+                    new AgreementStorage(DataFolder.open(path, fileOperations), isFirstStart);
             Result<DurableState> recovered = storage.recoverOrClose(vm, randomNumber);
             return recovered.map(storage::withRecovered);
         } catch (IOException e) {
@@ -210,13 +210,7 @@
             operation.run();
             return Result.success(number);
         } catch (IOException e) {
-            return Result.failure(ErrorKind.STORAGE_FAILED, "disk operation failed: " + e);
+            return Result.failure(ErrorKind.STORAGE_FAILED, "the disk failed at " + e.getMessage());
         }
     }
-
-    /** An operation on files. */
-    @FunctionalInterface
-    private interface DiskOperation {
-        void run() throws IOException;
-    }
 }
--- a/agreement/src/main/java/org/skylarkbend/agreement/AgreementTask.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/AgreementTask.java
@@ -132,7 +132,7 @@
                         mDirectory,
                         vm -> mDecider.membership().onVm(vm).isPresent(),
                         mOptions.electionMinMilliseconds() / 2);
-        mDisk = new DiskQueue(vertx, mStorage, this::persisted, this::persistFailed);
+        mDisk = new DiskQueue(vertx, mStorage, mClock, this::persisted, this::persistFailed);
         mDecider =
                 new AgreementDecider(
                         mStorage.recovered(),
@@ -258,7 +258,6 @@
     }
 
     private void persistFailed(long number, String detail) {
-        LOG.warn("agreement.disk.failed", "detail", detail);
         mPendingSends.clear();
         decide(new PersistFailed(number, detail));
     }
--- a/agreement/src/main/java/org/skylarkbend/agreement/ChunkedWriter.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/ChunkedWriter.java
@@ -13,14 +13,14 @@
     private static final int CHUNK_BYTES = 256 * 1024;
 
     private final FileChannel mChannel;
-    private final ChannelWriter mChannelWriter;
+    private final FileOperations mFileOperations;
     private final ByteArrayOutputStream mPending = new ByteArrayOutputStream();
     private long mWrittenBytes;
 
     /** Creates a writer that starts at the position of the channel. */
-    ChunkedWriter(FileChannel channel, ChannelWriter channelWriter) {
+    ChunkedWriter(FileChannel channel, FileOperations fileOperations) {
         mChannel = channel;
-        mChannelWriter = channelWriter;
+        mFileOperations = fileOperations;
     }
 
     /** Appends bytes. They may be in memory until {@link #flush}. */
@@ -29,7 +29,7 @@
             flush();
         }
         if (bytes.length > CHUNK_BYTES) {
-            mChannelWriter.write(mChannel, ByteBuffer.wrap(bytes));
+            mFileOperations.write(mChannel, ByteBuffer.wrap(bytes));
         } else {
             mPending.writeBytes(bytes);
         }
@@ -38,7 +38,7 @@
 
     /** Writes what is still in memory to the file. Does not sync it. */
     void flush() throws IOException {
-        mChannelWriter.write(mChannel, ByteBuffer.wrap(mPending.toByteArray()));
+        mFileOperations.write(mChannel, ByteBuffer.wrap(mPending.toByteArray()));
         mPending.reset();
     }
 
--- a/agreement/src/main/java/org/skylarkbend/agreement/DataFolder.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/DataFolder.java
@@ -2,12 +2,12 @@
 
 import java.io.Closeable;
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
 import java.nio.channels.FileLock;
 import java.nio.channels.OverlappingFileLockException;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
 
 /** The folder that contains the files of a member. Only one process can have it open. */
@@ -16,16 +16,16 @@
     private static final String NEW_SUFFIX = ".new";
 
     private final Path mPath;
-    private final ChannelWriter mChannelWriter;
+    private final FileOperations mFileOperations;
     private final FileChannel mLockChannel;
 
-    private DataFolder(Path path, ChannelWriter channelWriter, FileChannel lockChannel) {
+    private DataFolder(Path path, FileOperations fileOperations, FileChannel lockChannel) {
         mPath = path;
-        mChannelWriter = channelWriter;
+        mFileOperations = fileOperations;
         mLockChannel = lockChannel;
     }
 
-    static DataFolder open(Path path, ChannelWriter channelWriter) throws IOException {
+    static DataFolder open(Path path, FileOperations fileOperations) throws IOException {
         Files.createDirectories(path);
         FileChannel channel =
                 FileChannel.open(
@@ -36,15 +36,15 @@
             channel.close();
             throw new IOException(path + " is in use by another process");
         }
-        return new DataFolder(path, channelWriter, channel);
+        return new DataFolder(path, new NamedFileOperations(fileOperations), channel);
     }
 
     Path file(String name) {
         return mPath.resolve(name);
     }
 
-    ChannelWriter channelWriter() {
-        return mChannelWriter;
+    FileOperations fileOperations() {
+        return mFileOperations;
     }
 
     /** Writes the content of a file, part by part. */
@@ -61,34 +61,44 @@
 
     /**
      * Writes and syncs the new version of a file, to be activated by {@link #replaceWithNew}.
-     * Returns its size in bytes.
+     * Returns its size in bytes. After a failure, the new version takes no room.
      */
     long writeNew(String name, Content content) throws IOException {
         Path newFile = file(name + NEW_SUFFIX);
-        try (FileChannel channel =
-                FileChannel.open(
-                        newFile,
-                        StandardOpenOption.CREATE,
-                        StandardOpenOption.TRUNCATE_EXISTING,
-                        StandardOpenOption.WRITE)) {
-            ChunkedWriter writer = new ChunkedWriter(channel, mChannelWriter);
-            content.writeTo(writer);
-            writer.flush();
-            channel.force(true);
-            return writer.writtenBytes();
+        try {
+            return write(newFile, content);
+        } catch (IOException e) {
+            deleteAfter(e, newFile);
+            throw e;
         }
     }
 
-    /** Replaces a file atomically with its new version and syncs the folder. */
+    /**
+     * Replaces a file atomically with its new version and syncs the folder. After a failure, either
+     * version may be in place, and also after a crash.
+     */
     void replaceWithNew(String name) throws IOException {
-        Files.move(file(name + NEW_SUFFIX), file(name), StandardCopyOption.ATOMIC_MOVE);
+        Path newFile = file(name + NEW_SUFFIX);
+        try {
+            mFileOperations.replace(newFile, file(name));
+        } catch (IOException e) {
+            deleteAfter(e, newFile);
+            throw e;
+        }
         sync();
     }
 
     /** Syncs the directory entries of the folder. */
     void sync() throws IOException {
         try (FileChannel channel = FileChannel.open(mPath, StandardOpenOption.READ)) {
-            channel.force(true);
+            mFileOperations.sync(channel);
+        }
+    }
+
+    /** Overwrites a file. Neither atomic nor synced. */
+    void overwrite(String name, byte[] content) throws IOException {
+        try (FileChannel channel = openNew(file(name))) {
+            mFileOperations.write(channel, ByteBuffer.wrap(content));
         }
     }
 
@@ -97,6 +107,32 @@
         mLockChannel.close();
     }
 
+    private long write(Path newFile, Content content) throws IOException {
+        try (FileChannel channel = openNew(newFile)) {
+            ChunkedWriter writer = new ChunkedWriter(channel, mFileOperations);
+            content.writeTo(writer);
+            writer.flush();
+            mFileOperations.sync(channel);
+            return writer.writtenBytes();
+        }
+    }
+
+    private static FileChannel openNew(Path file) throws IOException {
+        return FileChannel.open(
+                file,
+                StandardOpenOption.CREATE,
+                StandardOpenOption.TRUNCATE_EXISTING,
+                StandardOpenOption.WRITE);
+    }
+
+    private static void deleteAfter(IOException failure, Path newFile) {
+        try {
+            Files.deleteIfExists(newFile);
+        } catch (IOException e) {
+            failure.addSuppressed(e);
+        }
+    }
+
     private static boolean acquireLock(FileChannel channel) throws IOException {
         try {
             FileLock lock = channel.tryLock();
--- a/agreement/src/main/java/org/skylarkbend/agreement/DiskQueue.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/DiskQueue.java
@@ -6,12 +6,15 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.function.BiConsumer;
 import java.util.function.LongConsumer;
 import org.skylarkbend.agreement.AgreementEffect.Persist;
 import org.skylarkbend.agreement.AgreementEffect.SaveSnapshot;
 import org.skylarkbend.base.ErrorKind;
+import org.skylarkbend.base.MillisecondClock;
 import org.skylarkbend.base.Result;
+import org.skylarkbend.base.StructuredLog;
 
 /**
  * Runs disk operations outside the event loop, one at a time and in order.
@@ -21,21 +24,27 @@
  * nothing about the disk and is thrown on the event loop.
  */
 final class DiskQueue {
+    private static final StructuredLog LOG = StructuredLog.of(DiskQueue.class);
+
     private final Vertx mVertx;
     private final AgreementStorage mStorage;
+    private final MillisecondClock mClock;
     private final LongConsumer mOnPersisted;
     private final BiConsumer<Long, String> mOnFailed;
     private final Deque<AgreementEffect> mPending = new ArrayDeque<>();
     private long mLastNumber;
     private boolean mBusy;
+    private OptionalLong mFailedAtMilliseconds = OptionalLong.empty();
 
     DiskQueue(
             Vertx vertx,
             AgreementStorage storage,
+            MillisecondClock clock,
             LongConsumer onPersisted,
             BiConsumer<Long, String> onFailed) {
         mVertx = vertx;
         mStorage = storage;
+        mClock = clock;
         mOnPersisted = onPersisted;
         mOnFailed = onFailed;
     }
@@ -79,7 +88,7 @@
                                     ? done.result()
                                     : Result.failure(
                                             ErrorKind.STORAGE_FAILED, String.valueOf(done.cause()));
-                    result.match(mOnPersisted::accept, error -> failAll(error.detail()));
+                    result.match(this::succeeded, error -> failAll(error.detail()));
                     startNext();
                 });
     }
@@ -97,7 +106,22 @@
         return mVertx.executeBlocking(() -> mStorage.persist(persists));
     }
 
+    private void succeeded(long number) {
+        mFailedAtMilliseconds.ifPresent(
+                failedAt ->
+                        LOG.info(
+                                "agreement.disk.recovered",
+                                "milliseconds",
+                                mClock.nowMilliseconds() - failedAt));
+        mFailedAtMilliseconds = OptionalLong.empty();
+        mOnPersisted.accept(number);
+    }
+
     private void failAll(String detail) {
+        if (mFailedAtMilliseconds.isEmpty()) {
+            LOG.warn("agreement.disk.failed", "detail", detail);
+            mFailedAtMilliseconds = OptionalLong.of(mClock.nowMilliseconds());
+        }
         mPending.clear();
         mOnFailed.accept(mLastNumber, detail);
     }
--- a/agreement/src/main/java/org/skylarkbend/agreement/LogFile.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/LogFile.java
@@ -17,6 +17,10 @@
 /**
  * The append-only file of hard states and log entries.
  *
+ * <p>A failed write or sync leaves unknown bytes behind the last synced length. They are cut and
+ * the records before them are checked before anything else is written, so that a disk that has room
+ * again is used again.
+ *
  * <p>A second, small file stores the length of the log file at its last sync. It is not synced
  * itself, so its value may be stale but is never ahead of the last sync. Records before that length
  * may have been acknowledged and must be intact.
@@ -31,6 +35,11 @@
     private FileChannel mChannel;
     private long mGeneration;
     private long mLengthBytes;
+    private boolean mIsIntact = true;
+    private Optional<Replacement> mReplacement = Optional.empty();
+
+    /** A new version of the file that may be in place. */
+    private record Replacement(long generation, long lengthBytes) {}
 
     LogFile(DataFolder folder) {
         mFolder = folder;
@@ -41,20 +50,23 @@
     }
 
     /**
-     * Replaces the log with one that contains only these records.
-     *
-     * <p>If writing the new file fails, the old log stays in use. If moving it into place fails,
-     * this object accepts no more writes.
+     * Replaces the log with one that contains only these records. After a failure, either log may
+     * be in use.
      *
      * @param generation a number that no earlier log in this folder had
      */
     void replace(long generation, List<LogRecord> records) throws IOException {
+        repairIfNeeded();
         long lengthBytes = mFolder.writeNew(FILE_NAME, file -> writeAll(file, generation, records));
-        close();
-        mFolder.replaceWithNew(FILE_NAME);
-        reopen();
-        mGeneration = generation;
-        mLengthBytes = lengthBytes;
+        mReplacement = Optional.of(new Replacement(generation, lengthBytes));
+        runOrRepair(
+                () -> {
+                    mFolder.replaceWithNew(FILE_NAME);
+                    reopen();
+                    mGeneration = generation;
+                    mLengthBytes = lengthBytes;
+                });
+        mReplacement = Optional.empty();
         writeSyncedLength();
     }
 
@@ -92,21 +104,28 @@
         return Result.success(null);
     }
 
-    /** Appends and syncs. After a failure, the file is unchanged or accepts no more writes. */
+    /**
+     * Appends and syncs. After a failure, the records are not in the file if {@link #isIntact};
+     * otherwise some of them may be found if the file is read before the next write.
+     */
     void append(List<LogRecord> records) throws IOException {
-        ChunkedWriter writer = new ChunkedWriter(mChannel, mFolder.channelWriter());
-        try {
-            mChannel.position(mLengthBytes);
-            writeAll(writer, records);
-        } catch (IOException e) {
-            truncate(mLengthBytes);
-            throw e;
-        }
-        sync();
-        mLengthBytes += writer.writtenBytes();
+        repairIfNeeded();
+        runOrRepair(
+                () -> {
+                    ChunkedWriter writer = new ChunkedWriter(mChannel, mFolder.fileOperations());
+                    mChannel.position(mLengthBytes);
+                    writeAll(writer, records);
+                    mFolder.fileOperations().sync(mChannel);
+                    mLengthBytes += writer.writtenBytes();
+                });
         writeSyncedLength();
     }
 
+    /** Returns whether the file has exactly the records whose writes have succeeded. */
+    boolean isIntact() {
+        return mIsIntact;
+    }
+
     @Override
     public void close() throws IOException {
         if (mChannel != null) {
@@ -138,39 +157,88 @@
         mLengthBytes = lengthBytes;
         if (lengthBytes < fileBytes) {
             LOG.warn("agreement.log.cut", "at_bytes", lengthBytes, "of_bytes", fileBytes);
-            truncate(lengthBytes);
         }
-        sync();
+        cutAfter(lengthBytes);
     }
 
-    private void truncate(long lengthBytes) throws IOException {
-        try {
-            mChannel.truncate(lengthBytes);
-        } catch (IOException e) {
-            mChannel.close();
-            throw e;
+    private void cutAfter(long lengthBytes) throws IOException {
+        if (mChannel.size() > lengthBytes) {
+            mFolder.fileOperations().truncate(mChannel, lengthBytes);
         }
+        mFolder.fileOperations().sync(mChannel);
     }
 
-    /** Syncs the file. Closes it if that fails, because the content on disk is then unknown. */
-    private void sync() throws IOException {
+    /** Runs an operation that changes the file, and tries to repair the file if it fails. */
+    private void runOrRepair(DiskOperation operation) throws IOException {
+        mIsIntact = false;
         try {
-            mChannel.force(false);
+            operation.run();
+            mIsIntact = true;
         } catch (IOException e) {
-            mChannel.close();
+            try {
+                repairIfNeeded();
+            } catch (IOException repair) {
+                e.addSuppressed(repair);
+            }
             throw e;
         }
     }
 
+    /**
+     * After a failed operation, opens the file anew, cuts what is not synced and checks the rest.
+     */
+    private void repairIfNeeded() throws IOException {
+        if (mIsIntact) {
+            return;
+        }
+        reopen();
+        long generation = generationInFile();
+        mReplacement
+                .filter(replacement -> replacement.generation() == generation)
+                .ifPresent(
+                        replacement -> {
+                            mGeneration = generation;
+                            mLengthBytes = replacement.lengthBytes();
+                        });
+        if (generation != mGeneration || mChannel.size() < mLengthBytes) {
+            throw new IOException(damageAt(0));
+        }
+        cutAfter(mLengthBytes);
+        mFolder.sync();
+        checkRecords();
+        mReplacement = Optional.empty();
+        mIsIntact = true;
+        LOG.debug("agreement.log.repaired", "at_bytes", mLengthBytes);
+    }
+
+    private long generationInFile() throws IOException {
+        LogFileReader reader = new LogFileReader(mChannel);
+        if (reader.lengthBytes() < GENERATION_BYTES) {
+            throw new IOException(damageAt(0));
+        }
+        return reader.numberAt(0);
+    }
+
+    private void checkRecords() throws IOException {
+        LogFileReader reader = new LogFileReader(mChannel);
+        long positionBytes = GENERATION_BYTES;
+        while (positionBytes < mLengthBytes) {
+            Optional<byte[]> payload = reader.payloadAt(positionBytes);
+            if (payload.isEmpty()) {
+                throw new IOException(damageAt(positionBytes));
+            }
+            positionBytes += LogRecord.HEADER_BYTES + payload.get().length;
+        }
+    }
+
     private void writeSyncedLength() throws IOException {
         byte[] marker =
                 ByteBuffer.allocate(2 * Long.BYTES)
                         .putLong(mGeneration)
                         .putLong(mLengthBytes)
                         .array();
-        Path file = mFolder.file(SYNCED_FILE_NAME);
         try {
-            Files.write(file, LogRecord.frame(marker));
+            mFolder.overwrite(SYNCED_FILE_NAME, LogRecord.frame(marker));
         } catch (IOException e) {
             LOG.warn("agreement.log.note_failed", "detail", e.getMessage());
         }
@@ -189,12 +257,14 @@
     }
 
     private <T> Result<T> corrupted(long positionBytes) {
-        return Result.failure(
-                ErrorKind.STORAGE_FAILED,
-                mFolder.file(FILE_NAME)
-                        + " is damaged at byte "
-                        + positionBytes
-                        + ", which is not a torn tail. Replace the disk, or move the data folder"
-                        + " away and start with an empty one. The VM then joins as a new member.");
+        return Result.failure(ErrorKind.STORAGE_FAILED, damageAt(positionBytes));
+    }
+
+    private String damageAt(long positionBytes) {
+        return mFolder.file(FILE_NAME)
+                + " is damaged at byte "
+                + positionBytes
+                + ", which is not a torn tail. Replace the disk, or move the data folder"
+                + " away and start with an empty one. The VM then joins as a new member.";
     }
 }
--- a/agreement/src/test/java/org/skylarkbend/agreement/AgreementStorageTest.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/AgreementStorageTest.java
@@ -27,7 +27,7 @@
     private Path mFolder;
 
     /** A disk that is full after a number of bytes. */
-    private static final class LimitedDisk implements ChannelWriter {
+    private static final class LimitedDisk implements FileOperations {
         private long mFreeBytes;
 
         LimitedDisk(long freeBytes) {
@@ -38,7 +38,7 @@
         public void write(FileChannel channel, ByteBuffer bytes) throws IOException {
             int writableBytes = (int) Math.min(mFreeBytes, bytes.remaining());
             boolean full = writableBytes < bytes.remaining();
-            ChannelWriter.direct().write(channel, bytes.slice(bytes.position(), writableBytes));
+            FileOperations.direct().write(channel, bytes.slice(bytes.position(), writableBytes));
             mFreeBytes -= writableBytes;
             if (full) {
                 throw new IOException("No space left on device");
@@ -95,7 +95,7 @@
     @Test
     public void aFlippedByteOfTheSnapshotOrTheIdentityIsRefused() throws IOException {
         write(persist(1, 3));
-        save(1, ChannelWriter.direct());
+        save(1, FileOperations.direct());
         for (String name : List.of("snapshot", "identity")) {
             byte[] whole = Files.readAllBytes(mFolder.resolve(name));
             for (int flipped = 0; flipped < whole.length; flipped++) {
@@ -150,7 +150,7 @@
     @Test
     public void aFolderThatIsInUseOrOfAnotherVmOrWithoutItsLogIsRefused() throws IOException {
         write(persist(1, 1));
-        try (AgreementStorage storage = open(ChannelWriter.direct())) {
+        try (AgreementStorage storage = open(FileOperations.direct())) {
             assertThat(storage.recovered().entries()).hasSize(1);
             assertRefused("in use");
         }
@@ -159,7 +159,7 @@
                                         mFolder,
                                         ObjectName.of("vm-2"),
                                         () -> 7,
-                                        ChannelWriter.direct(),
+                                        FileOperations.direct(),
                                         true)
                                 .isSuccess())
                 .isFalse();
@@ -168,27 +168,27 @@
     }
 
     private MemberId write(Persist persist) throws IOException {
-        try (AgreementStorage storage = open(ChannelWriter.direct())) {
+        try (AgreementStorage storage = open(FileOperations.direct())) {
             assertThat(storage.persist(List.of(persist)).isSuccess()).isTrue();
             return storage.recovered().self();
         }
     }
 
-    private boolean save(long number, ChannelWriter channelWriter) throws IOException {
-        try (AgreementStorage storage = open(channelWriter)) {
+    private boolean save(long number, FileOperations fileOperations) throws IOException {
+        try (AgreementStorage storage = open(fileOperations)) {
             return storage.save(new SaveSnapshot(number, hardState(), snapshot(), entries(2, 3)))
                     .isSuccess();
         }
     }
 
     private DurableState recovered() throws IOException {
-        try (AgreementStorage storage = open(ChannelWriter.direct())) {
+        try (AgreementStorage storage = open(FileOperations.direct())) {
             return storage.recovered();
         }
     }
 
-    private AgreementStorage open(ChannelWriter channelWriter) {
-        return openResult(channelWriter)
+    private AgreementStorage open(FileOperations fileOperations) {
+        return openResult(fileOperations)
                 .fold(
                         opened -> opened,
                         error -> {
@@ -196,12 +196,12 @@
                         });
     }
 
-    private Result<AgreementStorage> openResult(ChannelWriter channelWriter) {
-        return AgreementStorage.open(mFolder, VM, () -> 42, channelWriter, true);
+    private Result<AgreementStorage> openResult(FileOperations fileOperations) {
+        return AgreementStorage.open(mFolder, VM, () -> 42, fileOperations, true);
     }
 
     private void assertRefused(String reason) {
-        openResult(ChannelWriter.direct())
+        openResult(FileOperations.direct())
                 .match(
                         opened -> {
                             throw new AssertionError("was not refused");
--- a/agreement/src/test/java/org/skylarkbend/agreement/AgreementTaskTest.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/AgreementTaskTest.java
@@ -179,7 +179,7 @@
         if (mMemoryExhausted) {
             throw new OutOfMemoryError("planted");
         }
-        ChannelWriter.direct().write(channel, bytes);
+        FileOperations.direct().write(channel, bytes);
     }
 
     private void stop(ObjectName vm) {
--- a/agreement/src/test/java/org/skylarkbend/agreement/ClusterSimulation.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/ClusterSimulation.java
@@ -10,6 +10,8 @@
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.function.Consumer;
+import java.util.function.ToIntFunction;
 import java.util.stream.IntStream;
 import org.skylarkbend.base.ObjectName;
 
@@ -44,6 +46,7 @@
     private long mLastRequestId;
     private boolean mFaultsStopped;
     private final boolean mMayJoin;
+    private final MemberDisk.Factory mNewDisk;
 
     /** An action scheduled for a point in simulated time. */
     private record Event(long atMilliseconds, long sequence, Runnable work) {}
@@ -53,7 +56,8 @@
 
     /** Returns a simulation with three or five members fixed by the settings. */
     static ClusterSimulation fixedMembers(long seed) {
-        return new ClusterSimulation(seed, false);
+        return new ClusterSimulation(
+                seed, false, random -> random.nextInt(4) == 0 ? 5 : 3, SimulatedDisk::new);
     }
 
     /**
@@ -61,10 +65,20 @@
      * ones.
      */
     static ClusterSimulation joiningMembers(long seed) {
-        return new ClusterSimulation(seed, true);
+        return new ClusterSimulation(seed, true, random -> 5, SimulatedDisk::new);
     }
 
-    private ClusterSimulation(long seed, boolean mayJoin) {
+    /** Returns a simulation with members fixed by the settings, on these disks. */
+    static ClusterSimulation fixedMembers(long seed, int count, MemberDisk.Factory newDisk) {
+        return new ClusterSimulation(seed, false, random -> count, newDisk);
+    }
+
+    private ClusterSimulation(
+            long seed,
+            boolean mayJoin,
+            ToIntFunction<SplittableRandom> memberCount,
+            MemberDisk.Factory newDisk) {
+        mNewDisk = newDisk;
         mMayJoin = mayJoin;
         mRandom = new SplittableRandom(seed);
         mOptions =
@@ -74,7 +88,7 @@
         mDuplicateRate = mRandom.nextDouble(0, 0.2);
         mSlowSyncMilliseconds = mRandom.nextLong(1, 60);
         mMaxFaultIntervalMilliseconds = mRandom.nextLong(100, 700);
-        int count = mayJoin || mRandom.nextInt(4) == 0 ? 5 : 3;
+        int count = memberCount.applyAsInt(mRandom);
         List<ObjectName> vms =
                 IntStream.rangeClosed(1, count).mapToObj(i -> ObjectName.of("vm-" + i)).toList();
         vms.forEach(vm -> mMembers.put(vm, null));
@@ -136,6 +150,44 @@
         return mChecks;
     }
 
+    /**
+     * Fills the disk of each member for a while, one after another. After the last one has room
+     * again, a proposal has to be committed within the bound; after a restart of all members,
+     * everything that was acknowledged has to be there.
+     */
+    SafetyChecks runWithoutRoomInTurn(
+            Consumer<ObjectName> fill, Consumer<ObjectName> free, long boundMilliseconds) {
+        mFaultsStopped = true;
+        mMembers.values().forEach(SimulatedMember::start);
+        after(1, this::nextRequest);
+        runUntil(FAULT_FREE_MILLISECONDS);
+        for (ObjectName vm : vms()) {
+            fill.accept(vm);
+            runUntil(mNowMilliseconds + boundMilliseconds);
+            runUntil(mNowMilliseconds + mRandom.nextLong(FAULT_FREE_MILLISECONDS));
+            free.accept(vm);
+            runUntil(mNowMilliseconds + mRandom.nextLong(FAULT_FREE_MILLISECONDS));
+        }
+        requireCommit(boundMilliseconds, "after all have room again");
+        runUntil(mNowMilliseconds + FAULT_FREE_MILLISECONDS);
+        long acknowledgedIndex = mChecks.acknowledgedIndex();
+        mMembers.values().forEach(SimulatedMember::crash);
+        mMembers.values().forEach(SimulatedMember::start);
+        runUntil(mNowMilliseconds + FAULT_FREE_MILLISECONDS);
+        SafetyChecks.check(
+                isRecovered(acknowledgedIndex), "members did not recover: " + mMembers.values());
+        return mChecks;
+    }
+
+    /** Runs for this time, in which a new proposal has to be committed. */
+    private void requireCommit(long boundMilliseconds, String when) {
+        long acknowledgedIndex = mChecks.acknowledgedIndex();
+        runUntil(mNowMilliseconds + boundMilliseconds);
+        SafetyChecks.check(
+                mChecks.acknowledgedIndex() > acknowledgedIndex,
+                "nothing was committed " + when + ": " + mMembers.values());
+    }
+
     private void killInFirstStart(SimulatedMember member, boolean hasWrittenNothing) {
         crash(member, mRandom.nextLong(50, 1_200));
         if (hasWrittenNothing) {
@@ -180,9 +232,10 @@
         return mNowMilliseconds;
     }
 
-    MemberId newIdentity(ObjectName vm) {
+    /** Creates the disk of a member with a new identity. */
+    MemberDisk newDisk(ObjectName vm, boolean isOfFirstStart) {
         mLastMemberNumber++;
-        return new MemberId(vm, mLastMemberNumber);
+        return mNewDisk.create(new MemberId(vm, mLastMemberNumber), isOfFirstStart);
     }
 
     long syncMilliseconds() {
--- a/agreement/src/test/java/org/skylarkbend/agreement/LargeEntriesProcess.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/LargeEntriesProcess.java
@@ -52,7 +52,7 @@
     public static void main(String[] arguments) throws IOException {
         Result<AgreementStorage> opened =
                 AgreementStorage.open(
-                        Path.of(arguments[0]), VM, () -> 1, ChannelWriter.direct(), true);
+                        Path.of(arguments[0]), VM, () -> 1, FileOperations.direct(), true);
         try (AgreementStorage storage =
                 opened.fold(
                         present -> present,
--- a/agreement/src/test/java/org/skylarkbend/agreement/SimulatedDisk.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/SimulatedDisk.java
@@ -8,9 +8,10 @@
 import java.util.SplittableRandom;
 import org.skylarkbend.agreement.AgreementEffect.Persist;
 import org.skylarkbend.agreement.AgreementEffect.SaveSnapshot;
+import org.skylarkbend.base.Result;
 
 /** An in-memory disk that loses unsynced writes when its VM crashes. */
-final class SimulatedDisk {
+final class SimulatedDisk implements MemberDisk {
     private final MemberId mIdentity;
     private final boolean mIsOfFirstStart;
     private final Deque<AgreementEffect> mUnsynced = new ArrayDeque<>();
@@ -18,44 +19,44 @@
     private Optional<Snapshot> mSnapshot = Optional.empty();
     private List<LogEntry> mEntries = new ArrayList<>();
 
-    /**
-     * Creates an empty disk.
-     *
-     * @param isOfFirstStart true if it replaces no other disk, as far as its member can know
-     */
     SimulatedDisk(MemberId identity, boolean isOfFirstStart) {
         mIdentity = identity;
         mIsOfFirstStart = isOfFirstStart;
     }
 
-    MemberId identity() {
+    @Override
+    public MemberId identity() {
         return mIdentity;
     }
 
-    void add(AgreementEffect write) {
+    @Override
+    public void add(AgreementEffect write) {
         mUnsynced.add(write);
     }
 
-    boolean hasUnsynced() {
+    @Override
+    public boolean hasUnsynced() {
         return !mUnsynced.isEmpty();
     }
 
-    /** Performs one sync: of a snapshot, or of all persists before the next snapshot. */
-    long syncNext() {
+    @Override
+    public Result<Long> syncNext() {
         AgreementEffect first = mUnsynced.poll();
         long number = write(first);
         while (first instanceof Persist && mUnsynced.peek() instanceof Persist) {
             number = write(mUnsynced.poll());
         }
-        return number;
+        return Result.success(number);
     }
 
-    void failAll() {
+    @Override
+    public void failAll() {
         mUnsynced.clear();
     }
 
     /** Simulates a crash: only a random prefix of the unsynced writes reaches the disk. */
-    void crash(SplittableRandom random) {
+    @Override
+    public void crash(SplittableRandom random) {
         int kept = random.nextInt(mUnsynced.size() + 1);
         for (int i = 0; i < kept; i++) {
             write(mUnsynced.poll());
@@ -63,7 +64,8 @@
         mUnsynced.clear();
     }
 
-    DurableState recovered() {
+    @Override
+    public DurableState recovered() {
         long snapshotIndex = mSnapshot.map(Snapshot::index).orElse(0L);
         return new DurableState(
                 mIdentity,
--- a/agreement/src/test/java/org/skylarkbend/agreement/SimulatedMember.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/SimulatedMember.java
@@ -26,6 +26,7 @@
 import org.skylarkbend.agreement.AgreementInput.Tick;
 import org.skylarkbend.base.ErrorKind;
 import org.skylarkbend.base.ObjectName;
+import org.skylarkbend.base.Result;
 
 /** A VM of a simulation: a decider, a disk and a clock, with injected faults. */
 final class SimulatedMember {
@@ -41,7 +42,7 @@
     private final List<Send> mPendingSends = new ArrayList<>();
     private final Map<Long, EntryContent.Command> mProposals = new HashMap<>();
     private final Map<Long, Long> mAcknowledgedIndexAtRequest = new HashMap<>();
-    private SimulatedDisk mDisk;
+    private MemberDisk mDisk;
     private OptionalLong mCrashedMilliseconds = OptionalLong.empty();
     private Optional<AgreementDecider> mDecider = Optional.empty();
     private int mIncarnation;
@@ -59,7 +60,7 @@
         mVm = vm;
         mClockRate = simulation.random().nextDouble(0.96, 1.04);
         mClockOffsetMilliseconds = simulation.random().nextLong(1_000_000);
-        mDisk = new SimulatedDisk(simulation.newIdentity(vm), simulation.isInitialVm(vm));
+        mDisk = simulation.newDisk(vm, simulation.isInitialVm(vm));
     }
 
     ObjectName vm() {
@@ -130,7 +131,7 @@
     }
 
     void loseDisk() {
-        mDisk = new SimulatedDisk(mSimulation.newIdentity(mVm), mSimulation.hasFixedMembers());
+        mDisk = mSimulation.newDisk(mVm, mSimulation.hasFixedMembers());
     }
 
     void setDiskFull(boolean full) {
@@ -266,7 +267,7 @@
     private void syncLater() {
         mSyncing = true;
         int incarnation = mIncarnation;
-        SimulatedDisk disk = mDisk;
+        MemberDisk disk = mDisk;
         mSimulation.after(
                 mSimulation.syncMilliseconds(),
                 () -> {
@@ -278,11 +279,11 @@
 
     private void sync() {
         if (mDiskFull) {
-            runWhenActive(this::syncFailed);
+            runWhenActive(() -> syncFailed("the disk is full"));
             return;
         }
-        long number = mDisk.syncNext();
-        runWhenActive(() -> synced(number));
+        Result<Long> result = mDisk.syncNext();
+        runWhenActive(() -> result.match(this::synced, error -> syncFailed(error.detail())));
     }
 
     private void synced(long number) {
@@ -295,11 +296,11 @@
         }
     }
 
-    private void syncFailed() {
+    private void syncFailed(String detail) {
         mSyncing = false;
         mDisk.failAll();
         mPendingSends.clear();
-        decide(new PersistFailed(mLastNumber, "the disk is full"));
+        decide(new PersistFailed(mLastNumber, detail));
     }
 
     private void sendReady() {
--- a/control/src/main/java/org/skylarkbend/control/ControlProcess.java
+++ b/control/src/main/java/org/skylarkbend/control/ControlProcess.java
@@ -10,7 +10,7 @@
 import org.skylarkbend.agreement.AgreementStatus;
 import org.skylarkbend.agreement.AgreementStorage;
 import org.skylarkbend.agreement.AgreementTask;
-import org.skylarkbend.agreement.ChannelWriter;
+import org.skylarkbend.agreement.FileOperations;
 import org.skylarkbend.agreement.MemberAddress;
 import org.skylarkbend.agreement.MemberDirectory;
 import org.skylarkbend.agreement.MemberId;
@@ -131,7 +131,7 @@
                         mParts.settings().dataFolder(),
                         mParts.settings().vm(),
                         RANDOM::nextLong,
-                        ChannelWriter.direct(),
+                        FileOperations.direct(),
                         IS_FIRST_START);
         return opened.fold(this::startTasks, error -> Future.failedFuture(error.detail()));
     }
--- a/control/src/main/java/org/skylarkbend/control/site/SiteControlProcess.java
+++ b/control/src/main/java/org/skylarkbend/control/site/SiteControlProcess.java
@@ -12,7 +12,7 @@
 import org.skylarkbend.agreement.AgreementStatus;
 import org.skylarkbend.agreement.AgreementStorage;
 import org.skylarkbend.agreement.AgreementTask;
-import org.skylarkbend.agreement.ChannelWriter;
+import org.skylarkbend.agreement.FileOperations;
 import org.skylarkbend.agreement.MemberAddress;
 import org.skylarkbend.agreement.MemberDirectory;
 import org.skylarkbend.agreement.MemberId;
@@ -159,7 +159,7 @@
                         mParts.dataFolder(),
                         mParts.self(),
                         RANDOM::nextLong,
-                        ChannelWriter.direct(),
+                        FileOperations.direct(),
                         mParts.bootstrapsLog() && mParts.seeds().contains(mParts.self()));
         return opened.fold(this::startTasks, error -> Future.failedFuture(error.detail()));
     }
