Call a proposal refused only when its bytes are off the disk

Cause: a leader answered STORAGE_FAILED (not run) for each entry that its disk refused. After a failed sync the bytes are still in the file until they are cut. If the process ended before that, the entry was recovered at the next start and could be committed after its caller had been told that it never would be.

Change: AgreementStorage.persist fails with STORAGE_FAILED only once the tail is cut and the cut is synced, otherwise with COMMIT_UNKNOWN; PersistFailed carries the error to the decider, which passes it on to the proposals. An exception that is no IOException counts as unknown too.

--- a/agreement/src/main/java/org/skylarkbend/agreement/AgreementDecider.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/AgreementDecider.java
@@ -319,7 +319,8 @@
         if (!mState.isLeader()) {
             mState.mRole = MemberRole.FOLLOWER;
         }
-        failProposalsFrom(mState.mLog.lastIndex() + 1, ErrorKind.STORAGE_FAILED, failed.detail());
+        failProposalsFrom(
+                mState.mLog.lastIndex() + 1, failed.error().kind(), failed.error().detail());
     }
 
     private void advanceCommit() {
--- a/agreement/src/main/java/org/skylarkbend/agreement/AgreementInput.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/AgreementInput.java
@@ -1,6 +1,7 @@
 package org.skylarkbend.agreement;
 
 import java.util.Arrays;
+import org.skylarkbend.base.SkylarkError;
 
 /** An event that a member processes. */
 public sealed interface AgreementInput {
@@ -19,8 +20,14 @@
     /** Reports that all persists up to this number are synced. */
     record Persisted(long number) implements AgreementInput {}
 
-    /** Reports that all unsynced persists up to this number failed and that none is on disk. */
-    record PersistFailed(long number, String detail) implements AgreementInput {}
+    /**
+     * Reports that all unsynced persists up to this number failed. Their content is not in use, and
+     * the next persist replaces it.
+     *
+     * @param error {@code STORAGE_FAILED} if none of them is on disk, {@code COMMIT_UNKNOWN} if
+     *     some of them may come back with a restart
+     */
+    record PersistFailed(long number, SkylarkError error) implements AgreementInput {}
 
     /** The state machine data that {@link AgreementEffect.TakeSnapshot} requested. */
     record SnapshotTaken(long index, byte[] data) implements AgreementInput {
--- a/agreement/src/main/java/org/skylarkbend/agreement/AgreementStorage.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/AgreementStorage.java
@@ -77,8 +77,11 @@
     }
 
     /**
-     * Writes all persists with a single sync and returns the number of the last one. On failure
-     * none of them counts as written.
+     * Writes all persists with a single sync and returns the number of the last one.
+     *
+     * <p>On failure none of them counts as written. {@code STORAGE_FAILED} means that none is in
+     * the file, {@code COMMIT_UNKNOWN} that some may be recovered if the process ends before the
+     * next write.
      */
     public Result<Long> persist(List<Persist> persists) {
         List<LogRecord> records = new ArrayList<>();
@@ -87,7 +90,13 @@
             persist.entries().stream().map(LogRecord::of).forEach(records::add);
         }
         long number = persists.get(persists.size() - 1).number();
-        return execute(number, () -> mLogFile.append(records));
+        try {
+            mLogFile.append(records);
+            return Result.success(number);
+        } catch (IOException e) {
+            return failed(
+                    mLogFile.isIntact() ? ErrorKind.STORAGE_FAILED : ErrorKind.COMMIT_UNKNOWN, e);
+        }
     }
 
     /** Saves a snapshot, then replaces the log with the remaining entries; returns its number. */
@@ -95,12 +104,13 @@
         List<LogRecord> records = new ArrayList<>();
         records.add(LogRecord.of(save.hardState()));
         save.remaining().stream().map(LogRecord::of).forEach(records::add);
-        return execute(
-                save.number(),
-                () -> {
-                    mSnapshotFile.write(save.snapshot());
-                    mLogFile.replace(mLogFile.generation() + 1, records);
-                });
+        try {
+            mSnapshotFile.write(save.snapshot());
+            mLogFile.replace(mLogFile.generation() + 1, records);
+            return Result.success(save.number());
+        } catch (IOException e) {
+            return failed(ErrorKind.STORAGE_FAILED, e);
+        }
     }
 
     @Override
@@ -205,12 +215,7 @@
         return new Identity(EntryEncoding.readMember(reader), type == IDENTITY_OF_FIRST_START);
     }
 
-    private Result<Long> execute(long number, DiskOperation operation) {
-        try {
-            operation.run();
-            return Result.success(number);
-        } catch (IOException e) {
-            return Result.failure(ErrorKind.STORAGE_FAILED, "the disk failed at " + e.getMessage());
-        }
+    private static Result<Long> failed(ErrorKind kind, IOException cause) {
+        return Result.failure(kind, "the disk failed at " + cause.getMessage());
     }
 }
--- a/agreement/src/main/java/org/skylarkbend/agreement/AgreementTask.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/AgreementTask.java
@@ -36,6 +36,7 @@
 import org.skylarkbend.base.MillisecondClock;
 import org.skylarkbend.base.ObjectName;
 import org.skylarkbend.base.Result;
+import org.skylarkbend.base.SkylarkError;
 import org.skylarkbend.base.StructuredLog;
 import org.skylarkbend.base.TaskFailedError;
 import org.skylarkbend.wire.FrameConnection;
@@ -257,9 +258,9 @@
         decide(new Persisted(number));
     }
 
-    private void persistFailed(long number, String detail) {
+    private void persistFailed(long number, SkylarkError error) {
         mPendingSends.clear();
-        decide(new PersistFailed(number, detail));
+        decide(new PersistFailed(number, error));
     }
 
     /** Processes an input, then the inputs that its effects produce, one at a time. */
--- a/agreement/src/main/java/org/skylarkbend/agreement/DiskQueue.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/DiskQueue.java
@@ -14,6 +14,7 @@
 import org.skylarkbend.base.ErrorKind;
 import org.skylarkbend.base.MillisecondClock;
 import org.skylarkbend.base.Result;
+import org.skylarkbend.base.SkylarkError;
 import org.skylarkbend.base.StructuredLog;
 
 /**
@@ -30,7 +31,7 @@
     private final AgreementStorage mStorage;
     private final MillisecondClock mClock;
     private final LongConsumer mOnPersisted;
-    private final BiConsumer<Long, String> mOnFailed;
+    private final BiConsumer<Long, SkylarkError> mOnFailed;
     private final Deque<AgreementEffect> mPending = new ArrayDeque<>();
     private long mLastNumber;
     private boolean mBusy;
@@ -41,7 +42,7 @@
             AgreementStorage storage,
             MillisecondClock clock,
             LongConsumer onPersisted,
-            BiConsumer<Long, String> onFailed) {
+            BiConsumer<Long, SkylarkError> onFailed) {
         mVertx = vertx;
         mStorage = storage;
         mClock = clock;
@@ -87,8 +88,8 @@
                             done.succeeded()
                                     ? done.result()
                                     : Result.failure(
-                                            ErrorKind.STORAGE_FAILED, String.valueOf(done.cause()));
-                    result.match(this::succeeded, error -> failAll(error.detail()));
+                                            ErrorKind.COMMIT_UNKNOWN, String.valueOf(done.cause()));
+                    result.match(this::succeeded, this::failAll);
                     startNext();
                 });
     }
@@ -117,12 +118,12 @@
         mOnPersisted.accept(number);
     }
 
-    private void failAll(String detail) {
+    private void failAll(SkylarkError error) {
         if (mFailedAtMilliseconds.isEmpty()) {
-            LOG.warn("agreement.disk.failed", "detail", detail);
+            LOG.warn("agreement.disk.failed", "detail", error.detail());
             mFailedAtMilliseconds = OptionalLong.of(mClock.nowMilliseconds());
         }
         mPending.clear();
-        mOnFailed.accept(mLastNumber, detail);
+        mOnFailed.accept(mLastNumber, error);
     }
 }
--- a/agreement/src/test/java/org/skylarkbend/agreement/AgreementDeciderTest.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/AgreementDeciderTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import org.skylarkbend.agreement.AgreementEffect.Persist;
 import org.skylarkbend.agreement.AgreementEffect.SaveSnapshot;
 import org.skylarkbend.agreement.AgreementEffect.TakeSnapshot;
 import org.skylarkbend.agreement.AgreementInput.PersistFailed;
@@ -17,6 +18,7 @@
 import org.skylarkbend.agreement.AgreementMessage.AppendResponse;
 import org.skylarkbend.base.ErrorKind;
 import org.skylarkbend.base.ObjectName;
+import org.skylarkbend.base.SkylarkError;
 import org.testng.annotations.Test;
 
 /** Tests for single inputs to {@link AgreementDecider}. */
@@ -122,7 +124,8 @@
     public void aLeaderWithoutRoomInItsLogRefusesProposalsUntilASnapshotIsSaved() {
         AgreementDecider alone = leaderAlone();
         SaveSnapshot failed = only(SaveSnapshot.class, proposeUntilSnapshot(alone));
-        alone.decide(new PersistFailed(failed.number(), "no space"), ELECTED_MILLISECONDS);
+        SkylarkError noSpace = new SkylarkError(ErrorKind.STORAGE_FAILED, "no space");
+        alone.decide(new PersistFailed(failed.number(), noSpace), ELECTED_MILLISECONDS);
         List<AgreementEffect> effects = List.of();
         int accepted = 0;
         while (effects.stream().noneMatch(AgreementEffect.FailProposal.class::isInstance)) {
@@ -141,6 +144,20 @@
                 .noneMatch(AgreementEffect.FailProposal.class::isInstance);
     }
 
+    /** Guards against a proposal that is called refused and comes back after a restart. */
+    @Test
+    public void aProposalThatMayBeOnDiskInSpiteOfTheFailureIsCalledUnknown() {
+        for (ErrorKind kind : List.of(ErrorKind.STORAGE_FAILED, ErrorKind.COMMIT_UNKNOWN)) {
+            AgreementDecider alone = leaderAlone();
+            Persist persist = only(Persist.class, alone.decide(propose(1), ELECTED_MILLISECONDS));
+            PersistFailed failed =
+                    new PersistFailed(persist.number(), new SkylarkError(kind, "no space"));
+            List<AgreementEffect> effects = alone.decide(failed, ELECTED_MILLISECONDS);
+            assertThat(only(AgreementEffect.FailProposal.class, effects).error().kind())
+                    .isEqualTo(kind);
+        }
+    }
+
     /** Returns the effects of proposals up to the first snapshot, which is not saved yet. */
     private static List<AgreementEffect> proposeUntilSnapshot(AgreementDecider leader) {
         for (int number = 1; number < SMALL.snapshotAfterEntries(); number++) {
--- a/agreement/src/test/java/org/skylarkbend/agreement/ClusterSimulation.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/ClusterSimulation.java
@@ -151,9 +151,9 @@
     }
 
     /**
-     * Fills the disk of each member for a while, one after another. After the last one has room
-     * again, a proposal has to be committed within the bound; after a restart of all members,
-     * everything that was acknowledged has to be there.
+     * Fills the disk of each member for a while, one after another. Some processes end just when
+     * their disk has room. After the last one has room again, a proposal has to be committed within
+     * the bound; after a restart of all members, everything that was acknowledged has to be there.
      */
     SafetyChecks runWithoutRoomInTurn(
             Consumer<ObjectName> fill, Consumer<ObjectName> free, long boundMilliseconds) {
@@ -166,6 +166,10 @@
             runUntil(mNowMilliseconds + boundMilliseconds);
             runUntil(mNowMilliseconds + mRandom.nextLong(FAULT_FREE_MILLISECONDS));
             free.accept(vm);
+            if (mRandom.nextBoolean()) {
+                mMembers.get(vm).crash();
+                mMembers.get(vm).start();
+            }
             runUntil(mNowMilliseconds + mRandom.nextLong(FAULT_FREE_MILLISECONDS));
         }
         requireCommit(boundMilliseconds, "after all have room again");
--- a/agreement/src/test/java/org/skylarkbend/agreement/DiskWithoutRoomTest.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/DiskWithoutRoomTest.java
@@ -14,6 +14,7 @@
 import org.skylarkbend.agreement.AgreementEffect.Persist;
 import org.skylarkbend.agreement.AgreementEffect.SaveSnapshot;
 import org.skylarkbend.agreement.FaultyDisk.Operation;
+import org.skylarkbend.base.ErrorKind;
 import org.skylarkbend.base.ObjectName;
 import org.skylarkbend.base.Result;
 import org.skylarkbend.base.SkylarkError;
@@ -115,6 +116,20 @@
         }
     }
 
+    /** Guards against proposals that are called refused and come back after a restart. */
+    @Test
+    public void aFailedPersistIsCalledRefusedOnlyOnceItsBytesAreCut() throws IOException {
+        try (AgreementStorage storage = open(mDisk)) {
+            persist(storage, 3);
+            mDisk.fail(Set.of(Operation.WRITE), 0);
+            assertThat(kind(persist(storage, 1))).isEqualTo(ErrorKind.STORAGE_FAILED);
+            mDisk.fail(Set.of(Operation.SYNC_FILE, Operation.TRUNCATE), 0);
+            assertThat(kind(persist(storage, 1))).isEqualTo(ErrorKind.COMMIT_UNKNOWN);
+            mDisk.fail(Set.of(Operation.WRITE), 0);
+            assertThat(kind(persist(storage, 1))).isEqualTo(ErrorKind.STORAGE_FAILED);
+        }
+    }
+
     /** Guards against new entries behind acknowledged ones that the failure has damaged. */
     @Test
     public void aLogWhoseAcknowledgedPartIsDamagedIsNotWrittenAgain() throws IOException {
@@ -176,6 +191,14 @@
         return storage.save(new SaveSnapshot(mNumber, HARD_STATE, SNAPSHOT, remaining));
     }
 
+    private static ErrorKind kind(Result<Long> result) {
+        return result.fold(
+                number -> {
+                    throw new AssertionError("did not fail");
+                },
+                SkylarkError::kind);
+    }
+
     private static String detail(Result<Long> result) {
         return result.fold(String::valueOf, SkylarkError::detail);
     }
--- a/agreement/src/test/java/org/skylarkbend/agreement/FaultyDisk.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/FaultyDisk.java
@@ -10,7 +10,7 @@
 
 /**
  * A disk on which some operations fail while it has no room. A failed write leaves a part of its
- * bytes behind; a failed sync leaves unknown bytes in place of those that were not synced.
+ * bytes behind; each second failed sync leaves other bytes in place of those that were not synced.
  */
 final class FaultyDisk implements FileOperations {
     /** An operation that may fail. */
@@ -64,9 +64,11 @@
         if (unsyncedFromBytes == null) {
             throwIf(fails(Operation.SYNC_FOLDER));
         } else if (fails(Operation.SYNC_FILE)) {
-            long changedFromBytes = (unsyncedFromBytes + channel.size()) / 2;
-            int changedBytes = (int) (channel.size() - changedFromBytes);
-            channel.write(ByteBuffer.allocate(changedBytes), changedFromBytes);
+            if (mFailures % 2 == 0) {
+                long changedFromBytes = (unsyncedFromBytes + channel.size()) / 2;
+                int changedBytes = (int) (channel.size() - changedFromBytes);
+                channel.write(ByteBuffer.allocate(changedBytes), changedFromBytes);
+            }
             throw noRoom();
         }
     }
--- a/agreement/src/test/java/org/skylarkbend/agreement/SimulatedMember.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/SimulatedMember.java
@@ -27,6 +27,7 @@
 import org.skylarkbend.base.ErrorKind;
 import org.skylarkbend.base.ObjectName;
 import org.skylarkbend.base.Result;
+import org.skylarkbend.base.SkylarkError;
 
 /** A VM of a simulation: a decider, a disk and a clock, with injected faults. */
 final class SimulatedMember {
@@ -279,11 +280,11 @@
 
     private void sync() {
         if (mDiskFull) {
-            runWhenActive(() -> syncFailed("the disk is full"));
+            runWhenActive(() -> syncFailed(new SkylarkError(ErrorKind.STORAGE_FAILED, "full")));
             return;
         }
         Result<Long> result = mDisk.syncNext();
-        runWhenActive(() -> result.match(this::synced, error -> syncFailed(error.detail())));
+        runWhenActive(() -> result.match(this::synced, this::syncFailed));
     }
 
     private void synced(long number) {
@@ -296,11 +297,11 @@
         }
     }
 
-    private void syncFailed(String detail) {
+    private void syncFailed(SkylarkError error) {
         mSyncing = false;
         mDisk.failAll();
         mPendingSends.clear();
-        decide(new PersistFailed(mLastNumber, detail));
+        decide(new PersistFailed(mLastNumber, error));
     }
 
     private void sendReady() {
