Append the first entry of a term again when it was not written

Cause: a new leader appends one entry of its term, by which it learns what is committed. When the disk refused it, the entry was dropped and never appended again. The leader kept its leadership, and until somebody proposed something, every confirmed read waited without end; operators' reads are confirmed, and a change is checked against such a read first.

Change: a leader without an entry of its term appends one with each heartbeat.

Evidence: AgreementDeciderTest, aLeaderWhoseFirstEntryWasNotWrittenAppendsAnotherOne: no persist was issued before ("Expected size: 1 but was: 0"). The test class passes now.

--- a/agreement/src/main/java/org/skylarkbend/agreement/AgreementDecider.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/AgreementDecider.java
@@ -166,6 +166,7 @@
             return;
         }
         if (mLeaderReplication.isRoundDue(mNowMilliseconds)) {
+            appendFirstEntryOfTerm();
             mLeaderReplication.startRound(mNowMilliseconds);
         }
         mMembershipChanges.nextChange(mNowMilliseconds).ifPresent(this::changeMembership);
@@ -190,10 +191,20 @@
         mState.leaderSeen();
         mLeaderReplication.startTerm(mNowMilliseconds);
         mMembershipChanges.startTerm();
-        mState.append(new LogEntry(mState.mLog.lastIndex() + 1, mState.mTerm, new NoOperation()));
+        appendFirstEntryOfTerm();
         mLeaderReplication.startRound(mNowMilliseconds);
     }
 
+    /**
+     * Appends an entry unless there is one of this term; an earlier one may not have been saved.
+     */
+    private void appendFirstEntryOfTerm() {
+        if (mState.mLog.lastTerm() < mState.mTerm) {
+            long index = mState.mLog.lastIndex() + 1;
+            mState.append(new LogEntry(index, mState.mTerm, new NoOperation()));
+        }
+    }
+
     private void stepDown(long term) {
         if (term > mState.mTerm) {
             mState.setTermAndVote(term, Optional.empty());
--- a/agreement/src/test/java/org/skylarkbend/agreement/AgreementDeciderTest.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/AgreementDeciderTest.java
@@ -144,6 +144,26 @@
                 .noneMatch(AgreementEffect.FailProposal.class::isInstance);
     }
 
+    /**
+     * Guards against reads that wait for ever because the first entry of a term was not written.
+     */
+    @Test
+    public void aLeaderWhoseFirstEntryWasNotWrittenAppendsAnotherOne() {
+        AgreementDecider leader = member(voterWithSnapshot(), -10_000);
+        run(leader, new AgreementInput.Tick());
+        run(leader, new Received(LEADER, new AgreementMessage.PreVoteResponse(3, true)));
+        Received vote = new Received(LEADER, new AgreementMessage.VoteResponse(3, true, 0));
+        Persist first = only(Persist.class, leader.decide(vote, ELECTION_AT_MILLISECONDS));
+        SkylarkError noSpace = new SkylarkError(ErrorKind.STORAGE_FAILED, "no space");
+        leader.decide(new PersistFailed(first.number(), noSpace), ELECTION_AT_MILLISECONDS);
+        List<AgreementEffect> effects =
+                leader.decide(
+                        new AgreementInput.Tick(),
+                        ELECTION_AT_MILLISECONDS
+                                + AgreementOptions.defaults().heartbeatMilliseconds());
+        assertThat(only(Persist.class, effects).entries()).isEqualTo(first.entries());
+    }
+
     /** Guards against a proposal that is called refused and comes back after a restart. */
     @Test
     public void aProposalThatMayBeOnDiskInSpiteOfTheFailureIsCalledUnknown() {
