Remove unfinished files of an earlier process when a data folder is opened

On a disk without room it took the room that writes needed.

Change: opening a data folder removes files that end in .new, under the lock.

Evidence: DiskWithoutRoomTest, anUnfinishedFileOfAnEarlierProcessIsRemovedWhenTheFolderIsOpened: the files were still there before, and are gone now.

--- a/agreement/src/main/java/org/skylarkbend/agreement/DataFolder.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/DataFolder.java
@@ -6,6 +6,7 @@
 import java.nio.channels.FileChannel;
 import java.nio.channels.FileLock;
 import java.nio.channels.OverlappingFileLockException;
+import java.nio.file.DirectoryStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
@@ -36,6 +37,12 @@
             channel.close();
             throw new IOException(path + " is in use by another process");
         }
+        try {
+            deleteUnfinished(path);
+        } catch (IOException e) {
+            channel.close();
+            throw e;
+        }
         return new DataFolder(path, new NamedFileOperations(fileOperations), channel);
     }
 
@@ -133,6 +140,14 @@
         }
     }
 
+    private static void deleteUnfinished(Path path) throws IOException {
+        try (DirectoryStream<Path> files = Files.newDirectoryStream(path, "*" + NEW_SUFFIX)) {
+            for (Path file : files) {
+                Files.delete(file);
+            }
+        }
+    }
+
     private static boolean acquireLock(FileChannel channel) throws IOException {
         try {
             FileLock lock = channel.tryLock();
--- a/agreement/src/test/java/org/skylarkbend/agreement/DiskWithoutRoomTest.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/DiskWithoutRoomTest.java
@@ -116,6 +116,18 @@
         }
     }
 
+    /** Guards against an unfinished file of a process that ended, which takes room for ever. */
+    @Test
+    public void anUnfinishedFileOfAnEarlierProcessIsRemovedWhenTheFolderIsOpened()
+            throws IOException {
+        open(mDisk).close();
+        for (String name : List.of("log.new", "snapshot.new", "identity.new")) {
+            Files.write(mFolder.resolve(name), new byte[100]);
+        }
+        open(mDisk).close();
+        assertNoUnfinishedFile();
+    }
+
     /** Guards against proposals that are called refused and come back after a restart. */
     @Test
     public void aFailedPersistIsCalledRefusedOnlyOnceItsBytesAreCut() throws IOException {
