Let a leader whose disk fails make way for members that can write

Cause: a leader took the failure of its disk for a failure of each change. It kept its leadership, answered heartbeats and refused everything, for as long as its disk had no room, while a majority of the others could have gone on.

Change: such a leader asks the other voters to write and remove as many bytes as it could not (DiskCheckRequest, CheckDisk). Once a quorum of them has done so and a check of its own disk that began after that fails, it steps down: entries that others may have are COMMIT_UNKNOWN, the refused ones were never sent. It only stops leading, and the others elect after their election timeout, so that leases and leaderlessMilliseconds hold. As long as no quorum of the others can write it stays the leader, so that reads are still served when all disks are full, which AgreementTaskTest asks for. The check does not touch the log, so it fails no write.

The simulations answer CheckDisk; AgreementCodecTest has the two messages.

--- a/agreement/src/main/java/org/skylarkbend/agreement/AgreementCodec.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/AgreementCodec.java
@@ -4,6 +4,8 @@
 import org.skylarkbend.agreement.AgreementMessage.Announcement;
 import org.skylarkbend.agreement.AgreementMessage.AppendRequest;
 import org.skylarkbend.agreement.AgreementMessage.AppendResponse;
+import org.skylarkbend.agreement.AgreementMessage.DiskCheckRequest;
+import org.skylarkbend.agreement.AgreementMessage.DiskCheckResponse;
 import org.skylarkbend.agreement.AgreementMessage.PreVoteRequest;
 import org.skylarkbend.agreement.AgreementMessage.PreVoteResponse;
 import org.skylarkbend.agreement.AgreementMessage.SnapshotChunk;
@@ -26,6 +28,8 @@
     private static final int SNAPSHOT_CHUNK = 7;
     private static final int SNAPSHOT_RESPONSE = 8;
     private static final int ANNOUNCEMENT = 9;
+    private static final int DISK_CHECK_REQUEST = 10;
+    private static final int DISK_CHECK_RESPONSE = 11;
 
     @Override
     public byte[] encode(Envelope envelope) {
@@ -50,6 +54,15 @@
                     .number(response.nextOffsetBytes())
                     .toBytes();
         }
+        if (message instanceof DiskCheckRequest request) {
+            return startMessage(DISK_CHECK_REQUEST, envelope)
+                    .number(request.failure())
+                    .number(request.sizeBytes())
+                    .toBytes();
+        }
+        if (message instanceof DiskCheckResponse response) {
+            return startMessage(DISK_CHECK_RESPONSE, envelope).number(response.failure()).toBytes();
+        }
         if (message instanceof Announcement announcement) {
             MessageWriter writer =
                     startMessage(ANNOUNCEMENT, envelope)
@@ -143,6 +156,8 @@
             case ANNOUNCEMENT ->
                     new Announcement(
                             reader.flag(), reader.flag(), EntryEncoding.readOptionalMember(reader));
+            case DISK_CHECK_REQUEST -> new DiskCheckRequest(term, reader.number(), reader.number());
+            case DISK_CHECK_RESPONSE -> new DiskCheckResponse(term, reader.number());
             default -> MessageReader.unknownType(type);
         };
     }
--- a/agreement/src/main/java/org/skylarkbend/agreement/AgreementDecider.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/AgreementDecider.java
@@ -6,6 +6,7 @@
 import java.util.TreeMap;
 import java.util.function.LongUnaryOperator;
 import org.skylarkbend.agreement.AgreementInput.ConfirmLeadership;
+import org.skylarkbend.agreement.AgreementInput.DiskChecked;
 import org.skylarkbend.agreement.AgreementInput.PersistFailed;
 import org.skylarkbend.agreement.AgreementInput.Persisted;
 import org.skylarkbend.agreement.AgreementInput.Propose;
@@ -14,6 +15,8 @@
 import org.skylarkbend.agreement.AgreementMessage.Announcement;
 import org.skylarkbend.agreement.AgreementMessage.AppendRequest;
 import org.skylarkbend.agreement.AgreementMessage.AppendResponse;
+import org.skylarkbend.agreement.AgreementMessage.DiskCheckRequest;
+import org.skylarkbend.agreement.AgreementMessage.DiskCheckResponse;
 import org.skylarkbend.agreement.AgreementMessage.PreVoteRequest;
 import org.skylarkbend.agreement.AgreementMessage.PreVoteResponse;
 import org.skylarkbend.agreement.AgreementMessage.SnapshotChunk;
@@ -41,6 +44,7 @@
     private final FollowerReplication mFollowerReplication;
     private final LeaderReplication mLeaderReplication;
     private final LeadershipConfirmations mConfirmations;
+    private final DiskHandOver mDiskHandOver;
     private final MembershipChanges mMembershipChanges;
     private final ClusterBootstrap mBootstrap;
     private final TreeMap<Long, Long> mProposalsByIndex = new TreeMap<>();
@@ -80,6 +84,7 @@
         mFollowerReplication = new FollowerReplication(mState, this::applyCommitted);
         mLeaderReplication = new LeaderReplication(mState);
         mConfirmations = new LeadershipConfirmations(mState, mLeaderReplication);
+        mDiskHandOver = new DiskHandOver(mState);
         mMembershipChanges = new MembershipChanges(mState, mLeaderReplication, rules);
         mBootstrap = new ClusterBootstrap(mState, rules.initialVms());
         mAppliedIndex = mState.mCommitIndex;
@@ -101,6 +106,8 @@
             persisted(persisted.number());
         } else if (input instanceof PersistFailed failed) {
             persistFailed(failed);
+        } else if (input instanceof DiskChecked checked) {
+            diskChecked(checked);
         } else if (input instanceof SnapshotTaken taken) {
             saveSnapshot(taken);
         } else {
@@ -169,6 +176,7 @@
             appendFirstEntryOfTerm();
             mLeaderReplication.startRound(mNowMilliseconds);
         }
+        mDiskHandOver.tick(mNowMilliseconds);
         mMembershipChanges.nextChange(mNowMilliseconds).ifPresent(this::changeMembership);
     }
 
@@ -191,6 +199,7 @@
         mState.leaderSeen();
         mLeaderReplication.startTerm(mNowMilliseconds);
         mMembershipChanges.startTerm();
+        mDiskHandOver.startTerm();
         appendFirstEntryOfTerm();
         mLeaderReplication.startRound(mNowMilliseconds);
     }
@@ -253,6 +262,8 @@
         } else if (message instanceof SnapshotChunk chunk) {
             recordLeaderContact(from);
             mFollowerReplication.receive(from, chunk);
+        } else if (message instanceof DiskCheckRequest request) {
+            mDiskHandOver.receive(from, request);
         } else if (mState.isLeader()) {
             receiveResponse(from, message);
         }
@@ -263,6 +274,8 @@
             mLeaderReplication.receive(from, response, mNowMilliseconds);
         } else if (message instanceof SnapshotResponse response) {
             mLeaderReplication.receive(from, response, mNowMilliseconds);
+        } else if (message instanceof DiskCheckResponse response) {
+            mDiskHandOver.receive(from, response);
         }
         advanceCommit();
     }
@@ -319,6 +332,11 @@
     }
 
     private void persistFailed(PersistFailed failed) {
+        long failedBytes =
+                mState.unsavedBytes()
+                        + mPendingSnapshot
+                                .map(pending -> (long) pending.snapshot().lengthBytes())
+                                .orElse(0L);
         mState.persistFailed();
         mFollowerReplication.persistFailed();
         if (mPendingSnapshot.isPresent()) {
@@ -327,13 +345,22 @@
             mAppliedBytes = mState.mOptions.snapshotAfterBytes();
             mSnapshotNotBeforeMilliseconds = mNowMilliseconds + SNAPSHOT_RETRY_MILLISECONDS;
         }
-        if (!mState.isLeader()) {
+        if (mState.isLeader()) {
+            mDiskHandOver.persistFailed(failedBytes, mNowMilliseconds);
+        } else {
             mState.mRole = MemberRole.FOLLOWER;
         }
         failProposalsFrom(
                 mState.mLog.lastIndex() + 1, failed.error().kind(), failed.error().detail());
     }
 
+    private void diskChecked(DiskChecked checked) {
+        if (mDiskHandOver.checked(checked.canWrite())) {
+            stepDown(mState.mTerm);
+            mState.letOthersStandFirst();
+        }
+    }
+
     private void advanceCommit() {
         if (!mState.isLeader() || mState.mLog.membership().voters().isEmpty()) {
             return;
--- a/agreement/src/main/java/org/skylarkbend/agreement/AgreementEffect.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/AgreementEffect.java
@@ -39,6 +39,9 @@
         }
     }
 
+    /** Checks, in the order of the writes, that the disk has room for this many bytes. */
+    record CheckDisk(long sizeBytes) implements AgreementEffect {}
+
     /** Applies a committed entry and completes its proposal, if this member proposed it. */
     record Apply(LogEntry entry, OptionalLong proposalId) implements AgreementEffect {}
 
--- a/agreement/src/main/java/org/skylarkbend/agreement/AgreementInput.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/AgreementInput.java
@@ -29,6 +29,9 @@
      */
     record PersistFailed(long number, SkylarkError error) implements AgreementInput {}
 
+    /** The result of {@link AgreementEffect.CheckDisk}. */
+    record DiskChecked(boolean canWrite) implements AgreementInput {}
+
     /** The state machine data that {@link AgreementEffect.TakeSnapshot} requested. */
     record SnapshotTaken(long index, byte[] data) implements AgreementInput {
         /** Copies the data. */
--- a/agreement/src/main/java/org/skylarkbend/agreement/AgreementMessage.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/AgreementMessage.java
@@ -132,6 +132,17 @@
     record SnapshotResponse(long term, long round, long index, int nextOffsetBytes)
             implements AgreementMessage {}
 
+    /**
+     * Asks a follower if its disk can write, because the leader's cannot.
+     *
+     * @param failure the number of the failure of the leader's disk, which the response echoes
+     * @param sizeBytes the size of what the leader could not write
+     */
+    record DiskCheckRequest(long term, long failure, long sizeBytes) implements AgreementMessage {}
+
+    /** The response to {@link DiskCheckRequest}, sent only by a member whose disk can write. */
+    record DiskCheckResponse(long term, long failure) implements AgreementMessage {}
+
     /**
      * Announces a member that is not a voter or knows no leader.
      *
--- a/agreement/src/main/java/org/skylarkbend/agreement/AgreementStorage.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/AgreementStorage.java
@@ -113,6 +113,17 @@
         }
     }
 
+    /** Checks that the log can be written and that there is room for this many bytes. */
+    public Result<Void> check(long sizeBytes) {
+        try {
+            mLogFile.repairIfNeeded();
+            mFolder.checkRoom(sizeBytes);
+            return Result.success(null);
+        } catch (IOException e) {
+            return failed(ErrorKind.STORAGE_FAILED, e);
+        }
+    }
+
     @Override
     public void close() throws IOException {
         mLogFile.close();
@@ -215,7 +226,7 @@
         return new Identity(EntryEncoding.readMember(reader), type == IDENTITY_OF_FIRST_START);
     }
 
-    private static Result<Long> failed(ErrorKind kind, IOException cause) {
+    private static <T> Result<T> failed(ErrorKind kind, IOException cause) {
         return Result.failure(kind, "the disk failed at " + cause.getMessage());
     }
 }
--- a/agreement/src/main/java/org/skylarkbend/agreement/AgreementTask.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/AgreementTask.java
@@ -15,6 +15,7 @@
 import java.util.function.LongUnaryOperator;
 import org.skylarkbend.agreement.AgreementEffect.Apply;
 import org.skylarkbend.agreement.AgreementEffect.Broadcast;
+import org.skylarkbend.agreement.AgreementEffect.CheckDisk;
 import org.skylarkbend.agreement.AgreementEffect.ConfirmationFailed;
 import org.skylarkbend.agreement.AgreementEffect.FailProposal;
 import org.skylarkbend.agreement.AgreementEffect.LeadershipConfirmed;
@@ -25,6 +26,7 @@
 import org.skylarkbend.agreement.AgreementEffect.Send;
 import org.skylarkbend.agreement.AgreementEffect.TakeSnapshot;
 import org.skylarkbend.agreement.AgreementInput.ConfirmLeadership;
+import org.skylarkbend.agreement.AgreementInput.DiskChecked;
 import org.skylarkbend.agreement.AgreementInput.PersistFailed;
 import org.skylarkbend.agreement.AgreementInput.Persisted;
 import org.skylarkbend.agreement.AgreementInput.Propose;
@@ -133,7 +135,14 @@
                         mDirectory,
                         vm -> mDecider.membership().onVm(vm).isPresent(),
                         mOptions.electionMinMilliseconds() / 2);
-        mDisk = new DiskQueue(vertx, mStorage, mClock, this::persisted, this::persistFailed);
+        mDisk =
+                new DiskQueue(
+                        vertx,
+                        mStorage,
+                        mClock,
+                        this::persisted,
+                        this::persistFailed,
+                        canWrite -> decide(new DiskChecked(canWrite)));
         mDecider =
                 new AgreementDecider(
                         mStorage.recovered(),
@@ -290,6 +299,8 @@
             mDisk.add(persist);
         } else if (effect instanceof SaveSnapshot save) {
             mDisk.add(save);
+        } else if (effect instanceof CheckDisk check) {
+            mDisk.add(check);
         } else if (effect instanceof Apply apply) {
             apply(apply);
         } else if (effect instanceof Restore restore) {
--- a/agreement/src/main/java/org/skylarkbend/agreement/DataFolder.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/DataFolder.java
@@ -15,6 +15,10 @@
 final class DataFolder implements Closeable {
     private static final String LOCK_FILE_NAME = "lock";
     private static final String NEW_SUFFIX = ".new";
+    private static final String CHECK_FILE_NAME = "check";
+
+    /** The size of a block of common file systems. */
+    private static final int CHECK_PART_BYTES = 4096;
 
     private final Path mPath;
     private final FileOperations mFileOperations;
@@ -102,6 +106,12 @@
         }
     }
 
+    /** Writes at least this many bytes, syncs them and removes them. */
+    void checkRoom(long sizeBytes) throws IOException {
+        writeNew(CHECK_FILE_NAME, file -> writeZeros(file, sizeBytes));
+        Files.delete(file(CHECK_FILE_NAME + NEW_SUFFIX));
+    }
+
     /** Overwrites a file. Neither atomic nor synced. */
     void overwrite(String name, byte[] content) throws IOException {
         try (FileChannel channel = openNew(file(name))) {
@@ -132,6 +142,13 @@
                 StandardOpenOption.WRITE);
     }
 
+    private static void writeZeros(ChunkedWriter file, long sizeBytes) throws IOException {
+        byte[] zeros = new byte[CHECK_PART_BYTES];
+        for (long written = 0; written <= sizeBytes; written += zeros.length) {
+            file.write(zeros);
+        }
+    }
+
     private static void deleteAfter(IOException failure, Path newFile) {
         try {
             Files.deleteIfExists(newFile);
--- /dev/null
+++ b/agreement/src/main/java/org/skylarkbend/agreement/DiskHandOver.java
@@ -0,0 +1,128 @@
+package org.skylarkbend.agreement;
+
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import org.skylarkbend.agreement.AgreementMessage.DiskCheckRequest;
+import org.skylarkbend.agreement.AgreementMessage.DiskCheckResponse;
+
+/**
+ * Decides when a leader whose disk fails gives up its leadership: as soon as a quorum of the other
+ * voters can write what it could not. As long as none of them could do better, it stays the leader,
+ * because it can still confirm its leadership to readers.
+ *
+ * <p>It then only stops leading. The others elect a leader after their election timeout, as after a
+ * crash, so that everything that relies on their not voting earlier holds.
+ */
+final class DiskHandOver {
+    private final MemberState mState;
+    private final Set<MemberId> mCanWrite = new HashSet<>();
+    private Optional<Check> mCheck = Optional.empty();
+    private boolean mFailed;
+    private long mFailedBytes;
+    private long mFailure;
+    private long mAskedAtMilliseconds;
+
+    /**
+     * A check of the own disk that is in flight.
+     *
+     * @param asker the leader that asked for it, or empty if this member checks for itself
+     * @param term the term in which it was started
+     * @param failure the number of the failure of the asker
+     * @param othersCanWrite true if a quorum of the others could write when it was started
+     */
+    private record Check(
+            Optional<MemberId> asker, long term, long failure, boolean othersCanWrite) {}
+
+    DiskHandOver(MemberState state) {
+        mState = state;
+    }
+
+    /** Starts a term as leader, whose disk has just saved the vote. */
+    void startTerm() {
+        mFailed = false;
+    }
+
+    /** Asks the others after a failure of the leader's disk to write this many bytes. */
+    void persistFailed(long sizeBytes, long nowMilliseconds) {
+        if (mFailed) {
+            mFailedBytes = Math.max(mFailedBytes, sizeBytes);
+            return;
+        }
+        mFailed = true;
+        mFailedBytes = sizeBytes;
+        mFailure++;
+        mCanWrite.clear();
+        ask(nowMilliseconds);
+    }
+
+    /** Asks again from time to time, because disks come back and messages get lost. */
+    void tick(long nowMilliseconds) {
+        if (mFailed
+                && nowMilliseconds - mAskedAtMilliseconds
+                        >= mState.mOptions.electionMinMilliseconds()) {
+            ask(nowMilliseconds);
+        }
+    }
+
+    /** Checks the own disk for a leader. While another check is in flight, it has to ask again. */
+    void receive(MemberId from, DiskCheckRequest request) {
+        startCheck(Optional.of(from), request.failure(), request.sizeBytes());
+    }
+
+    void receive(MemberId from, DiskCheckResponse response) {
+        if (mFailed && response.failure() == mFailure) {
+            mCanWrite.add(from);
+            if (othersCanWrite()) {
+                checkOwnDisk();
+            }
+        }
+    }
+
+    /** Processes the result of a check and returns whether the leader has to step down. */
+    boolean checked(boolean canWrite) {
+        Check check = mCheck.orElseThrow();
+        mCheck = Optional.empty();
+        if (check.asker().isPresent()) {
+            if (canWrite && check.term() == mState.mTerm) {
+                mState.mOutbox.send(
+                        check.asker().get(), new DiskCheckResponse(mState.mTerm, check.failure()));
+            }
+            return false;
+        }
+        if (!mState.isLeader() || check.term() != mState.mTerm || !mFailed) {
+            return false;
+        }
+        mFailed = !canWrite;
+        if (mFailed && !check.othersCanWrite() && othersCanWrite()) {
+            checkOwnDisk();
+        }
+        return mFailed && check.othersCanWrite();
+    }
+
+    private void ask(long nowMilliseconds) {
+        mAskedAtMilliseconds = nowMilliseconds;
+        for (MemberId voter : mState.mLog.membership().voters()) {
+            if (!voter.equals(mState.mSelf)) {
+                mState.mOutbox.send(
+                        voter, new DiskCheckRequest(mState.mTerm, mFailure, mFailedBytes));
+            }
+        }
+        checkOwnDisk();
+    }
+
+    private void checkOwnDisk() {
+        startCheck(Optional.empty(), mFailure, mFailedBytes);
+    }
+
+    private void startCheck(Optional<MemberId> asker, long failure, long sizeBytes) {
+        if (mCheck.isEmpty()) {
+            mCheck = Optional.of(new Check(asker, mState.mTerm, failure, othersCanWrite()));
+            mState.mOutbox.add(new AgreementEffect.CheckDisk(sizeBytes));
+        }
+    }
+
+    private boolean othersCanWrite() {
+        return mState.mLog.membership().isQuorum(mCanWrite::contains);
+    }
+}
--- a/agreement/src/main/java/org/skylarkbend/agreement/DiskQueue.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/DiskQueue.java
@@ -7,8 +7,11 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.OptionalLong;
+import java.util.concurrent.Callable;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import java.util.function.LongConsumer;
+import org.skylarkbend.agreement.AgreementEffect.CheckDisk;
 import org.skylarkbend.agreement.AgreementEffect.Persist;
 import org.skylarkbend.agreement.AgreementEffect.SaveSnapshot;
 import org.skylarkbend.base.ErrorKind;
@@ -32,6 +35,7 @@
     private final MillisecondClock mClock;
     private final LongConsumer mOnPersisted;
     private final BiConsumer<Long, SkylarkError> mOnFailed;
+    private final Consumer<Boolean> mOnChecked;
     private final Deque<AgreementEffect> mPending = new ArrayDeque<>();
     private long mLastNumber;
     private boolean mBusy;
@@ -42,12 +46,14 @@
             AgreementStorage storage,
             MillisecondClock clock,
             LongConsumer onPersisted,
-            BiConsumer<Long, SkylarkError> onFailed) {
+            BiConsumer<Long, SkylarkError> onFailed,
+            Consumer<Boolean> onChecked) {
         mVertx = vertx;
         mStorage = storage;
         mClock = clock;
         mOnPersisted = onPersisted;
         mOnFailed = onFailed;
+        mOnChecked = onChecked;
     }
 
     void add(Persist persist) {
@@ -62,6 +68,11 @@
         startNext();
     }
 
+    void add(CheckDisk check) {
+        mPending.add(check);
+        startNext();
+    }
+
     /** Drops the queued operations and closes the files after the one in flight. */
     Future<Void> close() {
         mPending.clear();
@@ -77,37 +88,74 @@
             return;
         }
         mBusy = true;
-        Future<Result<Long>> work = runNext();
-        work.onComplete(
-                done -> {
-                    if (done.cause() instanceof Error error) {
-                        throw error;
-                    }
-                    mBusy = false;
-                    Result<Long> result =
-                            done.succeeded()
-                                    ? done.result()
-                                    : Result.failure(
-                                            ErrorKind.COMMIT_UNKNOWN, String.valueOf(done.cause()));
-                    result.match(this::succeeded, this::failAll);
-                    startNext();
-                });
-    }
-
-    private Future<Result<Long>> runNext() {
-        if (mPending.peek() instanceof SaveSnapshot save) {
+        if (mPending.peek() instanceof CheckDisk check) {
+            mPending.poll();
+            long sizeBytes = check.sizeBytes();
+            run(() -> mStorage.check(sizeBytes), ignored -> checked(), this::checkFailed);
+        } else if (mPending.peek() instanceof SaveSnapshot save) {
             mPending.poll();
-            return mVertx.executeBlocking(() -> mStorage.save(save));
+            run(() -> mStorage.save(save), this::succeeded, this::failAll);
+        } else {
+            List<Persist> persists = pollPersists();
+            run(() -> mStorage.persist(persists), this::succeeded, this::failAll);
         }
+    }
+
+    private <T> void run(
+            Callable<Result<T>> work, Consumer<T> onSuccess, Consumer<SkylarkError> onFailure) {
+        mVertx.executeBlocking(work)
+                .onComplete(
+                        done -> {
+                            if (done.cause() instanceof Error error) {
+                                throw error;
+                            }
+                            mBusy = false;
+                            Result<T> result =
+                                    done.succeeded()
+                                            ? done.result()
+                                            : Result.failure(
+                                                    ErrorKind.COMMIT_UNKNOWN,
+                                                    String.valueOf(done.cause()));
+                            result.match(onSuccess, onFailure);
+                            startNext();
+                        });
+    }
+
+    private List<Persist> pollPersists() {
         List<Persist> persists = new ArrayList<>();
         while (mPending.peek() instanceof Persist persist) {
             mPending.poll();
             persists.add(persist);
         }
-        return mVertx.executeBlocking(() -> mStorage.persist(persists));
+        return persists;
     }
 
     private void succeeded(long number) {
+        logRecovery();
+        mOnPersisted.accept(number);
+    }
+
+    private void checked() {
+        logRecovery();
+        mOnChecked.accept(true);
+    }
+
+    private void checkFailed(SkylarkError error) {
+        logFailure(error);
+        mOnChecked.accept(false);
+    }
+
+    private void failAll(SkylarkError error) {
+        logFailure(error);
+        boolean hasCheck = mPending.stream().anyMatch(CheckDisk.class::isInstance);
+        mPending.clear();
+        mOnFailed.accept(mLastNumber, error);
+        if (hasCheck) {
+            mOnChecked.accept(false);
+        }
+    }
+
+    private void logRecovery() {
         mFailedAtMilliseconds.ifPresent(
                 failedAt ->
                         LOG.info(
@@ -115,15 +163,12 @@
                                 "milliseconds",
                                 mClock.nowMilliseconds() - failedAt));
         mFailedAtMilliseconds = OptionalLong.empty();
-        mOnPersisted.accept(number);
     }
 
-    private void failAll(SkylarkError error) {
+    private void logFailure(SkylarkError error) {
         if (mFailedAtMilliseconds.isEmpty()) {
             LOG.warn("agreement.disk.failed", "detail", error.detail());
             mFailedAtMilliseconds = OptionalLong.of(mClock.nowMilliseconds());
         }
-        mPending.clear();
-        mOnFailed.accept(mLastNumber, error);
     }
 }
--- a/agreement/src/main/java/org/skylarkbend/agreement/LogFile.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/LogFile.java
@@ -187,7 +187,7 @@
     /**
      * After a failed operation, opens the file anew, cuts what is not synced and checks the rest.
      */
-    private void repairIfNeeded() throws IOException {
+    void repairIfNeeded() throws IOException {
         if (mIsIntact) {
             return;
         }
--- a/agreement/src/main/java/org/skylarkbend/agreement/MemberState.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/MemberState.java
@@ -116,6 +116,11 @@
                         + mRandomBelow.applyAsLong(rangeMilliseconds);
     }
 
+    /** Extends the election timeout, so that a member that cannot lead stands last. */
+    void letOthersStandFirst() {
+        mElectionDeadlineMilliseconds += mOptions.electionMaxMilliseconds();
+    }
+
     /** Returns the time for which this member has heard from no leader. */
     long leaderlessMilliseconds(long nowMilliseconds) {
         return Math.max(0, nowMilliseconds - mLastContactMilliseconds);
@@ -188,6 +193,13 @@
         }
     }
 
+    /** Returns the size of the entries that are not known to be on disk. */
+    long unsavedBytes() {
+        return mLog.between(mPersistedIndex, mLog.lastIndex()).stream()
+                .mapToLong(LogEntry::sizeBytes)
+                .sum();
+    }
+
     /**
      * Discards entries that did not reach the disk. A hard state that did not is written again
      * after the next tick.
--- a/agreement/src/test/java/org/skylarkbend/agreement/AgreementCodecTest.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/AgreementCodecTest.java
@@ -8,6 +8,8 @@
 import org.skylarkbend.agreement.AgreementMessage.Announcement;
 import org.skylarkbend.agreement.AgreementMessage.AppendRequest;
 import org.skylarkbend.agreement.AgreementMessage.AppendResponse;
+import org.skylarkbend.agreement.AgreementMessage.DiskCheckRequest;
+import org.skylarkbend.agreement.AgreementMessage.DiskCheckResponse;
 import org.skylarkbend.agreement.AgreementMessage.PreVoteRequest;
 import org.skylarkbend.agreement.AgreementMessage.PreVoteResponse;
 import org.skylarkbend.agreement.AgreementMessage.SnapshotChunk;
@@ -39,6 +41,8 @@
                     new AppendResponse(1, 2, true, 9),
                     new SnapshotChunk(1, 2, 3, 4, MEMBERS, 5, new byte[] {7}, true),
                     new SnapshotResponse(1, 2, 3, 4),
+                    new DiskCheckRequest(1, 2, 3),
+                    new DiskCheckResponse(1, 2),
                     new Announcement(true, false, Optional.of(B)));
 
     private final AgreementCodec mCodec = new AgreementCodec();
--- a/agreement/src/test/java/org/skylarkbend/agreement/AgreementTaskTest.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/AgreementTaskTest.java
@@ -12,6 +12,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -40,6 +41,7 @@
     private final BlockingQueue<MemberId> mLeaders = new LinkedBlockingQueue<>();
     private volatile boolean mDisksFull;
     private volatile boolean mMemoryExhausted;
+    private volatile Optional<ObjectName> mFullVm = Optional.empty();
     private Map<ObjectName, MemberAddress> mAddresses;
     private Path mFolder;
     private Vertx mVertx;
@@ -61,6 +63,7 @@
     @AfterMethod(alwaysRun = true)
     public void stopAll() throws Exception {
         mMemoryExhausted = false;
+        mFullVm = Optional.empty();
         mRunning.clear();
         mLeaders.clear();
         await(mVertx.close());
@@ -117,6 +120,24 @@
         assertThat(resultOf(leader().task(), "c")).isEqualTo("2:c");
     }
 
+    /** Guards against a leader that refuses all changes while the others could accept them. */
+    @Test
+    public void theOthersAcceptProposalsWhenOnlyTheDiskOfTheLeaderIsFull() throws Exception {
+        Running first = leader();
+        assertThat(resultOf(first.task(), "a")).isEqualTo("1:a");
+        MemberId full = await(first.task().status()).self();
+        mLeaders.clear();
+        mFullVm = Optional.of(full.vm());
+        assertThat(resultOf(first.task(), "b")).isEqualTo("storage_failed");
+        assertThat(mLeaders.poll(LIMIT_SECONDS, TimeUnit.SECONDS))
+                .as("the leader after " + full)
+                .isNotNull()
+                .isNotEqualTo(full);
+        assertThat(resultOf(leader().task(), "c")).isEqualTo("2:c");
+        mFullVm = Optional.empty();
+        assertThat(resultOf(leader().task(), "d")).isEqualTo("3:d");
+    }
+
     /** Guards against exhausted memory that is taken for a failed disk. */
     @Test
     public void anErrorWhileWritingIsReportedAndNotTakenForAFailedDisk() throws Exception {
@@ -150,7 +171,7 @@
                                 mFolder.resolve(vm.value()),
                                 vm,
                                 () -> ThreadLocalRandom.current().nextLong(Long.MAX_VALUE),
-                                this::writeUnlessFull,
+                                (channel, bytes) -> writeUnlessFull(vm, channel, bytes),
                                 true)
                         .fold(
                                 opened -> opened,
@@ -172,8 +193,9 @@
         mRunning.put(vm, new Running(task, machine, await(mVertx.deployVerticle(task))));
     }
 
-    private void writeUnlessFull(FileChannel channel, ByteBuffer bytes) throws IOException {
-        if (mDisksFull) {
+    private void writeUnlessFull(ObjectName vm, FileChannel channel, ByteBuffer bytes)
+            throws IOException {
+        if (mDisksFull || mFullVm.equals(Optional.of(vm))) {
             throw new IOException("No space left on device");
         }
         if (mMemoryExhausted) {
--- a/agreement/src/test/java/org/skylarkbend/agreement/DisksWithoutRoomInTurnTest.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/DisksWithoutRoomInTurnTest.java
@@ -34,15 +34,17 @@
         };
     }
 
-    /** Guards against members that never write again, one by one, until no majority is left. */
+    /** Guards against members that never write again and leaders that refuse all changes. */
     @Test(dataProvider = "failures")
-    public void threeMembersCommitAgainAfterEachOfThemHadNoRoomInTurn(Set<Operation> failing) {
+    public void threeMembersCommitWhicheverOfThemHasNoRoomAndAfterAllHadNone(
+            Set<Operation> failing) {
         run(3, failing);
     }
 
-    /** Guards against members that never write again, one by one, until no majority is left. */
+    /** Guards against members that never write again and leaders that refuse all changes. */
     @Test(dataProvider = "failures")
-    public void fiveMembersCommitAgainAfterEachOfThemHadNoRoomInTurn(Set<Operation> failing) {
+    public void fiveMembersCommitWhicheverOfThemHasNoRoomAndAfterAllHadNone(
+            Set<Operation> failing) {
         run(5, failing);
     }
 
--- a/agreement/src/test/java/org/skylarkbend/agreement/FileDisk.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/FileDisk.java
@@ -58,6 +58,11 @@
         return mStorage.persist(persists);
     }
 
+    @Override
+    public boolean hasRoom(long sizeBytes) {
+        return mStorage.check(sizeBytes).isSuccess();
+    }
+
     @Override
     public void failAll() {
         mUnsynced.clear();
--- a/agreement/src/test/java/org/skylarkbend/agreement/MemberDisk.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/MemberDisk.java
@@ -25,6 +25,9 @@
     /** Performs one sync: of a snapshot, or of all persists before the next snapshot. */
     Result<Long> syncNext();
 
+    /** Returns whether the disk can write this many bytes. */
+    boolean hasRoom(long sizeBytes);
+
     /** Drops all writes that are not synced. */
     void failAll();
 
--- a/agreement/src/test/java/org/skylarkbend/agreement/SimulatedDisk.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/SimulatedDisk.java
@@ -49,6 +49,11 @@
         return Result.success(number);
     }
 
+    @Override
+    public boolean hasRoom(long sizeBytes) {
+        return true;
+    }
+
     @Override
     public void failAll() {
         mUnsynced.clear();
--- a/agreement/src/test/java/org/skylarkbend/agreement/SimulatedMember.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/SimulatedMember.java
@@ -10,6 +10,7 @@
 import java.util.OptionalLong;
 import org.skylarkbend.agreement.AgreementEffect.Apply;
 import org.skylarkbend.agreement.AgreementEffect.Broadcast;
+import org.skylarkbend.agreement.AgreementEffect.CheckDisk;
 import org.skylarkbend.agreement.AgreementEffect.ConfirmationFailed;
 import org.skylarkbend.agreement.AgreementEffect.FailProposal;
 import org.skylarkbend.agreement.AgreementEffect.LeadershipConfirmed;
@@ -18,6 +19,7 @@
 import org.skylarkbend.agreement.AgreementEffect.Send;
 import org.skylarkbend.agreement.AgreementEffect.TakeSnapshot;
 import org.skylarkbend.agreement.AgreementInput.ConfirmLeadership;
+import org.skylarkbend.agreement.AgreementInput.DiskChecked;
 import org.skylarkbend.agreement.AgreementInput.PersistFailed;
 import org.skylarkbend.agreement.AgreementInput.Persisted;
 import org.skylarkbend.agreement.AgreementInput.Propose;
@@ -213,6 +215,8 @@
             write(persist, persist.number());
         } else if (effect instanceof AgreementEffect.SaveSnapshot save) {
             write(save, save.number());
+        } else if (effect instanceof CheckDisk check) {
+            checkLater(check.sizeBytes());
         } else if (effect instanceof Apply apply) {
             apply(apply);
         } else if (effect instanceof Restore restore) {
@@ -278,6 +282,18 @@
                 });
     }
 
+    private void checkLater(long sizeBytes) {
+        int incarnation = mIncarnation;
+        mSimulation.after(
+                mSimulation.syncMilliseconds(),
+                () -> {
+                    if (incarnation == mIncarnation && isRunning()) {
+                        boolean canWrite = !mDiskFull && mDisk.hasRoom(sizeBytes);
+                        runWhenActive(() -> decide(new DiskChecked(canWrite)));
+                    }
+                });
+    }
+
     private void sync() {
         if (mDiskFull) {
             runWhenActive(() -> syncFailed(new SkylarkError(ErrorKind.STORAGE_FAILED, "full")));
