--- a/agreement/src/test/java/org/skylarkbend/agreement/SimulatedMember.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/SimulatedMember.java
@@ -10,6 +10,7 @@
 import java.util.OptionalLong;
 import org.skylarkbend.agreement.AgreementEffect.Apply;
 import org.skylarkbend.agreement.AgreementEffect.Broadcast;
+import org.skylarkbend.agreement.AgreementEffect.CheckDisk;
 import org.skylarkbend.agreement.AgreementEffect.ConfirmationFailed;
 import org.skylarkbend.agreement.AgreementEffect.FailProposal;
 import org.skylarkbend.agreement.AgreementEffect.LeadershipConfirmed;
@@ -18,6 +19,7 @@
 import org.skylarkbend.agreement.AgreementEffect.Send;
 import org.skylarkbend.agreement.AgreementEffect.TakeSnapshot;
 import org.skylarkbend.agreement.AgreementInput.ConfirmLeadership;
+import org.skylarkbend.agreement.AgreementInput.DiskChecked;
 import org.skylarkbend.agreement.AgreementInput.PersistFailed;
 import org.skylarkbend.agreement.AgreementInput.Persisted;
 import org.skylarkbend.agreement.AgreementInput.Propose;
@@ -26,6 +28,8 @@
 import org.skylarkbend.agreement.AgreementInput.Tick;
 import org.skylarkbend.base.ErrorKind;
 import org.skylarkbend.base.ObjectName;
+import org.skylarkbend.base.Result;
+import org.skylarkbend.base.SkylarkError;
 
 /** A VM of a simulation: a decider, a disk and a clock, with injected faults. */
 final class SimulatedMember {
@@ -41,7 +45,7 @@
     private final List<Send> mPendingSends = new ArrayList<>();
     private final Map<Long, EntryContent.Command> mProposals = new HashMap<>();
     private final Map<Long, Long> mAcknowledgedIndexAtRequest = new HashMap<>();
-    private SimulatedDisk mDisk;
+    private MemberDisk mDisk;
     private OptionalLong mCrashedMilliseconds = OptionalLong.empty();
     private Optional<AgreementDecider> mDecider = Optional.empty();
     private int mIncarnation;
@@ -59,7 +63,7 @@
         mVm = vm;
         mClockRate = simulation.random().nextDouble(0.96, 1.04);
         mClockOffsetMilliseconds = simulation.random().nextLong(1_000_000);
-        mDisk = new SimulatedDisk(simulation.newIdentity(vm), simulation.isInitialVm(vm));
+        mDisk = simulation.newDisk(vm, simulation.isInitialVm(vm));
     }
 
     ObjectName vm() {
@@ -130,7 +134,7 @@
     }
 
     void loseDisk() {
-        mDisk = new SimulatedDisk(mSimulation.newIdentity(mVm), mSimulation.hasFixedMembers());
+        mDisk = mSimulation.newDisk(mVm, mSimulation.hasFixedMembers());
     }
 
     void setDiskFull(boolean full) {
@@ -211,6 +215,8 @@
             write(persist, persist.number());
         } else if (effect instanceof AgreementEffect.SaveSnapshot save) {
             write(save, save.number());
+        } else if (effect instanceof CheckDisk check) {
+            checkLater(check.sizeBytes());
         } else if (effect instanceof Apply apply) {
             apply(apply);
         } else if (effect instanceof Restore restore) {
@@ -266,7 +272,7 @@
     private void syncLater() {
         mSyncing = true;
         int incarnation = mIncarnation;
-        SimulatedDisk disk = mDisk;
+        MemberDisk disk = mDisk;
         mSimulation.after(
                 mSimulation.syncMilliseconds(),
                 () -> {
@@ -276,13 +282,25 @@
                 });
     }
 
+    private void checkLater(long sizeBytes) {
+        int incarnation = mIncarnation;
+        mSimulation.after(
+                mSimulation.syncMilliseconds(),
+                () -> {
+                    if (incarnation == mIncarnation && isRunning()) {
+                        boolean canWrite = !mDiskFull && mDisk.hasRoom(sizeBytes);
+                        runWhenActive(() -> decide(new DiskChecked(canWrite)));
+                    }
+                });
+    }
+
     private void sync() {
         if (mDiskFull) {
-            runWhenActive(this::syncFailed);
+            runWhenActive(() -> syncFailed(new SkylarkError(ErrorKind.STORAGE_FAILED, "full")));
             return;
         }
-        long number = mDisk.syncNext();
-        runWhenActive(() -> synced(number));
+        Result<Long> result = mDisk.syncNext();
+        runWhenActive(() -> result.match(this::synced, this::syncFailed));
     }
 
     private void synced(long number) {
@@ -295,11 +313,11 @@
         }
     }
 
-    private void syncFailed() {
+    private void syncFailed(SkylarkError error) {
         mSyncing = false;
         mDisk.failAll();
         mPendingSends.clear();
-        decide(new PersistFailed(mLastNumber, "the disk is full"));
+        decide(new PersistFailed(mLastNumber, error));
     }
 
     private void sendReady() {
