--- a/exchange/src/main/java/org/skylarkbend/exchange/EndpointConnection.java
+++ b/exchange/src/main/java/org/skylarkbend/exchange/EndpointConnection.java
@@ -120,7 +120,8 @@
      */
     void close() {
         mReusable = false;
-        channel().close();
+        // Past Vert.x's handler, which writes what is queued before it closes.
+        mSocket.channelHandlerContext().close();
     }
 
     /** Starts or stops reading from the connection. */
