Close frame connections whose peer drips parts of a frame

Cause: any received byte restarted the timer for silence, so that a peer that sent a byte now and then inside a frame kept its connection for ever.

A large frame over a slow link is kept.

Evidence: with the former FrameConnection the three cases of HostilePeerTest.aPeerThatDripsAFrameIsClosed were still open after 5 s at a silence of 0.4 s; they pass now. The other tests of the class (frames cut at each byte, invalid lengths, text in front, a peer that reads nothing) passed before and after.

--- a/wire/src/main/java/org/skylarkbend/wire/FrameConnection.java
+++ b/wire/src/main/java/org/skylarkbend/wire/FrameConnection.java
@@ -15,8 +15,8 @@
  * An open connection that carries the messages of a slice.
  *
  * <p>It is owned by the task that opened or accepted it and must only be used on that task's
- * context. Both sides send heartbeats; the connection is closed if nothing is received, or nothing
- * can be sent, for {@link WireOptions#silenceMilliseconds}.
+ * context. Both sides send heartbeats; the connection is closed if no frame and no large part of
+ * one is received, or nothing can be sent, for {@link WireOptions#silenceMilliseconds}.
  *
  * @param <M> the message type of the slice
  */
@@ -33,12 +33,12 @@
     private final WireOptions mOptions;
     private final MillisecondClock mClock;
     private final FrameAssembler mAssembler;
+    private final PeerProgress mProgress;
     private final long mTimerId;
     private final Deque<ByteBuffer> mUnsent = new ArrayDeque<>();
     private long mUnsentBytes;
     private Consumer<M> mOnMessage = message -> {};
     private Runnable mOnClose = () -> {};
-    private long mLastReceivedMilliseconds;
     private long mLastWritableMilliseconds;
     private boolean mClosed;
 
@@ -54,8 +54,8 @@
         mOptions = options;
         mClock = clock;
         mAssembler = new FrameAssembler(options.maxPayloadBytes());
-        mLastReceivedMilliseconds = clock.nowMilliseconds();
-        mLastWritableMilliseconds = mLastReceivedMilliseconds;
+        mLastWritableMilliseconds = clock.nowMilliseconds();
+        mProgress = new PeerProgress(options.silenceMilliseconds(), mLastWritableMilliseconds);
         mTimerId = vertx.setPeriodic(options.heartbeatMilliseconds(), id -> checkLiveness());
         socket.handler(this::receive);
         socket.exceptionHandler(e -> close());
@@ -132,10 +132,15 @@
     }
 
     private void receive(Buffer chunk) {
-        mLastReceivedMilliseconds = mClock.nowMilliseconds();
         mAssembler
                 .feed(chunk.getBytes())
-                .match(this::deliver, error -> rejectFrame(error.detail()));
+                .match(
+                        payloads -> {
+                            mProgress.received(
+                                    chunk.length(), !payloads.isEmpty(), mClock.nowMilliseconds());
+                            deliver(payloads);
+                        },
+                        error -> rejectFrame(error.detail()));
     }
 
     private void deliver(List<byte[]> payloads) {
@@ -156,7 +161,7 @@
         if (!mSocket.writeQueueFull()) {
             mLastWritableMilliseconds = nowMilliseconds;
         }
-        if (nowMilliseconds - mLastReceivedMilliseconds > mOptions.silenceMilliseconds()) {
+        if (mProgress.isSilent(nowMilliseconds)) {
             LOG.warn("wire.silent", "peer", remoteAddress());
             close();
         } else if (nowMilliseconds - mLastWritableMilliseconds > mOptions.silenceMilliseconds()) {
--- a/wire/src/main/java/org/skylarkbend/wire/WireOptions.java
+++ b/wire/src/main/java/org/skylarkbend/wire/WireOptions.java
@@ -9,7 +9,7 @@
  * @param maxUnsentBytes the size of the frames that wait for the peer to read earlier ones, above
  *     which the connection is closed
  * @param heartbeatMilliseconds the interval between heartbeats
- * @param silenceMilliseconds the time without received bytes, or with a full write queue, after
+ * @param silenceMilliseconds the time without a received frame, or with a full write queue, after
  *     which a connection is closed
  * @param connectTimeoutMilliseconds the timeout for opening a connection
  * @param tlsReloadMilliseconds the interval at which a listener reloads the TLS files
