Refuse requests of unclear length at the gateway, and end late heads

Cause: a request with a length and chunks was taken by its chunks, one with an unknown coding as one without a body, and a header without a name was passed on. Another server in front could see other boundaries, and the rest of a body would be a request that no caller sent. A head could arrive byte by byte without end, as the header timeout of the catalog was not used, and pipelined requests of a caller who read nothing were answered without end.

Change: RequestDecoder replaces the decoder of Vert.x: it refuses such requests, closes a connection whose head is late or whose responses are not read at all, and takes no further request while responses are unread.

--- a/gateway/src/main/java/org/skylarkbend/gateway/front/CallerConnections.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/front/CallerConnections.java
@@ -25,6 +25,11 @@
         mRequests.computeIfPresent(connection, (key, requests) -> Math.max(0, requests - 1));
     }
 
+    /** Returns whether a request is in progress on the connection. */
+    boolean isServing(HttpConnection connection) {
+        return mRequests.getOrDefault(connection, 0) > 0;
+    }
+
     /** Returns whether no request is in progress, which includes the sending of its response. */
     boolean areIdle() {
         return mRequests.values().stream().allMatch(requests -> requests == 0);
--- a/gateway/src/main/java/org/skylarkbend/gateway/front/GatewayTask.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/front/GatewayTask.java
@@ -5,6 +5,7 @@
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.VerticleBase;
+import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
@@ -50,6 +51,7 @@
 import org.skylarkbend.limits.LimitShareDecider;
 import org.skylarkbend.quarantine.QuarantineNotice;
 import org.skylarkbend.wire.HeldBytes;
+import org.skylarkbend.wire.RequestDecoder;
 
 /** Owns the connections to callers and endpoints, and all calls in progress between them. */
 public final class GatewayTask extends VerticleBase implements SiteListener {
@@ -170,7 +172,7 @@
         vertx.setPeriodic(PROBE_INTERVAL_MILLISECONDS, id -> check(probes));
         scheduleWorkReport();
         mServer = vertx.createHttpServer(serverOptions());
-        mServer.connectionHandler(mConnections::opened);
+        mServer.connectionHandler(this::connected);
         mServer.requestHandler(this::receive);
         return mServer.listen(mSettings.callers().port(), mSettings.callers().host());
     }
@@ -331,6 +333,17 @@
         mGateTimer = vertx.setTimer(Math.max(1, atMilliseconds - now()), id -> mGate.wake(now()));
     }
 
+    private void connected(HttpConnection connection) {
+        mConnections.opened(connection);
+        RequestDecoder.install(
+                connection,
+                serverOptions(),
+                new RequestDecoder.Limits(
+                        () -> callerLimits().headerMilliseconds(),
+                        () -> TimeUnit.SECONDS.toMillis(IDLE_TIMEOUT_SECONDS),
+                        () -> mConnections.isServing(connection)));
+    }
+
     private void receive(HttpServerRequest request) {
         long arrivedMilliseconds = now();
         mConnections.begun(request.connection());
--- a/gateway/src/test/java/org/skylarkbend/gateway/front/GatewayFixture.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/front/GatewayFixture.java
@@ -46,7 +46,7 @@
     protected HttpClient mClient;
     protected GatewayTask mGateway;
     protected MetricRegistry mMetrics;
-    private int mPort;
+    protected int mPort;
 
     /** Response as received by the caller. */
     protected record Response(int status, Map<String, String> head, Optional<String> body) {}
@@ -92,6 +92,11 @@
         return false;
     }
 
+    /** Returns the limits on the requests and connections of callers. */
+    protected CallerLimits callerLimits() {
+        return CallerLimits.defaults();
+    }
+
     /** Returns the memory for bodies. */
     protected long memoryBytes() {
         return 64 * 1024 * 1024;
@@ -121,7 +126,7 @@
                         List.of(route),
                         Map.of("desk", new Service("desk", 10, Optional.empty(), Optional.empty())),
                         List.of(customer),
-                        CallerLimits.defaults()));
+                        callerLimits()));
         mGateway.endpointsChanged(new Endpoints(List.of(endpoints), Set.of()));
         mGateway.limitMessageReceived(new LimitMessage.TermBegan(1));
     }
--- /dev/null
+++ b/wire/src/main/java/org/skylarkbend/wire/RequestDecoder.java
@@ -0,0 +1,223 @@
+package org.skylarkbend.wire;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundBuffer;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.vertx.core.http.HttpConnection;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.impl.VertxHttpRequestDecoder;
+import io.vertx.core.net.impl.ConnectionBase;
+import java.util.List;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.function.LongSupplier;
+import org.skylarkbend.base.StructuredLog;
+
+/**
+ * Decodes the requests on a connection of an HTTP server more strictly than Vert.x does.
+ *
+ * <p>A request whose length another server on its way could understand differently is invalid, so
+ * that no part of its body can be taken for a request. A connection on which a head stays
+ * incomplete, or whose peer reads none of a response, is closed, whatever arrives meanwhile.
+ */
+public final class RequestDecoder extends VertxHttpRequestDecoder {
+    private static final StructuredLog LOG = StructuredLog.of(RequestDecoder.class);
+
+    /** Name that Vert.x gives to the decoder in the pipeline of a channel. */
+    private static final String HANDLER_NAME = "httpDecoder";
+
+    /** Requests that wait until the peer has read earlier responses. */
+    private static final int MAX_WAITING_BYTES = 64 * 1024;
+
+    private final Limits mLimits;
+    private Future<?> mHeadTimer;
+    private Future<?> mUnreadTimer;
+    private long mUnreadBytes;
+    private boolean mReadingBody;
+
+    /**
+     * Limits on a connection.
+     *
+     * @param headMilliseconds returns the time from the first byte of a head to its last one
+     * @param unreadMilliseconds returns the time in which the peer must read some bytes of the
+     *     responses that wait for it
+     * @param isServing returns whether a response is still to be sent; as the rest of the next head
+     *     may not be read meanwhile, its time begins anew
+     */
+    public record Limits(
+            LongSupplier headMilliseconds,
+            LongSupplier unreadMilliseconds,
+            BooleanSupplier isServing) {}
+
+    private RequestDecoder(HttpServerOptions options, Limits limits) {
+        super(options);
+        mLimits = limits;
+    }
+
+    /**
+     * Replaces the decoder of a connection. Must be called by the connection handler of its server.
+     *
+     * @param connection connection on which nothing was received yet
+     * @param options options of the server
+     * @param limits limits on the connection
+     */
+    public static void install(
+            HttpConnection connection, HttpServerOptions options, Limits limits) {
+        ((ConnectionBase) connection)
+                .channel()
+                .pipeline()
+                .replace(HANDLER_NAME, HANDLER_NAME, new RequestDecoder(options, limits));
+    }
+
+    @Override
+    protected void decode(ChannelHandlerContext context, ByteBuf received, List<Object> decoded)
+            throws Exception {
+        boolean isBetweenRequests = !mReadingBody && mHeadTimer == null;
+        if (isBetweenRequests && !context.channel().isWritable()) {
+            if (received.readableBytes() > MAX_WAITING_BYTES) {
+                LOG.info("request.pipeline.full", "peer", context.channel().remoteAddress());
+                received.skipBytes(received.readableBytes());
+                context.close();
+            }
+            return;
+        }
+        if (isBetweenRequests && received.isReadable()) {
+            startHeadTimer(context);
+        }
+        int earlier = decoded.size();
+        super.decode(context, received, decoded);
+        for (Object part : decoded.subList(earlier, decoded.size())) {
+            if (part instanceof HttpRequest) {
+                mReadingBody = true;
+                cancelHeadTimer();
+            }
+            if (part instanceof LastHttpContent) {
+                mReadingBody = false;
+            }
+        }
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext context) throws Exception {
+        super.channelWritabilityChanged(context);
+        if (context.channel().isWritable()) {
+            cancelUnreadTimer();
+            context.executor().execute(() -> decodeWaiting(context));
+        } else if (mUnreadTimer == null) {
+            startUnreadTimer(context);
+        }
+    }
+
+    /** Decodes the requests that arrived while earlier responses were unread. */
+    private void decodeWaiting(ChannelHandlerContext context) {
+        try {
+            if (!context.isRemoved()) {
+                channelRead(context, Unpooled.EMPTY_BUFFER);
+            }
+        } catch (Exception e) {
+            context.fireExceptionCaught(e);
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) throws Exception {
+        cancelHeadTimer();
+        cancelUnreadTimer();
+        super.channelInactive(context);
+    }
+
+    /** Called once the head is complete; an exception makes the request invalid. */
+    @Override
+    protected boolean isContentAlwaysEmpty(HttpMessage message) {
+        if (message != null) {
+            requireClearLength(message);
+        }
+        return super.isContentAlwaysEmpty(message);
+    }
+
+    private static void requireClearLength(HttpMessage message) {
+        List<String> codings = message.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
+        if (!codings.isEmpty()) {
+            boolean isChunked =
+                    codings.size() == 1
+                            && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(codings.get(0));
+            boolean hasLength = message.headers().contains(HttpHeaderNames.CONTENT_LENGTH);
+            if (!isChunked || hasLength || message.protocolVersion() != HttpVersion.HTTP_1_1) {
+                throw new IllegalArgumentException("the length of the request is unclear");
+            }
+        }
+        if (message.headers().contains("")) {
+            throw new IllegalArgumentException("a header has no name");
+        }
+    }
+
+    private void startHeadTimer(ChannelHandlerContext context) {
+        mHeadTimer =
+                context.executor()
+                        .schedule(
+                                () -> headLate(context),
+                                mLimits.headMilliseconds().getAsLong(),
+                                TimeUnit.MILLISECONDS);
+    }
+
+    private void headLate(ChannelHandlerContext context) {
+        if (mLimits.isServing().getAsBoolean() || !context.channel().isWritable()) {
+            startHeadTimer(context);
+        } else {
+            LOG.info("request.head.late", "peer", context.channel().remoteAddress());
+            context.close();
+        }
+    }
+
+    private void cancelHeadTimer() {
+        if (mHeadTimer != null) {
+            mHeadTimer.cancel(false);
+            mHeadTimer = null;
+        }
+    }
+
+    private void startUnreadTimer(ChannelHandlerContext context) {
+        mUnreadBytes = unreadBytes(context);
+        mUnreadTimer =
+                context.executor()
+                        .schedule(
+                                () -> checkUnread(context),
+                                mLimits.unreadMilliseconds().getAsLong(),
+                                TimeUnit.MILLISECONDS);
+    }
+
+    private void checkUnread(ChannelHandlerContext context) {
+        if (unreadBytes(context) == mUnreadBytes) {
+            LOG.info(
+                    "response.unread",
+                    "peer",
+                    context.channel().remoteAddress(),
+                    "unread_bytes",
+                    mUnreadBytes);
+            context.close();
+        } else {
+            startUnreadTimer(context);
+        }
+    }
+
+    /** Returns the bytes that the socket has not taken yet; those of the first part are counted. */
+    private static long unreadBytes(ChannelHandlerContext context) {
+        ChannelOutboundBuffer waiting = context.channel().unsafe().outboundBuffer();
+        return waiting == null ? 0 : waiting.totalPendingWriteBytes() - waiting.currentProgress();
+    }
+
+    private void cancelUnreadTimer() {
+        if (mUnreadTimer != null) {
+            mUnreadTimer.cancel(false);
+            mUnreadTimer = null;
+        }
+    }
+}
--- /dev/null
+++ b/wire/src/test/java/org/skylarkbend/wire/RequestDecoderTest.java
@@ -0,0 +1,225 @@
+package org.skylarkbend.wire;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.net.NetClient;
+import io.vertx.core.net.NetSocket;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests servers whose peers drip a head or do not read the responses. */
+public class RequestDecoderTest {
+    private static final String HOST = "127.0.0.1";
+    private static final long LIMIT_SECONDS = 30;
+    private static final long POLL_MILLISECONDS = 5;
+    private static final long LATE_MILLISECONDS = 300;
+
+    /** Time in which some of a response must be read; less than reading all of it takes. */
+    private static final long SLOW_MILLISECONDS = 3_000;
+
+    private static final long DRIP_MILLISECONDS = 20;
+    private static final String REQUEST = "GET / HTTP/1.1\r\nHost: server\r\n\r\n";
+
+    /** More than the connections between a server and its peer can hold. */
+    private static final long MAX_BYTES = 64L * 1024 * 1024;
+
+    private Vertx mVertx;
+
+    /** Kept, since a client that is garbage closes its connections. */
+    private NetClient mClient;
+
+    private AtomicInteger mServed;
+    private AtomicInteger mClosed;
+    private AtomicInteger mAskedWhileServing;
+    private volatile boolean mServing;
+
+    @BeforeMethod
+    public void start() {
+        mVertx = Vertx.vertx();
+        mClient = mVertx.createNetClient();
+        mServed = new AtomicInteger();
+        mClosed = new AtomicInteger();
+        mAskedWhileServing = new AtomicInteger();
+        mServing = false;
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void stop() throws Exception {
+        await(mVertx.close());
+    }
+
+    @Test
+    public void aHeadThatIsDrippedEndsInTime() throws Exception {
+        NetSocket peer = connect(listen(request -> request.response().end("x")));
+        repeat(peer, "X", DRIP_MILLISECONDS);
+        awaitUntil(() -> mClosed.get() == 1);
+        assertThat(mServed.get()).isZero();
+    }
+
+    /** Guards against a response that is cut because the next head came in parts. */
+    @Test
+    public void aHeadInPartsDoesNotEndTheRequestBeforeIt() throws Exception {
+        Promise<HttpServerRequest> first = Promise.promise();
+        int port =
+                listen(
+                        request -> {
+                            mServing = mServed.get() == 1;
+                            if (!first.tryComplete(request)) {
+                                request.response().end("second");
+                            }
+                        });
+        NetSocket peer = connect(port);
+        StringBuffer received = new StringBuffer();
+        peer.handler(chunk -> received.append(chunk.toString()));
+        peer.write(REQUEST + "GET ");
+        HttpServerRequest request = await(first.future());
+        awaitUntil(() -> mAskedWhileServing.get() > 1);
+        request.response().end("first").onComplete(ignored -> mServing = false);
+        peer.write(REQUEST.substring("GET ".length()));
+        awaitUntil(() -> received.toString().contains("second"));
+        assertThat(received.toString()).contains("first");
+        assertThat(mClosed.get()).isZero();
+    }
+
+    /** Guards against responses that are made and kept for a peer that never reads them. */
+    @Test
+    public void aPeerThatSendsRequestsWithoutEndAndReadsNothingIsClosed() throws Exception {
+        NetSocket peer = connect(listen(request -> request.response().end("y".repeat(10_000))));
+        peer.pause();
+        AtomicLong sentBytes = repeat(peer, REQUEST.repeat(100), 0);
+        awaitUntil(() -> mClosed.get() == 1);
+        assertThat(mServed.get() * 10_000L).isLessThan(MAX_BYTES);
+        assertThat(sentBytes.get()).isLessThan(MAX_BYTES);
+    }
+
+    /** Guards against a peer that keeps the connection alive with bytes and reads no response. */
+    @Test
+    public void aPeerThatDripsRequestsAndReadsNothingIsClosed() throws Exception {
+        NetSocket peer = connect(listen(request -> request.response().end(largeBody())));
+        peer.pause();
+        repeat(peer, REQUEST, DRIP_MILLISECONDS);
+        awaitUntil(() -> mClosed.get() == 1);
+        assertThat(mServed.get()).isOne();
+    }
+
+    /** Guards against a limit that cuts off peers who read slowly. */
+    @Test
+    public void aPeerThatReadsALargeResponseSlowlyGetsAllOfIt() throws Exception {
+        Buffer body = largeBody();
+        int port = listen(request -> request.response().end(body), SLOW_MILLISECONDS);
+        NetSocket peer = connect(port);
+        AtomicLong received = new AtomicLong();
+        long[] readBytes = new long[1];
+        peer.handler(
+                chunk -> {
+                    received.addAndGet(chunk.length());
+                    readBytes[0] += chunk.length();
+                    if (readBytes[0] > body.length() / 10) {
+                        readBytes[0] = 0;
+                        peer.pause();
+                        mVertx.setTimer(SLOW_MILLISECONDS / 6, id -> peer.resume());
+                    }
+                });
+        peer.write(REQUEST);
+        awaitUntil(() -> received.get() > body.length());
+        assertThat(mClosed.get()).isZero();
+    }
+
+    /** Returns more than the buffers of a connection can hold. */
+    private static Buffer largeBody() {
+        return Buffer.buffer(new byte[32 * 1024 * 1024]);
+    }
+
+    private boolean isServing() {
+        if (mServing) {
+            mAskedWhileServing.incrementAndGet();
+        }
+        return mServing;
+    }
+
+    private int listen(Consumer<HttpServerRequest> serve) throws Exception {
+        return listen(serve, LATE_MILLISECONDS);
+    }
+
+    private int listen(Consumer<HttpServerRequest> serve, long unreadMilliseconds)
+            throws Exception {
+        HttpServerOptions options = new HttpServerOptions().setHttp2ClearTextEnabled(false);
+        RequestDecoder.Limits limits =
+                new RequestDecoder.Limits(
+                        () -> LATE_MILLISECONDS, () -> unreadMilliseconds, this::isServing);
+        return await(
+                mVertx.createHttpServer(options)
+                        .connectionHandler(
+                                connection -> {
+                                    RequestDecoder.install(connection, options, limits);
+                                    connection.closeHandler(ignored -> mClosed.incrementAndGet());
+                                })
+                        .requestHandler(
+                                request -> {
+                                    mServed.incrementAndGet();
+                                    serve.accept(request);
+                                })
+                        .listen(0, HOST)
+                        .map(server -> server.actualPort()));
+    }
+
+    private NetSocket connect(int port) throws Exception {
+        NetSocket socket = await(mClient.connect(port, HOST));
+        socket.exceptionHandler(e -> {});
+        return socket;
+    }
+
+    /** Sends the text again and again, and returns the number of bytes that were accepted. */
+    private AtomicLong repeat(NetSocket socket, String text, long pauseMilliseconds) {
+        AtomicLong sentBytes = new AtomicLong();
+        send(socket, text, pauseMilliseconds, sentBytes);
+        return sentBytes;
+    }
+
+    private void send(NetSocket socket, String text, long pauseMilliseconds, AtomicLong sent) {
+        socket.write(text)
+                .onSuccess(
+                        ignored -> {
+                            sent.addAndGet(text.length());
+                            if (pauseMilliseconds == 0) {
+                                mVertx.runOnContext(next -> send(socket, text, 0, sent));
+                            } else {
+                                mVertx.setTimer(
+                                        pauseMilliseconds,
+                                        id -> send(socket, text, pauseMilliseconds, sent));
+                            }
+                        });
+    }
+
+    private void awaitUntil(BooleanSupplier condition) throws Exception {
+        Promise<Void> reached = Promise.promise();
+        long timer =
+                mVertx.setPeriodic(
+                        POLL_MILLISECONDS,
+                        id -> {
+                            if (condition.getAsBoolean()) {
+                                reached.tryComplete();
+                            }
+                        });
+        await(reached.future());
+        mVertx.cancelTimer(timer);
+    }
+
+    private static <T> T await(Future<T> future) throws Exception {
+        return future.toCompletionStage()
+                .toCompletableFuture()
+                .get(LIMIT_SECONDS, TimeUnit.SECONDS);
+    }
+}
