Refuse request bodies that are incomplete at the deadline of their call

Cause: each byte of a body restarted the idle timer, so that a caller who dripped held its connection and the memory of its announced length for ever.

Change: a body has until the deadline of its call; the body of a call that is refused anyway has the idle time in total.

Evidence: without the bound the cases "a body", "chunks" and "a body without a key" of HostileCallerTest.aRequestThatIsDripped... were open after 8 s at a timeout of 1 s; they pass now.

--- a/gateway/src/main/java/org/skylarkbend/gateway/front/BodyIntake.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/front/BodyIntake.java
@@ -53,10 +53,21 @@
         budget.onRelease(this::startWaiting);
     }
 
-    /** Starts to read the body of a request. */
-    void read(HttpServerRequest request, int maxBodyBytes, Listener listener) {
+    /**
+     * Starts to read the body of a request.
+     *
+     * @param request request whose head has arrived
+     * @param maxBodyBytes maximum size of the body
+     * @param untilMilliseconds time at which a body that is still incomplete is refused
+     * @param listener receives the outcome
+     */
+    void read(
+            HttpServerRequest request,
+            int maxBodyBytes,
+            long untilMilliseconds,
+            Listener listener) {
         int maxBytes = (int) Math.min(maxBodyBytes, mBudget.limitBytes());
-        Reading reading = new Reading(request, maxBytes, listener);
+        Reading reading = new Reading(request, maxBytes, untilMilliseconds, listener);
         mReadings.add(reading);
         request.handler(reading::append);
         request.endHandler(ignored -> reading.complete());
@@ -70,13 +81,20 @@
         }
     }
 
-    /** Closes the connections whose callers have sent nothing of a body for a time. */
-    void closeStalled(long idleMilliseconds) {
-        long oldestMilliseconds = mClock.nowMilliseconds() - idleMilliseconds;
+    /**
+     * Closes the connections whose callers have sent nothing of a body for a time, and refuses the
+     * bodies that take too long, however often a byte of them arrives.
+     */
+    void endLate(long idleMilliseconds) {
+        long nowMilliseconds = mClock.nowMilliseconds();
         for (Reading reading : List.copyOf(mReadings)) {
-            if (reading.mLastMilliseconds < oldestMilliseconds) {
+            if (reading.mLastMilliseconds < nowMilliseconds - idleMilliseconds) {
                 reading.stop();
                 reading.mRequest.connection().close();
+            } else if (reading.mUntilMilliseconds <= nowMilliseconds) {
+                reading.refuse(
+                        new SkylarkError(
+                                ErrorKind.BAD_REQUEST, "the request was not completed in time"));
             }
         }
     }
@@ -115,15 +133,21 @@
     private final class Reading {
         private final HttpServerRequest mRequest;
         private final int mMaxBodyBytes;
+        private final long mUntilMilliseconds;
         private final Listener mListener;
         private final HeldBytes mBody = new HeldBytes(mBudget);
         private long mNeededBytes;
         private long mLastMilliseconds = mClock.nowMilliseconds();
         private boolean mEnded;
 
-        Reading(HttpServerRequest request, int maxBodyBytes, Listener listener) {
+        Reading(
+                HttpServerRequest request,
+                int maxBodyBytes,
+                long untilMilliseconds,
+                Listener listener) {
             mRequest = request;
             mMaxBodyBytes = maxBodyBytes;
+            mUntilMilliseconds = untilMilliseconds;
             mListener = listener;
         }
 
--- a/gateway/src/main/java/org/skylarkbend/gateway/front/GatewayTask.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/front/GatewayTask.java
@@ -180,7 +180,7 @@
     private void check(EndpointProbes probes) {
         probes.probe();
         mStoreProbe.connect();
-        mIntake.closeStalled(callerLimits().idleMilliseconds());
+        mIntake.endLate(callerLimits().idleMilliseconds());
     }
 
     private void scheduleWorkReport() {
@@ -351,6 +351,7 @@
         mIntake.read(
                 request,
                 callerLimits().bodyBytes(),
+                arrivedMilliseconds + bodyMilliseconds(request),
                 new BodyIntake.Listener() {
                     @Override
                     public void complete(HeldBytes body) {
@@ -364,6 +365,20 @@
                 });
     }
 
+    /** A body is of no use after the deadline of its call; of a refused call nobody needs it. */
+    private long bodyMilliseconds(HttpServerRequest request) {
+        long callerMilliseconds = mHeadReader.timeoutMilliseconds(request.headers());
+        if (mServingState.isEmpty()) {
+            return callerMilliseconds;
+        }
+        long boundMilliseconds =
+                admit(request)
+                        .fold(
+                                admission -> admission.route().timeoutMilliseconds(),
+                                error -> callerLimits().idleMilliseconds());
+        return Math.min(callerMilliseconds, boundMilliseconds);
+    }
+
     private CallerLimits callerLimits() {
         return mServingState
                 .map(state -> state.catalog().callerLimits())
