Resume streams that send only comments or blank lines

Cause: a blank line ended an "event", also without a field, and restarted the timer for silence. A stalled stream that dripped comments or blank lines went on until the timeout of its route.

Change: only an event that has a field restarts the timer. Comments are passed on as before.

Evidence: with the former condition both cases of EndlessResponseTest.aStreamThatDripsBytesThatAreNoEventsIsContinuedElsewhere were not resumed within 8 s; they pass now.

--- a/gateway/src/main/java/org/skylarkbend/gateway/call/EventSplitter.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/EventSplitter.java
@@ -12,9 +12,12 @@
     private static final byte LINE_END = '\n';
     private static final byte CARRIAGE_RETURN = '\r';
     private static final String ID_FIELD = "id:";
+    private static final String COMMENT = ":";
 
     private Buffer mPending = Buffer.buffer();
     private int mScannedBytes;
+    private boolean mPendingField;
+    private boolean mHasNewEvent;
     private Optional<String> mPendingId = Optional.empty();
     private Optional<String> mLastEventId = Optional.empty();
 
@@ -24,6 +27,7 @@
      */
     Buffer feed(Buffer chunk) {
         mPending.appendBuffer(chunk);
+        mHasNewEvent = false;
         int end = 0;
         int lineStart = lineStartBefore(mScannedBytes);
         for (int i = mScannedBytes; i < mPending.length(); i++) {
@@ -31,7 +35,12 @@
                 String line = line(lineStart, i);
                 if (line.isEmpty()) {
                     end = i + 1;
-                } else if (line.startsWith(ID_FIELD)) {
+                    mHasNewEvent |= mPendingField;
+                    mPendingField = false;
+                } else {
+                    mPendingField |= !line.startsWith(COMMENT);
+                }
+                if (line.startsWith(ID_FIELD)) {
                     mPendingId = Optional.of(line.substring(ID_FIELD.length()).trim());
                 }
                 if (line.isEmpty() && mPendingId.isPresent()) {
@@ -47,6 +56,14 @@
         return complete;
     }
 
+    /**
+     * Returns whether the last chunk completed an event that has a field. Comments and blank lines
+     * are passed on, but an endpoint that sends nothing else makes no progress.
+     */
+    boolean hasNewEvent() {
+        return mHasNewEvent;
+    }
+
     /** Returns whether the buffer holds part of an event. */
     boolean hasPartial() {
         return mPending.length() > 0;
@@ -64,6 +81,7 @@
     void discardPartial() {
         mPending = Buffer.buffer();
         mScannedBytes = 0;
+        mPendingField = false;
         mPendingId = Optional.empty();
     }
 
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/GatewayCall.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/GatewayCall.java
@@ -296,7 +296,7 @@
         mResponse.events(events);
         if (mResponse.isCongested()) {
             waitForCaller(attempt);
-        } else {
+        } else if (mReceived.hasNewEvent()) {
             mSilenceTimer.restart(mStreaming);
         }
     }
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/ReceivedResponse.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/ReceivedResponse.java
@@ -61,6 +61,11 @@
         return mBody;
     }
 
+    /** Returns whether the last chunk of the stream completed an event that has a field. */
+    boolean hasNewEvent() {
+        return mEvents.hasNewEvent();
+    }
+
     /** Returns whether the stream ends in the middle of an event. */
     boolean hasPartialEvent() {
         return mEvents.hasPartial();
--- a/gateway/src/test/java/org/skylarkbend/gateway/call/EventSplitterTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/call/EventSplitterTest.java
@@ -40,4 +40,20 @@
         assertThat(splitter.feed(Buffer.buffer("id: 7\r\ndata: a\r\n\r\n")).length()).isEqualTo(18);
         assertThat(splitter.lastEventId()).contains("7");
     }
+
+    /** Guards against an endpoint that keeps a stalled stream alive without any event. */
+    @Test
+    public void commentsAndBlankLinesArePassedOnAndAreNoEvents() {
+        EventSplitter splitter = new EventSplitter();
+        for (String part : new String[] {":\n\n", "\n", "\r\n", ": wait\n: more\n\n\n"}) {
+            assertThat(splitter.feed(Buffer.buffer(part)).toString()).isEqualTo(part);
+            assertThat(splitter.hasNewEvent()).isFalse();
+        }
+        splitter.feed(Buffer.buffer(": wait\nid: 1\ndata: a\n"));
+        assertThat(splitter.hasNewEvent()).isFalse();
+        splitter.feed(Buffer.buffer("\n"));
+        assertThat(splitter.hasNewEvent()).isTrue();
+        splitter.feed(Buffer.buffer(":\n\n"));
+        assertThat(splitter.hasNewEvent()).isFalse();
+    }
 }
--- a/gateway/src/test/java/org/skylarkbend/gateway/front/EndlessResponseTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/front/EndlessResponseTest.java
@@ -22,6 +22,8 @@
     private static final String HEAD = "HTTP/1.1 200 OK\r\nCall-Id: c1\r\nSeal: seal\r\n";
     private static final String CHUNKED = HEAD + "Transfer-Encoding: chunked\r\n\r\n";
 
+    private static final String ONE_EVENT = CHUNKED + "f\r\nid: 1\ndata: 1\n\n\r\n";
+
     /** A response that never ends: what is sent first, and what is sent again and again. */
     private record Endless(String name, CallKind kind, String first, String repeated) {
         @Override
@@ -92,4 +94,28 @@
                     .hasValueSatisfying(body -> assertThat(body).contains("id: 3"));
         }
     }
+
+    @DataProvider
+    private Object[] bytesThatAreNoEvents() {
+        return new Object[] {
+            new Endless("comments", CallKind.STREAM, ONE_EVENT, "3\r\n:\n\n\r\n"),
+            new Endless("blank lines", CallKind.STREAM, ONE_EVENT, "1\r\n\n\r\n")
+        };
+    }
+
+    /** Guards against a stalled stream that never ends because something arrives. */
+    @Test(dataProvider = "bytesThatAreNoEvents")
+    public void aStreamThatDripsBytesThatAreNoEventsIsContinuedElsewhere(Endless endless)
+            throws Exception {
+        RawEndpoint dripping = new RawEndpoint(endless.first(), endless.repeated(), 100);
+        FakeEndpoint sound = new FakeEndpoint("e1", FakeEndpoint.streaming(3, true));
+        await(dripping.listen(mVertx));
+        await(sound.listen(mVertx));
+        publish(Routes.of(CallKind.STREAM, 2, true, 20_000), dripping.listed(), sound.listed());
+        for (int i = 0; i < 4; i++) {
+            assertThat(call().body())
+                    .hasValueSatisfying(body -> assertThat(body).contains("id: 3"));
+        }
+        assertThat(dripping.requests()).isPositive();
+    }
 }
