Refuse requests of unclear length at the router, and end unread responses

Cause: as at the gateway, a request with a length and chunks, an unknown coding or a header without a name was served. Pipelined requests of a caller who read nothing were answered without end, and the connection was not closed in time.

Change: the router's front uses RequestDecoder.

Evidence: before, seven cases of RequestFramingTest.aRequestOfUnclearLength... failed, and "requests whose responses are not read" was open after 6 s at an idle time of 0.5 s. All pass now. The raw callers of the tests now keep their client: one that is garbage collected closes its connections.

--- a/router/src/main/java/org/skylarkbend/router/front/HttpFrontTask.java
+++ b/router/src/main/java/org/skylarkbend/router/front/HttpFrontTask.java
@@ -10,6 +10,7 @@
 import io.vertx.core.Future;
 import io.vertx.core.VerticleBase;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
@@ -35,6 +36,7 @@
 import org.skylarkbend.router.forward.ResponseMessage;
 import org.skylarkbend.router.link.ServingView;
 import org.skylarkbend.wire.HeldBytes;
+import org.skylarkbend.wire.RequestDecoder;
 
 /** HTTP server task that owns the callers' connections, reads requests and writes responses. */
 public final class HttpFrontTask extends VerticleBase {
@@ -109,12 +111,24 @@
                         .setMaxInitialLineLength(bounds.maxHeaderBytes())
                         .setMaxHeaderSize(bounds.maxHeaderBytes());
         mServer = vertx.createHttpServer(options);
-        mServer.connectionHandler(mIdle::opened);
+        mServer.connectionHandler(connection -> connected(connection, options));
         mServer.invalidRequestHandler(this::refuseInvalid);
         mServer.requestHandler(this::handleRequest);
         return mServer.listen(mSettings.http().port(), mSettings.http().host());
     }
 
+    private void connected(HttpConnection connection, HttpServerOptions options) {
+        RouterBounds bounds = mSettings.bounds();
+        mIdle.opened(connection);
+        RequestDecoder.install(
+                connection,
+                options,
+                new RequestDecoder.Limits(
+                        bounds::requestReadMilliseconds,
+                        bounds::idleConnectionMilliseconds,
+                        () -> mIdle.isServing(connection)));
+    }
+
     private static String refusalName(ErrorKind kind) {
         return "front_refusals_" + kind.code();
     }
--- a/router/src/main/java/org/skylarkbend/router/front/IdleTimeouts.java
+++ b/router/src/main/java/org/skylarkbend/router/front/IdleTimeouts.java
@@ -25,6 +25,11 @@
         connection.closeHandler(ignored -> cancel(connection));
     }
 
+    /** Returns whether a request is in progress on the connection. */
+    boolean isServing(HttpConnection connection) {
+        return !mTimerIds.containsKey(connection);
+    }
+
     void requestStarted(HttpConnection connection) {
         cancel(connection);
     }
--- a/router/src/test/java/org/skylarkbend/router/RawCaller.java
+++ b/router/src/test/java/org/skylarkbend/router/RawCaller.java
@@ -16,8 +16,7 @@
         Buffer received = Buffer.buffer();
         NetSocket socket =
                 RouterFixture.await(
-                        fixture.vertx()
-                                .createNetClient()
+                        fixture.rawClient()
                                 .connect(fixture.port(), "127.0.0.1")
                                 .onSuccess(
                                         connected -> {
--- a/router/src/test/java/org/skylarkbend/router/RouterFixture.java
+++ b/router/src/test/java/org/skylarkbend/router/RouterFixture.java
@@ -4,6 +4,7 @@
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import io.vertx.core.net.NetClient;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -33,6 +34,10 @@
     private static final long AMPLE_MILLISECONDS = 10_000;
 
     private final Vertx mVertx = Vertx.vertx();
+
+    /** Kept, since a client that is garbage closes its connections. */
+    private final NetClient mRawClient = mVertx.createNetClient();
+
     private final FakeControl mControl = new FakeControl(mVertx);
     private final AtomicLong mClockOffsetMilliseconds = new AtomicLong();
     private final HttpClient mCaller = HttpClient.newHttpClient();
@@ -153,6 +158,11 @@
         return mVertx;
     }
 
+    /** Returns the client of the callers that send raw bytes. */
+    NetClient rawClient() {
+        return mRawClient;
+    }
+
     FakeControl control() {
         return mControl;
     }
