Close operators' connections to control that drip or read nothing

Cause: the idle timeout of the product's operator API counted received bytes, so that a body dripped for ever; a request with a length and chunks was taken by its chunks.

Change: a connection on which no response was sent for 30 s is closed, whatever it sends; requests are decoded by RequestDecoder.

Evidence: with the former idle timeout set to 0.5 s the cases "a body" and "chunks" of HostileOperatorTest.aRequestThatIsDripped... were open after 13 s, and aRequestWithALengthAndChunksIsRefused failed; they pass now.

--- a/control/src/main/java/org/skylarkbend/control/operator/OperatorTask.java
+++ b/control/src/main/java/org/skylarkbend/control/operator/OperatorTask.java
@@ -33,20 +33,27 @@
 import org.skylarkbend.publishing.PublishId;
 import org.skylarkbend.publishing.PublishingMessage.Publish;
 import org.skylarkbend.publishing.PublishingState;
+import org.skylarkbend.wire.RequestDecoder;
 
 /** Runs the HTTP server of the operator API. */
 public final class OperatorTask extends VerticleBase {
     private static final StructuredLog LOG = StructuredLog.of(OperatorTask.class);
     private static final int MAX_HEADER_BYTES = 16 * 1024;
-    private static final int IDLE_TIMEOUT_SECONDS = 30;
+
     private static final String RETRY_AFTER_SECONDS = "1";
     private static final String JSON = "application/json";
     private static final String BASE_REVISION_COMMENT = "# base_revision: ";
 
-    /** The settings and services used by the task. */
+    /**
+     * The settings and services used by the task.
+     *
+     * @param idleMilliseconds time after which a connection on which no response was sent is
+     *     closed, whatever it sends
+     */
     public record Parts(
             ControlSettings settings,
             int port,
+            long idleMilliseconds,
             ControlLog log,
             Supplier<Future<FeedStatus>> feedStatus,
             MillisecondClock monotonic,
@@ -82,9 +89,14 @@
                 new HttpServerOptions()
                         .setMaxHeaderSize(MAX_HEADER_BYTES)
                         .setHttp2ClearTextEnabled(false)
-                        .setIdleTimeout(IDLE_TIMEOUT_SECONDS)
-                        .setIdleTimeoutUnit(TimeUnit.SECONDS);
+                        .setWriteIdleTimeout((int) mParts.idleMilliseconds())
+                        .setIdleTimeoutUnit(TimeUnit.MILLISECONDS);
+        RequestDecoder.Limits limits =
+                new RequestDecoder.Limits(
+                        mParts::idleMilliseconds, mParts::idleMilliseconds, () -> false);
         mServer = vertx.createHttpServer(options);
+        mServer.connectionHandler(
+                connection -> RequestDecoder.install(connection, options, limits));
         mServer.requestHandler(this::handle);
         mServer.invalidRequestHandler(this::handleInvalid);
         return mServer.listen(mParts.port(), mParts.settings().self().host());
