Stop reading refused bodies at control's operator API after a second

Cause: after the refusal of a set that is too large, the rest of its body was read and discarded as long as it came.

Change: the connection is closed a second later, as at the gateway and at the platform's operator API.

Evidence: without the timer HostileOperatorTest.theRestOfARefusedBodyIsNotReadForLong was open after 30 s; it passes now.

--- a/control/src/main/java/org/skylarkbend/control/operator/OperatorTask.java
+++ b/control/src/main/java/org/skylarkbend/control/operator/OperatorTask.java
@@ -40,6 +40,12 @@
     private static final StructuredLog LOG = StructuredLog.of(OperatorTask.class);
     private static final int MAX_HEADER_BYTES = 16 * 1024;
 
+    /**
+     * Time for which the rest of a refused body is read, since closing a connection with unread
+     * bytes could reset it before the response is read.
+     */
+    private static final long DISCARD_MILLISECONDS = 1_000;
+
     private static final String RETRY_AFTER_SECONDS = "1";
     private static final String JSON = "application/json";
     private static final String BASE_REVISION_COMMENT = "# base_revision: ";
@@ -284,6 +290,7 @@
                                 request,
                                 ErrorKind.BODY_TOO_LARGE,
                                 "a set may have at most " + maxBytes + " bytes (max_set_bytes)");
+                        vertx.setTimer(DISCARD_MILLISECONDS, id -> request.connection().close());
                     }
                 });
         request.endHandler(
--- a/control/src/test/java/org/skylarkbend/control/operator/HostileOperatorTest.java
+++ b/control/src/test/java/org/skylarkbend/control/operator/HostileOperatorTest.java
@@ -170,6 +170,19 @@
         assertThat(peer.mSentBytes.get()).isLessThan(MAX_SENT_BYTES);
     }
 
+    /** Guards against a refused body that is read as long as it comes. */
+    @Test
+    public void theRestOfARefusedBodyIsNotReadForLong() throws Exception {
+        listen(TimeUnit.SECONDS.toMillis(2 * LIMIT_SECONDS));
+        Peer peer = new Peer();
+        StringBuffer received = new StringBuffer();
+        peer.mSocket.handler(chunk -> received.append(chunk.toString()));
+        peer.mSocket.write(PUT + "Content-Length: 99999999999\r\n\r\n");
+        peer.repeat("x".repeat(16 * 1024), FLOOD_MILLISECONDS);
+        awaitUntil(() -> peer.mClosed);
+        assertThat(received.toString()).startsWith("HTTP/1.1 413 ");
+    }
+
     @Test
     public void aRequestWithALengthAndChunksIsRefused() throws Exception {
         Peer peer = new Peer();
