Simulate disks whose failed writes come back with a restart

The disk of the simulations lost each failed write for good. Half of the failures are now of unknown outcome: a restart before the next write finds some of the records.

--- a/agreement/src/test/java/org/skylarkbend/agreement/FileDisk.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/FileDisk.java
@@ -64,7 +64,7 @@
     }
 
     @Override
-    public void failAll() {
+    public void failAll(boolean mayComeBack) {
         mUnsynced.clear();
     }
 
--- a/agreement/src/test/java/org/skylarkbend/agreement/MemberDisk.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/MemberDisk.java
@@ -28,8 +28,13 @@
     /** Returns whether the disk can write this many bytes. */
     boolean hasRoom(long sizeBytes);
 
-    /** Drops all writes that are not synced. */
-    void failAll();
+    /**
+     * Drops all writes that are not synced.
+     *
+     * @param mayComeBack true if some may be on disk until the next write, and be found by a
+     *     restart
+     */
+    void failAll(boolean mayComeBack);
 
     /** Simulates a crash of the process. */
     void crash(SplittableRandom random);
--- a/agreement/src/test/java/org/skylarkbend/agreement/SimulatedDisk.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/SimulatedDisk.java
@@ -15,6 +15,7 @@
     private final MemberId mIdentity;
     private final boolean mIsOfFirstStart;
     private final Deque<AgreementEffect> mUnsynced = new ArrayDeque<>();
+    private final Deque<AgreementEffect> mTail = new ArrayDeque<>();
     private HardState mHardState = HardState.initial();
     private Optional<Snapshot> mSnapshot = Optional.empty();
     private List<LogEntry> mEntries = new ArrayList<>();
@@ -41,6 +42,7 @@
 
     @Override
     public Result<Long> syncNext() {
+        mTail.clear();
         AgreementEffect first = mUnsynced.poll();
         long number = write(first);
         while (first instanceof Persist && mUnsynced.peek() instanceof Persist) {
@@ -55,17 +57,26 @@
     }
 
     @Override
-    public void failAll() {
+    public void failAll(boolean mayComeBack) {
+        mTail.clear();
+        if (mayComeBack) {
+            mUnsynced.stream().takeWhile(Persist.class::isInstance).forEach(mTail::add);
+        }
         mUnsynced.clear();
     }
 
-    /** Simulates a crash: only a random prefix of the unsynced writes reaches the disk. */
+    /**
+     * Simulates a crash: only a random prefix of the unsynced writes reaches the disk, or of those
+     * that failed last.
+     */
     @Override
     public void crash(SplittableRandom random) {
-        int kept = random.nextInt(mUnsynced.size() + 1);
+        Deque<AgreementEffect> written = mTail.isEmpty() ? mUnsynced : mTail;
+        int kept = random.nextInt(written.size() + 1);
         for (int i = 0; i < kept; i++) {
-            write(mUnsynced.poll());
+            write(written.poll());
         }
+        mTail.clear();
         mUnsynced.clear();
     }
 
--- a/agreement/src/test/java/org/skylarkbend/agreement/SimulatedMember.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/SimulatedMember.java
@@ -296,7 +296,11 @@
 
     private void sync() {
         if (mDiskFull) {
-            runWhenActive(() -> syncFailed(new SkylarkError(ErrorKind.STORAGE_FAILED, "full")));
+            ErrorKind kind =
+                    mSimulation.random().nextBoolean()
+                            ? ErrorKind.STORAGE_FAILED
+                            : ErrorKind.COMMIT_UNKNOWN;
+            runWhenActive(() -> syncFailed(new SkylarkError(kind, "the disk is full")));
             return;
         }
         Result<Long> result = mDisk.syncNext();
@@ -315,7 +319,7 @@
 
     private void syncFailed(SkylarkError error) {
         mSyncing = false;
-        mDisk.failAll();
+        mDisk.failAll(error.kind() == ErrorKind.COMMIT_UNKNOWN);
         mPendingSends.clear();
         decide(new PersistFailed(mLastNumber, error));
     }
