--- a/gateway/src/main/java/org/skylarkbend/gateway/front/GatewayTask.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/front/GatewayTask.java
@@ -66,15 +66,15 @@
     /** Maximum number of connections of a gateway to an endpoint. */
     private static final int MAX_CONNECTIONS_PER_ENDPOINT = 64;
 
-    private static final long CONNECT_TIMEOUT_MILLISECONDS = 250;
-    private static final int MAX_RESPONSE_HEAD_BYTES = 8 * 1024;
-
     /** Endpoints that announce no keep-alive timeout close idle connections after some seconds. */
     private static final long KEEP_ALIVE_MILLISECONDS = 4_000;
 
     /** Time for which the rest of a refused body is read. */
     private static final long DISCARD_MILLISECONDS = 1_000;
+
+    private static final long CONNECT_TIMEOUT_MILLISECONDS = 250;
     private static final int MAX_REQUEST_LINE_BYTES = 8 * 1024;
+    private static final int MAX_RESPONSE_HEAD_BYTES = 8 * 1024;
     private static final long PROBE_INTERVAL_MILLISECONDS = 250;
 
     private final GatewaySettings mSettings;
