Read the names of tests whose parameters have several lines

Cause: the name of a test was cut at its parameters only up to the first line end, so that a test with such parameters counted as not run.

Evidence: JoinedResponsesTest and ResponseFramingTest passed in the gateway's run and were reported as not run by the new check of docs/FAULTS.md; with the change they are found.

--- a/verification/src/main/java/org/skylarkbend/verification/TestReports.java
+++ b/verification/src/main/java/org/skylarkbend/verification/TestReports.java
@@ -71,7 +71,7 @@
             Element testCase = (Element) cases.item(i);
             String className = testCase.getAttribute("classname");
             if (isPassed(testCase) && hasSource(module, className)) {
-                String method = testCase.getAttribute("name").replaceAll("\\[.*|\\(.*", "");
+                String method = testCase.getAttribute("name").replaceAll("(?s)[\\[(].*", "");
                 passed.add(className + "#" + method);
             }
         }
