State for each fault of similar systems and each place what prevents it

docs/FAULTS.md has a row for each of seven faults at fifteen places, with the mechanism and the tests, or the reason why there is none. The verification module checks that no pair is left out and that the tests named there ran.

--- a/verification/src/main/java/org/skylarkbend/verification/ProofTable.java
+++ b/verification/src/main/java/org/skylarkbend/verification/ProofTable.java
@@ -8,7 +8,8 @@
 import java.util.regex.Pattern;
 
 /**
- * The table of {@code docs/PROOFS.md}, with a row for each pair of a promise and a fault.
+ * A table of proofs with a row for each pair, as in {@code docs/PROOFS.md} for promises and faults,
+ * and in {@code docs/FAULTS.md} for faults and places.
  *
  * <p>A row has the form {@code | promise | fault | proof |}. The proof names tests in backquotes as
  * {@code Class#method}, or gives a reason that starts with {@code not proved:} or {@code not
@@ -17,6 +18,7 @@
 public final class ProofTable {
     private static final Pattern TEST_NAME = Pattern.compile("`([\\w.]+#\\w+)`");
     private static final Pattern REASON = Pattern.compile("not (proved|affected): \\S.*");
+    private static final Pattern HEADER = Pattern.compile("\\| \\w+ \\| \\w+ \\| proof \\|");
     private static final int COLUMN_COUNT = 3;
 
     private final List<Row> mRows;
@@ -49,7 +51,7 @@
     }
 
     private static Optional<Row> rowOf(String line) {
-        if (!line.startsWith("| ") || line.startsWith("| promise ")) {
+        if (!line.startsWith("| ") || HEADER.matcher(line).matches()) {
             return Optional.empty();
         }
         List<String> cells =
--- a/verification/src/test/java/org/skylarkbend/verification/ProofTableTest.java
+++ b/verification/src/test/java/org/skylarkbend/verification/ProofTableTest.java
@@ -10,23 +10,51 @@
 import org.skylarkbend.testing.KnownRedList;
 import org.testng.annotations.Test;
 
-/** Checks the proofs page and the list of known failures against the reports of this build. */
+/**
+ * Checks the proofs and faults pages and the list of known failures against the reports of this
+ * build.
+ */
 public class ProofTableTest {
     private static final Path ROOT = Path.of(System.getProperty(KnownRedList.ROOT_PROPERTY));
     private static final Path PAGE = ROOT.resolve("docs/PROOFS.md");
     private static final int PROMISE_COUNT = 13;
     private static final int FAULT_COUNT = 11;
 
+    private static final Path FAULTS_PAGE = ROOT.resolve("docs/FAULTS.md");
+    private static final String END_OF_FAULTS_TABLE = "## ";
+    private static final int OPERATORS_FAULT_COUNT = 7;
+    private static final int PLACE_COUNT = 15;
+
     @Test
     public void everyTestOnTheProofsPageRanAndPassed() throws IOException {
+        assertThat(testsThatDidNotPass(table()))
+                .as("tests named in docs/PROOFS.md that did not run")
+                .isEmpty();
+    }
+
+    @Test
+    public void everyTestOnTheFaultsPageRanAndPassed() throws IOException {
+        assertThat(testsThatDidNotPass(faultsTable()))
+                .as("tests named in docs/FAULTS.md that did not run")
+                .isEmpty();
+    }
+
+    @Test
+    public void everyPairOfFaultAndPlaceHasATestOrAReason() throws IOException {
+        List<ProofTable.Row> rows = faultsTable().rows();
+        assertThat(rows).allMatch(ProofTable.Row::isFilled);
+        assertThat(rows.stream().collect(Collectors.groupingBy(ProofTable.Row::promise)).values())
+                .hasSize(OPERATORS_FAULT_COUNT)
+                .allMatch(ofFault -> faultsOf(ofFault) == PLACE_COUNT);
+    }
+
+    private static List<String> testsThatDidNotPass(ProofTable table) throws IOException {
         TestReports reports = TestReports.read(ROOT);
-        List<String> missing =
-                table().rows().stream()
-                        .flatMap(row -> row.tests().stream())
-                        .filter(test -> !reports.hasPassed(test))
-                        .distinct()
-                        .toList();
-        assertThat(missing).as("tests named in docs/PROOFS.md that did not run").isEmpty();
+        return table.rows().stream()
+                .flatMap(row -> row.tests().stream())
+                .filter(test -> !reports.hasPassed(test))
+                .distinct()
+                .toList();
     }
 
     @Test
@@ -86,6 +114,14 @@
         return rows.stream().map(ProofTable.Row::fault).distinct().count();
     }
 
+    private static ProofTable faultsTable() throws IOException {
+        List<String> lines =
+                Files.readAllLines(FAULTS_PAGE).stream()
+                        .takeWhile(line -> !line.startsWith(END_OF_FAULTS_TABLE))
+                        .toList();
+        return ProofTable.parse(lines);
+    }
+
     private static ProofTable table() throws IOException {
         return ProofTable.parse(Files.readAllLines(PAGE));
     }
