Set up strict HTTP servers and end refused bodies in one place

The gateway, the router and both operator APIs installed the request decoder and closed the connections of refused bodies each in their own way, and the gateway built the options of its server anew for each connection.

--- a/control/src/main/java/org/skylarkbend/control/ControlProcess.java
+++ b/control/src/main/java/org/skylarkbend/control/ControlProcess.java
@@ -66,9 +66,6 @@
      */
     private static final boolean IS_FIRST_START = true;
 
-    /** A client of the operators that gets no response for this time has given up. */
-    private static final long OPERATOR_IDLE_MILLISECONDS = 30_000;
-
     private static final SecureRandom RANDOM = new SecureRandom();
 
     private final ControlParts mParts;
@@ -98,7 +95,7 @@
                 new OperatorTask.Parts(
                         mParts.settings(),
                         mParts.settings().self().operatorPort(),
-                        OPERATOR_IDLE_MILLISECONDS,
+                        OperatorTask.IDLE_MILLISECONDS,
                         log,
                         () -> mFeed.status(),
                         mParts.monotonic(),
--- a/control/src/main/java/org/skylarkbend/control/operator/OperatorTask.java
+++ b/control/src/main/java/org/skylarkbend/control/operator/OperatorTask.java
@@ -33,19 +33,17 @@
 import org.skylarkbend.publishing.PublishId;
 import org.skylarkbend.publishing.PublishingMessage.Publish;
 import org.skylarkbend.publishing.PublishingState;
+import org.skylarkbend.wire.RefusedBody;
 import org.skylarkbend.wire.RequestDecoder;
 
 /** Runs the HTTP server of the operator API. */
 public final class OperatorTask extends VerticleBase {
+    /** A client of the operators that gets no response for this time has given up. */
+    public static final long IDLE_MILLISECONDS = 30_000;
+
     private static final StructuredLog LOG = StructuredLog.of(OperatorTask.class);
     private static final int MAX_HEADER_BYTES = 16 * 1024;
 
-    /**
-     * Time for which the rest of a refused body is read, since closing a connection with unread
-     * bytes could reset it before the response is read.
-     */
-    private static final long DISCARD_MILLISECONDS = 1_000;
-
     private static final String RETRY_AFTER_SECONDS = "1";
     private static final String JSON = "application/json";
     private static final String BASE_REVISION_COMMENT = "# base_revision: ";
@@ -98,11 +96,8 @@
                         .setWriteIdleTimeout((int) mParts.idleMilliseconds())
                         .setIdleTimeoutUnit(TimeUnit.MILLISECONDS);
         RequestDecoder.Limits limits =
-                new RequestDecoder.Limits(
-                        mParts::idleMilliseconds, mParts::idleMilliseconds, () -> false);
-        mServer = vertx.createHttpServer(options);
-        mServer.connectionHandler(
-                connection -> RequestDecoder.install(connection, options, limits));
+                RequestDecoder.Limits.ofIdleMilliseconds(mParts.idleMilliseconds());
+        mServer = RequestDecoder.createServer(vertx, options, connection -> limits);
         mServer.requestHandler(this::handle);
         mServer.invalidRequestHandler(this::handleInvalid);
         return mServer.listen(mParts.port(), mParts.settings().self().host());
@@ -285,12 +280,11 @@
                     if (body.length() + chunk.length() <= maxBytes) {
                         body.appendBuffer(chunk);
                     } else if (!request.response().ended()) {
-                        request.response().putHeader("Connection", "close");
+                        RefusedBody.closeConnection(vertx, request);
                         sendError(
                                 request,
                                 ErrorKind.BODY_TOO_LARGE,
                                 "a set may have at most " + maxBytes + " bytes (max_set_bytes)");
-                        vertx.setTimer(DISCARD_MILLISECONDS, id -> request.connection().close());
                     }
                 });
         request.endHandler(
--- a/gateway/src/main/java/org/skylarkbend/gateway/front/GatewayTask.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/front/GatewayTask.java
@@ -51,6 +51,7 @@
 import org.skylarkbend.limits.LimitShareDecider;
 import org.skylarkbend.quarantine.QuarantineNotice;
 import org.skylarkbend.wire.HeldBytes;
+import org.skylarkbend.wire.RefusedBody;
 import org.skylarkbend.wire.RequestDecoder;
 
 /** Owns the connections to callers and endpoints, and all calls in progress between them. */
@@ -69,9 +70,6 @@
     /** Endpoints that announce no keep-alive timeout close idle connections after some seconds. */
     private static final long KEEP_ALIVE_MILLISECONDS = 4_000;
 
-    /** Time for which the rest of a refused body is read. */
-    private static final long DISCARD_MILLISECONDS = 1_000;
-
     private static final long CONNECT_TIMEOUT_MILLISECONDS = 250;
     private static final int MAX_REQUEST_LINE_BYTES = 8 * 1024;
     private static final int MAX_RESPONSE_HEAD_BYTES = 8 * 1024;
@@ -176,8 +174,7 @@
         mStoreProbe = new StoreProbe(vertx, mSelector);
         vertx.setPeriodic(PROBE_INTERVAL_MILLISECONDS, id -> check(probes));
         scheduleWorkReport();
-        mServer = vertx.createHttpServer(serverOptions());
-        mServer.connectionHandler(this::connected);
+        mServer = RequestDecoder.createServer(vertx, serverOptions(), this::connected);
         mServer.requestHandler(this::receive);
         return mServer.listen(mSettings.callers().port(), mSettings.callers().host());
     }
@@ -338,15 +335,13 @@
         mGateTimer = vertx.setTimer(Math.max(1, atMilliseconds - now()), id -> mGate.wake(now()));
     }
 
-    private void connected(HttpConnection connection) {
+    /** Returns the limits on a connection that a caller has opened. */
+    private RequestDecoder.Limits connected(HttpConnection connection) {
         mConnections.opened(connection);
-        RequestDecoder.install(
-                connection,
-                serverOptions(),
-                new RequestDecoder.Limits(
-                        () -> callerLimits().headerMilliseconds(),
-                        () -> TimeUnit.SECONDS.toMillis(IDLE_TIMEOUT_SECONDS),
-                        () -> mConnections.isServing(connection)));
+        return new RequestDecoder.Limits(
+                () -> callerLimits().headerMilliseconds(),
+                () -> TimeUnit.SECONDS.toMillis(IDLE_TIMEOUT_SECONDS),
+                () -> mConnections.isServing(connection));
     }
 
     private void receive(HttpServerRequest request) {
@@ -397,15 +392,10 @@
         }
     }
 
-    /**
-     * Refuses a request whose body has not arrived completely. The rest is read and discarded for a
-     * while, since closing a connection with unread bytes could reset it before the response is
-     * read.
-     */
+    /** Refuses a request whose body has not arrived completely. */
     private void refuseBody(HttpServerRequest request, SkylarkError error) {
-        request.response().putHeader("Connection", "close");
+        RefusedBody.closeConnection(vertx, request);
         refuse(request, error);
-        vertx.setTimer(DISCARD_MILLISECONDS, id -> request.connection().close());
     }
 
     private void begin(HttpServerRequest request, HeldBytes body, long arrivedMilliseconds) {
--- a/router/src/main/java/org/skylarkbend/router/front/HttpFrontTask.java
+++ b/router/src/main/java/org/skylarkbend/router/front/HttpFrontTask.java
@@ -110,23 +110,20 @@
                         .setHandle100ContinueAutomatically(true)
                         .setMaxInitialLineLength(bounds.maxHeaderBytes())
                         .setMaxHeaderSize(bounds.maxHeaderBytes());
-        mServer = vertx.createHttpServer(options);
-        mServer.connectionHandler(connection -> connected(connection, options));
+        mServer = RequestDecoder.createServer(vertx, options, this::connected);
         mServer.invalidRequestHandler(this::refuseInvalid);
         mServer.requestHandler(this::handleRequest);
         return mServer.listen(mSettings.http().port(), mSettings.http().host());
     }
 
-    private void connected(HttpConnection connection, HttpServerOptions options) {
+    /** Returns the limits on a connection that a caller has opened. */
+    private RequestDecoder.Limits connected(HttpConnection connection) {
         RouterBounds bounds = mSettings.bounds();
         mIdle.opened(connection);
-        RequestDecoder.install(
-                connection,
-                options,
-                new RequestDecoder.Limits(
-                        bounds::requestReadMilliseconds,
-                        bounds::idleConnectionMilliseconds,
-                        () -> mIdle.isServing(connection)));
+        return new RequestDecoder.Limits(
+                bounds::requestReadMilliseconds,
+                bounds::idleConnectionMilliseconds,
+                () -> mIdle.isServing(connection));
     }
 
     private static String refusalName(ErrorKind kind) {
--- a/wire/src/main/java/org/skylarkbend/wire/RequestDecoder.java
+++ b/wire/src/main/java/org/skylarkbend/wire/RequestDecoder.java
@@ -11,7 +11,9 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpConnection;
+import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.impl.VertxHttpRequestDecoder;
 import io.vertx.core.net.impl.ConnectionBase;
@@ -19,6 +21,7 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.Function;
 import java.util.function.LongSupplier;
 import org.skylarkbend.base.StructuredLog;
 
@@ -65,7 +68,12 @@
     public record Limits(
             LongSupplier headMilliseconds,
             LongSupplier unreadMilliseconds,
-            BooleanSupplier isServing) {}
+            BooleanSupplier isServing) {
+        /** Returns limits that end a connection on which no response was sent for some time. */
+        public static Limits ofIdleMilliseconds(long idleMilliseconds) {
+            return new Limits(() -> idleMilliseconds, () -> idleMilliseconds, () -> false);
+        }
+    }
 
     private RequestDecoder(HttpServerOptions options, Limits limits) {
         super(options);
@@ -73,18 +81,28 @@
     }
 
     /**
-     * Replaces the decoder of a connection. Must be called by the connection handler of its server.
+     * Creates a server whose connections use this decoder. The connection handler of the server is
+     * taken.
      *
-     * @param connection connection on which nothing was received yet
+     * @param vertx runs the server
      * @param options options of the server
-     * @param limits limits on the connection
+     * @param limits returns the limits on a connection that a peer has opened
      */
-    public static void install(
-            HttpConnection connection, HttpServerOptions options, Limits limits) {
+    public static HttpServer createServer(
+            Vertx vertx, HttpServerOptions options, Function<HttpConnection, Limits> limits) {
+        return vertx.createHttpServer(options)
+                .connectionHandler(
+                        connection ->
+                                replaceDecoder(
+                                        connection,
+                                        new RequestDecoder(options, limits.apply(connection))));
+    }
+
+    private static void replaceDecoder(HttpConnection connection, RequestDecoder decoder) {
         ((ConnectionBase) connection)
                 .channel()
                 .pipeline()
-                .replace(HANDLER_NAME, HANDLER_NAME, new RequestDecoder(options, limits));
+                .replace(HANDLER_NAME, HANDLER_NAME, decoder);
     }
 
     @Override
