Share the raw client and the waits of tests of hostile peers

HostileOperatorTest failed once beside load: its first request was not answered within the idle time of 500 ms. The first request of the process took 2,680 ms there, later ones 8 to 383 ms: it loads the classes of the server. One request is now served without that limit first.

--- a/control/src/test/java/org/skylarkbend/control/operator/HostileOperatorTest.java
+++ b/control/src/test/java/org/skylarkbend/control/operator/HostileOperatorTest.java
@@ -1,19 +1,15 @@
 package org.skylarkbend.control.operator;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.skylarkbend.testing.Waits.await;
+import static org.skylarkbend.testing.Waits.awaitUntil;
 
 import com.codahale.metrics.MetricRegistry;
 import io.vertx.core.Future;
-import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
-import io.vertx.core.net.NetClient;
-import io.vertx.core.net.NetSocket;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicLong;
-import java.util.function.BooleanSupplier;
 import org.skylarkbend.base.ErrorKind;
 import org.skylarkbend.base.MillisecondClock;
 import org.skylarkbend.base.ObjectName;
@@ -26,7 +22,10 @@
 import org.skylarkbend.control.settings.ControlSettings;
 import org.skylarkbend.control.settings.ControlVm;
 import org.skylarkbend.control.settings.OperatorCredential;
+import org.skylarkbend.testing.EndlessRequest;
+import org.skylarkbend.testing.RawClient;
 import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeClass;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -37,11 +36,13 @@
  */
 public class HostileOperatorTest {
     private static final String HOST = "127.0.0.1";
-    private static final long LIMIT_SECONDS = 30;
-    private static final long POLL_MILLISECONDS = 5;
     private static final int MAX_SET_BYTES = 100_000;
     private static final String CREDENTIAL = "sk-operator";
     private static final long IDLE_MILLISECONDS = 500;
+
+    /** Longer than a test waits. */
+    private static final long AMPLE_MILLISECONDS = 60_000;
+
     private static final long DRIP_MILLISECONDS = 20;
 
     /** Lets the loop of the clients, which they share, serve the sound one too. */
@@ -60,23 +61,20 @@
 
     private Vertx mVertx;
 
-    /** Kept, since a client that is garbage closes its connections. */
-    private NetClient mClient;
-
     private int mPort;
 
-    /** A request that never ends: what is sent first, and what is sent again and again. */
-    private record Endless(String name, String first, String repeated) {
-        @Override
-        public String toString() {
-            return name;
-        }
+    /** The first request loads classes, which can take longer than a connection may be idle. */
+    @BeforeClass
+    public void serveOnce() throws Exception {
+        mVertx = Vertx.vertx();
+        listen(AMPLE_MILLISECONDS);
+        assertServes();
+        await(mVertx.close());
     }
 
     @BeforeMethod
     public void start() throws Exception {
         mVertx = Vertx.vertx();
-        mClient = mVertx.createNetClient();
         listen(IDLE_MILLISECONDS);
     }
 
@@ -120,27 +118,27 @@
     @DataProvider
     private Object[] drips() {
         return new Object[] {
-            new Endless("nothing", "", ""),
-            new Endless("a request line", "GET /", "x"),
-            new Endless("a header", PUT + "X: ", "x"),
-            new Endless("a body", PUT + "Content-Length: 60000\r\n\r\n", "x"),
-            new Endless("chunks", CHUNKED, "1\r\nx\r\n"),
-            new Endless("a chunk extension", CHUNKED + "5;e=", "x"),
-            new Endless("trailers", CHUNKED + "0\r\n", "X: y\r\n")
+            new EndlessRequest("nothing", "", ""),
+            new EndlessRequest("a request line", "GET /", "x"),
+            new EndlessRequest("a header", PUT + "X: ", "x"),
+            new EndlessRequest("a body", PUT + "Content-Length: 60000\r\n\r\n", "x"),
+            new EndlessRequest("chunks", CHUNKED, "1\r\nx\r\n"),
+            new EndlessRequest("a chunk extension", CHUNKED + "5;e=", "x"),
+            new EndlessRequest("trailers", CHUNKED + "0\r\n", "X: y\r\n")
         };
     }
 
     /** Guards against clients that hold connections and memory with a byte now and then. */
     @Test(dataProvider = "drips")
-    public void aRequestThatIsDrippedIsGivenUpAndOthersAreServed(Endless endless) throws Exception {
-        Peer peer = new Peer();
-        peer.mSocket.handler(ignored -> {});
-        peer.mSocket.write(endless.first());
+    public void aRequestThatIsDrippedIsGivenUpAndOthersAreServed(EndlessRequest endless)
+            throws Exception {
+        RawClient peer = connect();
+        peer.send(endless.first());
         if (!endless.repeated().isEmpty()) {
             peer.repeat(endless.repeated(), DRIP_MILLISECONDS);
         }
         assertServes();
-        awaitUntil(() -> peer.mClosed);
+        awaitUntil(mVertx, peer::isClosed);
     }
 
     @DataProvider
@@ -148,102 +146,56 @@
         String padding = "x".repeat(16 * 1024);
         String line = "X-More: " + "y".repeat(500) + "\r\n";
         return new Object[] {
-            new Endless("a request line", "GET /", padding),
-            new Endless("header lines", PUT, line),
-            new Endless("a chunk extension", CHUNKED + "5;e=", padding),
-            new Endless("trailers", CHUNKED + "0\r\n", line),
-            new Endless("a body", PUT + "Content-Length: 99999999999\r\n\r\n", padding),
-            new Endless("requests", "", GET.repeat(100))
+            new EndlessRequest("a request line", "GET /", padding),
+            new EndlessRequest("header lines", PUT, line),
+            new EndlessRequest("a chunk extension", CHUNKED + "5;e=", padding),
+            new EndlessRequest("trailers", CHUNKED + "0\r\n", line),
+            new EndlessRequest("a body", PUT + "Content-Length: 99999999999\r\n\r\n", padding),
+            new EndlessRequest("requests", "", GET.repeat(100))
         };
     }
 
     /** Guards against bytes without end, and against responses kept for a peer who reads none. */
     @Test(dataProvider = "floods")
-    public void bytesWithoutEndFromAPeerThatReadsNothingAreGivenUp(Endless endless)
+    public void bytesWithoutEndFromAPeerThatReadsNothingAreGivenUp(EndlessRequest endless)
             throws Exception {
-        Peer peer = new Peer();
-        peer.mSocket.pause();
-        peer.mSocket.write(endless.first());
+        RawClient peer = connect();
+        peer.pause();
+        peer.send(endless.first());
         peer.repeat(endless.repeated(), FLOOD_MILLISECONDS);
         assertServes();
-        awaitUntil(() -> peer.mClosed);
-        assertThat(peer.mSentBytes.get()).isLessThan(MAX_SENT_BYTES);
+        awaitUntil(mVertx, peer::isClosed);
+        assertThat(peer.sentBytes()).isLessThan(MAX_SENT_BYTES);
     }
 
     /** Guards against a refused body that is read as long as it comes. */
     @Test
     public void theRestOfARefusedBodyIsNotReadForLong() throws Exception {
-        listen(TimeUnit.SECONDS.toMillis(2 * LIMIT_SECONDS));
-        Peer peer = new Peer();
-        StringBuffer received = new StringBuffer();
-        peer.mSocket.handler(chunk -> received.append(chunk.toString()));
-        peer.mSocket.write(PUT + "Content-Length: 99999999999\r\n\r\n");
+        listen(AMPLE_MILLISECONDS);
+        RawClient peer = connect();
+        peer.send(PUT + "Content-Length: 99999999999\r\n\r\n");
         peer.repeat("x".repeat(16 * 1024), FLOOD_MILLISECONDS);
-        awaitUntil(() -> peer.mClosed);
-        assertThat(received.toString()).startsWith("HTTP/1.1 413 ");
+        awaitUntil(mVertx, peer::isClosed);
+        assertThat(peer.received()).startsWith("HTTP/1.1 413 ");
     }
 
     @Test
     public void aRequestWithALengthAndChunksIsRefused() throws Exception {
-        Peer peer = new Peer();
-        StringBuffer received = new StringBuffer();
-        peer.mSocket.handler(chunk -> received.append(chunk.toString()));
-        peer.mSocket.write(
-                CHUNKED.replace("Host", "Content-Length: 5\r\nHost") + "0\r\n\r\n" + GET);
-        awaitUntil(() -> peer.mClosed);
-        assertThat(received.toString()).startsWith("HTTP/1.1 431 ").doesNotContain(" 200 ");
+        RawClient peer = connect();
+        peer.send(CHUNKED.replace("Host", "Content-Length: 5\r\nHost") + "0\r\n\r\n" + GET);
+        awaitUntil(mVertx, peer::isClosed);
+        assertThat(peer.received()).startsWith("HTTP/1.1 431 ").doesNotContain(" 200 ");
     }
 
     private void assertServes() throws Exception {
-        Peer sound = new Peer();
-        Promise<String> answer = Promise.promise();
-        sound.mSocket.handler(chunk -> answer.tryComplete(chunk.toString()));
-        sound.mSocket.closeHandler(ignored -> answer.tryFail("closed without a response"));
-        sound.mSocket.write(GET);
-        assertThat(await(answer.future())).contains(" 200 ");
-    }
-
-    /** A client that sends bytes chosen by the test. */
-    private final class Peer {
-        private final AtomicLong mSentBytes = new AtomicLong();
-        private final NetSocket mSocket;
-        private volatile boolean mClosed;
-
-        Peer() throws Exception {
-            mSocket = await(mClient.connect(mPort, HOST));
-            mSocket.exceptionHandler(e -> {});
-            mSocket.closeHandler(ignored -> mClosed = true);
-        }
-
-        void repeat(String text, long pauseMilliseconds) {
-            mSocket.write(text)
-                    .onSuccess(
-                            ignored -> {
-                                mSentBytes.addAndGet(text.length());
-                                mVertx.setTimer(
-                                        pauseMilliseconds, id -> repeat(text, pauseMilliseconds));
-                            });
-        }
-    }
-
-    private void awaitUntil(BooleanSupplier condition) throws Exception {
-        Promise<Void> reached = Promise.promise();
-        long timer =
-                mVertx.setPeriodic(
-                        POLL_MILLISECONDS,
-                        id -> {
-                            if (condition.getAsBoolean()) {
-                                reached.tryComplete();
-                            }
-                        });
-        await(reached.future());
-        mVertx.cancelTimer(timer);
+        RawClient sound = connect();
+        sound.send(GET);
+        awaitUntil(mVertx, () -> sound.isClosed() || sound.received().contains("\r\n\r\n"));
+        assertThat(sound.received()).contains(" 200 ");
     }
 
-    private static <T> T await(Future<T> future) throws Exception {
-        return future.toCompletionStage()
-                .toCompletableFuture()
-                .get(LIMIT_SECONDS, TimeUnit.SECONDS);
+    private RawClient connect() throws Exception {
+        return await(RawClient.connect(mVertx, mPort));
     }
 
     private static final class NoLog implements ControlLog {
--- a/gateway/src/test/java/org/skylarkbend/gateway/front/HostileCallerTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/front/HostileCallerTest.java
@@ -6,6 +6,8 @@
 import org.skylarkbend.catalog.CallerLimits;
 import org.skylarkbend.gateway.CapturingEndpoint;
 import org.skylarkbend.gateway.Routes;
+import org.skylarkbend.testing.EndlessRequest;
+import org.skylarkbend.testing.RawClient;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -36,14 +38,6 @@
 
     private CapturingEndpoint mEndpoint;
 
-    /** A request that never ends: what is sent first, and what is sent again and again. */
-    private record Endless(String name, String first, String repeated) {
-        @Override
-        public String toString() {
-            return name;
-        }
-    }
-
     @Override
     protected CallerLimits callerLimits() {
         return new CallerLimits(16 * 1024, MAX_BODY_BYTES, HEADER_MILLISECONDS, IDLE_MILLISECONDS);
@@ -62,22 +56,25 @@
         String padding = "x".repeat(16 * 1024);
         String line = "X-More: " + "y".repeat(500) + "\r\n";
         return new Object[] {
-            new Endless("empty lines in front of a request", "", "\r\n".repeat(1024)),
-            new Endless("a request line without end", "POST /", padding),
-            new Endless("a header without end", HEAD + "X: ", padding),
-            new Endless("a header name without end", HEAD, padding),
-            new Endless("header lines without end", HEAD, line),
-            new Endless("a folded header without end", HEAD + "X: y\r\n", " z\r\n".repeat(1024)),
-            new Endless("a chunk size without end", CHUNKED, "0".repeat(1024)),
-            new Endless("a chunk extension without end", CHUNKED + "5;e=", padding),
-            new Endless("trailers without end", CHUNKED + "0\r\n", line),
-            new Endless("a body beyond its length", HEAD + "Content-Length: 4\r\n\r\n", padding)
+            new EndlessRequest("empty lines in front of a request", "", "\r\n".repeat(1024)),
+            new EndlessRequest("a request line without end", "POST /", padding),
+            new EndlessRequest("a header without end", HEAD + "X: ", padding),
+            new EndlessRequest("a header name without end", HEAD, padding),
+            new EndlessRequest("header lines without end", HEAD, line),
+            new EndlessRequest(
+                    "a folded header without end", HEAD + "X: y\r\n", " z\r\n".repeat(1024)),
+            new EndlessRequest("a chunk size without end", CHUNKED, "0".repeat(1024)),
+            new EndlessRequest("a chunk extension without end", CHUNKED + "5;e=", padding),
+            new EndlessRequest("trailers without end", CHUNKED + "0\r\n", line),
+            new EndlessRequest(
+                    "a body beyond its length", HEAD + "Content-Length: 4\r\n\r\n", padding)
         };
     }
 
     @Test(dataProvider = "endlessRequests")
-    public void aRequestWithoutEndIsGivenUpWhileOthersAreServed(Endless endless) throws Exception {
-        RawCaller caller = await(RawCaller.connect(mVertx, mPort));
+    public void aRequestWithoutEndIsGivenUpWhileOthersAreServed(EndlessRequest endless)
+            throws Exception {
+        RawClient caller = await(RawClient.connect(mVertx, mPort));
         await(caller.send(endless.first()));
         caller.repeat(endless.repeated(), 0);
         awaitUntil(caller::isClosed);
@@ -90,8 +87,8 @@
     private Object[] endlessBodies() {
         String padding = "x".repeat(16 * 1024);
         return new Object[] {
-            new Endless("chunks", CHUNKED, "4000\r\n" + padding + "\r\n"),
-            new Endless(
+            new EndlessRequest("chunks", CHUNKED, "4000\r\n" + padding + "\r\n"),
+            new EndlessRequest(
                     "a length beyond all bodies",
                     HEAD + "Content-Length: 9223372036854775807\r\n\r\n",
                     padding)
@@ -100,8 +97,8 @@
 
     /** The rest of a refused body is read for a while, but not kept. */
     @Test(dataProvider = "endlessBodies")
-    public void aBodyWithoutEndIsRefusedAndNotKept(Endless endless) throws Exception {
-        RawCaller caller = await(RawCaller.connect(mVertx, mPort));
+    public void aBodyWithoutEndIsRefusedAndNotKept(EndlessRequest endless) throws Exception {
+        RawClient caller = await(RawClient.connect(mVertx, mPort));
         await(caller.send(endless.first()));
         caller.repeat(endless.repeated(), FLOOD_MILLISECONDS);
         assertThat(call("other").status()).isEqualTo(200);
@@ -117,15 +114,15 @@
     @DataProvider
     private Object[] drippedRequests() {
         return new Object[] {
-            new Endless("empty lines in front of a request", "", "\r\n"),
-            new Endless("a request line", "POST /", "x"),
-            new Endless("a header", HEAD + "X: ", "x"),
-            new Endless("a body", HEAD + "Content-Length: 60000\r\n\r\n", "x"),
-            new Endless("chunks", CHUNKED, "1\r\nx\r\n"),
-            new Endless("the size of a chunk", CHUNKED, "0"),
-            new Endless("a chunk extension", CHUNKED + "5;e=", "x"),
-            new Endless("trailers", CHUNKED + "0\r\n", "X: y\r\n"),
-            new Endless(
+            new EndlessRequest("empty lines in front of a request", "", "\r\n"),
+            new EndlessRequest("a request line", "POST /", "x"),
+            new EndlessRequest("a header", HEAD + "X: ", "x"),
+            new EndlessRequest("a body", HEAD + "Content-Length: 60000\r\n\r\n", "x"),
+            new EndlessRequest("chunks", CHUNKED, "1\r\nx\r\n"),
+            new EndlessRequest("the size of a chunk", CHUNKED, "0"),
+            new EndlessRequest("a chunk extension", CHUNKED + "5;e=", "x"),
+            new EndlessRequest("trailers", CHUNKED + "0\r\n", "X: y\r\n"),
+            new EndlessRequest(
                     "a body without a key",
                     HEAD.replace("secret", "unknown") + "Content-Length: 60000\r\n\r\n",
                     "x")
@@ -134,9 +131,9 @@
 
     /** Guards against callers that keep a connection and its memory with a byte now and then. */
     @Test(dataProvider = "drippedRequests")
-    public void aRequestThatIsDrippedIsGivenUpInTimeWhileOthersAreServed(Endless endless)
+    public void aRequestThatIsDrippedIsGivenUpInTimeWhileOthersAreServed(EndlessRequest endless)
             throws Exception {
-        RawCaller caller = await(RawCaller.connect(mVertx, mPort));
+        RawClient caller = await(RawClient.connect(mVertx, mPort));
         await(caller.send(endless.first()));
         caller.repeat(endless.repeated(), DRIP_MILLISECONDS);
         assertThat(call("other").status()).isEqualTo(200);
@@ -148,7 +145,7 @@
     /** Guards against a limit on heads that counts the time of the response before. */
     @Test
     public void aHeadThatArrivesInPartsBehindARequestInProgressIsServed() throws Exception {
-        RawCaller caller = await(RawCaller.connect(mVertx, mPort));
+        RawClient caller = await(RawClient.connect(mVertx, mPort));
         String request = HEAD + "Content-Length: 4\r\n\r\nbody";
         await(caller.send(request + request.substring(0, 10)));
         awaitUntil(() -> caller.received().split("done", -1).length == 2);
--- a/gateway/src/test/java/org/skylarkbend/gateway/front/RequestFramingTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/front/RequestFramingTest.java
@@ -5,6 +5,7 @@
 import org.skylarkbend.catalog.CallKind;
 import org.skylarkbend.gateway.CapturingEndpoint;
 import org.skylarkbend.gateway.Routes;
+import org.skylarkbend.testing.RawClient;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -80,7 +81,7 @@
     @Test(dataProvider = "requestsOfUnclearLength")
     public void aRequestOfUnclearLengthIsRefusedAndItsConnectionIsClosed(Malformed malformed)
             throws Exception {
-        RawCaller caller = await(RawCaller.connect(mVertx, mPort));
+        RawClient caller = await(RawClient.connect(mVertx, mPort));
         await(caller.send(malformed.request() + SMUGGLED));
         awaitUntil(caller::isClosed);
         assertThat(mEndpoint.requests()).isEmpty();
@@ -105,7 +106,7 @@
     @Test(dataProvider = "brokenChunks")
     public void aBodyOfBrokenChunksReachesNoEndpointAndItsConnectionIsClosed(Malformed malformed)
             throws Exception {
-        RawCaller caller = await(RawCaller.connect(mVertx, mPort));
+        RawClient caller = await(RawClient.connect(mVertx, mPort));
         await(
                 caller.send(
                         HEAD
@@ -124,7 +125,7 @@
                 HEAD + "Transfer-Encoding: chunked\r\n\r\n4;e=1\r\nbody\r\n0\r\nT: 1\r\n\r\n";
         for (String request : new String[] {length, chunks}) {
             for (int cut = 1; cut < request.length(); cut++) {
-                RawCaller caller = await(RawCaller.connect(mVertx, mPort));
+                RawClient caller = await(RawClient.connect(mVertx, mPort));
                 await(caller.send(request.substring(0, cut)));
                 await(caller.close());
             }
@@ -137,7 +138,7 @@
     /** Guards against a rest of one request that becomes part of the next. */
     @Test
     public void requestsInOneStreamOfBytesStayApart() throws Exception {
-        RawCaller caller = await(RawCaller.connect(mVertx, mPort));
+        RawClient caller = await(RawClient.connect(mVertx, mPort));
         String[] bodies = {"body", "", "GET /x/in-a-body HTTP/1.1\r\nHost: a.example\r\n\r\n"};
         StringBuilder bytes = new StringBuilder();
         for (String body : bodies) {
@@ -166,7 +167,7 @@
 
     @Test
     public void bytesBehindABodyThatAreNoRequestCloseTheConnection() throws Exception {
-        RawCaller caller = await(RawCaller.connect(mVertx, mPort));
+        RawClient caller = await(RawClient.connect(mVertx, mPort));
         await(caller.send(HEAD + "Content-Length: 4\r\n\r\nbodymore bytes\r\n\r\n" + SMUGGLED));
         awaitUntil(caller::isClosed);
         assertThat(mEndpoint.requests()).hasSize(1);
@@ -175,7 +176,7 @@
 
     @Test
     public void aFoldedHeaderReachesAnEndpointAsOneLine() throws Exception {
-        RawCaller caller = await(RawCaller.connect(mVertx, mPort));
+        RawClient caller = await(RawClient.connect(mVertx, mPort));
         await(caller.send(HEAD + "X-Long: one\r\n two\r\nContent-Length: 4\r\n\r\nbody"));
         awaitUntil(() -> caller.received().contains("done"));
         assertThat(mEndpoint.requests()).hasSize(1);
--- a/gateway/src/test/java/org/skylarkbend/gateway/front/RawCaller.java
+++ b/testing/src/main/java/org/skylarkbend/testing/RawClient.java
@@ -1,4 +1,4 @@
-package org.skylarkbend.gateway.front;
+package org.skylarkbend.testing;
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
@@ -7,8 +7,10 @@
 import io.vertx.core.net.NetSocket;
 import java.util.concurrent.atomic.AtomicLong;
 
-/** Caller that sends bytes chosen by the test, valid or not, and keeps what it receives. */
-final class RawCaller {
+/** Client that sends bytes chosen by the test, valid or not, and keeps what it receives. */
+public final class RawClient {
+    private static final String HOST = "127.0.0.1";
+
     private final Vertx mVertx;
 
     /** Kept, since a client that is garbage closes its connections. */
@@ -19,7 +21,7 @@
     private final AtomicLong mSentBytes = new AtomicLong();
     private volatile boolean mClosed;
 
-    private RawCaller(Vertx vertx, NetClient client, NetSocket socket) {
+    private RawClient(Vertx vertx, NetClient client, NetSocket socket) {
         mVertx = vertx;
         mClient = client;
         mSocket = socket;
@@ -28,18 +30,19 @@
         socket.closeHandler(ignored -> mClosed = true);
     }
 
-    static Future<RawCaller> connect(Vertx vertx, int port) {
+    /** Connects to a port of the loopback interface. */
+    public static Future<RawClient> connect(Vertx vertx, int port) {
         NetClient client = vertx.createNetClient();
-        return client.connect(port, "127.0.0.1")
-                .map(socket -> new RawCaller(vertx, client, socket));
+        return client.connect(port, HOST).map(socket -> new RawClient(vertx, client, socket));
     }
 
-    Future<Void> send(String bytes) {
+    /** Sends the characters as single bytes. Completes once they are accepted for sending. */
+    public Future<Void> send(String bytes) {
         return mSocket.write(Buffer.buffer(bytes, "ISO-8859-1"));
     }
 
     /** Sends the bytes again and again, with a pause in between, until the connection closes. */
-    void repeat(String bytes, long pauseMilliseconds) {
+    public void repeat(String bytes, long pauseMilliseconds) {
         if (mClosed) {
             return;
         }
@@ -56,20 +59,28 @@
                         });
     }
 
-    Future<Void> close() {
+    /** Reads nothing from now on. */
+    public void pause() {
+        mSocket.pause();
+    }
+
+    /** Closes the connection. */
+    public Future<Void> close() {
         return mClient.close();
     }
 
-    String received() {
+    /** Returns all received bytes as characters. */
+    public String received() {
         return mReceived.toString();
     }
 
-    boolean isClosed() {
+    /** Returns whether the connection is closed, by either side. */
+    public boolean isClosed() {
         return mClosed;
     }
 
     /** Returns the number of repeated bytes that were accepted for sending. */
-    long sentBytes() {
+    public long sentBytes() {
         return mSentBytes.get();
     }
 }
--- a/wire/src/test/java/org/skylarkbend/wire/HostilePeerTest.java
+++ b/wire/src/test/java/org/skylarkbend/wire/HostilePeerTest.java
@@ -1,6 +1,8 @@
 package org.skylarkbend.wire;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.skylarkbend.testing.Waits.await;
+import static org.skylarkbend.testing.Waits.awaitUntil;
 
 import io.vertx.core.Context;
 import io.vertx.core.Future;
@@ -15,9 +17,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.function.BooleanSupplier;
 import org.skylarkbend.base.MillisecondClock;
 import org.skylarkbend.base.Result;
 import org.testng.annotations.AfterMethod;
@@ -31,8 +31,6 @@
  */
 public class HostilePeerTest {
     private static final String HOST = "127.0.0.1";
-    private static final long LIMIT_SECONDS = 30;
-    private static final long POLL_MILLISECONDS = 5;
     private static final int MAX_PAYLOAD_BYTES = 1_000_000;
     private static final long SILENCE_MILLISECONDS = 400;
     private static final long AMPLE_MILLISECONDS = 60_000;
@@ -77,10 +75,10 @@
             await(second.close());
         }
         int cuts = frame.length - 1;
-        awaitUntil(() -> mClosed.get() == 2 * cuts);
+        awaitUntil(mVertx, () -> mClosed.get() == 2 * cuts);
         NetSocket sound = await(connect(port));
         await(sound.write(Buffer.buffer(frame)));
-        awaitUntil(() -> !mReceived.isEmpty());
+        awaitUntil(mVertx, () -> !mReceived.isEmpty());
         assertThat(mReceived).containsExactly("a message that is cut");
     }
 
@@ -102,7 +100,7 @@
         int port = listen(AMPLE_MILLISECONDS);
         NetSocket peer = await(connect(port));
         peer.write(Buffer.buffer(invalid).appendBytes(frameOf("too late")));
-        awaitUntil(() -> mClosed.get() == 1);
+        awaitUntil(mVertx, () -> mClosed.get() == 1);
         assertThat(mReceived).isEmpty();
     }
 
@@ -131,7 +129,7 @@
                     byte next = first.length == 0 && index < 4 ? length[index] : 1;
                     peer.write(Buffer.buffer(new byte[] {next}));
                 });
-        awaitUntil(() -> mClosed.get() == 1);
+        awaitUntil(mVertx, () -> mClosed.get() == 1);
     }
 
     /** Guards against a peer that sends heartbeats and reads nothing. */
@@ -147,7 +145,7 @@
         FrameConnection<String> connection = await(mAccepted.future());
         byte[] frame = new byte[32 * 1024 * 1024];
         mContext.runOnContext(ignored -> connection.sendFrame(frame));
-        awaitUntil(() -> mClosed.get() == 1 && ended.get() == 1);
+        awaitUntil(mVertx, () -> mClosed.get() == 1 && ended.get() == 1);
     }
 
     private int listen(long silenceMilliseconds) throws Exception {
@@ -188,26 +186,6 @@
         return Buffer.buffer(frameOf("whole")).appendBytes(rest).getBytes();
     }
 
-    private void awaitUntil(BooleanSupplier condition) throws Exception {
-        Promise<Void> reached = Promise.promise();
-        long timer =
-                mVertx.setPeriodic(
-                        POLL_MILLISECONDS,
-                        id -> {
-                            if (condition.getAsBoolean()) {
-                                reached.tryComplete();
-                            }
-                        });
-        await(reached.future());
-        mVertx.cancelTimer(timer);
-    }
-
-    private static <T> T await(Future<T> future) throws Exception {
-        return future.toCompletionStage()
-                .toCompletableFuture()
-                .get(LIMIT_SECONDS, TimeUnit.SECONDS);
-    }
-
     /** Encodes texts. */
     private static final class TextCodec implements MessageCodec<String> {
         @Override
--- a/wire/src/test/java/org/skylarkbend/wire/RequestDecoderTest.java
+++ b/wire/src/test/java/org/skylarkbend/wire/RequestDecoderTest.java
@@ -1,8 +1,9 @@
 package org.skylarkbend.wire;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.skylarkbend.testing.Waits.await;
+import static org.skylarkbend.testing.Waits.awaitUntil;
 
-import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
@@ -10,11 +11,11 @@
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetSocket;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
-import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import org.skylarkbend.testing.RawClient;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -22,8 +23,6 @@
 /** Tests servers whose peers drip a head or do not read the responses. */
 public class RequestDecoderTest {
     private static final String HOST = "127.0.0.1";
-    private static final long LIMIT_SECONDS = 30;
-    private static final long POLL_MILLISECONDS = 5;
     private static final long LATE_MILLISECONDS = 300;
 
     /** Time in which some of a response must be read; less than reading all of it takes. */
@@ -63,9 +62,9 @@
 
     @Test
     public void aHeadThatIsDrippedEndsInTime() throws Exception {
-        NetSocket peer = connect(listen(request -> request.response().end("x")));
-        repeat(peer, "X", DRIP_MILLISECONDS);
-        awaitUntil(() -> mClosed.get() == 1);
+        RawClient peer = connect(listen(request -> request.response().end("x")));
+        peer.repeat("X", DRIP_MILLISECONDS);
+        awaitUntil(mVertx, () -> mClosed.get() == 1);
         assertThat(mServed.get()).isZero();
     }
 
@@ -81,28 +80,26 @@
                                 request.response().end("second");
                             }
                         });
-        NetSocket peer = connect(port);
-        StringBuffer received = new StringBuffer();
-        peer.handler(chunk -> received.append(chunk.toString()));
-        peer.write(REQUEST + "GET ");
+        RawClient peer = connect(port);
+        peer.send(REQUEST + "GET ");
         HttpServerRequest request = await(first.future());
-        awaitUntil(() -> mAskedWhileServing.get() > 1);
+        awaitUntil(mVertx, () -> mAskedWhileServing.get() > 1);
         request.response().end("first").onComplete(ignored -> mServing = false);
-        peer.write(REQUEST.substring("GET ".length()));
-        awaitUntil(() -> received.toString().contains("second"));
-        assertThat(received.toString()).contains("first");
+        peer.send(REQUEST.substring("GET ".length()));
+        awaitUntil(mVertx, () -> peer.received().contains("second"));
+        assertThat(peer.received()).contains("first");
         assertThat(mClosed.get()).isZero();
     }
 
     /** Guards against responses that are made and kept for a peer that never reads them. */
     @Test
     public void aPeerThatSendsRequestsWithoutEndAndReadsNothingIsClosed() throws Exception {
-        NetSocket peer = connect(listen(request -> request.response().end("y".repeat(10_000))));
+        RawClient peer = connect(listen(request -> request.response().end("y".repeat(10_000))));
         peer.pause();
-        AtomicLong sentBytes = repeat(peer, REQUEST.repeat(100), 0);
-        awaitUntil(() -> mClosed.get() == 1);
+        peer.repeat(REQUEST.repeat(100), 0);
+        awaitUntil(mVertx, () -> mClosed.get() == 1);
         assertThat(mServed.get() * 10_000L).isLessThan(MAX_BYTES);
-        assertThat(sentBytes.get()).isLessThan(MAX_BYTES);
+        assertThat(peer.sentBytes()).isLessThan(MAX_BYTES);
     }
 
     /** Guards against a peer that sends at full speed for as long as a request is served. */
@@ -110,14 +107,14 @@
     public void bytesWithoutEndBehindARequestAreNotReadWhileItIsServed() throws Exception {
         Promise<HttpServerRequest> first = Promise.promise();
         mServing = true;
-        NetSocket peer = connect(listen(first::complete));
-        peer.write(REQUEST);
-        AtomicLong sentBytes = repeat(peer, "x".repeat(16 * 1024), 0);
+        RawClient peer = connect(listen(first::complete));
+        peer.send(REQUEST);
+        peer.repeat("x".repeat(16 * 1024), 0);
         HttpServerRequest request = await(first.future());
-        awaitStandstill(sentBytes);
+        awaitStandstill(peer::sentBytes);
         assertThat(mClosed.get()).isZero();
         request.response().end("first").onComplete(ignored -> mServing = false);
-        awaitUntil(() -> mClosed.get() == 1);
+        awaitUntil(mVertx, () -> mClosed.get() == 1);
         assertThat(mServed.get()).isOne();
     }
 
@@ -126,23 +123,21 @@
     public void theResponseInFrontOfAnInvalidRequestIsDelivered() throws Exception {
         Promise<HttpServerRequest> first = Promise.promise();
         mServing = true;
-        NetSocket peer = connect(listen(first::complete));
-        StringBuffer received = new StringBuffer();
-        peer.handler(chunk -> received.append(chunk.toString()));
-        await(peer.write(REQUEST + "x".repeat(512 * 1024)));
+        RawClient peer = connect(listen(first::complete));
+        await(peer.send(REQUEST + "x".repeat(512 * 1024)));
         await(first.future()).response().end("first").onComplete(ignored -> mServing = false);
-        awaitUntil(() -> mClosed.get() == 1);
-        awaitUntil(() -> received.toString().contains("first"));
+        awaitUntil(mVertx, () -> mClosed.get() == 1);
+        awaitUntil(mVertx, () -> peer.received().contains("first"));
         assertThat(mServed.get()).isOne();
     }
 
     /** Guards against a peer that keeps the connection alive with bytes and reads no response. */
     @Test
     public void aPeerThatDripsRequestsAndReadsNothingIsClosed() throws Exception {
-        NetSocket peer = connect(listen(request -> request.response().end(largeBody())));
+        RawClient peer = connect(listen(request -> request.response().end(largeBody())));
         peer.pause();
-        repeat(peer, REQUEST, DRIP_MILLISECONDS);
-        awaitUntil(() -> mClosed.get() == 1);
+        peer.repeat(REQUEST, DRIP_MILLISECONDS);
+        awaitUntil(mVertx, () -> mClosed.get() == 1);
         assertThat(mServed.get()).isOne();
     }
 
@@ -151,7 +146,7 @@
     public void aPeerThatReadsALargeResponseSlowlyGetsAllOfIt() throws Exception {
         Buffer body = largeBody();
         int port = listen(request -> request.response().end(body), SLOW_MILLISECONDS);
-        NetSocket peer = connect(port);
+        NetSocket peer = await(mClient.connect(port, HOST));
         AtomicLong received = new AtomicLong();
         long[] readBytes = new long[1];
         peer.handler(
@@ -165,18 +160,19 @@
                     }
                 });
         peer.write(REQUEST);
-        awaitUntil(() -> received.get() > body.length());
+        awaitUntil(mVertx, () -> received.get() > body.length());
         assertThat(mClosed.get()).isZero();
     }
 
     /** Waits until the number stays the same for a while. */
-    private void awaitStandstill(AtomicLong number) throws Exception {
+    private void awaitStandstill(LongSupplier number) throws Exception {
         long[] last = {-1};
         int[] equalPolls = new int[1];
         awaitUntil(
+                mVertx,
                 () -> {
-                    equalPolls[0] = number.get() == last[0] ? equalPolls[0] + 1 : 0;
-                    last[0] = number.get();
+                    equalPolls[0] = number.getAsLong() == last[0] ? equalPolls[0] + 1 : 0;
+                    last[0] = number.getAsLong();
                     return equalPolls[0] == STANDSTILL_POLLS;
                 });
     }
@@ -204,11 +200,12 @@
                 new RequestDecoder.Limits(
                         () -> LATE_MILLISECONDS, () -> unreadMilliseconds, this::isServing);
         return await(
-                mVertx.createHttpServer(options)
-                        .connectionHandler(
+                RequestDecoder.createServer(
+                                mVertx,
+                                options,
                                 connection -> {
-                                    RequestDecoder.install(connection, options, limits);
                                     connection.closeHandler(ignored -> mClosed.incrementAndGet());
+                                    return limits;
                                 })
                         .requestHandler(
                                 request -> {
@@ -219,51 +216,7 @@
                         .map(server -> server.actualPort()));
     }
 
-    private NetSocket connect(int port) throws Exception {
-        NetSocket socket = await(mClient.connect(port, HOST));
-        socket.exceptionHandler(e -> {});
-        return socket;
-    }
-
-    /** Sends the text again and again, and returns the number of bytes that were accepted. */
-    private AtomicLong repeat(NetSocket socket, String text, long pauseMilliseconds) {
-        AtomicLong sentBytes = new AtomicLong();
-        send(socket, text, pauseMilliseconds, sentBytes);
-        return sentBytes;
-    }
-
-    private void send(NetSocket socket, String text, long pauseMilliseconds, AtomicLong sent) {
-        socket.write(text)
-                .onSuccess(
-                        ignored -> {
-                            sent.addAndGet(text.length());
-                            if (pauseMilliseconds == 0) {
-                                mVertx.runOnContext(next -> send(socket, text, 0, sent));
-                            } else {
-                                mVertx.setTimer(
-                                        pauseMilliseconds,
-                                        id -> send(socket, text, pauseMilliseconds, sent));
-                            }
-                        });
-    }
-
-    private void awaitUntil(BooleanSupplier condition) throws Exception {
-        Promise<Void> reached = Promise.promise();
-        long timer =
-                mVertx.setPeriodic(
-                        POLL_MILLISECONDS,
-                        id -> {
-                            if (condition.getAsBoolean()) {
-                                reached.tryComplete();
-                            }
-                        });
-        await(reached.future());
-        mVertx.cancelTimer(timer);
-    }
-
-    private static <T> T await(Future<T> future) throws Exception {
-        return future.toCompletionStage()
-                .toCompletableFuture()
-                .get(LIMIT_SECONDS, TimeUnit.SECONDS);
+    private RawClient connect(int port) throws Exception {
+        return await(RawClient.connect(mVertx, port));
     }
 }
