Admit a request once unless the catalog changes while its body arrives

Each request was admitted twice, with a digest of its key and a lookup of its route: for the time in which its body must arrive, and once it was complete.

--- /dev/null
+++ b/gateway/src/main/java/org/skylarkbend/gateway/front/Admissions.java
@@ -0,0 +1,97 @@
+package org.skylarkbend.gateway.front;
+
+import io.vertx.core.http.HttpServerRequest;
+import java.util.Optional;
+import java.util.function.BooleanSupplier;
+import org.skylarkbend.base.ErrorKind;
+import org.skylarkbend.base.Result;
+import org.skylarkbend.catalog.CallerLimits;
+import org.skylarkbend.catalog.Catalog;
+
+/** Admits requests by the catalog in force. */
+final class Admissions {
+    private final CallHeadReader mHeadReader;
+    private final BooleanSupplier mIsRefusing;
+    private Optional<ServingState> mState = Optional.empty();
+
+    /**
+     * Decision on the head of a request.
+     *
+     * @param state state it was made with
+     * @param result route and customer, or the reason for the refusal
+     */
+    record Decision(Optional<ServingState> state, Result<ServingState.Admission> result) {}
+
+    /**
+     * Creates admissions without a catalog.
+     *
+     * @param headReader reads the keys and timeouts of callers
+     * @param isRefusing returns whether the gateway takes no new calls any more
+     */
+    Admissions(CallHeadReader headReader, BooleanSupplier isRefusing) {
+        mHeadReader = headReader;
+        mIsRefusing = isRefusing;
+    }
+
+    /** Puts a catalog in force. */
+    void catalogChanged(Catalog catalog) {
+        mState = Optional.of(ServingState.of(catalog));
+    }
+
+    boolean hasCatalog() {
+        return mState.isPresent();
+    }
+
+    /** Returns the number of the catalog in force, or 0 without one. */
+    long catalogNumber() {
+        return mState.map(state -> state.catalog().number()).orElse(0L);
+    }
+
+    /** Returns the limits on what callers send. */
+    CallerLimits callerLimits() {
+        return mState.map(state -> state.catalog().callerLimits()).orElse(CallerLimits.defaults());
+    }
+
+    /** Decides on a request whose body has not arrived yet. */
+    Decision decide(HttpServerRequest request) {
+        return new Decision(mState, admit(request));
+    }
+
+    /** Returns the admission of a complete request; a changed catalog is looked up again. */
+    Result<ServingState.Admission> confirm(HttpServerRequest request, Decision decision) {
+        boolean isCurrent = decision.state().equals(mState) && !mIsRefusing.getAsBoolean();
+        return isCurrent ? decision.result() : admit(request);
+    }
+
+    /**
+     * Returns the time in which the body must arrive. It is of no use after the deadline of its
+     * call; of a refused call nobody needs it.
+     */
+    long bodyMilliseconds(HttpServerRequest request, Decision decision) {
+        long callerMilliseconds = mHeadReader.timeoutMilliseconds(request.headers());
+        if (decision.state().isEmpty()) {
+            return callerMilliseconds;
+        }
+        long boundMilliseconds =
+                decision.result()
+                        .fold(
+                                admission -> admission.route().timeoutMilliseconds(),
+                                error -> callerLimits().idleMilliseconds());
+        return Math.min(callerMilliseconds, boundMilliseconds);
+    }
+
+    private Result<ServingState.Admission> admit(HttpServerRequest request) {
+        if (mIsRefusing.getAsBoolean()) {
+            return Result.failure(ErrorKind.ROUTER_DRAINING, "this gateway is shutting down");
+        }
+        if (mState.isEmpty()) {
+            return Result.failure(
+                    ErrorKind.ROUTER_STALE, "this gateway has not received a catalog yet");
+        }
+        String host = request.getHeader("Host");
+        if (host == null) {
+            return Result.failure(ErrorKind.BAD_REQUEST, "the Host header is missing");
+        }
+        return mState.get().admit(host, request.path(), mHeadReader.keyDigest(request.headers()));
+    }
+}
--- a/gateway/src/main/java/org/skylarkbend/gateway/front/GatewayTask.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/front/GatewayTask.java
@@ -18,9 +18,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.skylarkbend.base.ByteBudget;
-import org.skylarkbend.base.ErrorKind;
 import org.skylarkbend.base.MillisecondClock;
-import org.skylarkbend.base.Result;
 import org.skylarkbend.base.SkylarkError;
 import org.skylarkbend.base.StructuredLog;
 import org.skylarkbend.catalog.CallerLimits;
@@ -82,6 +80,7 @@
     private final Consumer<LimitMessage> mLimitOwner;
     private final Consumer<Boolean> mOnReadyChange;
     private final CallHeadReader mHeadReader;
+    private final Admissions mAdmissions;
     private final Set<GatewayCall> mCalls = new HashSet<>();
     private final CallerConnections mConnections = new CallerConnections();
     private final EndpointSelector mSelector;
@@ -89,7 +88,6 @@
     private final OutcomeRecorder mOutcomes;
     private final CrashGuard mCrashes;
     private Context mContext;
-    private Optional<ServingState> mServingState = Optional.empty();
     private CallResources mResources;
     private TokenGate mGate;
     private BodyIntake mIntake;
@@ -127,6 +125,8 @@
         mLimitOwner = limitOwner;
         mOnReadyChange = onReady;
         mHeadReader = new CallHeadReader(settings.headers());
+        mAdmissions =
+                new Admissions(mHeadReader, () -> mDrain.filter(Drain::isRefusing).isPresent());
         mSelector =
                 new EndpointSelector(
                         () -> ThreadLocalRandom.current().nextDouble(),
@@ -182,7 +182,7 @@
     private void check(EndpointProbes probes) {
         probes.probe();
         mStoreProbe.connect();
-        mIntake.endLate(callerLimits().idleMilliseconds());
+        mIntake.endLate(mAdmissions.callerLimits().idleMilliseconds());
     }
 
     private void scheduleWorkReport() {
@@ -216,7 +216,7 @@
     public void catalogChanged(Catalog catalog) {
         mContext.runOnContext(
                 ignored -> {
-                    mServingState = Optional.of(ServingState.of(catalog));
+                    mAdmissions.catalogChanged(catalog);
                     mStoreProbe.changeStore(catalog.store());
                     mGate.updateLimits(
                             SiteLimits.of(catalog, mSettings.budgets().limitSlack()), now());
@@ -315,7 +315,7 @@
     }
 
     private boolean isFullyInitialized() {
-        return mServingState.isPresent() && mSelector.isInitialized() && mLimitOwnerKnown;
+        return mAdmissions.hasCatalog() && mSelector.isInitialized() && mLimitOwnerKnown;
     }
 
     private void updateReadiness() {
@@ -339,7 +339,7 @@
     private RequestDecoder.Limits connected(HttpConnection connection) {
         mConnections.opened(connection);
         return new RequestDecoder.Limits(
-                () -> callerLimits().headerMilliseconds(),
+                () -> mAdmissions.callerLimits().headerMilliseconds(),
                 () -> TimeUnit.SECONDS.toMillis(IDLE_TIMEOUT_SECONDS),
                 () -> mConnections.isServing(connection));
     }
@@ -348,14 +348,15 @@
         long arrivedMilliseconds = now();
         mConnections.begun(request.connection());
         request.response().endHandler(ignored -> mConnections.ended(request.connection()));
+        Admissions.Decision decision = mAdmissions.decide(request);
         mIntake.read(
                 request,
-                callerLimits().bodyBytes(),
-                arrivedMilliseconds + bodyMilliseconds(request),
+                mAdmissions.callerLimits().bodyBytes(),
+                arrivedMilliseconds + mAdmissions.bodyMilliseconds(request, decision),
                 new BodyIntake.Listener() {
                     @Override
                     public void complete(HeldBytes body) {
-                        beginOrQueue(request, body, arrivedMilliseconds);
+                        beginOrQueue(new Arrival(request, body, arrivedMilliseconds, decision));
                     }
 
                     @Override
@@ -365,28 +366,8 @@
                 });
     }
 
-    /** A body is of no use after the deadline of its call; of a refused call nobody needs it. */
-    private long bodyMilliseconds(HttpServerRequest request) {
-        long callerMilliseconds = mHeadReader.timeoutMilliseconds(request.headers());
-        if (mServingState.isEmpty()) {
-            return callerMilliseconds;
-        }
-        long boundMilliseconds =
-                admit(request)
-                        .fold(
-                                admission -> admission.route().timeoutMilliseconds(),
-                                error -> callerLimits().idleMilliseconds());
-        return Math.min(callerMilliseconds, boundMilliseconds);
-    }
-
-    private CallerLimits callerLimits() {
-        return mServingState
-                .map(state -> state.catalog().callerLimits())
-                .orElse(CallerLimits.defaults());
-    }
-
-    private void beginOrQueue(HttpServerRequest request, HeldBytes body, long arrivedMilliseconds) {
-        Runnable begin = () -> begin(request, body, arrivedMilliseconds);
+    private void beginOrQueue(Arrival arrival) {
+        Runnable begin = () -> begin(arrival);
         if (isFullyInitialized() || mDrain.isPresent() || !mStartupQueue.offer(begin)) {
             begin.run();
         }
@@ -398,43 +379,25 @@
         refuse(request, error);
     }
 
-    private void begin(HttpServerRequest request, HeldBytes body, long arrivedMilliseconds) {
+    private void begin(Arrival arrival) {
+        HttpServerRequest request = arrival.request();
         if (request.response().ended() || request.response().closed()) {
             LOG.info("caller.gone", "id", request.getHeader(mSettings.headers().requestId()));
-            body.release();
+            arrival.body().release();
             return;
         }
-        admit(request)
+        mAdmissions
+                .confirm(request, arrival.decision())
                 .match(
-                        admission -> serve(request, body, arrivedMilliseconds, admission),
+                        admission -> serve(arrival, admission),
                         error -> {
-                            body.release();
+                            arrival.body().release();
                             refuse(request, error);
                         });
     }
 
-    private Result<ServingState.Admission> admit(HttpServerRequest request) {
-        String host = request.getHeader("Host");
-        if (mDrain.filter(Drain::isRefusing).isPresent()) {
-            return Result.failure(ErrorKind.ROUTER_DRAINING, "this gateway is shutting down");
-        }
-        if (mServingState.isEmpty()) {
-            return Result.failure(
-                    ErrorKind.ROUTER_STALE, "this gateway has not received a catalog yet");
-        }
-        if (host == null) {
-            return Result.failure(ErrorKind.BAD_REQUEST, "the Host header is missing");
-        }
-        return mServingState
-                .get()
-                .admit(host, request.path(), mHeadReader.keyDigest(request.headers()));
-    }
-
-    private void serve(
-            HttpServerRequest request,
-            HeldBytes body,
-            long arrivedMilliseconds,
-            ServingState.Admission admission) {
+    private void serve(Arrival arrival, ServingState.Admission admission) {
+        HttpServerRequest request = arrival.request();
         String id = request.getHeader(mSettings.headers().requestId());
         CallRequest call =
                 new CallRequest(
@@ -447,14 +410,14 @@
                         admission.route().serviceAt(ThreadLocalRandom.current().nextDouble()),
                         admission.customer(),
                         mHeadReader.prompt(request.headers()),
-                        arrivedMilliseconds,
+                        arrival.milliseconds(),
                         mHeadReader.timeoutMilliseconds(request.headers()),
-                        mServingState.map(state -> state.catalog().number()).orElse(0L));
+                        mAdmissions.catalogNumber());
         GatewayCall[] started = new GatewayCall[1];
         started[0] =
                 new GatewayCall(
                         call,
-                        body,
+                        arrival.body(),
                         mResources,
                         responseTo(request),
                         () -> mCalls.remove(started[0]));
@@ -464,6 +427,13 @@
         started[0].start();
     }
 
+    /** A request that has arrived completely; it began to arrive at the given time. */
+    private record Arrival(
+            HttpServerRequest request,
+            HeldBytes body,
+            long milliseconds,
+            Admissions.Decision decision) {}
+
     private HttpCallerResponse responseTo(HttpServerRequest request) {
         return new HttpCallerResponse(request, () -> mDrain.isPresent());
     }
@@ -477,7 +447,7 @@
                 "kind",
                 error.kind().code(),
                 "catalog",
-                mServingState.map(state -> state.catalog().number()).orElse(0L),
+                mAdmissions.catalogNumber(),
                 "detail",
                 error.detail());
         responseTo(request)
