Search a response head for faults once

The decoder and the connection each searched every head for faults and copied its headers. The decoder now does both once, and passes on the head or its fault.

--- a/exchange/src/main/java/org/skylarkbend/exchange/EndpointConnection.java
+++ b/exchange/src/main/java/org/skylarkbend/exchange/EndpointConnection.java
@@ -9,9 +9,7 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequestEncoder;
-import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
@@ -66,7 +64,7 @@
             Consumer<EndpointConnection> onFree,
             Consumer<EndpointConnection> onClosed) {
         mSocket = socket;
-        mDecoder = new ResponseDecoder(options.maxHeadBytes());
+        mDecoder = new ResponseDecoder(options);
         mOptions = options;
         mClock = clock;
         mStrayReceptions = strayReceptions;
@@ -164,36 +162,34 @@
                 strayBytesReceived(stray.bytes());
             } else if (message instanceof ResponseDecoder.SkippedResponse skipped) {
                 responseSkipped(skipped.status());
-            } else if (message instanceof HttpObject part && mExchange.isPresent()) {
-                received(mExchange.get(), part);
+            } else if (mExchange.isPresent()) {
+                partReceived(mExchange.get(), message);
             }
         } finally {
             ReferenceCountUtil.release(message);
         }
     }
 
-    private void received(Exchange exchange, HttpObject part) {
-        Optional<String> fault = mFailure.or(() -> ResponseFaults.in(part));
-        if (fault.isPresent()) {
-            fail(fault.get());
-            return;
+    private void partReceived(Exchange exchange, Object part) {
+        if (mFailure.isPresent()) {
+            fail(mFailure.get());
+        } else if (part instanceof ResponseDecoder.Fault fault) {
+            fail(fault.cause());
+        } else if (part instanceof ResponseDecoder.Head head) {
+            mKeepAlive = head.keepAlive();
+            exchange.deliver(new ExchangeEvent.HeadReceived(head.start()));
+        } else if (part instanceof HttpContent content && !exchange.isCancelled()) {
+            contentReceived(exchange, content);
         }
-        if (part instanceof HttpResponse response) {
-            mKeepAlive =
-                    KeepAlive.of(
-                            response,
-                            mDecoder.isWithoutBody(response),
-                            mOptions.keepAliveMilliseconds());
-            exchange.deliver(new ExchangeEvent.HeadReceived(ResponseStart.of(response)));
+    }
+
+    private void contentReceived(Exchange exchange, HttpContent content) {
+        if (content.content().isReadable()) {
+            byte[] bytes = ByteBufUtil.getBytes(content.content());
+            exchange.deliver(new ExchangeEvent.ChunkReceived(Buffer.buffer(bytes)));
         }
-        if (part instanceof HttpContent content && !exchange.isCancelled()) {
-            if (content.content().isReadable()) {
-                byte[] bytes = ByteBufUtil.getBytes(content.content());
-                exchange.deliver(new ExchangeEvent.ChunkReceived(Buffer.buffer(bytes)));
-            }
-            if (content instanceof LastHttpContent && !exchange.isCancelled()) {
-                responseComplete(exchange);
-            }
+        if (content instanceof LastHttpContent && !exchange.isCancelled()) {
+            responseComplete(exchange);
         }
     }
 
--- a/exchange/src/main/java/org/skylarkbend/exchange/ResponseDecoder.java
+++ b/exchange/src/main/java/org/skylarkbend/exchange/ResponseDecoder.java
@@ -5,17 +5,20 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.vertx.core.http.HttpMethod;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.regex.Pattern;
 
 /**
- * Decodes the response to one request at a time. Bytes that arrive while no response is expected,
+ * Decodes the response to one request at a time, into a {@link Head} and contents. In place of a
+ * part that has a fault it emits a {@link Fault}. Bytes that arrive while no response is expected,
  * or after the end of one, are not parsed but reported as {@link StrayBytes}.
  */
 final class ResponseDecoder extends HttpResponseDecoder {
@@ -28,11 +31,27 @@
     private static final Set<String> VERSIONS = Set.of("HTTP/1.0", "HTTP/1.1");
     private static final Pattern STATUS = Pattern.compile("[1-5]\\d\\d");
 
+    private final long mKeepAliveMilliseconds;
     private boolean mExpecting;
     private ExchangeRequest mRequest;
     private boolean mSkipping;
     private int mSkipped;
 
+    /**
+     * Head of the response to the present request.
+     *
+     * @param start its status and headers
+     * @param keepAlive what it says about its connection
+     */
+    record Head(ResponseStart start, KeepAlive keepAlive) {}
+
+    /**
+     * Part of a response that must not be taken for what it looks like.
+     *
+     * @param cause description of the fault
+     */
+    record Fault(String cause) {}
+
     /**
      * Bytes that belong to no response.
      *
@@ -47,12 +66,13 @@
      */
     record SkippedResponse(int status) {}
 
-    ResponseDecoder(int maxHeadBytes) {
+    ResponseDecoder(ExchangeOptions options) {
         super(
                 new HttpDecoderConfig()
-                        .setMaxInitialLineLength(maxHeadBytes)
-                        .setMaxHeaderSize(maxHeadBytes)
+                        .setMaxInitialLineLength(options.maxHeadBytes())
+                        .setMaxHeaderSize(options.maxHeadBytes())
                         .setStrictLineParsing(true));
+        mKeepAliveMilliseconds = options.keepAliveMilliseconds();
     }
 
     /** Expects the response to a request from now on. */
@@ -62,11 +82,6 @@
         mSkipped = 0;
     }
 
-    /** Returns whether a response to the present request has no body, whatever its head says. */
-    boolean isWithoutBody(HttpResponse response) {
-        return isContentAlwaysEmpty(response);
-    }
-
     @Override
     protected void decode(ChannelHandlerContext context, ByteBuf in, List<Object> out)
             throws Exception {
@@ -104,44 +119,58 @@
         if (out.isEmpty()) {
             return;
         }
-        Object last = out.get(out.size() - 1);
+        boolean isEnd = out.get(out.size() - 1) instanceof LastHttpContent;
+        out.replaceAll(ResponseDecoder::withoutFault);
         if (out.get(0) instanceof HttpResponse response) {
-            skipIfUnwanted(response, out);
+            takeHead(response, out);
         }
         if (mSkipping) {
-            out.removeIf(ResponseDecoder::isSoundContent);
-            mSkipping = !(last instanceof LastHttpContent);
-        } else if (last instanceof LastHttpContent) {
+            out.removeIf(ResponseDecoder::isContent);
+            mSkipping = !isEnd;
+        } else if (isEnd) {
             mExpecting = false;
             reportBytesBehindEnd(in, out);
         }
     }
 
-    private void skipIfUnwanted(HttpResponse response, List<Object> out) {
-        int status = response.status().code();
-        mSkipping = false;
-        if (ResponseFaults.in(response).isPresent()) {
-            return;
+    /** Returns the part, or its fault in place of it. */
+    private static Object withoutFault(Object part) {
+        Optional<String> cause =
+                part instanceof HttpObject object ? ResponseFaults.in(object) : Optional.empty();
+        if (cause.isEmpty()) {
+            return part;
         }
+        ReferenceCountUtil.release(part);
+        return new Fault(cause.get());
+    }
+
+    private void takeHead(HttpResponse response, List<Object> out) {
+        int status = response.status().code();
         if (status < MIN_FINAL_STATUS) {
             mSkipping = true;
             out.remove(0);
-        } else if (mSkipped < MAX_SKIPPED
-                && mRequest.isOtherResponse().test(ResponseStart.of(response))) {
+            return;
+        }
+        ResponseStart start = ResponseStart.of(response);
+        if (mSkipped < MAX_SKIPPED && mRequest.isOtherResponse().test(start)) {
             mSkipping = true;
             mSkipped++;
             out.set(0, new SkippedResponse(status));
+        } else {
+            boolean isWithoutBody = isContentAlwaysEmpty(response);
+            out.set(
+                    0,
+                    new Head(start, KeepAlive.of(response, isWithoutBody, mKeepAliveMilliseconds)));
         }
     }
 
-    /** Returns whether a part is valid content, and releases it in that case. */
-    private static boolean isSoundContent(Object part) {
-        boolean isSound =
-                part instanceof HttpContent content && content.decoderResult().isSuccess();
-        if (isSound) {
+    /** Returns whether a part is content, and releases it in that case. */
+    private static boolean isContent(Object part) {
+        boolean isContent = part instanceof HttpContent;
+        if (isContent) {
             ReferenceCountUtil.release(part);
         }
-        return isSound;
+        return isContent;
     }
 
     /**
