Report a request that cannot be encoded as not sent

It was reported as lost, so the call counted as one that may have run, and as a failure of the endpoint. The request is now encoded before the connection is used.

The test that expected Lost is replaced: it expects Rejected as the only event, for the URI, a header's name and its value, on new and on used connections.

--- a/exchange/src/main/java/org/skylarkbend/exchange/EndpointConnection.java
+++ b/exchange/src/main/java/org/skylarkbend/exchange/EndpointConnection.java
@@ -87,19 +87,21 @@
     }
 
     /**
-     * Sends the request of an exchange, unless its listener cancels it. Returns whether the
-     * connection is in use now.
+     * Sends the request of an exchange, unless it is invalid or its listener cancels it. Returns
+     * whether the connection is in use now.
      */
     boolean serve(Exchange exchange) {
-        exchange.deliver(new ExchangeEvent.Sending());
-        if (exchange.isCancelled()) {
-            return false;
-        }
         FullHttpRequest request;
         try {
             request = encode(exchange.request());
         } catch (IllegalArgumentException e) {
-            exchange.deliver(new ExchangeEvent.Lost("the request is invalid: " + e.getMessage()));
+            exchange.deliver(
+                    new ExchangeEvent.Rejected("the request is invalid: " + e.getMessage()));
+            return false;
+        }
+        exchange.deliver(new ExchangeEvent.Sending());
+        if (exchange.isCancelled()) {
+            request.release();
             return false;
         }
         mExchange = Optional.of(exchange);
--- a/exchange/src/main/java/org/skylarkbend/exchange/ExchangeEvent.java
+++ b/exchange/src/main/java/org/skylarkbend/exchange/ExchangeEvent.java
@@ -3,8 +3,8 @@
 import io.vertx.core.buffer.Buffer;
 
 /**
- * Progress of an exchange. Its last event is {@link NotConnected}, {@link Ended} or {@link Lost},
- * unless it is cancelled.
+ * Progress of an exchange. Its last event is {@link NotConnected}, {@link Rejected}, {@link Ended}
+ * or {@link Lost}, unless it is cancelled.
  */
 public sealed interface ExchangeEvent {
     /**
@@ -14,6 +14,13 @@
      */
     record NotConnected(String cause) implements ExchangeEvent {}
 
+    /**
+     * The request cannot be encoded; nothing was sent, and the endpoint is not at fault.
+     *
+     * @param cause description of the failure
+     */
+    record Rejected(String cause) implements ExchangeEvent {}
+
     /** The request is being written to a connection. */
     record Sending() implements ExchangeEvent {}
 
--- a/exchange/src/test/java/org/skylarkbend/exchange/ExchangeTest.java
+++ b/exchange/src/test/java/org/skylarkbend/exchange/ExchangeTest.java
@@ -2,9 +2,11 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.net.NetSocket;
+import io.vertx.core.net.SocketAddress;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.stream.Collectors;
@@ -306,26 +308,40 @@
         assertThat(exchange.lastEvent()).isInstanceOf(ExchangeEvent.Lost.class);
     }
 
-    @Test
-    public void aRequestThatCannotBeEncodedIsLostAndItsConnectionServesTheNext() throws Exception {
+    @DataProvider
+    private Object[][] invalidRequests() {
+        MultiMap valid = MultiMap.caseInsensitiveMultiMap().add("Host", "endpoint");
+        MultiMap value = MultiMap.caseInsensitiveMultiMap().add("X-Note", "a\r\nX: y");
+        MultiMap name = MultiMap.caseInsensitiveMultiMap().add("X Note", "a");
+        return new Object[][] {
+            {"the URI", "/ \r\nX: y", valid},
+            {"the value of a header", "/", value},
+            {"the name of a header", "/", name}
+        };
+    }
+
+    /** Guards against a call that counts as one that may have run although nothing was sent. */
+    @Test(dataProvider = "invalidRequests")
+    public void aRequestThatCannotBeEncodedIsNotSentAndItsConnectionServesTheNext(
+            String part, String uri, MultiMap headers) throws Exception {
         RawServer server = server(OK);
         int port = listen(server);
         EndpointClient client = client(1);
-        exchange(client, port);
-        ExchangeRequest invalid = request(port, HttpMethod.GET, "/", Buffer.buffer());
-        invalid.headers().add("X-Note", "a");
-        RecordedExchange broken =
-                start(
-                        client,
-                        new ExchangeRequest(
-                                invalid.endpoint(),
-                                invalid.method(),
-                                "/ \r\nX: y",
-                                invalid.headers(),
-                                invalid.body()),
-                        event -> {});
-        assertThat(await(broken.end()).lastEvent()).isInstanceOf(ExchangeEvent.Lost.class);
-        assertThat(exchange(client, port).isComplete()).isTrue();
+        for (int i = 0; i < 2; i++) {
+            ExchangeRequest invalid =
+                    new ExchangeRequest(
+                            SocketAddress.inetSocketAddress(port, HOST),
+                            HttpMethod.GET,
+                            uri,
+                            headers,
+                            Buffer.buffer());
+            RecordedExchange broken = start(client, invalid, event -> {});
+            assertThat(await(broken.end()).names())
+                    .as("on a connection that served %d", i)
+                    .containsExactly("Rejected");
+            assertThat(exchange(client, port).isComplete()).isTrue();
+        }
         assertThat(server.requests()).hasSize(2);
+        assertThat(server.connections()).isEqualTo(1);
     }
 }
--- a/exchange/src/test/java/org/skylarkbend/exchange/RecordedExchange.java
+++ b/exchange/src/test/java/org/skylarkbend/exchange/RecordedExchange.java
@@ -67,7 +67,8 @@
         boolean isLast =
                 event instanceof ExchangeEvent.Ended
                         || event instanceof ExchangeEvent.Lost
-                        || event instanceof ExchangeEvent.NotConnected;
+                        || event instanceof ExchangeEvent.NotConnected
+                        || event instanceof ExchangeEvent.Rejected;
         if (isLast) {
             mEnd.complete(this);
         }
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/Attempt.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/Attempt.java
@@ -199,6 +199,8 @@
             mListener.ended(this);
         } else if (event instanceof ExchangeEvent.NotConnected failed) {
             aborted(AttemptOutcome.NOT_CONNECTED, failed.cause());
+        } else if (event instanceof ExchangeEvent.Rejected rejected) {
+            aborted(AttemptOutcome.WITHDRAWN, rejected.cause());
         } else if (event instanceof ExchangeEvent.Lost lost) {
             aborted(AttemptOutcome.BROKEN, lost.cause());
         }
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/AttemptOutcome.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/AttemptOutcome.java
@@ -4,7 +4,10 @@
 public enum AttemptOutcome {
     /** No connection was established, so nothing was sent. */
     NOT_CONNECTED(false),
-    /** The endpoint stopped accepting calls before the call was sent. */
+    /**
+     * The call was not sent: the endpoint stopped accepting calls before, or the request could not
+     * be encoded.
+     */
     WITHDRAWN(false),
     /** The endpoint reported that it did not run the call. */
     NOT_RUN(false),
--- a/router/src/main/java/org/skylarkbend/router/forward/ForwardCall.java
+++ b/router/src/main/java/org/skylarkbend/router/forward/ForwardCall.java
@@ -244,6 +244,8 @@
     private void handle(ExchangeEvent event, boolean isResume) {
         if (event instanceof ExchangeEvent.NotConnected failure) {
             notConnected(failure.cause(), isResume);
+        } else if (event instanceof ExchangeEvent.Rejected rejected) {
+            notConnected(rejected.cause(), isResume);
         } else if (event instanceof ExchangeEvent.Sending && !isResume) {
             apply(new AttemptMessage.Sending(mState.attempt()));
         } else if (event instanceof ExchangeEvent.HeadReceived head) {
