--- a/exchange/src/main/java/org/skylarkbend/exchange/EndpointConnection.java
+++ b/exchange/src/main/java/org/skylarkbend/exchange/EndpointConnection.java
@@ -2,7 +2,6 @@
 
 import com.codahale.metrics.Counter;
 import io.netty.buffer.ByteBufUtil;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -15,6 +14,7 @@
 import io.netty.util.ReferenceCountUtil;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
+import io.vertx.core.internal.buffer.BufferInternal;
 import io.vertx.core.internal.net.NetSocketInternal;
 import java.util.Optional;
 import java.util.Set;
@@ -133,13 +133,14 @@
         return mSocket.channelHandlerContext().channel();
     }
 
+    /** Encodes a request. Its body is not copied; releasing what is returned leaves it as it is. */
     private FullHttpRequest encode(ExchangeRequest request) {
         FullHttpRequest encoded =
                 new DefaultFullHttpRequest(
                         HttpVersion.HTTP_1_1,
                         request.method().toNetty(),
                         request.uri(),
-                        Unpooled.wrappedBuffer(request.body().getBytes()));
+                        ((BufferInternal) request.body()).getByteBuf());
         request.headers()
                 .forEach(header -> encoded.headers().add(header.getKey(), header.getValue()));
         if (request.body().length() > 0 || METHODS_WITH_BODY.contains(request.method())) {
--- a/exchange/src/main/java/org/skylarkbend/exchange/ExchangeRequest.java
+++ b/exchange/src/main/java/org/skylarkbend/exchange/ExchangeRequest.java
@@ -13,7 +13,7 @@
  * @param method method
  * @param uri path and query
  * @param headers headers except those that frame the body, not to be changed afterwards
- * @param body complete body, which may be empty
+ * @param body complete body, which may be empty, not to be changed afterwards
  * @param isOtherResponse returns whether a response is known to answer another request; it is then
  *     skipped
  */
--- a/exchange/src/test/java/org/skylarkbend/exchange/ExchangeTest.java
+++ b/exchange/src/test/java/org/skylarkbend/exchange/ExchangeTest.java
@@ -199,6 +199,29 @@
         assertThat(await(waiting.end()).body()).isEqualTo("done");
     }
 
+    /** Guards against a body that its first exchange consumes or releases. */
+    @Test
+    public void aBodyCanBeSentAgainAndStaysAsItIs() throws Exception {
+        RawServer server = server(OK);
+        int port = listen(server);
+        EndpointClient client = client(1);
+        String text =
+                IntStream.range(0, 50_000).mapToObj(i -> i + ";").collect(Collectors.joining());
+        Buffer whole = Buffer.buffer(text);
+        for (Buffer body : List.of(Buffer.buffer("small"), whole, whole.slice(7, 40_000))) {
+            String expected = body.toString();
+            for (int i = 0; i < 2; i++) {
+                ExchangeRequest request = request(port, HttpMethod.POST, "/", body);
+                assertThat(await(start(client, request, event -> {}).end()).isComplete()).isTrue();
+            }
+            int sent = server.requests().size();
+            assertThat(server.requests().subList(sent - 2, sent))
+                    .extracting(RawServer.Request::body)
+                    .containsExactly(expected, expected);
+            assertThat(body.toString()).isEqualTo(expected);
+        }
+    }
+
     /** Guards against an endpoint that waits for the body of a request that has none. */
     @Test
     public void anEmptyBodyHasALengthWhereTheMethodMayHaveABody() throws Exception {
