--- a/gateway/src/test/java/org/skylarkbend/gateway/RawEndpoint.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/RawEndpoint.java
@@ -4,24 +4,21 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.net.NetSocket;
-import java.util.Map;
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import org.skylarkbend.catalog.Endpoint;
 import org.skylarkbend.testing.LoopbackPorts;
+import org.skylarkbend.testing.RawServer;
 
 /** Endpoint that responds to each request with bytes chosen by the test, valid or not. */
 public final class RawEndpoint {
-    private static final String HEAD_END = "\r\n\r\n";
-
     private final int mPort = LoopbackPorts.next();
     private final Buffer mFirst;
     private final Buffer mRepeated;
     private final long mPauseMilliseconds;
     private final AtomicLong mSentBytes = new AtomicLong();
     private final AtomicLong mRequests = new AtomicLong();
-    private final AtomicBoolean mClosed = new AtomicBoolean();
     private Vertx mVertx;
+    private RawServer mServer;
 
     /**
      * Creates an endpoint that does not listen yet.
@@ -39,27 +36,13 @@
     /** Starts to listen on the loopback interface. */
     public Future<?> listen(Vertx vertx) {
         mVertx = vertx;
-        return vertx.createNetServer()
-                .connectHandler(
-                        socket -> {
-                            Buffer received = Buffer.buffer();
-                            socket.closeHandler(ignored -> mClosed.set(true));
-                            socket.handler(
-                                    chunk -> {
-                                        boolean begun = received.toString().contains(HEAD_END);
-                                        received.appendBuffer(chunk);
-                                        if (!begun && received.toString().contains(HEAD_END)) {
-                                            mRequests.incrementAndGet();
-                                            respond(socket);
-                                        }
-                                    });
-                        })
-                .listen(mPort, "127.0.0.1");
+        mServer = new RawServer(vertx, this::respond);
+        return mServer.listen(mPort);
     }
 
     /** Returns the entry of this endpoint in the list of the platform. */
     public Endpoint listed() {
-        return new Endpoint("raw", "desk", "127.0.0.1", mPort, "z", "v1", 6, false, 1, Map.of());
+        return ListedEndpoint.of("raw", mPort);
     }
 
     /** Returns the number of bytes that were accepted for sending. */
@@ -74,15 +57,19 @@
 
     /** Returns whether a connection was closed. */
     public boolean isClosed() {
-        return mClosed.get();
+        return mServer.hasClosed();
     }
 
-    private void respond(NetSocket socket) {
-        socket.write(mFirst).onSuccess(ignored -> repeat(socket));
+    /** Responds to the first request of a connection. */
+    private void respond(RawServer.Request request, NetSocket socket) {
+        if (request.number() == 1) {
+            mRequests.incrementAndGet();
+            socket.write(mFirst).onSuccess(ignored -> repeat(socket));
+        }
     }
 
     private void repeat(NetSocket socket) {
-        if (mRepeated.length() == 0 || mClosed.get()) {
+        if (mRepeated.length() == 0 || isClosed()) {
             return;
         }
         socket.write(mRepeated)
--- a/gateway/src/test/java/org/skylarkbend/gateway/ScriptedEndpoint.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/ScriptedEndpoint.java
@@ -3,13 +3,12 @@
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
-import io.vertx.core.net.NetServerOptions;
 import io.vertx.core.net.NetSocket;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.skylarkbend.catalog.Endpoint;
 import org.skylarkbend.testing.LoopbackPorts;
+import org.skylarkbend.testing.RawServer;
 
 /** Endpoint that responds to its requests, over all connections, with bytes in a given order. */
 public final class ScriptedEndpoint {
@@ -19,9 +18,7 @@
         KEEP,
         /** Closes the connection in the regular way. */
         CLOSE,
-        /**
-         * Resets the connection. All closed connections of an endpoint that resets any are reset.
-         */
+        /** Resets the connection. */
         RESET
     }
 
@@ -31,8 +28,6 @@
     /** Time in which the receiver reads all bytes, which a reset might discard. */
     private static final long READ_MILLISECONDS = 100;
 
-    private static final String HEAD_END = "\r\n\r\n";
-
     private final String mId;
     private final int mPort = LoopbackPorts.next();
     private final List<Step> mSteps;
@@ -48,19 +43,12 @@
     /** Starts to listen on the loopback interface. */
     public Future<?> listen(Vertx vertx) {
         mVertx = vertx;
-        boolean resets = mSteps.stream().anyMatch(step -> step.then() == Then.RESET);
-        NetServerOptions options = new NetServerOptions();
-        if (resets) {
-            options.setSoLinger(0);
-        }
-        return vertx.createNetServer(options)
-                .connectHandler(this::serve)
-                .listen(mPort, "127.0.0.1");
+        return new RawServer(vertx, (request, socket) -> respond(socket)).listen(mPort);
     }
 
     /** Returns the entry of this endpoint in the list of the platform. */
     public Endpoint listed() {
-        return new Endpoint(mId, "desk", "127.0.0.1", mPort, "z", "v1", 6, false, 1, Map.of());
+        return ListedEndpoint.of(mId, mPort);
     }
 
     /** Returns the number of requests received. */
@@ -68,19 +56,6 @@
         return mRequests.get();
     }
 
-    private void serve(NetSocket socket) {
-        Buffer received = Buffer.buffer();
-        int[] served = new int[1];
-        socket.handler(
-                chunk -> {
-                    received.appendBuffer(chunk);
-                    int heads = received.toString().split(HEAD_END, -1).length - 1;
-                    for (; served[0] < heads; served[0]++) {
-                        respond(socket);
-                    }
-                });
-    }
-
     private void respond(NetSocket socket) {
         int request = mRequests.getAndIncrement();
         if (request >= mSteps.size()) {
@@ -95,8 +70,10 @@
     }
 
     private void finish(NetSocket socket, Then then) {
-        if (then != Then.KEEP) {
+        if (then == Then.CLOSE) {
             mVertx.setTimer(READ_MILLISECONDS, id -> socket.close());
+        } else if (then == Then.RESET) {
+            mVertx.setTimer(READ_MILLISECONDS, id -> RawServer.reset(socket));
         }
     }
 }
--- a/gateway/src/test/java/org/skylarkbend/gateway/call/AttemptTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/call/AttemptTest.java
@@ -9,7 +9,6 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
-import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
@@ -19,6 +18,7 @@
 import org.skylarkbend.exchange.ExchangeOptions;
 import org.skylarkbend.exchange.ResponseStart;
 import org.skylarkbend.gateway.FakeEndpoint;
+import org.skylarkbend.gateway.ListedEndpoint;
 import org.skylarkbend.gateway.Routes;
 import org.skylarkbend.gateway.endpoints.EngineChoice;
 import org.skylarkbend.testing.RawServer;
@@ -46,18 +46,7 @@
     @Test
     public void aRequestThatCannotBeEncodedWasNotSent() throws Exception {
         RawServer server = new RawServer(mVertx, (request, socket) -> socket.close());
-        Endpoint endpoint =
-                new Endpoint(
-                        "e",
-                        "desk",
-                        "127.0.0.1",
-                        await(server.listen()),
-                        "z",
-                        "v1",
-                        1,
-                        false,
-                        1,
-                        Map.of());
+        Endpoint endpoint = ListedEndpoint.of("e", await(server.listen()));
         AbortedAttempt aborted = new AbortedAttempt();
         Attempt attempt = new Attempt(choice(endpoint), aborted);
         mVertx.getOrCreateContext().runOnContext(ignored -> start(attempt, "/x \r\nX: y"));
--- a/gateway/src/test/java/org/skylarkbend/gateway/front/TruncatedResponsesTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/front/TruncatedResponsesTest.java
@@ -5,11 +5,11 @@
 import io.vertx.core.net.NetSocket;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.UnaryOperator;
 import org.skylarkbend.catalog.CallKind;
 import org.skylarkbend.catalog.Endpoint;
+import org.skylarkbend.gateway.ListedEndpoint;
 import org.skylarkbend.gateway.Routes;
 import org.skylarkbend.testing.RawServer;
 import org.testng.annotations.DataProvider;
@@ -245,7 +245,6 @@
     }
 
     private Endpoint listed(String id, RawServer server) throws Exception {
-        int port = await(server.listen());
-        return new Endpoint(id, "desk", "127.0.0.1", port, "z", "v1", 6, false, 1, Map.of());
+        return ListedEndpoint.of(id, await(server.listen()));
     }
 }
--- a/testing/src/main/java/org/skylarkbend/testing/RawServer.java
+++ b/testing/src/main/java/org/skylarkbend/testing/RawServer.java
@@ -3,13 +3,13 @@
 import io.netty.channel.ChannelOption;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
-import io.vertx.core.buffer.Buffer;
 import io.vertx.core.internal.net.NetSocketInternal;
 import io.vertx.core.net.NetSocket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -18,7 +18,8 @@
 public final class RawServer {
     private static final String HOST = "127.0.0.1";
     private static final String HEAD_END = "\r\n\r\n";
-    private static final Pattern LENGTH = Pattern.compile("(?i)\r\ncontent-length: *(\\d+)");
+    private static final Pattern LENGTH =
+            Pattern.compile("(?i)\r\ncontent-length: *(\\d+)(?:\r\n|\\z)");
 
     /**
      * Request that was received completely.
@@ -28,7 +29,12 @@
      * @param head request line and headers
      * @param body body
      */
-    public record Request(int connection, int number, String head, String body) {}
+    public record Request(int connection, int number, String head, String body) {
+        /** Returns all bytes of the request, one a character. */
+        public String bytes() {
+            return head + HEAD_END + body;
+        }
+    }
 
     /** Responds to a request on its connection. */
     @FunctionalInterface
@@ -42,6 +48,7 @@
     private final List<Request> mRequests = new CopyOnWriteArrayList<>();
     private final AtomicInteger mConnections = new AtomicInteger();
     private final AtomicInteger mOpenConnections = new AtomicInteger();
+    private final AtomicBoolean mClosed = new AtomicBoolean();
 
     /** Creates a server that does not listen yet. */
     public RawServer(Vertx vertx, Script script) {
@@ -49,11 +56,16 @@
         mScript = script;
     }
 
-    /** Starts to listen. Returns the port. */
+    /** Starts to listen on a free port. Returns the port. */
     public Future<Integer> listen() {
+        return listen(0);
+    }
+
+    /** Starts to listen on a port, or on a free one if it is 0. Returns the port. */
+    public Future<Integer> listen(int port) {
         return mVertx.createNetServer()
                 .connectHandler(this::serve)
-                .listen(0, HOST)
+                .listen(port, HOST)
                 .map(server -> server.actualPort());
     }
 
@@ -72,6 +84,11 @@
         return mOpenConnections.get();
     }
 
+    /** Returns whether a connection was closed. */
+    public boolean hasClosed() {
+        return mClosed.get();
+    }
+
     /** Closes a connection without the regular end of its bytes. */
     public static void reset(NetSocket socket) {
         ((NetSocketInternal) socket)
@@ -85,43 +102,42 @@
     private void serve(NetSocket socket) {
         int connection = mConnections.incrementAndGet();
         mOpenConnections.incrementAndGet();
-        Buffer received = Buffer.buffer();
-        int[] readBytes = new int[1];
+        StringBuilder received = new StringBuilder();
         int[] served = new int[1];
         socket.exceptionHandler(e -> socket.close());
-        socket.closeHandler(ignored -> mOpenConnections.decrementAndGet());
+        socket.closeHandler(ignored -> closed());
         socket.handler(
                 chunk -> {
-                    received.appendBuffer(chunk);
-                    String text = received.toString(StandardCharsets.ISO_8859_1);
-                    Optional<Request> next =
-                            request(connection, served[0] + 1, text.substring(readBytes[0]));
+                    received.append(chunk.toString(StandardCharsets.ISO_8859_1));
+                    Optional<Request> next = request(connection, served[0] + 1, received);
                     while (next.isPresent()) {
                         Request request = next.get();
-                        readBytes[0] +=
-                                request.head().length()
-                                        + HEAD_END.length()
-                                        + request.body().length();
+                        received.delete(0, request.bytes().length());
                         served[0]++;
                         mRequests.add(request);
                         mScript.respond(request, socket);
-                        next = request(connection, served[0] + 1, text.substring(readBytes[0]));
+                        next = request(connection, served[0] + 1, received);
                     }
                 });
     }
 
-    private static Optional<Request> request(int connection, int number, String text) {
-        int headEnd = text.indexOf(HEAD_END);
+    private void closed() {
+        mOpenConnections.decrementAndGet();
+        mClosed.set(true);
+    }
+
+    private static Optional<Request> request(int connection, int number, StringBuilder received) {
+        int headEnd = received.indexOf(HEAD_END);
         if (headEnd < 0) {
             return Optional.empty();
         }
-        String head = text.substring(0, headEnd);
+        String head = received.substring(0, headEnd);
         Matcher length = LENGTH.matcher(head);
         int bodyStart = headEnd + HEAD_END.length();
         int end = bodyStart + (length.find() ? Integer.parseInt(length.group(1)) : 0);
-        return text.length() < end
+        return received.length() < end
                 ? Optional.empty()
                 : Optional.of(
-                        new Request(connection, number, head, text.substring(bodyStart, end)));
+                        new Request(connection, number, head, received.substring(bodyStart, end)));
     }
 }
