--- a/exchange/src/main/java/org/skylarkbend/exchange/EndpointConnection.java
+++ b/exchange/src/main/java/org/skylarkbend/exchange/EndpointConnection.java
@@ -2,21 +2,19 @@
 
 import com.codahale.metrics.Counter;
 import io.netty.buffer.ByteBufUtil;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequestEncoder;
-import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
+import io.vertx.core.internal.buffer.BufferInternal;
 import io.vertx.core.internal.net.NetSocketInternal;
 import java.util.Optional;
 import java.util.Set;
@@ -66,7 +64,7 @@
             Consumer<EndpointConnection> onFree,
             Consumer<EndpointConnection> onClosed) {
         mSocket = socket;
-        mDecoder = new ResponseDecoder(options.maxHeadBytes());
+        mDecoder = new ResponseDecoder(options);
         mOptions = options;
         mClock = clock;
         mStrayReceptions = strayReceptions;
@@ -89,19 +87,21 @@
     }
 
     /**
-     * Sends the request of an exchange, unless its listener cancels it. Returns whether the
-     * connection is in use now.
+     * Sends the request of an exchange, unless it is invalid or its listener cancels it. Returns
+     * whether the connection is in use now.
      */
     boolean serve(Exchange exchange) {
-        exchange.deliver(new ExchangeEvent.Sending());
-        if (exchange.isCancelled()) {
-            return false;
-        }
         FullHttpRequest request;
         try {
             request = encode(exchange.request());
         } catch (IllegalArgumentException e) {
-            exchange.deliver(new ExchangeEvent.Lost("the request is invalid: " + e.getMessage()));
+            exchange.deliver(
+                    new ExchangeEvent.Rejected("the request is invalid: " + e.getMessage()));
+            return false;
+        }
+        exchange.deliver(new ExchangeEvent.Sending());
+        if (exchange.isCancelled()) {
+            request.release();
             return false;
         }
         mExchange = Optional.of(exchange);
@@ -133,13 +133,14 @@
         return mSocket.channelHandlerContext().channel();
     }
 
+    /** Encodes a request. Its body is not copied; releasing what is returned leaves it as it is. */
     private FullHttpRequest encode(ExchangeRequest request) {
         FullHttpRequest encoded =
                 new DefaultFullHttpRequest(
                         HttpVersion.HTTP_1_1,
                         request.method().toNetty(),
                         request.uri(),
-                        Unpooled.wrappedBuffer(request.body().getBytes()));
+                        ((BufferInternal) request.body()).getByteBuf());
         request.headers()
                 .forEach(header -> encoded.headers().add(header.getKey(), header.getValue()));
         if (request.body().length() > 0 || METHODS_WITH_BODY.contains(request.method())) {
@@ -164,36 +165,34 @@
                 strayBytesReceived(stray.bytes());
             } else if (message instanceof ResponseDecoder.SkippedResponse skipped) {
                 responseSkipped(skipped.status());
-            } else if (message instanceof HttpObject part && mExchange.isPresent()) {
-                received(mExchange.get(), part);
+            } else if (mExchange.isPresent()) {
+                partReceived(mExchange.get(), message);
             }
         } finally {
             ReferenceCountUtil.release(message);
         }
     }
 
-    private void received(Exchange exchange, HttpObject part) {
-        Optional<String> fault = mFailure.or(() -> ResponseFaults.in(part));
-        if (fault.isPresent()) {
-            fail(fault.get());
-            return;
+    private void partReceived(Exchange exchange, Object part) {
+        if (mFailure.isPresent()) {
+            fail(mFailure.get());
+        } else if (part instanceof ResponseDecoder.Fault fault) {
+            fail(fault.cause());
+        } else if (part instanceof ResponseDecoder.Head head) {
+            mKeepAlive = head.keepAlive();
+            exchange.deliver(new ExchangeEvent.HeadReceived(head.start()));
+        } else if (part instanceof HttpContent content && !exchange.isCancelled()) {
+            contentReceived(exchange, content);
         }
-        if (part instanceof HttpResponse response) {
-            mKeepAlive =
-                    KeepAlive.of(
-                            response,
-                            mDecoder.isWithoutBody(response),
-                            mOptions.keepAliveMilliseconds());
-            exchange.deliver(new ExchangeEvent.HeadReceived(ResponseStart.of(response)));
+    }
+
+    private void contentReceived(Exchange exchange, HttpContent content) {
+        if (content.content().isReadable()) {
+            byte[] bytes = ByteBufUtil.getBytes(content.content());
+            exchange.deliver(new ExchangeEvent.ChunkReceived(Buffer.buffer(bytes)));
         }
-        if (part instanceof HttpContent content && !exchange.isCancelled()) {
-            if (content.content().isReadable()) {
-                byte[] bytes = ByteBufUtil.getBytes(content.content());
-                exchange.deliver(new ExchangeEvent.ChunkReceived(Buffer.buffer(bytes)));
-            }
-            if (content instanceof LastHttpContent && !exchange.isCancelled()) {
-                responseComplete(exchange);
-            }
+        if (content instanceof LastHttpContent && !exchange.isCancelled()) {
+            responseComplete(exchange);
         }
     }
 
