Write records again at the start that a failed sync may have left in memory

A sync that fails marks the written pages as clean. A process that ended before it had cut them left them to the next one, which read them, synced an unchanged file and counted them as durable; a loss of power then took entries that it had acknowledged. Guarded by RestartAfterFailureTest.

--- a/agreement/src/main/java/org/skylarkbend/agreement/LogFile.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/LogFile.java
@@ -30,6 +30,7 @@
     private static final String FILE_NAME = "log";
     private static final String SYNCED_FILE_NAME = "log.synced";
     private static final int GENERATION_BYTES = Long.BYTES;
+    private static final int PART_BYTES = 64 * 1024;
 
     private final DataFolder mFolder;
     private FileChannel mChannel;
@@ -75,8 +76,8 @@
     }
 
     /**
-     * Passes all records to the consumer. Truncates a torn tail; fails with {@code STORAGE_FAILED}
-     * on other damage.
+     * Passes all records to the consumer, and syncs them. Truncates a torn tail; fails with {@code
+     * STORAGE_FAILED} on other damage.
      */
     Result<Void> read(Consumer<LogRecord> consumer) throws IOException {
         reopen();
@@ -100,6 +101,7 @@
         if (positionBytes < syncedBytes || reader.hasRecordAfter(positionBytes)) {
             return corrupted(positionBytes);
         }
+        writeAgain(reader, syncedBytes, positionBytes);
         truncateTornTail(positionBytes, reader.lengthBytes());
         return Result.success(null);
     }
@@ -153,6 +155,20 @@
                         mFolder.file(FILE_NAME), StandardOpenOption.READ, StandardOpenOption.WRITE);
     }
 
+    /**
+     * Writes records again that may be in memory only, because an earlier process failed to sync
+     * them. Another sync alone would succeed and leave them there.
+     */
+    private void writeAgain(LogFileReader reader, long fromBytes, long toBytes) throws IOException {
+        ByteBuffer part = ByteBuffer.allocate(PART_BYTES);
+        for (long nextBytes = fromBytes; nextBytes < toBytes; nextBytes += PART_BYTES) {
+            part.clear().limit((int) Math.min(PART_BYTES, toBytes - nextBytes));
+            reader.read(part, nextBytes);
+            mChannel.position(nextBytes);
+            mFolder.fileOperations().write(mChannel, part.flip());
+        }
+    }
+
     private void truncateTornTail(long lengthBytes, long fileBytes) throws IOException {
         mLengthBytes = lengthBytes;
         if (lengthBytes < fileBytes) {
--- a/agreement/src/main/java/org/skylarkbend/agreement/LogFileReader.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/LogFileReader.java
@@ -103,7 +103,8 @@
         return mWindow.position((int) (positionBytes - mWindowAtBytes));
     }
 
-    private void read(ByteBuffer target, long positionBytes) throws IOException {
+    /** Fills the rest of the target, whose start is at this position. */
+    void read(ByteBuffer target, long positionBytes) throws IOException {
         while (target.hasRemaining()) {
             int readBytes = mChannel.read(target, positionBytes + target.position());
             if (readBytes < 0) {
--- /dev/null
+++ b/agreement/src/test/java/org/skylarkbend/agreement/RestartAfterFailureTest.java
@@ -0,0 +1,78 @@
+package org.skylarkbend.agreement;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.LongStream;
+import org.skylarkbend.agreement.AgreementEffect.Persist;
+import org.skylarkbend.base.ObjectName;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests for {@link AgreementStorage} that is opened again after its disk failed. */
+public class RestartAfterFailureTest {
+    private static final ObjectName VM = ObjectName.of("vm-1");
+    private static final HardState HARD_STATE = new HardState(3, Optional.of(new MemberId(VM, 42)));
+
+    private Path mFolder;
+    private PowerLossDisk mDisk;
+    private long mNumber;
+
+    @BeforeMethod
+    public void reset() throws IOException {
+        mFolder = Files.createTempDirectory("storage");
+        mDisk = new PowerLossDisk(mFolder.resolve("log"));
+        mNumber = 0;
+    }
+
+    /** Guards against entries that count as synced although the failed sync was not repeated. */
+    @Test
+    public void whatAStartFindsBehindAFailedSyncIsOnDiskBeforeItIsUsed() throws IOException {
+        try (AgreementStorage storage = open(mDisk)) {
+            assertThat(persist(storage, 1, 3)).isTrue();
+            mDisk.failLog();
+            assertThat(persist(storage, 4, 5)).isFalse();
+        }
+        mDisk.recover();
+        List<LogEntry> found = recovered();
+        mDisk.losePower();
+        assertThat(found).startsWith(entries(1, 3).toArray(LogEntry[]::new));
+        assertThat(recovered()).isEqualTo(found);
+    }
+
+    private boolean persist(AgreementStorage storage, long firstIndex, long lastIndex) {
+        mNumber++;
+        Persist persist =
+                new Persist(mNumber, Optional.of(HARD_STATE), entries(firstIndex, lastIndex));
+        return storage.persist(List.of(persist)).isSuccess();
+    }
+
+    private List<LogEntry> recovered() throws IOException {
+        try (AgreementStorage storage = open(mDisk)) {
+            return storage.recovered().entries();
+        }
+    }
+
+    private AgreementStorage open(FileOperations operations) {
+        return AgreementStorage.open(mFolder, VM, () -> 42, operations, true)
+                .fold(
+                        opened -> opened,
+                        error -> {
+                            throw new AssertionError(error.detail());
+                        });
+    }
+
+    private static List<LogEntry> entries(long firstIndex, long lastIndex) {
+        return LongStream.rangeClosed(firstIndex, lastIndex)
+                .mapToObj(
+                        index -> {
+                            byte[] command = CommandListMachine.bytes("command " + index);
+                            return new LogEntry(index, 1, new EntryContent.Command(command));
+                        })
+                .toList();
+    }
+}
