Sync the folder at the start, before a log that was moved into place is used

A process that ended between the rename of a new log and the sync of the folder left the next one with a log whose name was not on disk. Entries that it acknowledged there were lost with a loss of power.

--- a/agreement/src/main/java/org/skylarkbend/agreement/LogFile.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/LogFile.java
@@ -76,7 +76,8 @@
     }
 
     /**
-     * Passes all records to the consumer, and syncs them. Truncates a torn tail; fails with {@code
+     * Passes all records to the consumer, and syncs them and their folder, because an earlier
+     * process may have ended before it did. Truncates a torn tail; fails with {@code
      * STORAGE_FAILED} on other damage.
      */
     Result<Void> read(Consumer<LogRecord> consumer) throws IOException {
@@ -103,6 +104,7 @@
         }
         writeAgain(reader, syncedBytes, positionBytes);
         truncateTornTail(positionBytes, reader.lengthBytes());
+        mFolder.sync();
         return Result.success(null);
     }
 
--- a/agreement/src/test/java/org/skylarkbend/agreement/RestartAfterFailureTest.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/RestartAfterFailureTest.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.stream.LongStream;
 import org.skylarkbend.agreement.AgreementEffect.Persist;
+import org.skylarkbend.agreement.AgreementEffect.SaveSnapshot;
 import org.skylarkbend.base.ObjectName;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -44,6 +45,22 @@
         assertThat(recovered()).isEqualTo(found);
     }
 
+    /** Guards against acknowledged entries in a file whose name is not on disk. */
+    @Test
+    public void aNewLogThatAStartFindsIsOnDiskBeforeItIsWritten() throws IOException {
+        try (AgreementStorage storage = open(mDisk)) {
+            assertThat(persist(storage, 1, 3)).isTrue();
+            mDisk.failFolderAfter(1);
+            assertThat(save(storage, 2, 3)).isFalse();
+        }
+        mDisk.recover();
+        try (AgreementStorage storage = open(mDisk)) {
+            assertThat(persist(storage, 4, 4)).isTrue();
+        }
+        mDisk.losePower();
+        assertThat(recovered()).isEqualTo(entries(3, 4));
+    }
+
     private boolean persist(AgreementStorage storage, long firstIndex, long lastIndex) {
         mNumber++;
         Persist persist =
@@ -51,6 +68,14 @@
         return storage.persist(List.of(persist)).isSuccess();
     }
 
+    private boolean save(AgreementStorage storage, long index, long lastIndex) {
+        mNumber++;
+        Snapshot snapshot =
+                new Snapshot(index, 1, Membership.none(), CommandListMachine.bytes("state"));
+        List<LogEntry> remaining = entries(index + 1, lastIndex);
+        return storage.save(new SaveSnapshot(mNumber, HARD_STATE, snapshot, remaining)).isSuccess();
+    }
+
     private List<LogEntry> recovered() throws IOException {
         try (AgreementStorage storage = open(mDisk)) {
             return storage.recovered().entries();
