Number a new log only after the former one is repaired

When a new log was in place that could not be opened, the next one got the same generation. If it could not be moved into place, the repair took the former for it and cut it at the length of the other one, acknowledged entries included.

--- a/agreement/src/main/java/org/skylarkbend/agreement/AgreementStorage.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/AgreementStorage.java
@@ -106,7 +106,7 @@
         save.remaining().stream().map(LogRecord::of).forEach(records::add);
         try {
             mSnapshotFile.write(save.snapshot());
-            mLogFile.replace(mLogFile.generation() + 1, records);
+            mLogFile.replace(records);
             return Result.success(save.number());
         } catch (IOException e) {
             return failed(ErrorKind.STORAGE_FAILED, e);
@@ -209,7 +209,7 @@
                             + " with an empty one.");
         }
         MemberId self = new MemberId(vm, randomNumber.getAsLong());
-        mLogFile.replace(0, List.of());
+        mLogFile.replace(List.of());
         MessageWriter writer =
                 new MessageWriter(mIsFirstStart ? IDENTITY_OF_FIRST_START : IDENTITY);
         EntryEncoding.write(writer, self);
--- a/agreement/src/main/java/org/skylarkbend/agreement/LogFile.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/LogFile.java
@@ -52,12 +52,11 @@
 
     /**
      * Replaces the log with one that contains only these records. After a failure, either log may
-     * be in use.
-     *
-     * @param generation a number that no earlier log in this folder had
+     * be in use; the repair tells them apart by their generations.
      */
-    void replace(long generation, List<LogRecord> records) throws IOException {
+    void replace(List<LogRecord> records) throws IOException {
         repairIfNeeded();
+        long generation = mGeneration + 1;
         long lengthBytes = mFolder.writeNew(FILE_NAME, file -> writeAll(file, generation, records));
         mReplacement = Optional.of(new Replacement(generation, lengthBytes));
         runOrRepair(
@@ -71,10 +70,6 @@
         writeSyncedLength();
     }
 
-    long generation() {
-        return mGeneration;
-    }
-
     /**
      * Passes all records to the consumer, and syncs them and their folder, because an earlier
      * process may have ended before it did. Truncates a torn tail; fails with {@code
--- a/agreement/src/test/java/org/skylarkbend/agreement/FaultyDisk.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/FaultyDisk.java
@@ -26,6 +26,7 @@
     private Set<Operation> mFailing = Set.of();
     private int mPassing;
     private int mFailures;
+    private DiskOperation mOnFailure = () -> {};
 
     /**
      * Makes operations fail from now on.
@@ -43,6 +44,11 @@
         mFailing = Set.of();
     }
 
+    /** Runs this just before each operation that fails. */
+    void onFailure(DiskOperation onFailure) {
+        mOnFailure = onFailure;
+    }
+
     int failures() {
         return mFailures;
     }
@@ -85,7 +91,7 @@
         FileOperations.direct().replace(newFile, file);
     }
 
-    private boolean fails(Operation operation) {
+    private boolean fails(Operation operation) throws IOException {
         if (!mFailing.contains(operation)) {
             return false;
         }
@@ -94,6 +100,7 @@
             return false;
         }
         mFailures++;
+        mOnFailure.run();
         return true;
     }
 
--- a/agreement/src/test/java/org/skylarkbend/agreement/RestartAfterFailureTest.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/RestartAfterFailureTest.java
@@ -7,6 +7,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.stream.LongStream;
 import org.skylarkbend.agreement.AgreementEffect.Persist;
 import org.skylarkbend.agreement.AgreementEffect.SaveSnapshot;
@@ -61,6 +62,25 @@
         assertThat(recovered()).isEqualTo(entries(3, 4));
     }
 
+    /** Guards against a replaced log that is cut at the length of another one. */
+    @Test
+    public void aNewLogIsNotMistakenForAnEarlierOneThatCouldNotBeOpened() throws IOException {
+        FaultyDisk disk = new FaultyDisk();
+        try (AgreementStorage storage = open(disk)) {
+            assertThat(persist(storage, 1, 5)).isTrue();
+            FaultyDisk.Operation folder = FaultyDisk.Operation.SYNC_FOLDER;
+            disk.fail(Set.of(folder), 1);
+            disk.onFailure(() -> Files.move(log(), mFolder.resolve("away")));
+            assertThat(save(storage, 2, 5)).isFalse();
+            disk.onFailure(() -> {});
+            Files.move(mFolder.resolve("away"), log());
+            disk.fail(Set.of(FaultyDisk.Operation.REPLACE), 1);
+            assertThat(save(storage, 3, 5)).isFalse();
+        }
+        disk.recover();
+        assertThat(recovered()).isEqualTo(entries(4, 5));
+    }
+
     private boolean persist(AgreementStorage storage, long firstIndex, long lastIndex) {
         mNumber++;
         Persist persist =
@@ -91,6 +111,10 @@
                         });
     }
 
+    private Path log() {
+        return mFolder.resolve("log");
+    }
+
     private static List<LogEntry> entries(long firstIndex, long lastIndex) {
         return LongStream.rangeClosed(firstIndex, lastIndex)
                 .mapToObj(
