--- a/agreement/src/main/java/org/skylarkbend/agreement/AgreementStorage.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/AgreementStorage.java
@@ -19,7 +19,8 @@
 /**
  * The files of one member: its identity, its log and its newest snapshot.
  *
- * <p>Calls block and must not overlap; the owning task makes them outside its event loop.
+ * <p>Calls block and must not overlap; the owning task makes them outside its event loop. Writes
+ * fail once the folder is closed, because it may have another owner.
  */
 public final class AgreementStorage implements Closeable {
     private static final String IDENTITY_FILE_NAME = "identity";
@@ -91,6 +92,7 @@
         }
         long number = persists.get(persists.size() - 1).number();
         try {
+            mFolder.requireOpen();
             mLogFile.append(records);
             return Result.success(number);
         } catch (IOException e) {
@@ -105,6 +107,7 @@
         records.add(LogRecord.of(save.hardState()));
         save.remaining().stream().map(LogRecord::of).forEach(records::add);
         try {
+            mFolder.requireOpen();
             mSnapshotFile.write(save.snapshot());
             mLogFile.replace(records);
             return Result.success(save.number());
@@ -116,6 +119,7 @@
     /** Checks that the log can be written and that there is room for this many bytes. */
     public Result<Void> check(long sizeBytes) {
         try {
+            mFolder.requireOpen();
             mLogFile.repairIfNeeded();
             mFolder.checkRoom(sizeBytes);
             return Result.success(null);
--- a/agreement/src/main/java/org/skylarkbend/agreement/DataFolder.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/DataFolder.java
@@ -54,6 +54,13 @@
         return mPath.resolve(name);
     }
 
+    /** Throws if the folder is closed and may belong to another process. */
+    void requireOpen() throws IOException {
+        if (!mLockChannel.isOpen()) {
+            throw new IOException(mPath + " is closed");
+        }
+    }
+
     FileOperations fileOperations() {
         return mFileOperations;
     }
--- a/agreement/src/test/java/org/skylarkbend/agreement/RestartAfterFailureTest.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/RestartAfterFailureTest.java
@@ -81,6 +81,23 @@
         assertThat(recovered()).isEqualTo(entries(4, 5));
     }
 
+    /** Guards against a stopped member that writes to the files of the one after it. */
+    @Test
+    public void aClosedFolderIsNotWrittenByItsFormerOwner() throws IOException {
+        AgreementStorage former = open(FileOperations.direct());
+        assertThat(persist(former, 1, 3)).isTrue();
+        former.close();
+        try (AgreementStorage storage = open(FileOperations.direct())) {
+            assertThat(persist(storage, 4, 6)).isTrue();
+            assertThat(persist(former, 4, 4)).isFalse();
+            assertThat(persist(former, 4, 4)).isFalse();
+            assertThat(save(former, 2, 3)).isFalse();
+            assertThat(former.check(1).isSuccess()).isFalse();
+            assertThat(persist(storage, 7, 7)).isTrue();
+        }
+        assertThat(recovered()).isEqualTo(entries(1, 7));
+    }
+
     private boolean persist(AgreementStorage storage, long firstIndex, long lastIndex) {
         mNumber++;
         Persist persist =
