--- a/agreement/src/main/java/org/skylarkbend/agreement/DataFolder.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/DataFolder.java
@@ -113,10 +113,13 @@
         }
     }
 
-    /** Writes at least this many bytes, syncs them and removes them. */
+    /** Replaces a file by one of at least this many bytes, as a snapshot does, and removes it. */
     void checkRoom(long sizeBytes) throws IOException {
-        writeNew(CHECK_FILE_NAME, file -> writeZeros(file, sizeBytes));
-        Files.delete(file(CHECK_FILE_NAME + NEW_SUFFIX));
+        try {
+            replace(CHECK_FILE_NAME, file -> writeZeros(file, sizeBytes));
+        } finally {
+            Files.deleteIfExists(file(CHECK_FILE_NAME));
+        }
     }
 
     /** Overwrites a file. Neither atomic nor synced. */
@@ -165,6 +168,7 @@
     }
 
     private static void deleteUnfinished(Path path) throws IOException {
+        Files.deleteIfExists(path.resolve(CHECK_FILE_NAME));
         try (DirectoryStream<Path> files = Files.newDirectoryStream(path, "*" + NEW_SUFFIX)) {
             for (Path file : files) {
                 Files.delete(file);
--- a/agreement/src/test/java/org/skylarkbend/agreement/DiskWithoutRoomTest.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/DiskWithoutRoomTest.java
@@ -121,11 +121,28 @@
     public void anUnfinishedFileOfAnEarlierProcessIsRemovedWhenTheFolderIsOpened()
             throws IOException {
         open(mDisk).close();
-        for (String name : List.of("log.new", "snapshot.new", "identity.new")) {
+        for (String name : List.of("log.new", "snapshot.new", "identity.new", "check")) {
             Files.write(mFolder.resolve(name), new byte[100]);
         }
         open(mDisk).close();
         assertNoUnfinishedFile();
+        assertThat(mFolder.resolve("check")).doesNotExist();
+    }
+
+    /** Guards against a leader that keeps leading although it can save no snapshot. */
+    @Test(dataProvider = "failures")
+    public void aDiskIsTakenForOneThatCanWriteOnlyIfAllThatASnapshotNeedsSucceeds(
+            Set<Operation> failing) throws IOException {
+        try (AgreementStorage storage = open(mDisk)) {
+            persist(storage, 3);
+            mDisk.fail(failing, 0);
+            assertThat(storage.check(1_000).isSuccess()).isFalse();
+            assertNoUnfinishedFile();
+            assertThat(mFolder.resolve("check")).doesNotExist();
+            mDisk.recover();
+            assertThat(storage.check(1_000).isSuccess()).isTrue();
+            assertThat(mFolder.resolve("check")).doesNotExist();
+        }
     }
 
     /** Guards against proposals that are called refused and come back after a restart. */
