Name a store of prompt parts only while it accepts connections

A gateway noticed only that a store closed the connection. The machine of a store that lost its power or its network closes none, so engines were sent to it for as long as the gateway ran. After a pause a gateway named the store by what it knew before the pause.

--- a/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EndpointSelector.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EndpointSelector.java
@@ -78,7 +78,7 @@
 
     private final VersionSplits mSplits = new VersionSplits();
     private Set<String> mLoadingWeights = Set.of();
-    private Optional<String> mStore = Optional.empty();
+    private ReachedStore mStore = ReachedStore.none();
     private boolean mInitialized;
     private long mUpdatedMilliseconds;
 
@@ -131,9 +131,9 @@
         mSplits.replace(splits);
     }
 
-    /** Sets the address of the store of cached prompt parts; empty while none is reachable. */
-    public void setStore(Optional<String> address) {
-        mStore = address;
+    /** Sets the store of cached prompt parts. */
+    public void setStore(ReachedStore store) {
+        mStore = store;
     }
 
     /** Records the newest announced version of the weights of each model. */
@@ -392,9 +392,11 @@
             return EngineChoice.plain(endpoint);
         }
         boolean isTooSmallToFetch = prompt.sharedTokens() < MIN_SHARED_TOKENS;
+        Optional<String> store =
+                isTooSmallToFetch ? Optional.empty() : mStore.addressAt(nowMilliseconds);
         Optional<String> source =
-                isTooSmallToFetch
-                        ? Optional.empty()
+                isTooSmallToFetch || store.isPresent()
+                        ? store
                         : sourceOf(load, candidates, version, prompt, home);
         double missRatio = isHome(load, home) ? HOME_MISS_RATIO : 1;
         long ownTokens = prompt.promptTokens() - prompt.sharedTokens();
@@ -402,7 +404,7 @@
                 endpoint,
                 OptionalLong.of(version),
                 source,
-                isTooSmallToFetch ? Optional.empty() : mStore,
+                store,
                 ownTokens + (long) (missRatio * prompt.sharedTokens()),
                 load.promptTokens(nowMilliseconds),
                 isHome(load, home));
@@ -414,8 +416,8 @@
             Long version,
             Prompt prompt,
             Optional<Home> home) {
-        if (mStore.isPresent() || home.isEmpty()) {
-            return mStore;
+        if (home.isEmpty()) {
+            return Optional.empty();
         }
         String model = prompt.model();
         return bestScored(
--- a/gateway/src/test/java/org/skylarkbend/gateway/endpoints/EndpointSelectorTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/endpoints/EndpointSelectorTest.java
@@ -235,9 +235,27 @@
         assertThat(choice.store()).isEmpty();
     }
 
+    /** Guards against engines that fetch prompt parts from an engine that is shutting down. */
+    @Test
+    public void anEngineThatLeavesIsNoSourceOfPromptParts() {
+        Prompt prompt = prompt("shared", 6_300);
+        EndpointSelector selector = selector(Set.of(), engine("a", 2), engine("b", 2));
+        Endpoint home = choice(selector, prompt).endpoint();
+        Endpoint other = engine(home.id().equals("a") ? "b" : "a", 2);
+        assertThat(choice(selector, prompt).cacheSource()).contains(other.address());
+        selector.leaving(other);
+        assertThat(choice(selector, prompt).cacheSource()).isEmpty();
+        selector.leaving(home);
+        assertThat(selector.choose("desk", prompt, "s", PriorAttempts.none(), 0)).isEmpty();
+    }
+
+    private static EngineChoice choice(EndpointSelector selector, Prompt prompt) {
+        return selector.choose("desk", prompt, "s", PriorAttempts.none(), 0).orElseThrow();
+    }
+
     private static EngineChoice chosenWithStore(Prompt prompt) {
         EndpointSelector selector = selector(Set.of(), engine("a", 2), engine("b", 1));
-        selector.setStore(Optional.of(STORE));
+        selector.setStore(new ReachedStore(Optional.of(STORE), 0));
         return selector.choose("desk", prompt, "s", PriorAttempts.none(), 0).orElseThrow();
     }
 
