Bring in no version of which nothing is heard

Calls that hang are no errors until their timeouts, so a new version whose endpoints fell silent once it had a quarter of the calls or more got all of them after 1.6 s and was brought in; the old one was retired. A step now ends only if a call of the version has finished since it was due, and a version of which nothing finished for 750 ms while three calls or more are under way is held, and rolled back if that is so when the rollout has to end.

Late reports for 1.5 s were no fault.

--- a/moves/src/main/java/org/skylarkbend/moves/rollout/RolloutJudge.java
+++ b/moves/src/main/java/org/skylarkbend/moves/rollout/RolloutJudge.java
@@ -35,6 +35,15 @@
     /** Number of finished calls of the new version without which it is not brought in. */
     static final long MIN_TRIAL_CALLS = 15;
 
+    /**
+     * Time without a finished call of the new version after which it is not trusted: that of
+     * several reports of a gateway.
+     */
+    private static final long UNHEARD_MILLISECONDS = 750;
+
+    /** Number of calls of the new version from which it counts that none has finished. */
+    private static final long MIN_UNHEARD_CALLS = 3;
+
     /** Part of the duration before which no trial ends, as versions may turn bad late. */
     private static final double MIN_TRIAL_RATIO = 0.4;
 
@@ -72,6 +81,9 @@
     private double mSentPerSecond;
     private long mSent;
     private long mSentToVersion;
+    private long mSentSinceHeard;
+    private long mHeardMilliseconds;
+    private boolean mHeard;
     private int mStep;
     private long mStepBeganMilliseconds;
 
@@ -98,6 +110,7 @@
         mWindowBeganMilliseconds = nowMilliseconds;
         mRateBeganMilliseconds = nowMilliseconds;
         mStepBeganMilliseconds = nowMilliseconds;
+        mHeardMilliseconds = nowMilliseconds;
     }
 
     /** Returns whether this judge is for the given rollout, in any phase. */
@@ -124,6 +137,10 @@
         mSent += outcomes.sentToOthers() + outcomes.sentToVersion();
         mSentToVersion += outcomes.sentToVersion();
         mSentSinceRate += outcomes.sentToOthers() + outcomes.sentToVersion();
+        boolean isHeard =
+                outcomes.windows().stream().anyMatch(window -> window.toVersion().requests() > 0);
+        mHeard |= isHeard;
+        mSentSinceHeard = isHeard ? 0 : mSentSinceHeard + outcomes.sentToVersion();
         outcomes.windows()
                 .forEach(window -> mWindow.merge(window.route(), window, OutcomeWindow::plus));
     }
@@ -132,6 +149,10 @@
     public RolloutDecision decide(RolloutFleet fleet, long nowMilliseconds) {
         endWindow(nowMilliseconds);
         updateRate(nowMilliseconds);
+        if (mHeard) {
+            mHeard = false;
+            mHeardMilliseconds = nowMilliseconds;
+        }
         Optional<String> rollbackReason =
                 evidence().flatMap(evidence -> evidence.rollbackReason().stream()).findFirst();
         if (rollbackReason.isPresent()) {
@@ -211,6 +232,14 @@
                 .anyMatch(VersionEvidence::isSuspicious);
     }
 
+    /**
+     * Returns whether a call of the new version has finished since a time, or too few are under way
+     * to tell. Calls that hang are evidence of nothing until their timeouts.
+     */
+    private boolean isHeardSince(long milliseconds) {
+        return mHeardMilliseconds >= milliseconds || mSentSinceHeard < MIN_UNHEARD_CALLS;
+    }
+
     private Stream<VersionEvidence> evidence() {
         return Stream.concat(Stream.of(mTotalEvidence), mEvidence.values().stream());
     }
@@ -228,7 +257,8 @@
         boolean isDue =
                 nowMilliseconds >= Math.min(earliestMilliseconds, shiftByMilliseconds)
                         && finishedNewCalls() >= neededCalls;
-        if (fleet.listsVersion() && isDue && !isSuspicious()) {
+        boolean isHeard = isHeardSince(nowMilliseconds - UNHEARD_MILLISECONDS);
+        if (fleet.listsVersion() && isDue && isHeard && !isSuspicious()) {
             return new RolloutDecision(
                     STEP_SHARES.get(0), Optional.of(advance(RolloutPhase.SHIFTING, Set.of(), "")));
         }
@@ -253,13 +283,16 @@
                         + mRollout.durationMilliseconds()
                         - REPORT_MILLISECONDS
                         - nowMilliseconds;
-        if (isSuspicious()) {
+        boolean isHeard = isHeardSince(nowMilliseconds - UNHEARD_MILLISECONDS);
+        if (isSuspicious() || !isHeard) {
             return untilEndMilliseconds <= 0
                     ? rollback(NOT_SHOWN_TO_BE_GOOD)
                     : new RolloutDecision(STEP_SHARES.get(mStep), Optional.empty());
         }
         boolean isLastStep = mStep == STEP_SHARES.size() - 1;
-        boolean isStepOver = nowMilliseconds - mStepBeganMilliseconds >= STEP_MILLISECONDS;
+        long stepEndMilliseconds = mStepBeganMilliseconds + STEP_MILLISECONDS;
+        boolean isStepOver =
+                nowMilliseconds >= stepEndMilliseconds && isHeardSince(stepEndMilliseconds);
         if (!isLastStep && (isStepOver || untilEndMilliseconds < STEP_MILLISECONDS)) {
             mStep++;
             mStepBeganMilliseconds = nowMilliseconds;
--- a/moves/src/test/java/org/skylarkbend/moves/rollout/RolloutJudgeTest.java
+++ b/moves/src/test/java/org/skylarkbend/moves/rollout/RolloutJudgeTest.java
@@ -4,6 +4,7 @@
 
 import org.skylarkbend.moves.rollout.SimulatedRollout.Behavior;
 import org.skylarkbend.moves.rollout.SimulatedRollout.Quality;
+import org.skylarkbend.moves.rollout.SimulatedRollout.Trouble;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -13,6 +14,11 @@
 public class RolloutJudgeTest {
     private static final long NEVER = -1;
     private static final int SEEDS = 40;
+
+    /** Two seconds before a rollout has to end: the times of several reports and decisions. */
+    private static final long LAST_NOTICED_MILLISECONDS =
+            SimulatedRollout.DURATION_MILLISECONDS - 2_000;
+
     private static final long ROLLBACK_MILLISECONDS = 5_000;
 
     @DataProvider
@@ -92,6 +98,47 @@
                 .isEqualTo(RolloutPhase.ROLLED_BACK);
     }
 
+    /**
+     * Guards against a version that is brought in because calls that hang are no evidence yet. A
+     * silence that begins shortly before the end cannot be told from usual responses.
+     */
+    @Test(dataProvider = "callsPerSecond")
+    public void aVersionThatFallsSilentOnceItHasMoreCallsIsNotBroughtIn(double callsPerSecond) {
+        Behavior good = (now, route, share) -> Quality.GOOD;
+        for (double aboveShare : new double[] {0.2, 0.3, 0.6}) {
+            Trouble silent = new Trouble(aboveShare, true, 0);
+            int rolledBack = 0;
+            for (int seed = 0; seed < SEEDS; seed++) {
+                SimulatedRollout run =
+                        new SimulatedRollout(seed, callsPerSecond, NEVER, good, silent);
+                boolean isBroughtIn = run.run().phase() != RolloutPhase.ROLLED_BACK;
+                rolledBack += isBroughtIn ? 0 : 1;
+                assertThat(
+                                isBroughtIn
+                                        && run.troubleBeganMilliseconds()
+                                                < LAST_NOTICED_MILLISECONDS)
+                        .as(
+                                "above %f, seed %d, at %d",
+                                aboveShare, seed, run.troubleBeganMilliseconds())
+                        .isFalse();
+            }
+            assertThat(rolledBack).as("silences in time").isGreaterThanOrEqualTo(SEEDS / 2);
+        }
+    }
+
+    /** Guards against a good version that is given up because gateways report late for a while. */
+    @Test(dataProvider = "callsPerSecond")
+    public void aGoodVersionIsBroughtInAlthoughReportsAreLateForAWhile(double callsPerSecond) {
+        int completed = 0;
+        for (int seed = 0; seed < SEEDS; seed++) {
+            Behavior good = (now, route, share) -> Quality.GOOD;
+            Trouble late = new Trouble(0.01, false, 1_500);
+            SimulatedRollout run = new SimulatedRollout(seed, callsPerSecond, NEVER, good, late);
+            completed += run.run().phase() == RolloutPhase.COMPLETED ? 1 : 0;
+        }
+        assertThat(completed).isGreaterThanOrEqualTo(SEEDS - 2);
+    }
+
     private static void checkBad(double callsPerSecond, long leaderLostMilliseconds, Behavior bad) {
         for (int seed = 0; seed < SEEDS; seed++) {
             SimulatedRollout run =
--- a/moves/src/test/java/org/skylarkbend/moves/rollout/SimulatedRollout.java
+++ b/moves/src/test/java/org/skylarkbend/moves/rollout/SimulatedRollout.java
@@ -28,6 +28,7 @@
     private final double mCallsPerSecond;
     private final Behavior mNewVersion;
     private final long mLeaderLostMilliseconds;
+    private final Trouble mTrouble;
     private final PriorityQueue<Report> mReports =
             new PriorityQueue<>(
                     (one, other) -> Long.compare(one.atMilliseconds, other.atMilliseconds));
@@ -40,6 +41,7 @@
     private long mFiftiethBadMilliseconds = Long.MAX_VALUE;
     private long mLastSentToVersionMilliseconds;
     private long mCallsAtOthers;
+    private long mTroubleBeganMilliseconds = Long.MAX_VALUE / 2;
 
     /** Whether a call of the new version fails or is slow. */
     @FunctionalInterface
@@ -52,10 +54,40 @@
         static final Quality GOOD = new Quality(USUAL_ERROR_RATE, 0);
     }
 
-    private record Report(long atMilliseconds, RolloutOutcomes outcomes, boolean endsAtOther) {}
+    /**
+     * What goes wrong from the moment at which the version first has more than a share of the
+     * calls.
+     *
+     * @param beginsAboveShare the share
+     * @param silent whether the endpoints of the version send nothing from then on
+     * @param lateMilliseconds the time for which all gateways send no reports
+     */
+    record Trouble(double beginsAboveShare, boolean silent, long lateMilliseconds) {
+        static final Trouble NONE = new Trouble(1, false, 0);
+    }
+
+    private record Report(
+            long atMilliseconds,
+            RolloutOutcomes outcomes,
+            boolean endsAtOther,
+            boolean endsAtVersion) {
+        Report later(long milliseconds) {
+            return new Report(atMilliseconds + milliseconds, outcomes, endsAtOther, endsAtVersion);
+        }
+    }
 
     SimulatedRollout(
             long seed, double callsPerSecond, long leaderLostMilliseconds, Behavior newVersion) {
+        this(seed, callsPerSecond, leaderLostMilliseconds, newVersion, Trouble.NONE);
+    }
+
+    SimulatedRollout(
+            long seed,
+            double callsPerSecond,
+            long leaderLostMilliseconds,
+            Behavior newVersion,
+            Trouble trouble) {
+        mTrouble = trouble;
         mRandom = new SplittableRandom(seed);
         mCallsPerSecond = callsPerSecond;
         mLeaderLostMilliseconds = leaderLostMilliseconds;
@@ -89,6 +121,11 @@
         return Math.max(0, mLastSentToVersionMilliseconds - mFiftiethBadMilliseconds);
     }
 
+    /** Returns when the trouble began, or a time after the end if it did not. */
+    long troubleBeganMilliseconds() {
+        return mTroubleBeganMilliseconds;
+    }
+
     private Rollout rollout() {
         return mState.of("desk").orElseThrow();
     }
@@ -110,6 +147,9 @@
                         nowMilliseconds);
         RolloutDecision decision = mJudge.decide(fleet, nowMilliseconds);
         mShare = decision.share();
+        if (mShare > mTrouble.beginsAboveShare()) {
+            mTroubleBeganMilliseconds = Math.min(mTroubleBeganMilliseconds, nowMilliseconds);
+        }
         decision.advance().ifPresent(advance -> mState = apply(advance, nowMilliseconds));
     }
 
@@ -145,6 +185,7 @@
                         nowMilliseconds + REPORT_DELAY_MILLISECONDS,
                         new RolloutOutcomes(
                                 "desk", "v2", toVersion ? 0 : 1, toVersion ? 1 : 0, List.of()),
+                        false,
                         false));
         mReports.add(
                 new Report(
@@ -155,12 +196,23 @@
                                 0,
                                 0,
                                 List.of(window(route, toVersion, fails, firstMilliseconds))),
-                        !toVersion));
+                        !toVersion,
+                        toVersion));
     }
 
     private void deliver(long nowMilliseconds) {
         while (!mReports.isEmpty() && mReports.peek().atMilliseconds <= nowMilliseconds) {
             Report report = mReports.remove();
+            long knownMilliseconds = report.atMilliseconds - REPORT_DELAY_MILLISECONDS;
+            long troubledMilliseconds = knownMilliseconds - mTroubleBeganMilliseconds;
+            boolean isSilent = mTrouble.silent() && report.endsAtVersion;
+            if (troubledMilliseconds >= 0 && isSilent) {
+                continue;
+            }
+            if (troubledMilliseconds >= 0 && troubledMilliseconds < mTrouble.lateMilliseconds()) {
+                mReports.add(report.later(mTrouble.lateMilliseconds() - troubledMilliseconds));
+                continue;
+            }
             mJudge.add(report.outcomes);
             mCallsAtOthers -= report.endsAtOther ? 1 : 0;
         }
