Skip whole responses to other attempts in front of the router's own

An earlier attempt's late second response ended the attempt that had its connection, and the call failed or was repeated. As in the gateway, up to four are skipped. On a new connection none can be late, so there a response to another attempt still ends its attempt.

--- a/router/src/main/java/org/skylarkbend/router/forward/EndpointExchange.java
+++ b/router/src/main/java/org/skylarkbend/router/forward/EndpointExchange.java
@@ -7,11 +7,13 @@
 import io.vertx.core.net.HostAndPort;
 import io.vertx.core.net.SocketAddress;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.skylarkbend.base.MillisecondClock;
 import org.skylarkbend.exchange.EndpointClient;
 import org.skylarkbend.exchange.Exchange;
 import org.skylarkbend.exchange.ExchangeEvent;
 import org.skylarkbend.exchange.ExchangeRequest;
+import org.skylarkbend.exchange.ResponseStart;
 
 /**
  * One HTTP request to an endpoint and its response, and the time for which the endpoint has been
@@ -26,11 +28,23 @@
     private boolean mResponded;
     private boolean mPaused;
 
+    /**
+     * Creates an exchange that has not begun.
+     *
+     * @param clock monotonic clock
+     * @param request the request
+     * @param isOtherResponse returns whether a response is known to answer another request; it is
+     *     then skipped
+     * @param listener called for each event
+     */
     EndpointExchange(
-            MillisecondClock clock, EndpointRequest request, Consumer<ExchangeEvent> listener) {
+            MillisecondClock clock,
+            EndpointRequest request,
+            Predicate<ResponseStart> isOtherResponse,
+            Consumer<ExchangeEvent> listener) {
         mClock = clock;
         mListener = listener;
-        mExchange = new Exchange(encode(request), this::handle);
+        mExchange = new Exchange(encode(request, isOtherResponse), this::handle);
         mLastByteMilliseconds = clock.nowMilliseconds();
     }
 
@@ -72,7 +86,8 @@
         mListener.accept(event);
     }
 
-    private static ExchangeRequest encode(EndpointRequest request) {
+    private static ExchangeRequest encode(
+            EndpointRequest request, Predicate<ResponseStart> isOtherResponse) {
         String host = request.endpoint().host();
         int port = request.endpoint().port();
         MultiMap headers = HttpHeaders.headers();
@@ -83,6 +98,7 @@
                 HttpMethod.valueOf(request.method()),
                 request.uri(),
                 headers,
-                Buffer.buffer(request.body()));
+                Buffer.buffer(request.body()),
+                isOtherResponse);
     }
 }
--- a/router/src/main/java/org/skylarkbend/router/forward/ForwardCall.java
+++ b/router/src/main/java/org/skylarkbend/router/forward/ForwardCall.java
@@ -4,11 +4,13 @@
 import io.opentelemetry.api.trace.StatusCode;
 import io.opentelemetry.context.Context;
 import java.util.Optional;
+import java.util.function.Predicate;
 import org.skylarkbend.base.ErrorKind;
 import org.skylarkbend.base.RunState;
 import org.skylarkbend.base.SkylarkError;
 import org.skylarkbend.exchange.EndpointClient;
 import org.skylarkbend.exchange.ExchangeEvent;
+import org.skylarkbend.exchange.ResponseStart;
 import org.skylarkbend.forwarding.AttemptDecider;
 import org.skylarkbend.forwarding.AttemptDecision;
 import org.skylarkbend.forwarding.AttemptEffect;
@@ -206,7 +208,17 @@
                 mRequests.ofCall(
                         mCall, send.attempt(), mEndpoint, mOwner.cacheScope(mCall), mTrace);
         mOwner.sent(mCall, mAttempt, mEndpoint.name());
-        exchange(client, request, false);
+        exchange(client, request, otherResponses(send), false);
+    }
+
+    /**
+     * Returns which responses are skipped. Only on a connection that was used before can a response
+     * to another attempt be a late one, which its own may follow.
+     */
+    private static Predicate<ResponseStart> otherResponses(AttemptEffect.Send send) {
+        return send.onNewConnection()
+                ? start -> false
+                : start -> ReceivedHead.isOfOtherAttempt(start, send.attempt());
     }
 
     private void openStream(AttemptId attempt) {
@@ -223,12 +235,17 @@
         mStream.get().openedConnection(attempt);
     }
 
-    private void exchange(EndpointClient client, EndpointRequest request, boolean isResume) {
+    private void exchange(
+            EndpointClient client,
+            EndpointRequest request,
+            Predicate<ResponseStart> isOtherResponse,
+            boolean isResume) {
         EndpointExchange[] self = new EndpointExchange[1];
         self[0] =
                 new EndpointExchange(
                         mResources.clock(),
                         request,
+                        isOtherResponse,
                         event -> {
                             if (self[0] == mExchange) {
                                 handle(event, isResume);
@@ -330,6 +347,7 @@
                 mResources.newConnectionClient(),
                 mRequests.ofResume(
                         mCall, resume.attempt(), mEndpoint, resume.afterPosition(), mTrace),
+                start -> false,
                 true);
     }
 
@@ -408,6 +426,7 @@
         new EndpointExchange(
                         mResources.clock(),
                         mRequests.ofCancel(attempt, mEndpoint, mTrace),
+                        start -> false,
                         event -> {})
                 .open(mResources.newConnectionClient());
     }
--- a/router/src/main/java/org/skylarkbend/router/forward/ReceivedHead.java
+++ b/router/src/main/java/org/skylarkbend/router/forward/ReceivedHead.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.skylarkbend.exchange.ResponseStart;
+import org.skylarkbend.forwarding.AttemptId;
 import org.skylarkbend.forwarding.ResponseHead;
 import org.skylarkbend.router.HttpHeader;
 
@@ -40,6 +41,15 @@
         return new ReceivedHead(head, isEventStream, isFramed, forwardedHeaders(start));
     }
 
+    /**
+     * Returns whether a response names another attempt, so that the one to this attempt may follow
+     * it.
+     */
+    static boolean isOfOtherAttempt(ResponseStart start, AttemptId attempt) {
+        List<String> attempts = start.headers().getAll(ATTEMPT_HEADER);
+        return !attempts.isEmpty() && !attempts.contains(attempt.value());
+    }
+
     private static List<HttpHeader> forwardedHeaders(ResponseStart start) {
         List<HttpHeader> forwarded = new ArrayList<>();
         for (String name : FORWARDED_HEADERS) {
--- a/router/src/test/java/org/skylarkbend/router/JoinedResponsesTest.java
+++ b/router/src/test/java/org/skylarkbend/router/JoinedResponsesTest.java
@@ -28,6 +28,9 @@
     /** An incomplete head is waited for until this time has passed. */
     private static final long SILENCE_MILLISECONDS = 300;
 
+    /** Maximum number of responses to other calls in front of one. */
+    private static final int MAX_SKIPPED = 4;
+
     private RouterFixture mFixture;
 
     @BeforeMethod
@@ -107,6 +110,54 @@
                 .containsPattern("skylarkbend_forward_stray_receptions [1-9]");
     }
 
+    /** Guards against an attempt that ends although its own response follows. */
+    @Test(dataProvider = "responses")
+    public void wholeResponsesToAnotherCallInFrontOfTheNextAreSkipped(
+            String name, UnaryOperator<String> response) {
+        AtomicInteger copies = new AtomicInteger();
+        FakeEndpoint endpoint = mFixture.endpoint(copiesInFrontOfTheNext(response, copies));
+        mFixture.publish();
+        for (int count = 1; count <= MAX_SKIPPED; count++) {
+            copies.set(count);
+            int before = endpoint.requests().size();
+            assertThat(mFixture.send(request(FIRST)).body()).isEqualTo(BODY);
+            HttpResponse<String> next = mFixture.send(request(NEXT));
+            assertThat(next.statusCode()).as("%d copies", count).isEqualTo(404);
+            assertThat(next.body()).isEqualTo(FAILURE);
+            assertThat(next.headers().firstValue("ETag")).isEmpty();
+            assertThat(endpoint.requests()).as("sent once each").hasSize(before + 2);
+        }
+        assertThat(endpoint.connections()).isEqualTo(1);
+    }
+
+    /** Guards against responses to other calls that are read without end. */
+    @Test(dataProvider = "responses")
+    public void anAttemptEndsBehindTooManyResponsesToAnotherCall(
+            String name, UnaryOperator<String> response) {
+        AtomicInteger copies = new AtomicInteger(MAX_SKIPPED + 1);
+        FakeEndpoint endpoint = mFixture.endpoint(copiesInFrontOfTheNext(response, copies));
+        mFixture.publish();
+        assertThat(mFixture.send(request(FIRST)).body()).isEqualTo(BODY);
+        HttpResponse<String> next = mFixture.send(request(NEXT));
+        assertThat(next.statusCode()).isEqualTo(502);
+        assertThat(next.body()).contains("may_have_run");
+        assertThat(endpoint.requests()).as("repeated once, on a new connection").hasSize(3);
+    }
+
+    private static FakeEndpoint.Script copiesInFrontOfTheNext(
+            UnaryOperator<String> response, AtomicInteger copies) {
+        AtomicReference<FakeRequest> first = new AtomicReference<>();
+        return (request, socket) -> {
+            if (request.uri().equals(FIRST)) {
+                first.set(request);
+                socket.write(response.apply(request.attempt()));
+            } else {
+                String copy = response.apply(first.get().attempt());
+                socket.write(copy.repeat(copies.get()) + failure(request));
+            }
+        };
+    }
+
     private void assertNoneIsJoined(
             UnaryOperator<String> response, AtomicInteger cutBytes, FakeEndpoint.Script script) {
         mFixture.endpoint(script);
