Let a leader whose disk hangs make way

A write that does not return is no failure, so the leader kept its leadership and all changes waited. After two of the longest election timeouts without a finished write it now asks the others as after a failure, and stops leading when a quorum of them can write while its disk still hangs.

--- a/agreement/src/main/java/org/skylarkbend/agreement/AgreementDecider.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/AgreementDecider.java
@@ -176,7 +176,10 @@
             appendFirstEntryOfTerm();
             mLeaderReplication.startRound(mNowMilliseconds);
         }
-        mDiskHandOver.tick(mNowMilliseconds);
+        if (mDiskHandOver.tick(mNowMilliseconds)) {
+            makeWay();
+            return;
+        }
         mMembershipChanges.nextChange(mNowMilliseconds).ifPresent(this::changeMembership);
     }
 
@@ -356,11 +359,15 @@
 
     private void diskChecked(DiskChecked checked) {
         if (mDiskHandOver.checked(checked.canWrite())) {
-            stepDown(mState.mTerm);
-            mState.letOthersStandFirst();
+            makeWay();
         }
     }
 
+    private void makeWay() {
+        stepDown(mState.mTerm);
+        mState.letOthersStandFirst();
+    }
+
     private void advanceCommit() {
         if (!mState.isLeader() || mState.mLog.membership().voters().isEmpty()) {
             return;
--- a/agreement/src/main/java/org/skylarkbend/agreement/DiskHandOver.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/DiskHandOver.java
@@ -2,19 +2,25 @@
 
 import java.util.HashSet;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.skylarkbend.agreement.AgreementMessage.DiskCheckRequest;
 import org.skylarkbend.agreement.AgreementMessage.DiskCheckResponse;
 
 /**
- * Decides when a leader whose disk fails gives up its leadership: as soon as a quorum of the other
- * voters can write what it could not. As long as none of them could do better, it stays the leader,
- * because it can still confirm its leadership to readers.
+ * Decides when a leader whose disk fails or hangs gives up its leadership: as soon as a quorum of
+ * the other voters can write what it could not. As long as none of them could do better, it stays
+ * the leader, because it can still confirm its leadership to readers.
  *
  * <p>It then only stops leading. The others elect a leader after their election timeout, as after a
  * crash, so that everything that relies on their not voting earlier holds.
  */
 final class DiskHandOver {
+    /**
+     * The maximum election timeouts for which a write may wait until the disk counts as hanging.
+     */
+    private static final int HANGING_ELECTION_TIMEOUTS = 2;
+
     private final MemberState mState;
     private final Set<MemberId> mCanWrite = new HashSet<>();
     private Optional<Check> mCheck = Optional.empty();
@@ -22,6 +28,8 @@
     private long mFailedBytes;
     private long mFailure;
     private long mAskedAtMilliseconds;
+    private OptionalLong mOldestPending = OptionalLong.empty();
+    private long mPendingSinceMilliseconds;
 
     /**
      * A check of the own disk that is in flight.
@@ -41,6 +49,7 @@
     /** Starts a term as leader, whose disk has just saved the vote. */
     void startTerm() {
         mFailed = false;
+        mOldestPending = OptionalLong.empty();
     }
 
     /** Asks the others after a failure of the leader's disk to write this many bytes. */
@@ -56,13 +65,22 @@
         ask(nowMilliseconds);
     }
 
-    /** Asks again from time to time, because disks come back and messages get lost. */
-    void tick(long nowMilliseconds) {
+    /**
+     * Asks the others while the leader's disk fails or hangs, and again from time to time, because
+     * disks come back and messages get lost. Returns whether the leader has to step down because
+     * its disk hangs and others can write.
+     */
+    boolean tick(long nowMilliseconds) {
+        boolean hangs = isHanging(nowMilliseconds);
+        if (hangs && !mFailed) {
+            persistFailed(mState.unsavedBytes(), nowMilliseconds);
+        }
         if (mFailed
                 && nowMilliseconds - mAskedAtMilliseconds
                         >= mState.mOptions.electionMinMilliseconds()) {
             ask(nowMilliseconds);
         }
+        return hangs && othersCanWrite();
     }
 
     /** Checks the own disk for a leader. While another check is in flight, it has to ask again. */
@@ -100,6 +118,18 @@
         return mFailed && check.othersCanWrite();
     }
 
+    /** Returns whether no write has finished for long while one waits. */
+    private boolean isHanging(long nowMilliseconds) {
+        OptionalLong oldestPending = mState.oldestPendingNumber();
+        if (!oldestPending.equals(mOldestPending)) {
+            mOldestPending = oldestPending;
+            mPendingSinceMilliseconds = nowMilliseconds;
+        }
+        return oldestPending.isPresent()
+                && nowMilliseconds - mPendingSinceMilliseconds
+                        >= HANGING_ELECTION_TIMEOUTS * mState.mOptions.electionMaxMilliseconds();
+    }
+
     private void ask(long nowMilliseconds) {
         mAskedAtMilliseconds = nowMilliseconds;
         for (MemberId voter : mState.mLog.membership().voters()) {
--- a/agreement/src/main/java/org/skylarkbend/agreement/MemberState.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/MemberState.java
@@ -193,6 +193,13 @@
         }
     }
 
+    /** Returns the number of the oldest write that is not synced yet. */
+    OptionalLong oldestPendingNumber() {
+        return mPending.isEmpty()
+                ? OptionalLong.empty()
+                : OptionalLong.of(mPending.peek().number());
+    }
+
     /** Returns the size of the entries that are not known to be on disk. */
     long unsavedBytes() {
         return mLog.between(mPersistedIndex, mLog.lastIndex()).stream()
--- a/agreement/src/test/java/org/skylarkbend/agreement/AgreementTaskTest.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/AgreementTaskTest.java
@@ -15,6 +15,7 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -42,6 +43,8 @@
     private volatile boolean mDisksFull;
     private volatile boolean mMemoryExhausted;
     private volatile Optional<ObjectName> mFullVm = Optional.empty();
+    private volatile Optional<ObjectName> mHangingVm = Optional.empty();
+    private volatile CountDownLatch mHangs = new CountDownLatch(0);
     private Map<ObjectName, MemberAddress> mAddresses;
     private Path mFolder;
     private Vertx mVertx;
@@ -64,6 +67,7 @@
     public void stopAll() throws Exception {
         mMemoryExhausted = false;
         mFullVm = Optional.empty();
+        mHangs.countDown();
         mRunning.clear();
         mLeaders.clear();
         await(mVertx.close());
@@ -138,6 +142,27 @@
         assertThat(resultOf(leader().task(), "d")).isEqualTo("3:d");
     }
 
+    /** Guards against changes that all wait for the disk of the leader, and a member that stops. */
+    @Test
+    public void theOthersAcceptProposalsWhileTheDiskOfTheLeaderHangs() throws Exception {
+        Running first = leader();
+        assertThat(resultOf(first.task(), "a")).isEqualTo("1:a");
+        MemberId hanging = await(first.task().status()).self();
+        mLeaders.clear();
+        mHangs = new CountDownLatch(1);
+        mHangingVm = Optional.of(hanging.vm());
+        Future<Result<byte[]>> waiting = first.task().propose(CommandListMachine.bytes("b"));
+        assertThat(mLeaders.poll(LIMIT_SECONDS, TimeUnit.SECONDS))
+                .isNotNull()
+                .isNotEqualTo(hanging);
+        assertThat(textOf(waiting)).isEqualTo("commit_unknown");
+        assertThat(resultOf(leader().task(), "c")).isEqualTo("2:c");
+        assertThat(await(first.task().status()).role()).isNotEqualTo(MemberRole.LEADER);
+        mHangingVm = Optional.empty();
+        mHangs.countDown();
+        assertThat(resultOf(leader().task(), "d")).isEqualTo("3:d");
+    }
+
     /** Guards against exhausted memory that is taken for a failed disk. */
     @Test
     public void anErrorWhileWritingIsReportedAndNotTakenForAFailedDisk() throws Exception {
@@ -198,12 +223,23 @@
         if (mDisksFull || mFullVm.equals(Optional.of(vm))) {
             throw new IOException("No space left on device");
         }
+        if (mHangingVm.equals(Optional.of(vm))) {
+            await(mHangs);
+        }
         if (mMemoryExhausted) {
             throw new OutOfMemoryError("planted");
         }
         FileOperations.direct().write(channel, bytes);
     }
 
+    private static void await(CountDownLatch latch) throws IOException {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            throw new IOException(e);
+        }
+    }
+
     private void stop(ObjectName vm) {
         await(mVertx.undeploy(mRunning.remove(vm).deploymentId()));
     }
@@ -234,8 +270,11 @@
     }
 
     private String resultOf(AgreementTask task, String command) {
-        return await(task.propose(CommandListMachine.bytes(command)))
-                .fold(String::new, error -> error.kind().code());
+        return textOf(task.propose(CommandListMachine.bytes(command)));
+    }
+
+    private static String textOf(Future<Result<byte[]>> result) {
+        return await(result).fold(String::new, error -> error.kind().code());
     }
 
     private static <T> T await(Future<T> future) {
--- a/agreement/src/test/java/org/skylarkbend/agreement/ClusterSimulation.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/ClusterSimulation.java
@@ -184,6 +184,14 @@
         return mChecks;
     }
 
+    /** Does as {@link #runWithoutRoomInTurn}, with disks that hang instead of failing. */
+    SafetyChecks runWithHangingDisksInTurn(long boundMilliseconds) {
+        return runWithoutRoomInTurn(
+                vm -> mMembers.get(vm).setDiskHangs(true),
+                vm -> mMembers.get(vm).setDiskHangs(false),
+                boundMilliseconds);
+    }
+
     /** Runs for this time, in which a new proposal has to be committed. */
     private void requireCommit(long boundMilliseconds, String when) {
         long acknowledgedIndex = mChecks.acknowledgedIndex();
--- a/agreement/src/test/java/org/skylarkbend/agreement/DiskHandOverTest.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/DiskHandOverTest.java
@@ -38,6 +38,7 @@
     private static final SkylarkError NO_SPACE =
             new SkylarkError(ErrorKind.STORAGE_FAILED, "no space");
     private static final int COMMAND_BYTES = 300_000;
+    private static final long HANGING_MILLISECONDS = 2 * OPTIONS.electionMaxMilliseconds();
 
     /** Guards against a leader that refuses all changes while the others could accept them. */
     @Test
@@ -116,6 +117,43 @@
         assertThat(sent(DiskCheckRequest.class, effects)).hasSize(2);
     }
 
+    /** Guards against a leader that keeps all changes waiting while its disk hangs. */
+    @Test
+    public void aLeaderWhoseDiskHangsMakesWayForOthersThatCanWrite() {
+        AgreementDecider leader = leader();
+        decide(leader, propose(1));
+        tickWithQuorum(leader, 0);
+        List<AgreementEffect> early = tickWithQuorum(leader, HANGING_MILLISECONDS - 1);
+        assertThat(sent(DiskCheckRequest.class, early)).isEmpty();
+        List<AgreementEffect> asked = tickWithQuorum(leader, HANGING_MILLISECONDS);
+        assertThat(sent(DiskCheckRequest.class, asked))
+                .hasSize(2)
+                .allMatch(request -> request.sizeBytes() >= COMMAND_BYTES);
+        decide(leader, new Received(SECOND, new DiskCheckResponse(3, 1)));
+        tickWithQuorum(leader, HANGING_MILLISECONDS);
+        assertThat(leader.role()).isEqualTo(MemberRole.LEADER);
+        decide(leader, new Received(THIRD, new DiskCheckResponse(3, 1)));
+        FailProposal unknown =
+                only(FailProposal.class, tickWithQuorum(leader, HANGING_MILLISECONDS));
+        assertThat(unknown.error().kind()).isEqualTo(ErrorKind.COMMIT_UNKNOWN);
+        assertThat(leader.role()).isEqualTo(MemberRole.FOLLOWER);
+    }
+
+    /** Guards against a change of the leader when its disk is only slow. */
+    @Test
+    public void aLeaderWhoseDiskGoesOnWritingStays() {
+        AgreementDecider leader = leader();
+        long number = only(Persist.class, decide(leader, propose(1))).number();
+        tickWithQuorum(leader, 0);
+        tickWithQuorum(leader, HANGING_MILLISECONDS);
+        decide(leader, new Received(SECOND, new DiskCheckResponse(3, 1)));
+        decide(leader, new Received(THIRD, new DiskCheckResponse(3, 1)));
+        decide(leader, new Persisted(number));
+        decide(leader, propose(2));
+        tickWithQuorum(leader, 2 * HANGING_MILLISECONDS - 1);
+        assertThat(leader.role()).isEqualTo(MemberRole.LEADER);
+    }
+
     /** Guards against a follower that is taken for one that can write. */
     @Test
     public void aFollowerAnswersACheckOnlyWhenItsDiskCanWrite() {
@@ -168,6 +206,14 @@
                 .contains(new HardState(3, Optional.of(SELF)));
     }
 
+    /** Processes a tick after this time, until which the others have answered its heartbeats. */
+    private static List<AgreementEffect> tickWithQuorum(
+            AgreementDecider leader, long afterMilliseconds) {
+        long now = NOW_MILLISECONDS + afterMilliseconds;
+        leader.decide(new Received(SECOND, new AppendResponse(3, 1, true, 10)), now);
+        return leader.decide(new Tick(), now);
+    }
+
     private static List<AgreementEffect> failProposal(AgreementDecider leader, long proposalId) {
         Persist persist = only(Persist.class, decide(leader, propose(proposalId)));
         return decide(leader, new PersistFailed(persist.number(), NO_SPACE));
--- a/agreement/src/test/java/org/skylarkbend/agreement/DisksWithoutRoomInTurnTest.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/DisksWithoutRoomInTurnTest.java
@@ -5,6 +5,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.EnumSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
@@ -17,10 +18,14 @@
 /** Runs clusters on real files while the disk of one member after another has no room. */
 public class DisksWithoutRoomInTurnTest {
     private static final int SEEDS = 5;
+    private static final int HANGING_SEEDS = 200;
 
     /** Five times the maximum election timeout of the simulations. */
     private static final long COMMIT_WITHIN_MILLISECONDS = 1_500;
 
+    /** The time after which a disk counts as hanging in the simulations. */
+    private static final long HANGING_MILLISECONDS = 600;
+
     @DataProvider
     public Object[][] failures() {
         return new Object[][] {
@@ -48,6 +53,20 @@
         run(5, failing);
     }
 
+    /** Guards against a leader that keeps all changes waiting for a disk that does not answer. */
+    @Test
+    public void membersCommitWhicheverOfTheirDisksHangsAndAfterAllHave() {
+        for (int members : List.of(3, 5)) {
+            SeededRuns.forEachSeed(
+                    1,
+                    HANGING_SEEDS,
+                    seed ->
+                            ClusterSimulation.fixedMembers(seed, members, SimulatedDisk::new)
+                                    .runWithHangingDisksInTurn(
+                                            HANGING_MILLISECONDS + COMMIT_WITHIN_MILLISECONDS));
+        }
+    }
+
     private static void run(int members, Set<Operation> failing) {
         SeededRuns.forEachSeed(
                 1,
--- a/agreement/src/test/java/org/skylarkbend/agreement/SimulatedMember.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/SimulatedMember.java
@@ -56,6 +56,7 @@
     private boolean mSyncing;
     private boolean mPaused;
     private boolean mDiskFull;
+    private boolean mDiskHangs;
 
     SimulatedMember(ClusterSimulation simulation, SafetyChecks checks, ObjectName vm) {
         mSimulation = simulation;
@@ -141,6 +142,11 @@
         mDiskFull = full;
     }
 
+    /** Makes all operations of the disk wait until this is called with false. */
+    void setDiskHangs(boolean hangs) {
+        mDiskHangs = hangs;
+    }
+
     void pause() {
         mPaused = isRunning();
     }
@@ -271,29 +277,41 @@
 
     private void syncLater() {
         mSyncing = true;
-        int incarnation = mIncarnation;
         MemberDisk disk = mDisk;
-        mSimulation.after(
-                mSimulation.syncMilliseconds(),
+        onDisk(
+                mIncarnation,
                 () -> {
-                    if (incarnation == mIncarnation && disk == mDisk && isRunning()) {
+                    if (disk == mDisk) {
                         sync();
                     }
                 });
     }
 
-    private void checkLater(long sizeBytes) {
-        int incarnation = mIncarnation;
+    /** Runs an operation of the disk later, unless the process ends before. */
+    private void onDisk(int incarnation, Runnable operation) {
         mSimulation.after(
                 mSimulation.syncMilliseconds(),
                 () -> {
-                    if (incarnation == mIncarnation && isRunning()) {
-                        boolean canWrite = !mDiskFull && mDisk.hasRoom(sizeBytes);
-                        runWhenActive(() -> decide(new DiskChecked(canWrite)));
+                    if (incarnation != mIncarnation || !isRunning()) {
+                        return;
+                    }
+                    if (mDiskHangs) {
+                        onDisk(incarnation, operation);
+                    } else {
+                        operation.run();
                     }
                 });
     }
 
+    private void checkLater(long sizeBytes) {
+        onDisk(
+                mIncarnation,
+                () -> {
+                    boolean canWrite = !mDiskFull && mDisk.hasRoom(sizeBytes);
+                    runWhenActive(() -> decide(new DiskChecked(canWrite)));
+                });
+    }
+
     private void sync() {
         if (mDiskFull) {
             ErrorKind kind =
