Count only members that could write recently in the hand-over

Answers of one failure added up without end. A leader stepped down although the disk of the first that had answered was full since, so that nobody could be elected and its readers lost it for nothing.

--- a/agreement/src/main/java/org/skylarkbend/agreement/AgreementDecider.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/AgreementDecider.java
@@ -266,7 +266,7 @@
             recordLeaderContact(from);
             mFollowerReplication.receive(from, chunk);
         } else if (message instanceof DiskCheckRequest request) {
-            mDiskHandOver.receive(from, request);
+            mDiskHandOver.receive(from, request, mNowMilliseconds);
         } else if (mState.isLeader()) {
             receiveResponse(from, message);
         }
@@ -278,7 +278,7 @@
         } else if (message instanceof SnapshotResponse response) {
             mLeaderReplication.receive(from, response, mNowMilliseconds);
         } else if (message instanceof DiskCheckResponse response) {
-            mDiskHandOver.receive(from, response);
+            mDiskHandOver.receive(from, response, mNowMilliseconds);
         }
         advanceCommit();
     }
@@ -358,7 +358,7 @@
     }
 
     private void diskChecked(DiskChecked checked) {
-        if (mDiskHandOver.checked(checked.canWrite())) {
+        if (mDiskHandOver.checked(checked.canWrite(), mNowMilliseconds)) {
             makeWay();
         }
     }
--- a/agreement/src/main/java/org/skylarkbend/agreement/DiskHandOver.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/DiskHandOver.java
@@ -1,9 +1,9 @@
 package org.skylarkbend.agreement;
 
-import java.util.HashSet;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 import org.skylarkbend.agreement.AgreementMessage.DiskCheckRequest;
 import org.skylarkbend.agreement.AgreementMessage.DiskCheckResponse;
 
@@ -22,7 +22,7 @@
     private static final int HANGING_ELECTION_TIMEOUTS = 2;
 
     private final MemberState mState;
-    private final Set<MemberId> mCanWrite = new HashSet<>();
+    private final Map<MemberId, Long> mCouldWriteAtMilliseconds = new HashMap<>();
     private Optional<Check> mCheck = Optional.empty();
     private boolean mFailed;
     private long mFailedBytes;
@@ -61,7 +61,7 @@
         mFailed = true;
         mFailedBytes = sizeBytes;
         mFailure++;
-        mCanWrite.clear();
+        mCouldWriteAtMilliseconds.clear();
         ask(nowMilliseconds);
     }
 
@@ -80,25 +80,25 @@
                         >= mState.mOptions.electionMinMilliseconds()) {
             ask(nowMilliseconds);
         }
-        return hangs && othersCanWrite();
+        return hangs && othersCanWrite(nowMilliseconds);
     }
 
     /** Checks the own disk for a leader. While another check is in flight, it has to ask again. */
-    void receive(MemberId from, DiskCheckRequest request) {
-        startCheck(Optional.of(from), request.failure(), request.sizeBytes());
+    void receive(MemberId from, DiskCheckRequest request, long nowMilliseconds) {
+        startCheck(Optional.of(from), request.failure(), request.sizeBytes(), nowMilliseconds);
     }
 
-    void receive(MemberId from, DiskCheckResponse response) {
+    void receive(MemberId from, DiskCheckResponse response, long nowMilliseconds) {
         if (mFailed && response.failure() == mFailure) {
-            mCanWrite.add(from);
-            if (othersCanWrite()) {
-                checkOwnDisk();
+            mCouldWriteAtMilliseconds.put(from, nowMilliseconds);
+            if (othersCanWrite(nowMilliseconds)) {
+                checkOwnDisk(nowMilliseconds);
             }
         }
     }
 
     /** Processes the result of a check and returns whether the leader has to step down. */
-    boolean checked(boolean canWrite) {
+    boolean checked(boolean canWrite, long nowMilliseconds) {
         Check check = mCheck.orElseThrow();
         mCheck = Optional.empty();
         if (check.asker().isPresent()) {
@@ -112,8 +112,8 @@
             return false;
         }
         mFailed = !canWrite;
-        if (mFailed && !check.othersCanWrite() && othersCanWrite()) {
-            checkOwnDisk();
+        if (mFailed && !check.othersCanWrite() && othersCanWrite(nowMilliseconds)) {
+            checkOwnDisk(nowMilliseconds);
         }
         return mFailed && check.othersCanWrite();
     }
@@ -138,21 +138,30 @@
                         voter, new DiskCheckRequest(mState.mTerm, mFailure, mFailedBytes));
             }
         }
-        checkOwnDisk();
+        checkOwnDisk(nowMilliseconds);
     }
 
-    private void checkOwnDisk() {
-        startCheck(Optional.empty(), mFailure, mFailedBytes);
+    private void checkOwnDisk(long nowMilliseconds) {
+        startCheck(Optional.empty(), mFailure, mFailedBytes, nowMilliseconds);
     }
 
-    private void startCheck(Optional<MemberId> asker, long failure, long sizeBytes) {
+    private void startCheck(
+            Optional<MemberId> asker, long failure, long sizeBytes, long nowMilliseconds) {
         if (mCheck.isEmpty()) {
-            mCheck = Optional.of(new Check(asker, mState.mTerm, failure, othersCanWrite()));
+            boolean othersCanWrite = othersCanWrite(nowMilliseconds);
+            mCheck = Optional.of(new Check(asker, mState.mTerm, failure, othersCanWrite));
             mState.mOutbox.add(new AgreementEffect.CheckDisk(sizeBytes));
         }
     }
 
-    private boolean othersCanWrite() {
-        return mState.mLog.membership().isQuorum(mCanWrite::contains);
+    /** Returns whether a quorum of the others could write within the longest election timeout. */
+    private boolean othersCanWrite(long nowMilliseconds) {
+        long oldestMilliseconds = nowMilliseconds - mState.mOptions.electionMaxMilliseconds();
+        return mState.mLog
+                .membership()
+                .isQuorum(
+                        voter ->
+                                mCouldWriteAtMilliseconds.getOrDefault(voter, Long.MIN_VALUE)
+                                        >= oldestMilliseconds);
     }
 }
--- a/agreement/src/test/java/org/skylarkbend/agreement/DiskHandOverTest.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/DiskHandOverTest.java
@@ -117,6 +117,25 @@
         assertThat(sent(DiskCheckRequest.class, effects)).hasSize(2);
     }
 
+    /** Guards against a leader that is lost to its readers because others could write long ago. */
+    @Test
+    public void aLeaderReliesOnlyOnMembersThatCouldWriteRecently() {
+        AgreementDecider leader = leader();
+        failProposal(leader, 1);
+        decide(leader, new DiskChecked(false));
+        decide(leader, new Received(SECOND, new DiskCheckResponse(3, 1)));
+        long laterMilliseconds = OPTIONS.electionMaxMilliseconds() + 1;
+        long now = NOW_MILLISECONDS + laterMilliseconds;
+        tickWithQuorum(leader, laterMilliseconds);
+        leader.decide(new DiskChecked(false), now);
+        Received third = new Received(THIRD, new DiskCheckResponse(3, 1));
+        assertThat(leader.decide(third, now)).noneMatch(CheckDisk.class::isInstance);
+        Received second = new Received(SECOND, new DiskCheckResponse(3, 1));
+        assertThat(leader.decide(second, now)).anyMatch(CheckDisk.class::isInstance);
+        leader.decide(new DiskChecked(false), now);
+        assertThat(leader.role()).isEqualTo(MemberRole.FOLLOWER);
+    }
+
     /** Guards against a leader that keeps all changes waiting while its disk hangs. */
     @Test
     public void aLeaderWhoseDiskHangsMakesWayForOthersThatCanWrite() {
