--- a/agreement/src/main/java/org/skylarkbend/agreement/AgreementDecider.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/AgreementDecider.java
@@ -176,7 +176,10 @@
             appendFirstEntryOfTerm();
             mLeaderReplication.startRound(mNowMilliseconds);
         }
-        mDiskHandOver.tick(mNowMilliseconds);
+        if (mDiskHandOver.tick(mNowMilliseconds)) {
+            makeWay();
+            return;
+        }
         mMembershipChanges.nextChange(mNowMilliseconds).ifPresent(this::changeMembership);
     }
 
@@ -263,7 +266,7 @@
             recordLeaderContact(from);
             mFollowerReplication.receive(from, chunk);
         } else if (message instanceof DiskCheckRequest request) {
-            mDiskHandOver.receive(from, request);
+            mDiskHandOver.receive(from, request, mNowMilliseconds);
         } else if (mState.isLeader()) {
             receiveResponse(from, message);
         }
@@ -275,7 +278,7 @@
         } else if (message instanceof SnapshotResponse response) {
             mLeaderReplication.receive(from, response, mNowMilliseconds);
         } else if (message instanceof DiskCheckResponse response) {
-            mDiskHandOver.receive(from, response);
+            mDiskHandOver.receive(from, response, mNowMilliseconds);
         }
         advanceCommit();
     }
@@ -355,12 +358,16 @@
     }
 
     private void diskChecked(DiskChecked checked) {
-        if (mDiskHandOver.checked(checked.canWrite())) {
-            stepDown(mState.mTerm);
-            mState.letOthersStandFirst();
+        if (mDiskHandOver.checked(checked.canWrite(), mNowMilliseconds)) {
+            makeWay();
         }
     }
 
+    private void makeWay() {
+        stepDown(mState.mTerm);
+        mState.letOthersStandFirst();
+    }
+
     private void advanceCommit() {
         if (!mState.isLeader() || mState.mLog.membership().voters().isEmpty()) {
             return;
--- a/agreement/src/main/java/org/skylarkbend/agreement/DiskHandOver.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/DiskHandOver.java
@@ -1,27 +1,35 @@
 package org.skylarkbend.agreement;
 
-import java.util.HashSet;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
+import java.util.OptionalLong;
 import org.skylarkbend.agreement.AgreementMessage.DiskCheckRequest;
 import org.skylarkbend.agreement.AgreementMessage.DiskCheckResponse;
 
 /**
- * Decides when a leader whose disk fails gives up its leadership: as soon as a quorum of the other
- * voters can write what it could not. As long as none of them could do better, it stays the leader,
- * because it can still confirm its leadership to readers.
+ * Decides when a leader whose disk fails or hangs gives up its leadership: as soon as a quorum of
+ * the other voters can write what it could not. As long as none of them could do better, it stays
+ * the leader, because it can still confirm its leadership to readers.
  *
  * <p>It then only stops leading. The others elect a leader after their election timeout, as after a
  * crash, so that everything that relies on their not voting earlier holds.
  */
 final class DiskHandOver {
+    /**
+     * The maximum election timeouts for which a write may wait until the disk counts as hanging.
+     */
+    private static final int HANGING_ELECTION_TIMEOUTS = 2;
+
     private final MemberState mState;
-    private final Set<MemberId> mCanWrite = new HashSet<>();
+    private final Map<MemberId, Long> mCouldWriteAtMilliseconds = new HashMap<>();
     private Optional<Check> mCheck = Optional.empty();
     private boolean mFailed;
     private long mFailedBytes;
     private long mFailure;
     private long mAskedAtMilliseconds;
+    private OptionalLong mOldestPending = OptionalLong.empty();
+    private long mPendingSinceMilliseconds;
 
     /**
      * A check of the own disk that is in flight.
@@ -41,6 +49,7 @@
     /** Starts a term as leader, whose disk has just saved the vote. */
     void startTerm() {
         mFailed = false;
+        mOldestPending = OptionalLong.empty();
     }
 
     /** Asks the others after a failure of the leader's disk to write this many bytes. */
@@ -52,35 +61,44 @@
         mFailed = true;
         mFailedBytes = sizeBytes;
         mFailure++;
-        mCanWrite.clear();
+        mCouldWriteAtMilliseconds.clear();
         ask(nowMilliseconds);
     }
 
-    /** Asks again from time to time, because disks come back and messages get lost. */
-    void tick(long nowMilliseconds) {
+    /**
+     * Asks the others while the leader's disk fails or hangs, and again from time to time, because
+     * disks come back and messages get lost. Returns whether the leader has to step down because
+     * its disk hangs and others can write.
+     */
+    boolean tick(long nowMilliseconds) {
+        boolean hangs = isHanging(nowMilliseconds);
+        if (hangs && !mFailed) {
+            persistFailed(mState.unsavedBytes(), nowMilliseconds);
+        }
         if (mFailed
                 && nowMilliseconds - mAskedAtMilliseconds
                         >= mState.mOptions.electionMinMilliseconds()) {
             ask(nowMilliseconds);
         }
+        return hangs && othersCanWrite(nowMilliseconds);
     }
 
     /** Checks the own disk for a leader. While another check is in flight, it has to ask again. */
-    void receive(MemberId from, DiskCheckRequest request) {
-        startCheck(Optional.of(from), request.failure(), request.sizeBytes());
+    void receive(MemberId from, DiskCheckRequest request, long nowMilliseconds) {
+        startCheck(Optional.of(from), request.failure(), request.sizeBytes(), nowMilliseconds);
     }
 
-    void receive(MemberId from, DiskCheckResponse response) {
+    void receive(MemberId from, DiskCheckResponse response, long nowMilliseconds) {
         if (mFailed && response.failure() == mFailure) {
-            mCanWrite.add(from);
-            if (othersCanWrite()) {
-                checkOwnDisk();
+            mCouldWriteAtMilliseconds.put(from, nowMilliseconds);
+            if (othersCanWrite(nowMilliseconds)) {
+                checkOwnDisk(nowMilliseconds);
             }
         }
     }
 
     /** Processes the result of a check and returns whether the leader has to step down. */
-    boolean checked(boolean canWrite) {
+    boolean checked(boolean canWrite, long nowMilliseconds) {
         Check check = mCheck.orElseThrow();
         mCheck = Optional.empty();
         if (check.asker().isPresent()) {
@@ -94,12 +112,24 @@
             return false;
         }
         mFailed = !canWrite;
-        if (mFailed && !check.othersCanWrite() && othersCanWrite()) {
-            checkOwnDisk();
+        if (mFailed && !check.othersCanWrite() && othersCanWrite(nowMilliseconds)) {
+            checkOwnDisk(nowMilliseconds);
         }
         return mFailed && check.othersCanWrite();
     }
 
+    /** Returns whether no write has finished for long while one waits. */
+    private boolean isHanging(long nowMilliseconds) {
+        OptionalLong oldestPending = mState.oldestPendingNumber();
+        if (!oldestPending.equals(mOldestPending)) {
+            mOldestPending = oldestPending;
+            mPendingSinceMilliseconds = nowMilliseconds;
+        }
+        return oldestPending.isPresent()
+                && nowMilliseconds - mPendingSinceMilliseconds
+                        >= HANGING_ELECTION_TIMEOUTS * mState.mOptions.electionMaxMilliseconds();
+    }
+
     private void ask(long nowMilliseconds) {
         mAskedAtMilliseconds = nowMilliseconds;
         for (MemberId voter : mState.mLog.membership().voters()) {
@@ -108,21 +138,30 @@
                         voter, new DiskCheckRequest(mState.mTerm, mFailure, mFailedBytes));
             }
         }
-        checkOwnDisk();
+        checkOwnDisk(nowMilliseconds);
     }
 
-    private void checkOwnDisk() {
-        startCheck(Optional.empty(), mFailure, mFailedBytes);
+    private void checkOwnDisk(long nowMilliseconds) {
+        startCheck(Optional.empty(), mFailure, mFailedBytes, nowMilliseconds);
     }
 
-    private void startCheck(Optional<MemberId> asker, long failure, long sizeBytes) {
+    private void startCheck(
+            Optional<MemberId> asker, long failure, long sizeBytes, long nowMilliseconds) {
         if (mCheck.isEmpty()) {
-            mCheck = Optional.of(new Check(asker, mState.mTerm, failure, othersCanWrite()));
+            boolean othersCanWrite = othersCanWrite(nowMilliseconds);
+            mCheck = Optional.of(new Check(asker, mState.mTerm, failure, othersCanWrite));
             mState.mOutbox.add(new AgreementEffect.CheckDisk(sizeBytes));
         }
     }
 
-    private boolean othersCanWrite() {
-        return mState.mLog.membership().isQuorum(mCanWrite::contains);
+    /** Returns whether a quorum of the others could write within the longest election timeout. */
+    private boolean othersCanWrite(long nowMilliseconds) {
+        long oldestMilliseconds = nowMilliseconds - mState.mOptions.electionMaxMilliseconds();
+        return mState.mLog
+                .membership()
+                .isQuorum(
+                        voter ->
+                                mCouldWriteAtMilliseconds.getOrDefault(voter, Long.MIN_VALUE)
+                                        >= oldestMilliseconds);
     }
 }
