--- a/agreement/src/main/java/org/skylarkbend/agreement/AgreementDecider.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/AgreementDecider.java
@@ -317,6 +317,7 @@
 
     private void persisted(long number) {
         mState.persisted(number);
+        mDiskHandOver.persisted();
         mPendingSnapshot.filter(pending -> pending.number() <= number).ifPresent(this::compactLog);
         boolean wasInstalling = mFollowerReplication.isInstalling();
         mFollowerReplication.persisted(number);
--- a/agreement/src/main/java/org/skylarkbend/agreement/DiskHandOver.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/DiskHandOver.java
@@ -21,6 +21,9 @@
      */
     private static final int HANGING_ELECTION_TIMEOUTS = 2;
 
+    /** The checks that may pass between failures before they no longer count. */
+    private static final int MAX_CHECKS_IN_VAIN = 1;
+
     private final MemberState mState;
     private final Map<MemberId, Long> mCouldWriteAtMilliseconds = new HashMap<>();
     private Optional<Check> mCheck = Optional.empty();
@@ -28,6 +31,8 @@
     private long mFailedBytes;
     private long mFailure;
     private long mAskedAtMilliseconds;
+    private boolean mCheckPassed;
+    private int mChecksInVain;
     private OptionalLong mOldestPending = OptionalLong.empty();
     private long mPendingSinceMilliseconds;
 
@@ -50,6 +55,13 @@
     void startTerm() {
         mFailed = false;
         mOldestPending = OptionalLong.empty();
+        persisted();
+    }
+
+    /** Notes that the leader's disk has written something. */
+    void persisted() {
+        mCheckPassed = false;
+        mChecksInVain = 0;
     }
 
     /** Asks the others after a failure of the leader's disk to write this many bytes. */
@@ -58,6 +70,10 @@
             mFailedBytes = Math.max(mFailedBytes, sizeBytes);
             return;
         }
+        if (mCheckPassed) {
+            mCheckPassed = false;
+            mChecksInVain++;
+        }
         mFailed = true;
         mFailedBytes = sizeBytes;
         mFailure++;
@@ -111,7 +127,8 @@
         if (!mState.isLeader() || check.term() != mState.mTerm || !mFailed) {
             return false;
         }
-        mFailed = !canWrite;
+        mCheckPassed = canWrite;
+        mFailed = !canWrite || mChecksInVain > MAX_CHECKS_IN_VAIN;
         if (mFailed && !check.othersCanWrite() && othersCanWrite(nowMilliseconds)) {
             checkOwnDisk(nowMilliseconds);
         }
--- a/agreement/src/test/java/org/skylarkbend/agreement/DiskHandOverTest.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/DiskHandOverTest.java
@@ -117,6 +117,37 @@
         assertThat(sent(DiskCheckRequest.class, effects)).hasSize(2);
     }
 
+    /** Guards against a leader whose log cannot be written although other files can. */
+    @Test
+    public void aLeaderWhoseWritesFailAfterEachPassedCheckStepsDown() {
+        AgreementDecider leader = leader();
+        failProposal(leader, 1);
+        decide(leader, new DiskChecked(true));
+        failProposal(leader, 2);
+        decide(leader, new DiskChecked(true));
+        failProposal(leader, 3);
+        decide(leader, new Received(SECOND, new DiskCheckResponse(3, 3)));
+        decide(leader, new Received(THIRD, new DiskCheckResponse(3, 3)));
+        decide(leader, new DiskChecked(true));
+        decide(leader, new DiskChecked(true));
+        assertThat(leader.role()).isEqualTo(MemberRole.FOLLOWER);
+    }
+
+    /** Guards against a change of the leader for failures between which its disk wrote. */
+    @Test
+    public void aLeaderWhoseDiskWritesBetweenItsFailuresStays() {
+        AgreementDecider leader = leader();
+        for (int i = 1; i <= 5; i++) {
+            failProposal(leader, 2 * i);
+            decide(leader, new Received(SECOND, new DiskCheckResponse(3, i)));
+            decide(leader, new Received(THIRD, new DiskCheckResponse(3, i)));
+            decide(leader, new DiskChecked(true));
+            Persist saved = only(Persist.class, decide(leader, propose(2 * i + 1)));
+            decide(leader, new Persisted(saved.number()));
+        }
+        assertThat(leader.role()).isEqualTo(MemberRole.LEADER);
+    }
+
     /** Guards against a leader that is lost to its readers because others could write long ago. */
     @Test
     public void aLeaderReliesOnlyOnMembersThatCouldWriteRecently() {
