Fail reads that cannot be confirmed within the longest election timeout

A leader that could not write the first entry of its term, while the others could not either, confirmed no read and kept each of them waiting, more and more of them, until the disks had room.

--- a/agreement/src/main/java/org/skylarkbend/agreement/AgreementDecider.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/AgreementDecider.java
@@ -172,6 +172,7 @@
             stepDown(mState.mTerm);
             return;
         }
+        mConfirmations.failOld(mNowMilliseconds);
         if (mLeaderReplication.isRoundDue(mNowMilliseconds)) {
             appendFirstEntryOfTerm();
             mLeaderReplication.startRound(mNowMilliseconds);
--- a/agreement/src/main/java/org/skylarkbend/agreement/LeadershipConfirmations.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/LeadershipConfirmations.java
@@ -7,12 +7,15 @@
 
 /** Confirms to readers that this member is still the leader. */
 final class LeadershipConfirmations {
+    private static final String NOT_LEADER = "this control VM is not the leader";
+
     private final MemberState mState;
     private final LeaderReplication mLeaderReplication;
     private final Deque<PendingConfirmation> mPending = new ArrayDeque<>();
 
     /** A pending request and the heartbeat round that a quorum must acknowledge first. */
-    private record PendingConfirmation(long confirmationId, long round) {}
+    private record PendingConfirmation(
+            long confirmationId, long round, long submittedAtMilliseconds) {}
 
     LeadershipConfirmations(MemberState state, LeaderReplication replication) {
         mState = state;
@@ -22,14 +25,27 @@
     /** Accepts a request. Requests that arrive while a round is in flight share the next round. */
     void submit(long confirmationId, long nowMilliseconds) {
         if (!mState.isLeader()) {
-            fail(confirmationId);
+            fail(confirmationId, NOT_LEADER);
             return;
         }
         if (mState.mOptions.leaseReads() && isLeaseValid(nowMilliseconds) && hasCommittedInTerm()) {
             confirm(confirmationId);
             return;
         }
-        mPending.add(new PendingConfirmation(confirmationId, mLeaderReplication.round() + 1));
+        long round = mLeaderReplication.round() + 1;
+        mPending.add(new PendingConfirmation(confirmationId, round, nowMilliseconds));
+    }
+
+    /**
+     * Fails requests older than the maximum election timeout. While no entry of the term can be
+     * written, none can be confirmed, and they would add up.
+     */
+    void failOld(long nowMilliseconds) {
+        long oldestMilliseconds = nowMilliseconds - mState.mOptions.electionMaxMilliseconds();
+        while (!mPending.isEmpty()
+                && mPending.peek().submittedAtMilliseconds() < oldestMilliseconds) {
+            fail(mPending.poll().confirmationId(), "leadership could not be confirmed in time");
+        }
     }
 
     /** Starts a round if requests are pending for the next one and none is in flight. */
@@ -54,7 +70,7 @@
 
     /** Fails all pending requests because this member is no longer the leader. */
     void failAll() {
-        mPending.forEach(pending -> fail(pending.confirmationId()));
+        mPending.forEach(pending -> fail(pending.confirmationId(), NOT_LEADER));
         mPending.clear();
     }
 
@@ -83,11 +99,9 @@
                 new AgreementEffect.LeadershipConfirmed(confirmationId, mState.mCommitIndex));
     }
 
-    private void fail(long confirmationId) {
+    private void fail(long confirmationId, String detail) {
         mState.mOutbox.add(
                 new AgreementEffect.ConfirmationFailed(
-                        confirmationId,
-                        new SkylarkError(
-                                ErrorKind.NO_LEADER, "this control VM is not the leader")));
+                        confirmationId, new SkylarkError(ErrorKind.NO_LEADER, detail)));
     }
 }
--- a/agreement/src/test/java/org/skylarkbend/agreement/AgreementDeciderTest.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/AgreementDeciderTest.java
@@ -164,6 +164,26 @@
         assertThat(only(Persist.class, effects).entries()).isEqualTo(first.entries());
     }
 
+    /** Guards against reads that wait and add up while the first entry is not committed. */
+    @Test
+    public void aReadThatCannotBeConfirmedForLongFails() {
+        AgreementDecider leader = elected();
+        run(leader, new AgreementInput.ConfirmLeadership(7));
+        long late =
+                ELECTION_AT_MILLISECONDS + AgreementOptions.defaults().electionMaxMilliseconds();
+        leader.decide(new Received(LEADER, new AppendResponse(3, 1, true, 10)), late - 1);
+        assertThat(leader.decide(new AgreementInput.Tick(), late - 1))
+                .noneMatch(AgreementEffect.ConfirmationFailed.class::isInstance);
+        leader.decide(new AgreementInput.ConfirmLeadership(8), late);
+        AgreementEffect.ConfirmationFailed failed =
+                only(
+                        AgreementEffect.ConfirmationFailed.class,
+                        leader.decide(new AgreementInput.Tick(), late + 1));
+        assertThat(failed.confirmationId()).isEqualTo(7);
+        assertThat(failed.error().kind()).isEqualTo(ErrorKind.NO_LEADER);
+        assertThat(leader.role()).isEqualTo(MemberRole.LEADER);
+    }
+
     /** Guards against a proposal that is called refused and comes back after a restart. */
     @Test
     public void aProposalThatMayBeOnDiskInSpiteOfTheFailureIsCalledUnknown() {
