--- a/agreement/src/test/java/org/skylarkbend/agreement/PowerLossDisk.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/PowerLossDisk.java
@@ -24,6 +24,7 @@
     private Optional<byte[]> mFormerContent = Optional.empty();
     private boolean mFailingLog;
     private int mFolderSyncsBeforeFailure = Integer.MAX_VALUE;
+    private int mOperationsBeforeEnd = Integer.MAX_VALUE;
 
     /** Bytes of the log that are written and not synced. */
     private record Range(long fromBytes, int sizeBytes) {}
@@ -42,6 +43,11 @@
         mFolderSyncsBeforeFailure = syncs;
     }
 
+    /** Makes everything fail after this number of operations. */
+    void endAfter(int operations) {
+        mOperationsBeforeEnd = operations;
+    }
+
     void recover() {
         mFailingLog = false;
         mFolderSyncsBeforeFailure = Integer.MAX_VALUE;
@@ -52,11 +58,13 @@
         mContent = mFormerContent.orElse(mContent);
         mFormerContent = Optional.empty();
         mUnsynced.clear();
+        mOperationsBeforeEnd = Integer.MAX_VALUE;
         Files.write(mLog, mContent);
     }
 
     @Override
     public void write(FileChannel channel, ByteBuffer bytes) throws IOException {
+        countOperation();
         if (isLog(channel)) {
             mUnsynced.add(new Range(channel.position(), bytes.remaining()));
         }
@@ -65,6 +73,7 @@
 
     @Override
     public void sync(FileChannel channel) throws IOException {
+        countOperation();
         if (isFolder(channel)) {
             mFolderSyncsBeforeFailure--;
             failIf(mFolderSyncsBeforeFailure < 0);
@@ -82,12 +91,14 @@
 
     @Override
     public void truncate(FileChannel channel, long lengthBytes) throws IOException {
+        countOperation();
         failIf(mFailingLog);
         FileOperations.direct().truncate(channel, lengthBytes);
     }
 
     @Override
     public void replace(Path newFile, Path file) throws IOException {
+        countOperation();
         if (file.equals(mLog)) {
             mFormerContent = Optional.of(mFormerContent.orElse(mContent));
             mContent = Files.readAllBytes(newFile);
@@ -95,6 +106,11 @@
         FileOperations.direct().replace(newFile, file);
     }
 
+    private void countOperation() throws IOException {
+        mOperationsBeforeEnd--;
+        failIf(mOperationsBeforeEnd < 0);
+    }
+
     private static void readInto(byte[] content, FileChannel channel, Range range)
             throws IOException {
         int fromBytes = (int) range.fromBytes();
--- a/agreement/src/test/java/org/skylarkbend/agreement/RestartAfterFailureTest.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/RestartAfterFailureTest.java
@@ -46,6 +46,35 @@
         assertThat(recovered()).isEqualTo(found);
     }
 
+    /** Guards against acknowledged entries that are gone at some step of a repair. */
+    @Test
+    public void noLossOfPowerDuringARepairOrASnapshotTakesAnAcknowledgedEntry() throws IOException {
+        boolean isComplete = false;
+        for (int steps = 0; !isComplete; steps++) {
+            reset();
+            long acknowledged = 3;
+            try (AgreementStorage storage = open(mDisk)) {
+                assertThat(persist(storage, 1, 3)).isTrue();
+                mDisk.failLog();
+                assertThat(persist(storage, 4, 5)).isFalse();
+                mDisk.recover();
+                mDisk.endAfter(steps);
+                acknowledged = persist(storage, 4, 4) ? 4 : acknowledged;
+                save(storage, 2, acknowledged);
+                isComplete = persist(storage, acknowledged + 1, acknowledged + 1);
+                acknowledged += isComplete ? 1 : 0;
+            }
+            mDisk.losePower();
+            try (AgreementStorage storage = open(mDisk)) {
+                DurableState found = storage.recovered();
+                long firstIndex = found.snapshot().map(Snapshot::index).orElse(0L) + 1;
+                assertThat(found.entries())
+                        .as("power lost after " + steps + " steps")
+                        .startsWith(entries(firstIndex, acknowledged).toArray(LogEntry[]::new));
+            }
+        }
+    }
+
     /** Guards against acknowledged entries in a file whose name is not on disk. */
     @Test
     public void aNewLogThatAStartFindsIsOnDiskBeforeItIsWritten() throws IOException {
