--- a/agreement/src/main/java/org/skylarkbend/agreement/DiskQueue.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/DiskQueue.java
@@ -6,7 +6,6 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
-import java.util.OptionalLong;
 import java.util.concurrent.Callable;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
@@ -14,6 +13,7 @@
 import org.skylarkbend.agreement.AgreementEffect.CheckDisk;
 import org.skylarkbend.agreement.AgreementEffect.Persist;
 import org.skylarkbend.agreement.AgreementEffect.SaveSnapshot;
+import org.skylarkbend.agreement.DiskFailures.Kind;
 import org.skylarkbend.base.ErrorKind;
 import org.skylarkbend.base.MillisecondClock;
 import org.skylarkbend.base.Result;
@@ -39,7 +39,7 @@
     private final Deque<AgreementEffect> mPending = new ArrayDeque<>();
     private long mLastNumber;
     private boolean mBusy;
-    private OptionalLong mFailedAtMilliseconds = OptionalLong.empty();
+    private final DiskFailures mFailures = new DiskFailures();
 
     DiskQueue(
             Vertx vertx,
@@ -91,16 +91,23 @@
         if (mPending.peek() instanceof CheckDisk check) {
             mPending.poll();
             long sizeBytes = check.sizeBytes();
-            run(() -> mStorage.check(sizeBytes), ignored -> checked(), this::checkFailed);
+            run(
+                    () -> mStorage.check(sizeBytes),
+                    ignored -> mOnChecked.accept(true),
+                    this::checkFailed);
         } else if (mPending.peek() instanceof SaveSnapshot save) {
             mPending.poll();
-            run(() -> mStorage.save(save), this::succeeded, this::failAll);
+            runWrite(Kind.SNAPSHOT, () -> mStorage.save(save));
         } else {
             List<Persist> persists = pollPersists();
-            run(() -> mStorage.persist(persists), this::succeeded, this::failAll);
+            runWrite(Kind.ENTRIES, () -> mStorage.persist(persists));
         }
     }
 
+    private void runWrite(Kind kind, Callable<Result<Long>> write) {
+        run(write, number -> succeeded(kind, number), error -> failAll(kind, error));
+    }
+
     private <T> void run(
             Callable<Result<T>> work, Consumer<T> onSuccess, Consumer<SkylarkError> onFailure) {
         mVertx.executeBlocking(work)
@@ -130,23 +137,22 @@
         return persists;
     }
 
-    private void succeeded(long number) {
-        logRecovery();
+    private void succeeded(Kind kind, long number) {
+        mFailures
+                .succeeded(kind, mClock.nowMilliseconds())
+                .ifPresent(failed -> LOG.info("agreement.disk.recovered", "milliseconds", failed));
         mOnPersisted.accept(number);
     }
 
-    private void checked() {
-        logRecovery();
-        mOnChecked.accept(true);
-    }
-
     private void checkFailed(SkylarkError error) {
-        logFailure(error);
+        LOG.debug("agreement.disk.check_failed", "detail", error.detail());
         mOnChecked.accept(false);
     }
 
-    private void failAll(SkylarkError error) {
-        logFailure(error);
+    private void failAll(Kind kind, SkylarkError error) {
+        if (mFailures.failed(kind, mClock.nowMilliseconds())) {
+            LOG.warn("agreement.disk.failed", "detail", error.detail());
+        }
         boolean hasCheck = mPending.stream().anyMatch(CheckDisk.class::isInstance);
         mPending.clear();
         mOnFailed.accept(mLastNumber, error);
@@ -154,21 +160,4 @@
             mOnChecked.accept(false);
         }
     }
-
-    private void logRecovery() {
-        mFailedAtMilliseconds.ifPresent(
-                failedAt ->
-                        LOG.info(
-                                "agreement.disk.recovered",
-                                "milliseconds",
-                                mClock.nowMilliseconds() - failedAt));
-        mFailedAtMilliseconds = OptionalLong.empty();
-    }
-
-    private void logFailure(SkylarkError error) {
-        if (mFailedAtMilliseconds.isEmpty()) {
-            LOG.warn("agreement.disk.failed", "detail", error.detail());
-            mFailedAtMilliseconds = OptionalLong.of(mClock.nowMilliseconds());
-        }
-    }
 }
