--- a/agreement/src/main/java/org/skylarkbend/agreement/LogFile.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/LogFile.java
@@ -37,6 +37,7 @@
     private long mGeneration;
     private long mLengthBytes;
     private boolean mIsIntact = true;
+    private boolean mNoteFailed;
     private Optional<Replacement> mReplacement = Optional.empty();
 
     /** A new version of the file that may be in place. */
@@ -252,8 +253,12 @@
                         .array();
         try {
             mFolder.overwrite(SYNCED_FILE_NAME, LogRecord.frame(marker));
+            mNoteFailed = false;
         } catch (IOException e) {
-            LOG.warn("agreement.log.note_failed", "detail", e.getMessage());
+            if (!mNoteFailed) {
+                LOG.warn("agreement.log.note_failed", "detail", e.getMessage());
+            }
+            mNoteFailed = true;
         }
     }
 
