--- a/agreement/src/main/java/org/skylarkbend/agreement/AgreementDecider.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/AgreementDecider.java
@@ -172,6 +172,7 @@
             stepDown(mState.mTerm);
             return;
         }
+        mConfirmations.failOld(mNowMilliseconds);
         if (mLeaderReplication.isRoundDue(mNowMilliseconds)) {
             appendFirstEntryOfTerm();
             mLeaderReplication.startRound(mNowMilliseconds);
@@ -317,6 +318,7 @@
 
     private void persisted(long number) {
         mState.persisted(number);
+        mDiskHandOver.persisted();
         mPendingSnapshot.filter(pending -> pending.number() <= number).ifPresent(this::compactLog);
         boolean wasInstalling = mFollowerReplication.isInstalling();
         mFollowerReplication.persisted(number);
