--- a/agreement/src/main/java/org/skylarkbend/agreement/LogRecord.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/LogRecord.java
@@ -84,11 +84,19 @@
         return switch (type) {
             case HARD_STATE ->
                     of(new HardState(reader.number(), EntryEncoding.readOptionalMember(reader)));
-            case ENTRY -> of(EntryEncoding.readEntry(reader));
+            case ENTRY -> of(readEntry(reader));
             default -> MessageReader.unknownType(type);
         };
     }
 
+    private static LogEntry readEntry(MessageReader reader) {
+        LogEntry entry = EntryEncoding.readEntry(reader);
+        if (entry.index() < 1) {
+            throw new IllegalArgumentException("entry " + entry.index() + " is before the first");
+        }
+        return entry;
+    }
+
     private static byte[] header(byte[] payload) {
         Header unchecked = new Header(payload.length, 0);
         CRC32C checksum = unchecked.startChecksum();
