--- a/agreement/src/main/java/org/skylarkbend/agreement/AgreementStorage.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/AgreementStorage.java
@@ -162,18 +162,21 @@
                             + " exists, but the log file is missing. Move the data folder away and"
                             + " start with an empty one.");
         }
-        Optional<byte[]> payload = LogRecord.onlyPayload(Files.readAllBytes(identityFile));
-        if (payload.isEmpty()) {
-            return Result.failure(
-                    ErrorKind.STORAGE_FAILED,
-                    identityFile
-                            + " is damaged. Move the data folder away and start with an empty"
-                            + " one. The VM then joins as a new member.");
-        }
-        return MessageReader.decode(payload.get(), AgreementStorage::read)
+        return LogRecord.onlyPayload(Files.readAllBytes(identityFile))
+                .map(payload -> MessageReader.decode(payload, AgreementStorage::read))
+                .filter(Result::isSuccess)
+                .orElseGet(() -> damaged(identityFile))
                 .flatMap(identity -> recoverAs(vm, identity));
     }
 
+    private static Result<Identity> damaged(Path identityFile) {
+        return Result.failure(
+                ErrorKind.STORAGE_FAILED,
+                identityFile
+                        + " is damaged. Move the data folder away and start with an empty"
+                        + " one. The VM then joins as a new member.");
+    }
+
     private Result<DurableState> recoverAs(ObjectName vm, Identity identity) {
         MemberId self = identity.self();
         if (!self.vm().equals(vm)) {
--- a/agreement/src/main/java/org/skylarkbend/agreement/SnapshotFile.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/SnapshotFile.java
@@ -26,15 +26,19 @@
         if (!Files.exists(file)) {
             return Result.success(Optional.empty());
         }
-        Optional<byte[]> payload = LogRecord.onlyPayload(Files.readAllBytes(file));
-        if (payload.isEmpty()) {
-            return Result.failure(
-                    ErrorKind.STORAGE_FAILED,
-                    file
-                            + " is damaged. Replace the disk, or move the data folder away and"
-                            + " start with an empty one. The VM then joins as a new member.");
-        }
-        return MessageReader.decode(payload.get(), SnapshotFile::read).map(Optional::of);
+        return LogRecord.onlyPayload(Files.readAllBytes(file))
+                .map(payload -> MessageReader.decode(payload, SnapshotFile::read))
+                .filter(Result::isSuccess)
+                .map(snapshot -> snapshot.map(Optional::of))
+                .orElseGet(() -> damaged(file));
+    }
+
+    private static Result<Optional<Snapshot>> damaged(Path file) {
+        return Result.failure(
+                ErrorKind.STORAGE_FAILED,
+                file
+                        + " is damaged. Replace the disk, or move the data folder away and"
+                        + " start with an empty one. The VM then joins as a new member.");
     }
 
     /** Replaces the snapshot atomically and syncs it. */
