Report settings that are no path instead of throwing

A NUL in data_folder, a TLS file or credential_file ended the reading of the settings with InvalidPathException. Paths are now read as such by YamlMap, so that they are reported with their line like every other problem.

--- a/base/src/main/java/org/skylarkbend/base/settings/YamlMap.java
+++ b/base/src/main/java/org/skylarkbend/base/settings/YamlMap.java
@@ -1,5 +1,6 @@
 package org.skylarkbend.base.settings;
 
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -87,6 +88,17 @@
         return scalar(field, defaultValue, "text", Function.identity());
     }
 
+    /** Reads a required path. */
+    public Path path(String field) {
+        Path path = pathOr(field, null);
+        return path == null ? Path.of("") : path;
+    }
+
+    /** Reads an optional path. */
+    public Path pathOr(String field, Path defaultValue) {
+        return scalar(field, defaultValue, "a path", Path::of);
+    }
+
     /** Reads a required name. */
     public ObjectName name(String field) {
         String text = text(field);
--- a/control/src/main/java/org/skylarkbend/control/settings/ControlSettingsReader.java
+++ b/control/src/main/java/org/skylarkbend/control/settings/ControlSettingsReader.java
@@ -36,7 +36,7 @@
                 new ControlSettings(
                         root.name("vm"),
                         root.name("data_centre"),
-                        Path.of(root.textOr("data_folder", "")),
+                        root.pathOr("data_folder", Path.of("")),
                         root.maps("members").stream().map(ControlSettingsReader::member).toList(),
                         root.maps("operators").stream()
                                 .map(ControlSettingsReader::operator)
--- a/ctl/src/main/java/org/skylarkbend/ctl/OperatorSettings.java
+++ b/ctl/src/main/java/org/skylarkbend/ctl/OperatorSettings.java
@@ -38,7 +38,7 @@
             Optional<Path> file, String controlFlag, Map<String, String> environment) {
         Result<FileValues> values =
                 file.map(path -> YamlDocument.readFile(path, OperatorSettings::readFile))
-                        .orElse(Result.success(new FileValues(List.of(), "")));
+                        .orElse(Result.success(new FileValues(List.of(), Path.of(""))));
         return values.flatMap(read -> combine(read, controlFlag, environment));
     }
 
@@ -60,22 +60,22 @@
         return credential.map(text -> new OperatorSettings(controls, text.strip()));
     }
 
-    private static Result<String> readCredential(String file) {
-        if (file.isEmpty()) {
+    private static Result<String> readCredential(Path file) {
+        if (file.toString().isEmpty()) {
             return usageError(
                     "set the operator credential in the variable "
                             + CREDENTIAL_VARIABLE
                             + " or name its file as \"credential_file\" in the --settings file");
         }
         try {
-            return Result.success(Files.readString(Path.of(file)));
+            return Result.success(Files.readString(file));
         } catch (IOException e) {
             return usageError("cannot read the credential file " + file + ": " + e.getMessage());
         }
     }
 
     private static FileValues readFile(YamlMap root) {
-        return new FileValues(root.texts("controls"), root.textOr("credential_file", ""));
+        return new FileValues(root.texts("controls"), root.pathOr("credential_file", Path.of("")));
     }
 
     private static String firstPresent(String first, String second) {
@@ -90,5 +90,5 @@
     }
 
     /** Values of the settings file. */
-    private record FileValues(List<String> controls, String credentialFile) {}
+    private record FileValues(List<String> controls, Path credentialFile) {}
 }
--- a/wire/src/main/java/org/skylarkbend/wire/TlsFiles.java
+++ b/wire/src/main/java/org/skylarkbend/wire/TlsFiles.java
@@ -65,7 +65,7 @@
     }
 
     private static Path file(YamlMap fields, String field) {
-        Path path = Path.of(String.valueOf(fields.text(field)));
+        Path path = fields.path(field);
         if (fields.has(field) && !Files.isReadable(path)) {
             fields.problem(field, "the file " + path + " is not readable");
         }
