Split dripped events in time that grows with their length

Each chunk copied all that had arrived of the event and looked for the start of its line, so that an endpoint that sends a long event in small chunks cost the gateway the square of its length: 32 KiB byte by byte allocated 1,802,485,080 bytes.

--- a/gateway/src/main/java/org/skylarkbend/gateway/call/EventSplitter.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/EventSplitter.java
@@ -16,6 +16,7 @@
 
     private Buffer mPending = Buffer.buffer();
     private int mScannedBytes;
+    private int mLineStart;
     private boolean mPendingField;
     private boolean mHasNewEvent;
     private Optional<String> mPendingId = Optional.empty();
@@ -29,10 +30,9 @@
         mPending.appendBuffer(chunk);
         mHasNewEvent = false;
         int end = 0;
-        int lineStart = lineStartBefore(mScannedBytes);
         for (int i = mScannedBytes; i < mPending.length(); i++) {
             if (mPending.getByte(i) == LINE_END) {
-                String line = line(lineStart, i);
+                String line = line(mLineStart, i);
                 if (line.isEmpty()) {
                     end = i + 1;
                     mHasNewEvent |= mPendingField;
@@ -47,13 +47,19 @@
                     mLastEventId = mPendingId;
                     mPendingId = Optional.empty();
                 }
-                lineStart = i + 1;
+                mLineStart = i + 1;
             }
         }
-        Buffer complete = mPending.getBuffer(0, end);
-        mPending = mPending.getBuffer(end, mPending.length());
         mScannedBytes = mPending.length();
-        return complete;
+        return end == 0 ? Buffer.buffer() : removeFirst(end);
+    }
+
+    private Buffer removeFirst(int bytes) {
+        Buffer first = mPending.getBuffer(0, bytes);
+        mPending = mPending.getBuffer(bytes, mPending.length());
+        mScannedBytes -= bytes;
+        mLineStart -= bytes;
+        return first;
     }
 
     /**
@@ -81,6 +87,7 @@
     void discardPartial() {
         mPending = Buffer.buffer();
         mScannedBytes = 0;
+        mLineStart = 0;
         mPendingField = false;
         mPendingId = Optional.empty();
     }
@@ -90,14 +97,6 @@
         return mLastEventId;
     }
 
-    private int lineStartBefore(int position) {
-        int start = position;
-        while (start > 0 && mPending.getByte(start - 1) != LINE_END) {
-            start--;
-        }
-        return start;
-    }
-
     private String line(int start, int end) {
         boolean hasReturn = end > start && mPending.getByte(end - 1) == CARRIAGE_RETURN;
         return mPending.getString(start, hasReturn ? end - 1 : end, StandardCharsets.UTF_8.name());
