Let a commander that stops give no order that it has announced

A commander announces an order in the log and gives it once the announcement is committed. When its task was stopped in between, it still took itself for the leader and gave the order after its stop. It now gives up the command when it stops, and the next commander gives the order after the wait.

The new test failed before: the order of term 1 went out after the stop.

--- a/control/src/main/java/org/skylarkbend/control/site/EndpointsTask.java
+++ b/control/src/main/java/org/skylarkbend/control/site/EndpointsTask.java
@@ -104,6 +104,13 @@
         return Future.succeededFuture();
     }
 
+    /** Stops commanding. An order that is announced but not sent yet is left to the next leader. */
+    @Override
+    public Future<?> stop() {
+        leadershipChanged(Leadership.unknown());
+        return Future.succeededFuture();
+    }
+
     /** Notifies the task of a leadership change. */
     public void post(Leadership leadership) {
         mContext.runOnContext(ignored -> leadershipChanged(leadership));
--- /dev/null
+++ b/control/src/test/java/org/skylarkbend/control/site/EndpointsTaskTest.java
@@ -0,0 +1,186 @@
+package org.skylarkbend.control.site;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BooleanSupplier;
+import org.skylarkbend.base.MillisecondClock;
+import org.skylarkbend.base.Result;
+import org.skylarkbend.catalog.Endpoint;
+import org.skylarkbend.control.log.ControlEntry;
+import org.skylarkbend.control.log.ControlLog;
+import org.skylarkbend.control.log.Leadership;
+import org.skylarkbend.control.log.LogStatus;
+import org.skylarkbend.orders.weights.LoadAnswer;
+import org.skylarkbend.orders.weights.WeightsDecider;
+import org.skylarkbend.orders.weights.WeightsEffect.Load;
+import org.skylarkbend.orders.weights.WeightsMessage;
+import org.skylarkbend.orders.weights.WeightsMessage.Reported;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests commanders that stop between the announcement of an order and the order. */
+public class EndpointsTaskTest {
+    private static final long TAKEOVER_MILLISECONDS = 3_000;
+    private static final long OLD_WEIGHTS_MILLISECONDS = 60_000;
+    private static final long WAIT_LIMIT_SECONDS = 30;
+    private static final long POLL_MILLISECONDS = 10;
+    private static final int TICKS = 3;
+    private static final Endpoint ENGINE =
+            new Endpoint("e", "desk", "127.0.0.1", 1, "z", "v1", 6, false, 1, Map.of("m", 1L));
+
+    private final AtomicLong mNowMilliseconds = new AtomicLong(100_000);
+    private final LinkedBlockingQueue<Proposal> mProposals = new LinkedBlockingQueue<>();
+    private final List<Load> mOrders = new CopyOnWriteArrayList<>();
+    private final List<EndpointsTask> mTasks = new CopyOnWriteArrayList<>();
+    private final AtomicInteger mLists = new AtomicInteger();
+    private Vertx mVertx;
+
+    /** An entry that is not committed yet. */
+    private record Proposal(ControlEntry entry, Promise<Result<byte[]>> result) {}
+
+    /** A log that commits an entry only when the test says so. */
+    private final class HeldLog implements ControlLog {
+        @Override
+        public Future<Result<byte[]>> propose(ControlEntry entry) {
+            Proposal proposal = new Proposal(entry, Promise.promise());
+            mProposals.add(proposal);
+            return proposal.result().future();
+        }
+
+        @Override
+        public Future<Result<Long>> confirmLeadership() {
+            return Future.succeededFuture(Result.success(1L));
+        }
+
+        @Override
+        public Future<LogStatus> status() {
+            return Future.succeededFuture(new LogStatus(1, 1, List.of()));
+        }
+    }
+
+    /** An idle engine that accepts every order. */
+    private final class RecordingEngine implements EngineCommands {
+        @Override
+        public Future<WeightsMessage> report(Endpoint engine) {
+            return Future.succeededFuture(
+                    new Reported(engine.incarnation(), Map.of("m", 1L), false, 0, 0));
+        }
+
+        @Override
+        public Future<LoadAnswer> load(Endpoint engine, Load load) {
+            mOrders.add(load);
+            return Future.succeededFuture(LoadAnswer.ACCEPTED);
+        }
+    }
+
+    @BeforeMethod
+    public void createVertx() {
+        mVertx = Vertx.vertx();
+        mProposals.clear();
+        mOrders.clear();
+        mTasks.clear();
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void closeVertx() throws Exception {
+        await(mVertx.close());
+    }
+
+    /** Guards against an order that a planned stop loses, or that goes out twice around it. */
+    @Test
+    public void anOrderAnnouncedByACommanderThatStoppedIsGivenOnceByTheNextAfterTheWait()
+            throws Exception {
+        EndpointsTask first = start();
+        EndpointsTask second = start();
+        first.post(leaderOf(1));
+        Proposal announced = mProposals.poll(WAIT_LIMIT_SECONDS, TimeUnit.SECONDS);
+        assertThat(announced).isNotNull();
+        await(mVertx.undeploy(first.deploymentID()));
+        commit(announced);
+        second.post(leaderOf(2));
+        awaitLists(TICKS);
+        assertThat(mOrders).as("orders within the wait").isEmpty();
+        assertThat(mProposals).as("announcements within the wait").isEmpty();
+        mNowMilliseconds.addAndGet(TAKEOVER_MILLISECONDS);
+        commit(mProposals.poll(WAIT_LIMIT_SECONDS, TimeUnit.SECONDS));
+        awaitUntil(() -> !mOrders.isEmpty());
+        awaitLists(TICKS);
+        assertThat(mOrders).extracting(Load::fencingNumber).containsExactly(2L);
+    }
+
+    /** Guards against a commander that orders by a leadership it had before its announcement. */
+    @Test
+    public void anOrderAnnouncedByACommanderThatLostTheLeadIsNotGivenByIt() throws Exception {
+        EndpointsTask first = start();
+        first.post(leaderOf(1));
+        Proposal announced = mProposals.poll(WAIT_LIMIT_SECONDS, TimeUnit.SECONDS);
+        first.post(new Leadership(false, 2, Optional.empty(), 0));
+        commit(announced);
+        first.post(leaderOf(3));
+        awaitLists(TICKS);
+        assertThat(mOrders).isEmpty();
+    }
+
+    private EndpointsTask start() throws Exception {
+        EndpointsTask task =
+                new EndpointsTask(
+                        () -> {
+                            mLists.incrementAndGet();
+                            return Future.succeededFuture(Result.success(List.of(ENGINE)));
+                        },
+                        new RecordingEngine(),
+                        new HeldLog(),
+                        new WeightsDecider(TAKEOVER_MILLISECONDS, OLD_WEIGHTS_MILLISECONDS),
+                        mNowMilliseconds::get,
+                        MillisecondClock.wall(),
+                        (previous, now) -> {});
+        await(mVertx.deployVerticle(task));
+        task.postWeights(Map.of("m", 2L));
+        mTasks.add(task);
+        return task;
+    }
+
+    /** Applies an announcement at all members and confirms it to the one that made it. */
+    private void commit(Proposal proposal) {
+        assertThat(proposal).isNotNull();
+        OrdersSlice slice =
+                new OrdersSlice(order -> mTasks.forEach(task -> task.postAnnounced(order)));
+        proposal.result().complete(slice.apply(proposal.entry().payload(), 0));
+    }
+
+    private static Leadership leaderOf(long term) {
+        return new Leadership(true, term, Optional.empty(), 0);
+    }
+
+    /** Waits until the commander has read the list of endpoints several times more. */
+    private void awaitLists(int count) throws Exception {
+        int until = mLists.get() + count;
+        awaitUntil(() -> mLists.get() >= until);
+    }
+
+    private void awaitUntil(BooleanSupplier condition) throws Exception {
+        long untilNanoseconds = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_LIMIT_SECONDS);
+        while (!condition.getAsBoolean()) {
+            assertThat(System.nanoTime()).isLessThan(untilNanoseconds);
+            await(mVertx.timer(POLL_MILLISECONDS, TimeUnit.MILLISECONDS));
+        }
+    }
+
+    private static <T> T await(Future<T> future) throws Exception {
+        return future.toCompletionStage()
+                .toCompletableFuture()
+                .get(WAIT_LIMIT_SECONDS, TimeUnit.SECONDS);
+    }
+}
