Let only events keep a stream from an engine alive

Each byte of a stream restarted the timer for silence in a router, so an engine that had stalled but went on sending comments kept its caller waiting until the timeout of the whole response. Now only events with data count, and a body that is no stream; the stream is asked for again on a new connection.

The new test failed before: no response within 30 s. The test of a head without end found no fault.

--- a/router/src/main/java/org/skylarkbend/router/forward/EndpointExchange.java
+++ b/router/src/main/java/org/skylarkbend/router/forward/EndpointExchange.java
@@ -22,7 +22,7 @@
     private final MillisecondClock mClock;
     private final Consumer<ExchangeEvent> mListener;
     private final Exchange mExchange;
-    private long mLastByteMilliseconds;
+    private long mLastProgressMilliseconds;
     private boolean mResponded;
     private boolean mPaused;
 
@@ -31,7 +31,7 @@
         mClock = clock;
         mListener = listener;
         mExchange = new Exchange(encode(request), this::handle);
-        mLastByteMilliseconds = clock.nowMilliseconds();
+        mLastProgressMilliseconds = clock.nowMilliseconds();
     }
 
     void open(EndpointClient client) {
@@ -50,23 +50,32 @@
 
     void resumeReading() {
         mPaused = false;
-        mLastByteMilliseconds = mClock.nowMilliseconds();
+        progressed();
         mExchange.resume();
     }
 
+    /** Records that the endpoint sent a part of the response that counts. */
+    void progressed() {
+        mLastProgressMilliseconds = mClock.nowMilliseconds();
+    }
+
     /** Returns whether the endpoint has sent a response head on this connection. */
     boolean hasResponded() {
         return mResponded;
     }
 
-    /** Returns the time since the last byte was received, or 0 while reading is paused. */
+    /**
+     * Returns the time since the exchange made progress, or 0 while reading is paused. Bytes of the
+     * body are none by themselves, since a stalled endpoint may go on sending comments.
+     */
     long idleMilliseconds() {
-        return mPaused ? 0 : mClock.nowMilliseconds() - mLastByteMilliseconds;
+        return mPaused ? 0 : mClock.nowMilliseconds() - mLastProgressMilliseconds;
     }
 
     private void handle(ExchangeEvent event) {
-        if (!(event instanceof ExchangeEvent.Sent)) {
-            mLastByteMilliseconds = mClock.nowMilliseconds();
+        boolean isBody = event instanceof ExchangeEvent.ChunkReceived;
+        if (!isBody && !(event instanceof ExchangeEvent.Sent)) {
+            progressed();
         }
         mResponded |= event instanceof ExchangeEvent.HeadReceived;
         mListener.accept(event);
--- a/router/src/main/java/org/skylarkbend/router/forward/EngineStream.java
+++ b/router/src/main/java/org/skylarkbend/router/forward/EngineStream.java
@@ -20,6 +20,7 @@
  */
 final class EngineStream {
     private final int mMaxEventBytes;
+    private final Runnable mOnProgress;
     private final Consumer<SseEvent> mEvents;
     private final Consumer<StreamEffect> mEffects;
     private StreamState mState;
@@ -30,10 +31,12 @@
     EngineStream(
             StreamState state,
             int maxEventBytes,
+            Runnable onProgress,
             Consumer<SseEvent> events,
             Consumer<StreamEffect> effects) {
         mState = state;
         mMaxEventBytes = maxEventBytes;
+        mOnProgress = onProgress;
         mEvents = events;
         mEffects = effects;
         mParser = new SseParser(maxEventBytes);
@@ -72,6 +75,9 @@
     }
 
     private void handleAll(List<SseEvent> events) {
+        if (!events.isEmpty()) {
+            mOnProgress.run();
+        }
         int connection = mConnections;
         for (SseEvent event : events) {
             if (connection != mConnections || mState.closed()) {
--- a/router/src/main/java/org/skylarkbend/router/forward/ForwardCall.java
+++ b/router/src/main/java/org/skylarkbend/router/forward/ForwardCall.java
@@ -217,12 +217,19 @@
                             new EngineStream(
                                     StreamState.opening(attempt, repeatable),
                                     mResources.bounds().maxResponseBytes(),
+                                    this::progressed,
                                     this::deliverEvent,
                                     this::execute));
         }
         mStream.get().openedConnection(attempt);
     }
 
+    private void progressed() {
+        if (mExchange != null) {
+            mExchange.progressed();
+        }
+    }
+
     private void exchange(EndpointClient client, EndpointRequest request, boolean isResume) {
         EndpointExchange[] self = new EndpointExchange[1];
         self[0] =
@@ -284,6 +291,7 @@
             mStream.orElseThrow().bytesReceived(chunk);
             return;
         }
+        progressed();
         if (!mBuffer.appendChunk(chunk)) {
             abort(tooLarge());
         }
