--- a/gateway/src/test/java/org/skylarkbend/gateway/limits/TokenGateTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/limits/TokenGateTest.java
@@ -30,6 +30,7 @@
     private final Deque<LimitMessage> mToOwner = new ArrayDeque<>();
     private long mNowMilliseconds = 1_000;
     private TokenGate mGate;
+    private LimitShareDecider mShares;
     private LimitOwnerDecider mOwner;
     private boolean mOwnerLost;
     private long mOwnerlessMilliseconds;
@@ -150,14 +151,52 @@
         assertThat(last.mAdmitted).contains(false);
     }
 
+    /** Guards against a planned stop that cuts the calls which wait for tokens. */
+    @Test
+    public void aCallThatWaitsForTokensWhenItsGatewayStopsGetsThemAndTheRestGoesBack() {
+        startTerm(LimitRegistry.empty());
+        assertThat(decisionOn(9_000)).contains(true);
+        loseOwner();
+        RecordingCaller caller = new RecordingCaller();
+        mGate.reserve(CUSTOMER.value(), 20_000, caller, mNowMilliseconds);
+        mGate.shutDown(mNowMilliseconds);
+        advance(2 * POLICY.waitMilliseconds());
+        assertThat(caller.mAdmitted).as("while no owner responds").isEmpty();
+        findOwner(2);
+        advance(2 * POLICY.waitMilliseconds());
+        assertThat(caller.mAdmitted).as("once a new owner responds").contains(true);
+        advance(2 * POLICY.idleReportMilliseconds());
+        assertThat(mShares.heldTokens(CUSTOMER)).as("tokens that no call needs").isZero();
+    }
+
+    @Test
+    public void aCallThatArrivesAtAGatewayThatStopsGetsTokens() {
+        startTerm(LimitRegistry.empty());
+        advance(100);
+        mGate.shutDown(mNowMilliseconds);
+        advance(100);
+        assertThat(decisionOn(28_000)).contains(true);
+    }
+
+    @Test
+    public void aCallThatWaitsAtAGatewayThatStopsIsRefusedIfNoOwnerResponds() {
+        startTerm(LimitRegistry.empty());
+        advance(100);
+        loseOwner();
+        RecordingCaller caller = new RecordingCaller();
+        mGate.reserve(CUSTOMER.value(), 20_000, caller, mNowMilliseconds);
+        mGate.shutDown(mNowMilliseconds);
+        advance(POLICY.ownerlessWaitMilliseconds() + 2 * STEP_MILLISECONDS);
+        assertThat(caller.mAdmitted).contains(false);
+    }
+
     /**
      * Starts a term of the limit owner with the gateway under test and other gateways that hold no
      * tokens.
      */
     private void startTerm(LimitRegistry registry) {
-        mGate =
-                new TokenGate(
-                        new LimitShareDecider(POLICY, mNowMilliseconds), mToOwner::add, at -> {});
+        mShares = new LimitShareDecider(POLICY, mNowMilliseconds);
+        mGate = new TokenGate(mShares, mToOwner::add, at -> {});
         mOwnerLost = false;
         mOwnerlessMilliseconds = 0;
         mToOwner.clear();
--- a/gateway/src/test/java/org/skylarkbend/gateway/link/SiteLinkDeciderTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/link/SiteLinkDeciderTest.java
@@ -8,6 +8,7 @@
 import org.skylarkbend.publishing.feed.FeedMessage;
 import org.skylarkbend.publishing.feed.FeedMessage.ControlAddress;
 import org.skylarkbend.publishing.feed.FeedMessage.NotLeader;
+import org.skylarkbend.publishing.feed.FeedMessage.RouterHeartbeat;
 import org.skylarkbend.publishing.feed.FeedMessage.RouterHello;
 import org.skylarkbend.publishing.feed.FeedMessage.ServingLease;
 import org.skylarkbend.publishing.feed.FeedMessage.SetDocument;
@@ -19,6 +20,9 @@
 public class SiteLinkDeciderTest {
     private static final int PORT = 7_601;
 
+    /** The heartbeats that were sent when the link was connected first. */
+    private static final long SENT_BEFORE = 1;
+
     private SiteLinkDecider mLink;
 
     @BeforeMethod
@@ -74,6 +78,23 @@
         assertThat(effects).hasOnlyElementsOfType(SiteLinkEffect.Close.class);
     }
 
+    /** Guards against a gateway that goes on with what it knew before a pause. */
+    @Test
+    public void afterAPauseTheLeaderIsLeftAndOnlyANewerCatalogIsTaken() {
+        receive(new SetDocument(8, "eight"));
+        long afterPauseMilliseconds = 60_000;
+        assertThat(mLink.decide(new SiteLinkMessage.HeartbeatDue(), afterPauseMilliseconds))
+                .hasOnlyElementsOfType(SiteLinkEffect.Close.class);
+        assertThat(receive(new SetDocument(7, "sent before the pause"))).isEmpty();
+        mLink.decide(new SiteLinkMessage.Disconnected(), afterPauseMilliseconds);
+        assertThat(mLink.decide(new SiteLinkMessage.Connected(), afterPauseMilliseconds))
+                .contains(new SiteLinkEffect.Send(new RouterHeartbeat(1 + SENT_BEFORE, 8)));
+        assertThat(receive(new ServingLease(1 + SENT_BEFORE, 9, 1)))
+                .containsExactly(new SiteLinkEffect.Send(new SetRequest(8)));
+        assertThat(receive(new SetDocument(9, "nine")))
+                .contains(new SiteLinkEffect.ApplyDocument(9, "nine"));
+    }
+
     private List<SiteLinkEffect> receive(FeedMessage message) {
         return decide(new SiteLinkMessage.Received(message));
     }
