--- a/exchange/src/test/java/org/skylarkbend/exchange/ResponseDecoderFuzzTest.java
+++ b/exchange/src/test/java/org/skylarkbend/exchange/ResponseDecoderFuzzTest.java
@@ -5,8 +5,6 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpObject;
-import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.vertx.core.MultiMap;
@@ -24,6 +22,8 @@
 /** Gives malformed bytes to the decoder of the responses of endpoints. */
 public class ResponseDecoderFuzzTest implements FuzzTargets {
     private static final int MAX_HEAD_BYTES = 512;
+    private static final ExchangeOptions OPTIONS =
+            new ExchangeOptions(1, 1_000, 1_000, MAX_HEAD_BYTES);
     private static final ExchangeRequest REQUEST =
             new ExchangeRequest(
                     SocketAddress.inetSocketAddress(80, "127.0.0.1"),
@@ -82,7 +82,7 @@
         private boolean mIsInvalid;
 
         void receive(byte[] input, int chunkBytes) {
-            ResponseDecoder decoder = new ResponseDecoder(MAX_HEAD_BYTES);
+            ResponseDecoder decoder = new ResponseDecoder(OPTIONS);
             decoder.expectResponse(REQUEST);
             EmbeddedChannel channel = new EmbeddedChannel(decoder);
             for (int start = 0; start < input.length; start += chunkBytes) {
@@ -97,24 +97,21 @@
 
         private void readAll(EmbeddedChannel channel) {
             for (Object part = channel.readInbound(); part != null; part = channel.readInbound()) {
-                if (!mIsInvalid && part instanceof HttpObject message) {
-                    read(message);
+                if (!mIsInvalid) {
+                    read(part);
                 }
                 ReferenceCountUtil.release(part);
             }
         }
 
-        private void read(HttpObject part) {
-            mIsInvalid = part.decoderResult().isFailure();
+        private void read(Object part) {
+            mIsInvalid = part instanceof ResponseDecoder.Fault;
             if (mIsInvalid) {
                 mLog.append("invalid");
-                return;
             }
-            if (part instanceof HttpResponse response) {
-                mLog.append(response.status().code()).append(response.headers().entries());
-                KeepAlive keepAlive = KeepAlive.of(response, false, 1_000);
-                assertThat(keepAlive.milliseconds()).isNotNegative();
-                ResponseFaults.in(response);
+            if (part instanceof ResponseDecoder.Head head) {
+                mLog.append(head.start().status()).append(head.start().headers().entries());
+                assertThat(head.keepAlive().milliseconds()).isNotNegative();
             }
             if (part instanceof HttpContent content) {
                 mLog.append(content.content().toString(StandardCharsets.ISO_8859_1));
--- a/router/src/main/java/org/skylarkbend/router/forward/ForwardCall.java
+++ b/router/src/main/java/org/skylarkbend/router/forward/ForwardCall.java
@@ -229,12 +229,19 @@
                             new EngineStream(
                                     StreamState.opening(attempt, repeatable),
                                     mResources.bounds().maxResponseBytes(),
+                                    this::progressed,
                                     this::deliverEvent,
                                     this::execute));
         }
         mStream.get().openedConnection(attempt);
     }
 
+    private void progressed() {
+        if (mExchange != null) {
+            mExchange.progressed();
+        }
+    }
+
     private void exchange(
             EndpointClient client,
             EndpointRequest request,
@@ -303,6 +310,7 @@
             mStream.orElseThrow().bytesReceived(chunk);
             return;
         }
+        progressed();
         if (!mBuffer.appendChunk(chunk)) {
             abort(tooLarge());
         }
