--- a/agreement/src/test/java/org/skylarkbend/agreement/DiskWithoutRoomTest.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/DiskWithoutRoomTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -145,6 +146,41 @@
         }
     }
 
+    /** Guards against members that are lost when they start while their disk has no room. */
+    @Test
+    public void aFolderIsOpenedWhileItsDiskHasNoRoom() throws IOException {
+        try (AgreementStorage storage = open(mDisk)) {
+            persist(storage, 3);
+        }
+        mDisk.fail(EnumSet.of(Operation.WRITE), 0);
+        try (AgreementStorage storage = open(mDisk)) {
+            assertThat(storage.recovered().entries()).isEqualTo(mAcknowledged);
+            assertThat(persist(storage, 1).isSuccess()).isFalse();
+            mDisk.recover();
+            assertThat(persist(storage, 1).isSuccess()).isTrue();
+        }
+        assertThat(recovered().entries()).isEqualTo(mAcknowledged);
+    }
+
+    /** Guards against a first start without room that leaves a folder no start accepts. */
+    @Test
+    public void aFirstStartWithoutRoomFailsAtAnyOperationAndCanBeRepeated() throws IOException {
+        boolean isOpened = false;
+        for (int passing = 0; !isOpened; passing++) {
+            reset();
+            mDisk.fail(EnumSet.allOf(Operation.class), passing);
+            Result<AgreementStorage> opened =
+                    AgreementStorage.open(mFolder, VM, () -> 42, mDisk, true);
+            isOpened = opened.isSuccess();
+            opened.match(DiskWithoutRoomTest::close, error -> {});
+            mDisk.recover();
+            try (AgreementStorage storage = open(mDisk)) {
+                assertThat(persist(storage, 1).isSuccess()).isTrue();
+            }
+            assertThat(recovered().entries()).isEqualTo(mAcknowledged);
+        }
+    }
+
     /** Guards against proposals that are called refused and come back after a restart. */
     @Test
     public void aFailedPersistIsCalledRefusedOnlyOnceItsBytesAreCut() throws IOException {
@@ -232,6 +268,14 @@
         return result.fold(String::valueOf, SkylarkError::detail);
     }
 
+    private static void close(AgreementStorage storage) {
+        try {
+            storage.close();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     private DurableState recovered() throws IOException {
         try (AgreementStorage storage = open(FileOperations.direct())) {
             return storage.recovered();
