--- a/agreement/src/main/java/org/skylarkbend/agreement/AgreementTask.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/AgreementTask.java
@@ -71,7 +71,7 @@
     private final LongUnaryOperator mRandomBelow;
 
     private final Deque<AgreementInput> mInputs = new ArrayDeque<>();
-    private final Deque<Send> mPendingSends = new ArrayDeque<>();
+    private final PendingSends mPendingSends = new PendingSends();
     private final Map<Long, Consumer<Result<byte[]>>> mProposals = new HashMap<>();
     private final Map<Long, Consumer<Result<Long>>> mConfirmations = new HashMap<>();
     private Context mContext;
@@ -261,9 +261,7 @@
 
     private void persisted(long number) {
         mSyncedNumber = number;
-        while (!mPendingSends.isEmpty() && mPendingSends.peek().afterPersist() <= number) {
-            sendNow(mPendingSends.poll());
-        }
+        mPendingSends.sendReady(number, this::sendNow);
         decide(new Persisted(number));
     }
 
