Pause members at each step of the lease schedules, and plant faults into them

Members of InForceScheduleTest stop before any input and between a decision and each of its effects. Three planted faults, of the grant, the lease and the takeover, are each found.

--- a/control/src/test/java/org/skylarkbend/control/feed/InForceScheduleTest.java
+++ b/control/src/test/java/org/skylarkbend/control/feed/InForceScheduleTest.java
@@ -2,7 +2,10 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
+import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -22,12 +25,14 @@
 import org.skylarkbend.publishing.feed.FeedMessage.SetDocument;
 import org.skylarkbend.publishing.feed.FeedMessage.SetRequest;
 import org.skylarkbend.testing.SeededRuns;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /**
  * Simulates two members of which one takes over the leadership from the other, and routers with
- * drifting clocks, over a network that delays and loses messages. Checks that no router serves an
- * older revision than the one reported as in force.
+ * drifting clocks, over a network that delays and loses messages. Members pause before any input
+ * and between any decision and its effects. Checks that no router serves an older revision than the
+ * one reported as in force, and that each planted fault is found.
  */
 public class InForceScheduleTest {
     private static final long LEASE_MILLISECONDS = 1_000;
@@ -35,6 +40,8 @@
     private static final int RUNS = 500;
     private static final int ROUTERS = 4;
     private static final int MEMBERS = 2;
+    private static final int PAUSE_EVERY_STEPS = 300;
+    private static final int MAX_PAUSE_MILLISECONDS = 3_000;
 
     @Test
     public void noRouterServesByAnOlderRevisionThanTheOneInForce() {
@@ -44,7 +51,7 @@
                 1,
                 RUNS,
                 seed -> {
-                    Schedule schedule = new Schedule(seed);
+                    Schedule schedule = new Schedule(seed, Fault.NONE);
                     schedule.run();
                     servingRoutersChecked.addAndGet(schedule.mServingRoutersChecked);
                     reports.addAndGet(schedule.mInForceReports);
@@ -53,6 +60,38 @@
         assertThat(reports.get()).as("revisions that came into force").isGreaterThan(RUNS);
     }
 
+    @DataProvider
+    public Object[][] faults() {
+        return EnumSet.complementOf(EnumSet.of(Fault.NONE)).stream()
+                .map(fault -> new Object[] {fault})
+                .toArray(Object[][]::new);
+    }
+
+    /** Guards against schedules that no fault can fail. */
+    @Test(dataProvider = "faults")
+    public void eachPlantedFaultIsFound(Fault fault) {
+        long found = 0;
+        for (long seed = 1; seed <= RUNS; seed++) {
+            try {
+                new Schedule(seed, fault).run();
+            } catch (AssertionError e) {
+                found++;
+            }
+        }
+        assertThat(found).as("schedules that found " + fault).isPositive();
+    }
+
+    /** A fault that is planted into the schedules. */
+    private enum Fault {
+        NONE,
+        /** A member takes each confirmation of its leadership for a success. */
+        LEASE_WITHOUT_CONFIRMATION,
+        /** A new leader does not wait for the end of the leases of the former one. */
+        REPORT_BEFORE_LEASES_END,
+        /** A router counts its lease from the arrival, so that a pause of the member extends it. */
+        LEASE_FROM_ARRIVAL
+    }
+
     /** A scheduled action. The number orders actions with equal times. */
     private record Event(long atMilliseconds, long number, Runnable action)
             implements Comparable<Event> {
@@ -81,6 +120,9 @@
     /** One simulated run. */
     private static final class Schedule {
         private final Random mRandom;
+        private final Fault mFault;
+        private final long[] mPausedUntilMilliseconds = new long[MEMBERS];
+        private final List<Deque<Runnable>> mSteps = new ArrayList<>();
         private final PriorityQueue<Event> mEvents = new PriorityQueue<>();
         private final List<FeedDecider> mMembers = new ArrayList<>();
         private final List<Router> mRouters = new ArrayList<>();
@@ -92,10 +134,12 @@
         private long mInForceReports;
         private long mServingRoutersChecked;
 
-        Schedule(long seed) {
+        Schedule(long seed, Fault fault) {
             mRandom = new Random(seed);
+            mFault = fault;
             for (int i = 0; i < MEMBERS; i++) {
                 FeedOptions options = FeedOptions.of(LEASE_MILLISECONDS, Map.of(), Set.of());
+                mSteps.add(new ArrayDeque<>());
                 mMembers.add(new FeedDecider(options));
             }
             for (int i = 0; i < ROUTERS; i++) {
@@ -195,8 +239,34 @@
         }
 
         private void decide(int member, FeedInput input) {
-            for (FeedEffect effect : mMembers.get(member).decide(input, mNowMilliseconds)) {
-                execute(member, effect);
+            mSteps.get(member).add(() -> decideNow(member, input));
+            step(member);
+        }
+
+        private void decideNow(int member, FeedInput input) {
+            long now = mNowMilliseconds;
+            if (mFault == Fault.REPORT_BEFORE_LEASES_END
+                    && input instanceof FeedInput.LeadershipChanged) {
+                now -= 2 * LEASE_MILLISECONDS;
+            }
+            List<FeedEffect> effects = mMembers.get(member).decide(input, now);
+            for (int i = effects.size() - 1; i >= 0; i--) {
+                FeedEffect effect = effects.get(i);
+                mSteps.get(member).addFirst(() -> execute(member, effect));
+            }
+        }
+
+        /** Runs the next steps of a member, each of which may be preceded by a pause. */
+        private void step(int member) {
+            Deque<Runnable> steps = mSteps.get(member);
+            while (!steps.isEmpty() && mNowMilliseconds >= mPausedUntilMilliseconds[member]) {
+                if (mRandom.nextInt(PAUSE_EVERY_STEPS) == 0) {
+                    long milliseconds = 1 + mRandom.nextInt(MAX_PAUSE_MILLISECONDS);
+                    mPausedUntilMilliseconds[member] = mNowMilliseconds + milliseconds;
+                    after(milliseconds, () -> step(member));
+                    return;
+                }
+                steps.poll().run();
             }
         }
 
@@ -214,7 +284,7 @@
 
         /** Determines now whether the member leads, and delivers the result later. */
         private void askQuorum(int member, long confirmation) {
-            boolean leads = member == mLeader;
+            boolean leads = member == mLeader || mFault == Fault.LEASE_WITHOUT_CONFIRMATION;
             after(
                     mRandom.nextInt(300),
                     () -> decide(member, new FeedInput.ConfirmationEnded(confirmation, leads)));
@@ -272,7 +342,10 @@
                     SetRequest request = new SetRequest(mRouter.mRevision);
                     overNetwork(() -> sent(mMember, connection, request, this));
                 } else {
-                    long sentMilliseconds = mRouter.mSentMilliseconds.get(lease.sequence());
+                    long sentMilliseconds =
+                            mFault == Fault.LEASE_FROM_ARRIVAL
+                                    ? mNowMilliseconds
+                                    : mRouter.mSentMilliseconds.get(lease.sequence());
                     double ownMilliseconds = lease.leaseMilliseconds() / mRouter.mClockRate;
                     mRouter.mServesUntilMilliseconds =
                             Math.max(
