--- a/publishing/src/test/java/org/skylarkbend/publishing/SetReaderFuzzTest.java
+++ b/publishing/src/test/java/org/skylarkbend/publishing/SetReaderFuzzTest.java
@@ -3,14 +3,15 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.nio.charset.StandardCharsets;
-import java.util.SplittableRandom;
-import org.skylarkbend.testing.ByteMutations;
-import org.skylarkbend.testing.SeededRuns;
+import java.util.List;
+import org.skylarkbend.base.Result;
+import org.skylarkbend.testing.fuzz.FuzzTarget;
+import org.skylarkbend.testing.fuzz.FuzzTargets;
+import org.skylarkbend.testing.fuzz.SeededFuzzing;
 import org.testng.annotations.Test;
 
 /** Checks that randomly corrupted sets are either parsed or refused with their lines. */
-public class SetReaderFuzzTest {
-    private static final int RUNS = 3_000;
+public class SetReaderFuzzTest implements FuzzTargets {
     private static final String SET =
             """
             rates:
@@ -28,24 +29,23 @@
             """
                     .formatted("0".repeat(64));
 
-    @Test
-    public void theUncorruptedSetIsValid() {
-        assertThat(SetReader.readText("set.yaml", SET).isSuccess()).isTrue();
+    @Override
+    public List<FuzzTarget> targets() {
+        byte[] set = SET.getBytes(StandardCharsets.UTF_8);
+        return List.of(new FuzzTarget("sets", List.of(set), SetReaderFuzzTest::isRead));
     }
 
-    @Test
+    @Test(timeOut = SeededFuzzing.HANG_MILLISECONDS)
     public void aCorruptedSetIsParsedOrRefusedWithLines() {
-        byte[] original = SET.getBytes(StandardCharsets.UTF_8);
-        SeededRuns.forEachSeed(
-                1,
-                RUNS,
-                seed -> {
-                    byte[] corrupted = ByteMutations.mutate(original, new SplittableRandom(seed));
-                    String text = new String(corrupted, StandardCharsets.UTF_8);
-                    SetReader.readText("set.yaml", text)
-                            .match(
-                                    set -> assertThat(set.rates()).isNotNull(),
-                                    error -> assertThat(error.detail()).startsWith("set.yaml:"));
-                });
+        SeededFuzzing.run(targets().get(0));
+    }
+
+    private static boolean isRead(byte[] input) {
+        String text = new String(input, StandardCharsets.UTF_8);
+        Result<PublishedSet> result = SetReader.readText("set.yaml", text);
+        result.match(
+                set -> assertThat(set.rates()).isNotNull(),
+                error -> assertThat(error.detail()).startsWith("set.yaml:"));
+        return result.isSuccess();
     }
 }
