--- a/testing/src/main/java/org/skylarkbend/testing/fuzz/JazzerRun.java
+++ b/testing/src/main/java/org/skylarkbend/testing/fuzz/JazzerRun.java
@@ -50,6 +50,7 @@
         return Files.readAllLines(outputFile());
     }
 
+    /** The hooks of Jazzer stay out of Netty, whose buffers cannot be initialized with them. */
     private List<String> command() {
         return List.of(
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(),
@@ -60,7 +61,8 @@
                 "com.code_intelligence.jazzer.Jazzer",
                 "--target_class=" + JazzerTarget.class.getName(),
                 "--target_args=" + className + " " + target.name(),
-                "--instrumentation_includes=org.skylarkbend.**",
+                "--instrumentation_includes=org.skylarkbend.**:io.netty.handler.codec.**",
+                "--custom_hook_excludes=io.netty.**:io.vertx.**",
                 "--reproducer_path=" + folder,
                 "-artifact_prefix=" + folder + File.separator,
                 "-max_len=" + MAX_INPUT_BYTES,
