--- a/limits/src/test/java/org/skylarkbend/limits/LimitCodecFuzzTest.java
+++ b/limits/src/test/java/org/skylarkbend/limits/LimitCodecFuzzTest.java
@@ -37,7 +37,9 @@
                         3,
                         9,
                         true,
-                        List.of(new LimitMessage.ReportEntry(CUSTOMER, 1, 2, 3, 4, 5, 6, 7))),
+                        List.of(
+                                new LimitMessage.ReportEntry(
+                                        CUSTOMER, 1, 2, 3, 4, 5, 6, 1L << 40))),
                 new LimitMessage.Grants(
                         3, 9, List.of(new LimitMessage.GrantEntry(CUSTOMER, 70_000, true))));
     }
--- a/moves/src/test/java/org/skylarkbend/moves/rollout/RolloutCodecFuzzTest.java
+++ b/moves/src/test/java/org/skylarkbend/moves/rollout/RolloutCodecFuzzTest.java
@@ -68,6 +68,6 @@
     private static RolloutOutcomes outcomes() {
         OutcomeWindow window =
                 new OutcomeWindow(ObjectName.of("r"), Outcomes.none(), Outcomes.none());
-        return new RolloutOutcomes("s", "v2", 9, 1, List.of(window));
+        return new RolloutOutcomes("s", "v2", 1L << 40, 1L << 41, List.of(window));
     }
 }
--- a/testing/src/main/java/org/skylarkbend/testing/fuzz/FuzzTarget.java
+++ b/testing/src/main/java/org/skylarkbend/testing/fuzz/FuzzTarget.java
@@ -1,5 +1,6 @@
 package org.skylarkbend.testing.fuzz;
 
+import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Function;
@@ -39,19 +40,26 @@
     }
 
     /**
-     * Returns a target for a codec. What it decodes must be the same after it was encoded and
-     * decoded again.
+     * Returns a target for a codec. A message that is encoded and decoded must be the same, and so
+     * must what it decodes from other bytes.
      */
     public static <M> FuzzTarget ofCodec(
             String name,
             List<M> messages,
             Function<M, byte[]> encode,
             Function<byte[], Result<M>> decode) {
+        List<byte[]> samples = messages.stream().map(encode).toList();
         return new FuzzTarget(
                 name,
-                messages.stream().map(encode).toList(),
+                samples,
                 input -> {
-                    Optional<M> message = decode.apply(input).fold(Optional::of, FuzzTarget::none);
+                    Result<M> decoded = decode.apply(input);
+                    for (int i = 0; i < samples.size(); i++) {
+                        if (Arrays.equals(samples.get(i), input)) {
+                            requireSame(messages.get(i), decoded);
+                        }
+                    }
+                    Optional<M> message = decoded.fold(Optional::of, FuzzTarget::none);
                     message.ifPresent(
                             value -> requireSame(value, decode.apply(encode.apply(value))));
                     return message.isPresent();
--- a/testing/src/test/java/org/skylarkbend/testing/fuzz/PlantedFaultTest.java
+++ b/testing/src/test/java/org/skylarkbend/testing/fuzz/PlantedFaultTest.java
@@ -37,12 +37,23 @@
         FuzzTarget target =
                 FuzzTarget.ofCodec(
                         "narrowing",
-                        List.of(5),
+                        List.of(100),
                         number -> new byte[] {number.byteValue()},
                         input -> Result.success(input.length * 100));
         assertThatThrownBy(() -> SeededFuzzing.run(target)).hasMessageContaining("becomes");
     }
 
+    @Test
+    public void aSampleThatLosesSomethingWhenItIsEncodedIsReported() {
+        FuzzTarget target =
+                FuzzTarget.ofCodec(
+                        "truncating",
+                        List.of(300),
+                        number -> new byte[] {number.byteValue()},
+                        input -> Result.success((int) input[0]));
+        assertThatThrownBy(() -> SeededFuzzing.run(target)).hasMessageContaining("300 becomes");
+    }
+
     @Test
     public void memoryForALengthThatIsNotThereIsReported() {
         byte[] honest = {0, 0, 0, 1, 7};
--- a/usage/src/test/java/org/skylarkbend/usage/UsageCodecFuzzTest.java
+++ b/usage/src/test/java/org/skylarkbend/usage/UsageCodecFuzzTest.java
@@ -16,7 +16,7 @@
 public class UsageCodecFuzzTest implements FuzzTargets {
     private static final ObjectName NAME = ObjectName.of("a");
     private static final UsageSubject SUBJECT = new UsageSubject(NAME, NAME, NAME);
-    private static final UsageTokens TOKENS = new UsageTokens(300, 200, 100);
+    private static final UsageTokens TOKENS = new UsageTokens(3L << 40, 2L << 40, 1L << 40);
 
     private final UsageCodec mCodec = new UsageCodec();
 
