Test a booking whose router dies between reservation and answer

The router is ended by closing its Vert.x instance, once the service has the booking; the booking sent again through another router is in doubt and does not run. No fault was found. With a planted one, bookings without reservation, the test fails.

--- a/router/src/test/java/org/skylarkbend/router/CallLedgerTest.java
+++ b/router/src/test/java/org/skylarkbend/router/CallLedgerTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import java.net.http.HttpResponse;
 import java.util.concurrent.CompletableFuture;
@@ -65,6 +66,30 @@
         assertThat(mService.requests()).hasSize(1);
     }
 
+    /** Guards against a booking that runs again because its router died before the answer. */
+    @Test
+    public void aBookingWhoseRouterDiedBetweenReservationAndAnswerIsNotRunAgain() {
+        CompletableFuture<Void> running = new CompletableFuture<>();
+        mService.script((request, socket) -> running.complete(null));
+        Vertx dying = Vertx.vertx();
+        int port = mFixture.startAnotherRouter(dying);
+        CompletableFuture<HttpResponse<String>> lost =
+                mFixture.sending(mFixture.namedBooking(port, "order-1"));
+        RouterFixture.await(running);
+        RouterFixture.await(dying.close());
+        HttpResponse<String> again = book(mFixture.port(), "order-1");
+        assertThat(again.statusCode()).isEqualTo(409);
+        assertThat(again.body()).contains("call_in_doubt", "may_have_run");
+        assertThat(mService.requests()).hasSize(1);
+        boolean isTrue =
+                RouterFixture.await(lost.handle((response, e) -> e != null || isInDoubt(response)));
+        assertThat(isTrue).as("no answer, or a true one").isTrue();
+    }
+
+    private static boolean isInDoubt(HttpResponse<String> response) {
+        return response.body().contains("may_have_run");
+    }
+
     @Test
     public void aBookingThatDidNotRunMayBeSentAgain() {
         String refusal = "X-Skylark-Not-Run: true\r\n";
--- a/router/src/test/java/org/skylarkbend/router/RouterFixture.java
+++ b/router/src/test/java/org/skylarkbend/router/RouterFixture.java
@@ -89,14 +89,14 @@
                         + mPlatform.start()
                         + "}\n";
         mSettings = settings(mControl.start().port(), bounds);
-        mRouter = router(mSettings);
+        mRouter = router(mVertx, mSettings);
         mPort = await(mRouter.start());
     }
 
-    private RouterProcess router(RouterSettings settings) {
+    private RouterProcess router(Vertx vertx, RouterSettings settings) {
         MillisecondClock real = MillisecondClock.monotonic();
         return new RouterProcess(
-                mVertx,
+                vertx,
                 settings,
                 new Tracing("test", Optional.empty()),
                 () -> real.nowMilliseconds() + mClockOffsetMilliseconds.get());
@@ -104,7 +104,12 @@
 
     /** Starts another router with the same settings and returns its port. */
     int startAnotherRouter() {
-        int port = await(router(mSettings).start());
+        return startAnotherRouter(mVertx);
+    }
+
+    /** Starts another router that dies when its Vert.x instance is closed. */
+    int startAnotherRouter(Vertx vertx) {
+        int port = await(router(vertx, mSettings).start());
         assertThat(eventualStatus(port, "/readyz", 200)).isEqualTo(200);
         return port;
     }
