Close the connection of a poll that gets no response in time

A router gave up a poll of an endpoint or of the platform's list after the time for silence, but left its connection open. After five of them the client opened no more connections to the address, and all later polls waited behind them: an endpoint that had been silent for a while was never asked again. Polls that would wait behind four others are left out.

The new test failed before: no status within 30 s, after 30 silent polls.

--- a/router/src/main/java/org/skylarkbend/router/watch/EndpointWatchTask.java
+++ b/router/src/main/java/org/skylarkbend/router/watch/EndpointWatchTask.java
@@ -44,6 +44,13 @@
 
     private static final StructuredLog LOG = StructuredLog.of(EndpointWatchTask.class);
     private static final int STATUS_OK = 200;
+
+    /**
+     * Maximum number of polls under way to one address: the connections of the client to it, less
+     * the one of the cache events.
+     */
+    private static final int MAX_OPEN_POLLS = 4;
+
     private static final long PUBLISH_INTERVAL_MILLISECONDS = 50;
 
     private final RouterSettings mSettings;
@@ -55,6 +62,7 @@
             new EndpointMembershipDecider(MembershipThresholds.defaults());
     private final Map<ObjectName, LoadReport> mLoads = new HashMap<>();
     private final Map<ObjectName, CacheEventFeed> mFeeds = new HashMap<>();
+    private final Map<String, Integer> mOpenPolls = new HashMap<>();
     private ServingView mView = ServingView.none();
     private HttpClient mClient;
     private boolean mChanged;
@@ -130,6 +138,9 @@
     }
 
     private void pollLoad(Endpoint endpoint) {
+        if (isBusy(endpoint.host(), endpoint.port())) {
+            return;
+        }
         long requestedMilliseconds = mClock.nowMilliseconds();
         fetch(endpoint.host(), endpoint.port(), "/load")
                 .onSuccess(body -> handleLoad(endpoint.name(), body, requestedMilliseconds))
@@ -148,6 +159,9 @@
     }
 
     private void pollPlatform(HttpAddress platform) {
+        if (isBusy(platform.host(), platform.port())) {
+            return;
+        }
         fetch(platform.host(), platform.port(), "/vms")
                 .onSuccess(
                         body ->
@@ -182,13 +196,34 @@
         mViewConsumer.accept(new EndpointsView(statuses));
     }
 
+    /** Returns whether so many polls wait for the address that another would wait behind them. */
+    private boolean isBusy(String host, int port) {
+        return mOpenPolls.getOrDefault(host + ":" + port, 0) >= MAX_OPEN_POLLS;
+    }
+
     private Future<Buffer> fetch(String host, int port, String path) {
+        String address = host + ":" + port;
+        mOpenPolls.merge(address, 1, Integer::sum);
         return mClient.request(HttpMethod.GET, port, host, path)
-                .compose(HttpClientRequest::send)
-                .compose(EndpointWatchTask::bodyOf)
+                .compose(this::readInTime)
+                .onComplete(
+                        ignored ->
+                                mOpenPolls.computeIfPresent(
+                                        address, (key, open) -> open == 1 ? null : open - 1))
                 .timeout(mSettings.bounds().silenceMilliseconds(), TimeUnit.MILLISECONDS);
     }
 
+    /** Reads a response, and closes its connection if it is not complete in time. */
+    private Future<Buffer> readInTime(HttpClientRequest request) {
+        long timerId =
+                vertx.setTimer(
+                        mSettings.bounds().silenceMilliseconds(),
+                        id -> request.connection().close());
+        return request.send()
+                .compose(EndpointWatchTask::bodyOf)
+                .onComplete(ignored -> vertx.cancelTimer(timerId));
+    }
+
     private static Future<Buffer> bodyOf(HttpClientResponse response) {
         Future<Buffer> body = BoundedBody.read(response, MAX_BODY_BYTES);
         return response.statusCode() == STATUS_OK ? body : body.map(Buffer.buffer());
--- a/router/src/test/java/org/skylarkbend/router/watch/EndpointWatchTaskTest.java
+++ b/router/src/test/java/org/skylarkbend/router/watch/EndpointWatchTaskTest.java
@@ -27,6 +27,10 @@
     private static final ObjectName ENGINE = ObjectName.of("engine-1");
     private static final long PATIENCE_SECONDS = 30;
     private static final int POLLS = 6;
+
+    /** Several times the connections that a client opens to one address at a time. */
+    private static final int SILENT_POLLS = 30;
+
     private static final String LAGGING_LIST =
             "{\"generation\":1,\"endpoints\":[{\"name\":\"engine-1\",\"state\":\"live\"}]}";
 
@@ -82,6 +86,25 @@
         assertThat(engine.requests()).allMatch(request -> request.number() == 1);
     }
 
+    /** Guards against an endpoint that is asked no more because it was silent for a while. */
+    @Test
+    public void anEndpointThatWasSilentForManyPollsIsAskedAgainAndRecovers() throws Exception {
+        String load = "{\"incarnation\":1,\"running\":2,\"queued\":0,\"leaving\":true}";
+        RawServer engine =
+                new RawServer(
+                        mVertx,
+                        (request, socket) -> {
+                            if (request.connection() > SILENT_POLLS) {
+                                socket.write(
+                                        "HTTP/1.1 200 OK\r\nContent-Length: "
+                                                + load.length()
+                                                + "\r\n\r\n"
+                                                + load);
+                            }
+                        });
+        firstStatusWith(await(engine.listen()), EndpointCondition.LEAVING);
+    }
+
     private EndpointStatus firstStatusWith(int enginePort, EndpointCondition condition)
             throws Exception {
         Promise<EndpointStatus> found = Promise.promise();
