--- a/gateway/src/main/java/org/skylarkbend/gateway/endpoints/StoreProbe.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/endpoints/StoreProbe.java
@@ -34,13 +34,8 @@
     private long mReachedMilliseconds;
     private boolean mConnecting;
 
-    /** Creates a probe without a store that reads the monotonic clock. */
-    public StoreProbe(Vertx vertx, EndpointSelector selector) {
-        this(vertx, selector, MillisecondClock.monotonic());
-    }
-
-    /** Creates a probe without a store that reads the given clock. */
-    StoreProbe(Vertx vertx, EndpointSelector selector, MillisecondClock clock) {
+    /** Creates a probe without a store that reads the given monotonic clock. */
+    public StoreProbe(Vertx vertx, EndpointSelector selector, MillisecondClock clock) {
         mSelector = selector;
         mClock = clock;
         mClient =
--- a/gateway/src/main/java/org/skylarkbend/gateway/front/GatewayTask.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/front/GatewayTask.java
@@ -171,7 +171,7 @@
                         new ResponseMemory(mMemory),
                         mMetrics,
                         mClock);
-        mStoreProbe = new StoreProbe(vertx, mSelector);
+        mStoreProbe = new StoreProbe(vertx, mSelector, mClock);
         vertx.setPeriodic(PROBE_INTERVAL_MILLISECONDS, id -> check(probes));
         scheduleWorkReport();
         mServer = RequestDecoder.createServer(vertx, serverOptions(), this::connected);
