--- a/wire/src/main/java/org/skylarkbend/wire/RequestDecoder.java
+++ b/wire/src/main/java/org/skylarkbend/wire/RequestDecoder.java
@@ -75,7 +75,8 @@
         }
     }
 
-    private RequestDecoder(HttpServerOptions options, Limits limits) {
+    /** Creates a decoder for one connection of a server with these options. */
+    RequestDecoder(HttpServerOptions options, Limits limits) {
         super(options);
         mLimits = limits;
     }
--- a/wire/src/test/java/org/skylarkbend/wire/WireFuzzTest.java
+++ b/wire/src/test/java/org/skylarkbend/wire/WireFuzzTest.java
@@ -12,7 +12,6 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.vertx.core.http.HttpServerOptions;
-import java.lang.reflect.Constructor;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -155,12 +154,8 @@
         }
     }
 
-    /** Servers install the decoder on a connection; here there is none, only a channel. */
-    private static ChannelHandler decoder() throws ReflectiveOperationException {
-        Constructor<RequestDecoder> constructor =
-                RequestDecoder.class.getDeclaredConstructor(HttpServerOptions.class, Limits.class);
-        constructor.setAccessible(true);
-        return constructor.newInstance(
+    private static ChannelHandler decoder() {
+        return new RequestDecoder(
                 OPTIONS,
                 new Limits(() -> NEVER_MILLISECONDS, () -> NEVER_MILLISECONDS, () -> false));
     }
