--- a/gateway/src/test/java/org/skylarkbend/gateway/call/AttemptTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/call/AttemptTest.java
@@ -1,9 +1,9 @@
 package org.skylarkbend.gateway.call;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.skylarkbend.testing.Waits.await;
 
 import com.codahale.metrics.Counter;
-import io.vertx.core.Future;
 import io.vertx.core.MultiMap;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
@@ -11,7 +11,6 @@
 import io.vertx.core.http.HttpMethod;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.concurrent.TimeUnit;
 import org.skylarkbend.catalog.CallKind;
 import org.skylarkbend.catalog.Endpoint;
 import org.skylarkbend.exchange.EndpointClient;
@@ -28,8 +27,6 @@
 
 /** Tests what an attempt reports about its request. */
 public class AttemptTest {
-    private static final long WAIT_LIMIT_SECONDS = 30;
-
     private Vertx mVertx;
 
     @BeforeMethod
@@ -125,10 +122,4 @@
             mOutcome.complete(outcome);
         }
     }
-
-    private static <T> T await(Future<T> future) throws Exception {
-        return future.toCompletionStage()
-                .toCompletableFuture()
-                .get(WAIT_LIMIT_SECONDS, TimeUnit.SECONDS);
-    }
 }
