--- a/agreement/src/main/java/org/skylarkbend/agreement/AgreementEffect.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/AgreementEffect.java
@@ -66,4 +66,14 @@
     /** Reports a change of the role, the term or the known leader. */
     record RoleChanged(MemberRole role, long term, Optional<MemberId> leader)
             implements AgreementEffect {}
+
+    /**
+     * Reports a change of the newest membership in the log, committed or not.
+     *
+     * @param previous the voters before the change
+     * @param current the voters after it
+     * @param index the index of the entry that contains them
+     */
+    record MembershipChanged(Membership previous, Membership current, long index)
+            implements AgreementEffect {}
 }
--- a/agreement/src/main/java/org/skylarkbend/agreement/AgreementTask.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/AgreementTask.java
@@ -19,6 +19,7 @@
 import org.skylarkbend.agreement.AgreementEffect.ConfirmationFailed;
 import org.skylarkbend.agreement.AgreementEffect.FailProposal;
 import org.skylarkbend.agreement.AgreementEffect.LeadershipConfirmed;
+import org.skylarkbend.agreement.AgreementEffect.MembershipChanged;
 import org.skylarkbend.agreement.AgreementEffect.Persist;
 import org.skylarkbend.agreement.AgreementEffect.Restore;
 import org.skylarkbend.agreement.AgreementEffect.RoleChanged;
@@ -329,6 +330,19 @@
                     "leader",
                     changed.leader().map(MemberId::toString).orElse("none"));
             mOnRoleChange.accept(currentStatus());
+        } else if (effect instanceof MembershipChanged changed) {
+            LOG.info(
+                    "agreement.members",
+                    "voters",
+                    changed.current().voters(),
+                    "quorum",
+                    changed.current().quorum(),
+                    "added",
+                    changed.current().notIn(changed.previous()),
+                    "removed",
+                    changed.previous().notIn(changed.current()),
+                    "index",
+                    changed.index());
         }
     }
 
--- a/agreement/src/main/java/org/skylarkbend/agreement/MemberState.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/MemberState.java
@@ -37,6 +37,7 @@
     private MemberRole mReportedRole = MemberRole.FOLLOWER;
     private long mReportedTerm;
     private Optional<MemberId> mReportedLeader = Optional.empty();
+    private Membership mReportedMembership = Membership.none();
 
     /** Pre-votes before the first leader start after the minimum election timeout over this. */
     private static final long FIRST_PRE_VOTE_DIVISOR = 5;
@@ -163,6 +164,7 @@
     /** Returns the effects collected for one input, including a persist of all unsaved changes. */
     List<AgreementEffect> drainEffects() {
         reportRoleChange();
+        reportMembershipChange();
         flushUnsaved();
         return mOutbox.drain(
                 mHardStateFailed ? OptionalLong.empty() : OptionalLong.of(mHardStateNumber));
@@ -267,4 +269,14 @@
             mOutbox.add(new AgreementEffect.RoleChanged(mRole, mTerm, mLeader));
         }
     }
+
+    private void reportMembershipChange() {
+        Membership current = mLog.membership();
+        if (!current.equals(mReportedMembership)) {
+            mOutbox.add(
+                    new AgreementEffect.MembershipChanged(
+                            mReportedMembership, current, mLog.membershipIndex()));
+            mReportedMembership = current;
+        }
+    }
 }
--- a/agreement/src/main/java/org/skylarkbend/agreement/Membership.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/Membership.java
@@ -61,4 +61,9 @@
     public Membership without(MemberId member) {
         return new Membership(voters.stream().filter(voter -> !voter.equals(member)).toList());
     }
+
+    /** Returns the voters that are not in another membership. */
+    public List<MemberId> notIn(Membership other) {
+        return voters.stream().filter(voter -> !other.contains(voter)).toList();
+    }
 }
