Answer a call of which a step throws an exception

Callers saw neither an answer nor a refusal: a whole request whose reading, admission or building threw an exception was logged as task.exception and left; the bytes of its body stayed taken. Later exceptions of a call, in a timer or an event of its endpoint, left it until its time-out.

Cause: nothing stood between the steps of one call and the event loop that runs them.

Change: CallBoundary. Reading a body, beginning a call and every callback of a call run within it. An exception ends this call: internal (500) if it may have run, the new kind internal_not_run (503) if not, a cut stream if it has begun. The end of a call runs each of its steps even if an earlier one fails, and the history of attempts is written before an attempt is let go, so that not_run is true at any moment.

--- a/base/src/main/java/org/skylarkbend/base/ErrorKind.java
+++ b/base/src/main/java/org/skylarkbend/base/ErrorKind.java
@@ -68,7 +68,9 @@
     /** A connection to another process failed. */
     CONNECTION_FAILED(502, RunState.NOT_RUN, true),
     /** An internal error of this program. */
-    INTERNAL(500, RunState.MAY_HAVE_RUN, false);
+    INTERNAL(500, RunState.MAY_HAVE_RUN, false),
+    /** An internal error of this program before any byte of the request can have been sent on. */
+    INTERNAL_NOT_RUN(503, RunState.NOT_RUN, true);
 
     private final int mHttpStatus;
     private final RunState mRunState;
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/Attempt.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/Attempt.java
@@ -48,13 +48,22 @@
     private final EngineChoice mChoice;
     private final Endpoint mEndpoint;
     private final Listener mListener;
+    private final CallBoundary mBoundary;
     private Optional<Exchange> mExchange = Optional.empty();
     private boolean mEnded;
     private boolean mSent;
     private boolean mPromptRead;
 
-    Attempt(EngineChoice choice, Listener listener) {
+    /**
+     * Creates an attempt that has not started.
+     *
+     * @param choice the endpoint
+     * @param listener receives the progress
+     * @param boundary boundary of the call
+     */
+    Attempt(EngineChoice choice, Listener listener, CallBoundary boundary) {
         mChoice = choice;
+        mBoundary = boundary;
         mEndpoint = choice.endpoint();
         mListener = listener;
     }
@@ -114,7 +123,7 @@
                                 headers(names, content),
                                 content.body(),
                                 start -> ResponseHead.isOfOtherCall(start, call, names)),
-                        this::handle);
+                        mBoundary.around(this::handle));
         mExchange = Optional.of(exchange);
         client.start(exchange);
     }
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/CallResources.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/CallResources.java
@@ -2,12 +2,15 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.vertx.core.Vertx;
+import java.util.Optional;
 import org.skylarkbend.base.MillisecondClock;
 import org.skylarkbend.exchange.EndpointClient;
 import org.skylarkbend.gateway.HeaderNames;
 import org.skylarkbend.gateway.crashes.CrashGuard;
 import org.skylarkbend.gateway.endpoints.EndpointProbes;
 import org.skylarkbend.gateway.endpoints.EndpointSelector;
+import org.skylarkbend.gateway.endpoints.EngineChoice;
+import org.skylarkbend.gateway.endpoints.PriorAttempts;
 import org.skylarkbend.gateway.limits.TokenGate;
 import org.skylarkbend.gateway.outcomes.OutcomeRecorder;
 
@@ -39,4 +42,19 @@
         EndpointProbes probes,
         ResponseMemory responses,
         MetricRegistry metrics,
-        MillisecondClock clock) {}
+        MillisecondClock clock) {
+    /** Selects the endpoint for the next attempt of a call; empty if none is left to try. */
+    Optional<EngineChoice> choose(CallRequest call, PriorAttempts prior) {
+        long nowMilliseconds = clock.nowMilliseconds();
+        String service = call.service();
+        return call.prompt().isEmpty()
+                ? selector.choose(service, prior, nowMilliseconds)
+                : selector.choose(
+                        service, call.prompt().get(), call.cacheScope(), prior, nowMilliseconds);
+    }
+
+    /** Records the time from the arrival of a call to its first event. */
+    void recordFirstEvent(long milliseconds) {
+        metrics.histogram("gateway_first_event_milliseconds").update(milliseconds);
+    }
+}
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/GatewayCall.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/GatewayCall.java
@@ -1,5 +1,6 @@
 package org.skylarkbend.gateway.call;
 
+import io.vertx.core.Future;
 import io.vertx.core.buffer.Buffer;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -7,9 +8,7 @@
 import org.skylarkbend.catalog.Customer;
 import org.skylarkbend.catalog.Endpoint;
 import org.skylarkbend.exchange.ResponseStart;
-import org.skylarkbend.gateway.endpoints.EndpointSelector;
 import org.skylarkbend.gateway.endpoints.EngineChoice;
-import org.skylarkbend.gateway.endpoints.PriorAttempts;
 import org.skylarkbend.gateway.limits.TokenGate;
 import org.skylarkbend.wire.HeldBytes;
 
@@ -17,7 +16,7 @@
  * Call in progress, from its admission to the end of the response. It is confined to the task that
  * serves the calls, and owns its timers and the current attempt.
  */
-public final class GatewayCall implements Attempt.Listener, TokenGate.Caller {
+final class GatewayCall implements Attempt.Listener, TokenGate.Caller {
     /** An engine that goes on sending events for this time has survived the prompt. */
     private static final long SURVIVED_MILLISECONDS = 500;
 
@@ -28,6 +27,7 @@
     private final CallResources mResources;
     private final CallerResponse mResponse;
     private final Runnable mOnEnd;
+    private final CallBoundary mBoundary;
     private final CallFingerprint mFingerprint;
     private final CallLog mLog;
     private final EndpointReports mReports;
@@ -51,39 +51,46 @@
      * @param requestBody body of the call, released as soon as no attempt can need it
      * @param resources resources shared by all calls
      * @param response response to the caller
+     * @param boundary boundary within which the call runs the callbacks that it registers
      * @param onEnd run once when the call has ended
      */
-    public GatewayCall(
+    GatewayCall(
             CallRequest call,
             HeldBytes requestBody,
             CallResources resources,
             CallerResponse response,
+            CallBoundary boundary,
             Runnable onEnd) {
         mCall = call;
         mRequestBody = requestBody;
         mResources = resources;
         mResponse = response;
         mOnEnd = onEnd;
+        mBoundary = boundary;
         mFingerprint = new CallFingerprint(call, requestBody::content);
         mHistory = new AttemptHistory(call.route());
         mLog = new CallLog(call, mFingerprint);
         mReports = new EndpointReports(call, mFingerprint, resources);
-        mReceived = new ReceivedResponse(resources.responses(), this::giveUpResponse);
+        mReceived =
+                new ReceivedResponse(resources.responses(), boundary.around(this::giveUpResponse));
         mTiming = new StreamTiming(call.arrivedMilliseconds());
-        mSilenceTimer = new SilenceTimer(resources.vertx(), call.route(), this::handleSilence);
+        mSilenceTimer =
+                new SilenceTimer(
+                        resources.vertx(), call.route(), boundary.around(this::handleSilence));
     }
 
     /**
      * Starts the call. If the customer has a rate limit, the call is sent once its tokens are
      * granted.
      */
-    public void start() {
+    void start() {
         if (isQuarantined()) {
             refuseQuarantined();
             return;
         }
         long waitMilliseconds = Math.max(1, mCall.deadlineMilliseconds() - now());
-        mTimeoutTimer = mResources.vertx().setTimer(waitMilliseconds, id -> timedOut());
+        mTimeoutTimer =
+                mResources.vertx().setTimer(waitMilliseconds, id -> mBoundary.run(this::timedOut));
         mResources.retries().recordCall(mCall.service());
         String customer = mCall.customer().map(Customer::name).orElse("");
         if (mResources.gate().isLimited(customer)) {
@@ -100,41 +107,35 @@
     @Override
     public void admitted() {
         if (!mEnded) {
-            sendToNextEndpoint();
+            mBoundary.run(this::sendToNextEndpoint);
         }
     }
 
     @Override
     public void refused(long retryAfterMilliseconds) {
-        fail(
-                ErrorKind.RATE_EXCEEDED,
-                "the rate limit of the customer is exceeded",
-                retryAfterMilliseconds);
+        String detail = "the rate limit of the customer is exceeded";
+        mBoundary.run(() -> fail(ErrorKind.RATE_EXCEEDED, detail, retryAfterMilliseconds));
     }
 
     /** Handles the disconnection of the caller. */
-    public void callerDisconnected() {
+    void callerDisconnected() {
         if (!mEnded) {
             finish("caller_left", 0);
         }
     }
 
     /** Handles the loss of an endpoint that accepts no more connections. */
-    public void endpointLost(Endpoint endpoint) {
-        boolean isAffected =
-                mAttempt.map(Attempt::endpoint)
-                        .filter(own -> own.incarnation().equals(endpoint.incarnation()))
-                        .isPresent();
-        if (isAffected) {
-            handleSilence();
-        }
+    void endpointLost(Endpoint endpoint) {
+        mAttempt.map(Attempt::endpoint)
+                .filter(own -> own.incarnation().equals(endpoint.incarnation()))
+                .ifPresent(own -> handleSilence());
     }
 
     /**
      * Ends the call because the gateway shuts down and cannot wait any longer. The caller learns
      * whether the call may have run.
      */
-    public void gatewayStopping() {
+    void gatewayStopping() {
         mAttempt.ifPresent(mHistory::mayHaveRunAt);
         fail(
                 mHistory.mayHaveRun() ? ErrorKind.ENDPOINT_FAILED : ErrorKind.ROUTER_DRAINING,
@@ -146,7 +147,7 @@
      * Handles a change of the quarantined parts. A call that waits at an engine is taken back if it
      * would crash the engine.
      */
-    public void quarantineChanged() {
+    void quarantineChanged() {
         boolean isWaiting = mAttempt.filter(attempt -> !attempt.isPromptRead()).isPresent();
         if (!mEnded && isWaiting && isQuarantined()) {
             mAttempt.ifPresent(mHistory::mayHaveRunAt);
@@ -180,7 +181,7 @@
             refuseQuarantined();
             return;
         }
-        Optional<EngineChoice> chosen = choose();
+        Optional<EngineChoice> chosen = mResources.choose(mCall, mHistory.prior());
         if (chosen.isEmpty()) {
             ErrorKind kind =
                     mHistory.mayHaveRun() ? ErrorKind.ENDPOINT_FAILED : ErrorKind.NO_ENDPOINT;
@@ -195,12 +196,12 @@
         Endpoint endpoint = chosen.get().endpoint();
         mLastChoice = chosen;
         mHistory.started(endpoint);
-        Attempt attempt = new Attempt(chosen.get(), this);
-        mAttempt = Optional.of(attempt);
+        Attempt attempt = new Attempt(chosen.get(), this, mBoundary);
         mReceived.discard();
         mTiming.attemptStarted(now());
         mResources.outcomes().sent(endpoint);
         mResources.selector().sent(endpoint, attempt.tokensToRead(), now());
+        mAttempt = Optional.of(attempt);
         attempt.start(
                 mResources.client(),
                 mResources.names(),
@@ -213,15 +214,6 @@
         mSilenceTimer.restart(mStreaming);
     }
 
-    private Optional<EngineChoice> choose() {
-        EndpointSelector selector = mResources.selector();
-        String service = mCall.service();
-        PriorAttempts prior = mHistory.prior();
-        return mCall.prompt().isEmpty()
-                ? selector.choose(service, prior, now())
-                : selector.choose(service, mCall.prompt().get(), mCall.cacheScope(), prior, now());
-    }
-
     @Override
     public boolean isStillWanted(Attempt attempt) {
         return mResources.selector().acceptsCalls(attempt.endpoint(), now()) && !isQuarantined();
@@ -287,10 +279,7 @@
         if (!mStreaming) {
             mStreaming = true;
             mResponse.beginStream(mHead.status(), mHead.headers());
-            mResources
-                    .metrics()
-                    .histogram("gateway_first_event_milliseconds")
-                    .update(now() - mCall.arrivedMilliseconds());
+            mResources.recordFirstEvent(now() - mCall.arrivedMilliseconds());
             releaseRequestBodyIfUnneeded();
         }
         mResponse.events(events);
@@ -305,13 +294,14 @@
     private void waitForCaller(Attempt attempt) {
         attempt.pause();
         mSilenceTimer.cancel();
-        mResponse.onDrained(
-                () -> {
-                    if (!mEnded && mAttempt.filter(own -> own == attempt).isPresent()) {
-                        mSilenceTimer.restart(mStreaming);
-                        attempt.resume();
-                    }
-                });
+        mResponse.onDrained(mBoundary.around(() -> callerHasRead(attempt)));
+    }
+
+    private void callerHasRead(Attempt attempt) {
+        if (!mEnded && mAttempt.filter(own -> own == attempt).isPresent()) {
+            mSilenceTimer.restart(mStreaming);
+            attempt.resume();
+        }
     }
 
     @Override
@@ -354,8 +344,8 @@
     }
 
     private void answered(Attempt attempt) {
-        endAttempt(attempt);
         mHistory.mayHaveRunAt(attempt);
+        endAttempt(attempt);
         mResources.selector().succeeded(attempt.endpoint());
         recordOutcome(attempt, !mHead.isServerError());
         if (!mHead.isError()) {
@@ -375,10 +365,9 @@
 
     /** Sends the response, which takes memory until the caller has got it. */
     private void sendCompleteResponse() {
+        Future<Void> sent = mResponse.complete(mHead.status(), mHead.headers(), mReceived.body());
         mSendingResponse = true;
-        mResponse
-                .complete(mHead.status(), mHead.headers(), mReceived.body())
-                .onComplete(ignored -> mReceived.discard());
+        sent.onComplete(ignored -> mReceived.discard());
         finish("answered", mHead.status());
     }
 
@@ -388,6 +377,7 @@
             return;
         }
         boolean isWaiting = !attempt.isPromptRead() && !mStreaming;
+        mHistory.failed(outcome);
         endAttempt(attempt);
         mReports.attemptFailed(attempt.endpoint(), outcome, isWaiting);
         if (outcome == AttemptOutcome.NOT_RUN) {
@@ -395,7 +385,6 @@
         } else if (outcome != AttemptOutcome.WITHDRAWN) {
             mResources.selector().failed(attempt.endpoint(), now());
         }
-        mHistory.failed(outcome);
         if (outcome.mayHaveRun()) {
             recordOutcome(attempt, false);
         }
@@ -426,9 +415,9 @@
     }
 
     private void endAttempt(Attempt attempt) {
+        mAttempt = Optional.empty();
         promptRead(attempt);
         mResources.selector().ended(attempt.endpoint());
-        mAttempt = Optional.empty();
     }
 
     private void handleSilence() {
@@ -441,40 +430,56 @@
     }
 
     private void timedOut() {
-        if (mEnded) {
-            return;
-        }
         mAttempt.ifPresent(mHistory::mayHaveRunAt);
         ErrorKind kind = mHistory.mayHaveRun() ? ErrorKind.ENDPOINT_TIMEOUT : ErrorKind.OVERLOADED;
         fail(kind, "the deadline of the call has passed", RETRY_AFTER_MILLISECONDS);
     }
 
+    /** Ends the call after an exception. The caller learns whether the call may have run. */
+    void stepFailed() {
+        mAttempt.ifPresent(mHistory::mayHaveRunAt);
+        fail(
+                mHistory.mayHaveRun() ? ErrorKind.INTERNAL : ErrorKind.INTERNAL_NOT_RUN,
+                "a step of the call failed",
+                RETRY_AFTER_MILLISECONDS);
+    }
+
     private void fail(ErrorKind kind, String detail, long retryAfterMilliseconds) {
         if (mEnded) {
             return;
         }
-        if (mStreaming) {
-            mResponse.abortStream();
-        } else {
-            mResponse.failure(kind, detail, retryAfterMilliseconds);
-        }
+        mBoundary.runEach(
+                () -> {
+                    if (mStreaming) {
+                        mResponse.abortStream();
+                    } else {
+                        mResponse.failure(kind, detail, retryAfterMilliseconds);
+                    }
+                });
         finish(kind.code(), kind.httpStatus());
     }
 
     private void finish(String outcome, int status) {
         mEnded = true;
-        mAttempt.ifPresent(
-                attempt -> {
-                    attempt.stop();
-                    endAttempt(attempt);
-                });
-        mResources.vertx().cancelTimer(mTimeoutTimer);
-        mSilenceTimer.cancel();
-        releaseRequestBodyIfUnneeded();
+        mBoundary.runEach(
+                () -> mAttempt.ifPresent(Attempt::stop),
+                () -> mAttempt.ifPresent(this::endAttempt),
+                () -> mResources.vertx().cancelTimer(mTimeoutTimer),
+                mSilenceTimer::cancel,
+                this::releaseRequestBodyIfUnneeded,
+                this::discardUnlessSending,
+                () -> mReservation.ifPresent(number -> mResources.gate().cancel(number, now())),
+                mOnEnd,
+                () -> record(outcome, status));
+    }
+
+    private void discardUnlessSending() {
         if (!mSendingResponse) {
             mReceived.discard();
         }
-        mReservation.ifPresent(number -> mResources.gate().cancel(number, now()));
+    }
+
+    private void record(String outcome, int status) {
         mResources.metrics().counter("gateway_calls_" + outcome).inc();
         mLog.ended(
                 new CallLog.End(
@@ -486,7 +491,6 @@
                         mTiming,
                         mResources.selector().ageMilliseconds(now())),
                 now());
-        mOnEnd.run();
     }
 
     private long now() {
--- a/gateway/src/main/java/org/skylarkbend/gateway/front/BodyIntake.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/front/BodyIntake.java
@@ -12,6 +12,7 @@
 import org.skylarkbend.base.ErrorKind;
 import org.skylarkbend.base.MillisecondClock;
 import org.skylarkbend.base.SkylarkError;
+import org.skylarkbend.gateway.call.CallBoundary;
 import org.skylarkbend.wire.HeldBytes;
 
 /**
@@ -56,12 +57,14 @@
     /**
      * Starts to read the body of a request.
      *
+     * @param id ID that the caller gave to the request
      * @param request request whose head has arrived
      * @param maxBodyBytes maximum size of the body
      * @param untilMilliseconds time at which a body that is still incomplete is refused
      * @param listener receives the outcome
      */
     void read(
+            String id,
             HttpServerRequest request,
             int maxBodyBytes,
             long untilMilliseconds,
@@ -69,11 +72,16 @@
         int maxBytes = (int) Math.min(maxBodyBytes, mBudget.limitBytes());
         Reading reading = new Reading(request, maxBytes, untilMilliseconds, listener);
         mReadings.add(reading);
-        request.handler(reading::append);
-        request.endHandler(ignored -> reading.complete());
-        request.exceptionHandler(e -> reading.stop());
-        long length = contentLength(request);
-        if (length > maxBytes) {
+        CallBoundary boundary = new CallBoundary(id, () -> reading.refuse(stepFailed()));
+        request.handler(boundary.around(reading::append)::accept);
+        request.endHandler(ignored -> boundary.run(reading::complete));
+        request.exceptionHandler(e -> boundary.run(reading::stop));
+        boundary.run(() -> makeRoom(reading));
+    }
+
+    private void makeRoom(Reading reading) {
+        long length = contentLength(reading.mRequest);
+        if (length > reading.mMaxBodyBytes) {
             reading.refuse(
                     new SkylarkError(ErrorKind.BODY_TOO_LARGE, "the request body is too large"));
         } else if (!mWaiting.isEmpty() && length > SMALL_BYTES || !reading.mBody.reserve(length)) {
@@ -123,6 +131,10 @@
         return new SkylarkError(ErrorKind.OVERLOADED, "there is no memory for the request body");
     }
 
+    private static SkylarkError stepFailed() {
+        return new SkylarkError(ErrorKind.INTERNAL_NOT_RUN, "a step of the request failed");
+    }
+
     private static long contentLength(HttpServerRequest request) {
         String value = request.getHeader("Content-Length");
         boolean isNumber = value != null && value.matches("\\d{1,18}");
--- a/gateway/src/main/java/org/skylarkbend/gateway/front/Drain.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/front/Drain.java
@@ -6,7 +6,7 @@
 import java.util.Set;
 import org.skylarkbend.base.StructuredLog;
 import org.skylarkbend.gateway.DrainSchedule;
-import org.skylarkbend.gateway.call.GatewayCall;
+import org.skylarkbend.gateway.call.GuardedCall;
 
 /** The drain of a gateway that shuts down. Confined to the task that serves the calls. */
 final class Drain {
@@ -17,7 +17,7 @@
     private static final long LAST_RESPONSES_MILLISECONDS = 200;
 
     private final Vertx mVertx;
-    private final Set<GatewayCall> mCalls;
+    private final Set<GuardedCall> mCalls;
     private final CallerConnections mConnections;
     private final Promise<Void> mDrained;
     private final long mCheckTimer;
@@ -35,7 +35,7 @@
     Drain(
             Vertx vertx,
             DrainSchedule schedule,
-            Set<GatewayCall> calls,
+            Set<GuardedCall> calls,
             CallerConnections connections,
             Promise<Void> drained) {
         mVertx = vertx;
@@ -67,7 +67,7 @@
     private void endCalls() {
         if (!mDrained.future().isComplete()) {
             int callsLeft = mCalls.size();
-            List.copyOf(mCalls).forEach(GatewayCall::gatewayStopping);
+            List.copyOf(mCalls).forEach(GuardedCall::gatewayStopping);
             mVertx.setTimer(LAST_RESPONSES_MILLISECONDS, id -> end(callsLeft));
         }
     }
--- a/gateway/src/main/java/org/skylarkbend/gateway/front/GatewayTask.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/front/GatewayTask.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.skylarkbend.base.ByteBudget;
+import org.skylarkbend.base.ErrorKind;
 import org.skylarkbend.base.MillisecondClock;
 import org.skylarkbend.base.SkylarkError;
 import org.skylarkbend.base.StructuredLog;
@@ -32,9 +33,10 @@
 import org.skylarkbend.exchange.ExchangeOptions;
 import org.skylarkbend.gateway.DrainSchedule;
 import org.skylarkbend.gateway.GatewaySettings;
+import org.skylarkbend.gateway.call.CallBoundary;
 import org.skylarkbend.gateway.call.CallRequest;
 import org.skylarkbend.gateway.call.CallResources;
-import org.skylarkbend.gateway.call.GatewayCall;
+import org.skylarkbend.gateway.call.GuardedCall;
 import org.skylarkbend.gateway.call.ResponseMemory;
 import org.skylarkbend.gateway.call.RetryBudget;
 import org.skylarkbend.gateway.crashes.CrashGuard;
@@ -81,7 +83,7 @@
     private final Consumer<Boolean> mOnReadyChange;
     private final CallHeadReader mHeadReader;
     private final Admissions mAdmissions;
-    private final Set<GatewayCall> mCalls = new HashSet<>();
+    private final Set<GuardedCall> mCalls = new HashSet<>();
     private final CallerConnections mConnections = new CallerConnections();
     private final EndpointSelector mSelector;
     private final WorkReport mWorkReport;
@@ -269,7 +271,7 @@
         mContext.runOnContext(
                 ignored -> {
                     mCrashes.noticeReceived(notice, now());
-                    List.copyOf(mCalls).forEach(GatewayCall::quarantineChanged);
+                    List.copyOf(mCalls).forEach(GuardedCall::quarantineChanged);
                 });
     }
 
@@ -345,11 +347,17 @@
     }
 
     private void receive(HttpServerRequest request) {
+        new CallBoundary(id(request), () -> refuseBody(request, stepFailed()))
+                .run(() -> readBody(request));
+    }
+
+    private void readBody(HttpServerRequest request) {
         long arrivedMilliseconds = now();
         mConnections.begun(request.connection());
         request.response().endHandler(ignored -> mConnections.ended(request.connection()));
         Admissions.Decision decision = mAdmissions.decide(request);
         mIntake.read(
+                id(request),
                 request,
                 mAdmissions.callerLimits().bodyBytes(),
                 arrivedMilliseconds + mAdmissions.bodyMilliseconds(request, decision),
@@ -367,12 +375,23 @@
     }
 
     private void beginOrQueue(Arrival arrival) {
-        Runnable begin = () -> begin(arrival);
+        CallBoundary boundary = new CallBoundary(id(arrival.request()), () -> failed(arrival));
+        Runnable begin = boundary.around(() -> begin(arrival));
         if (isFullyInitialized() || mDrain.isPresent() || !mStartupQueue.offer(begin)) {
             begin.run();
         }
     }
 
+    /** Ends a request that has become no call because a step of it failed. */
+    private void failed(Arrival arrival) {
+        arrival.body().release();
+        refuse(arrival.request(), stepFailed());
+    }
+
+    private static SkylarkError stepFailed() {
+        return new SkylarkError(ErrorKind.INTERNAL_NOT_RUN, "a step of the request failed");
+    }
+
     /** Refuses a request whose body has not arrived completely. */
     private void refuseBody(HttpServerRequest request, SkylarkError error) {
         RefusedBody.closeConnection(vertx, request);
@@ -382,7 +401,7 @@
     private void begin(Arrival arrival) {
         HttpServerRequest request = arrival.request();
         if (request.response().ended() || request.response().closed()) {
-            LOG.info("caller.gone", "id", request.getHeader(mSettings.headers().requestId()));
+            LOG.info("caller.gone", "id", id(request));
             arrival.body().release();
             return;
         }
@@ -398,10 +417,9 @@
 
     private void serve(Arrival arrival, ServingState.Admission admission) {
         HttpServerRequest request = arrival.request();
-        String id = request.getHeader(mSettings.headers().requestId());
         CallRequest call =
                 new CallRequest(
-                        id == null ? "" : id,
+                        id(request),
                         request.method(),
                         request.uri(),
                         request.getHeader("Host"),
@@ -413,18 +431,13 @@
                         arrival.milliseconds(),
                         mHeadReader.timeoutMilliseconds(request.headers()),
                         mAdmissions.catalogNumber());
-        GatewayCall[] started = new GatewayCall[1];
-        started[0] =
-                new GatewayCall(
-                        call,
-                        arrival.body(),
-                        mResources,
-                        responseTo(request),
-                        () -> mCalls.remove(started[0]));
-        mCalls.add(started[0]);
-        request.response().closeHandler(ignored -> started[0].callerDisconnected());
-        request.response().exceptionHandler(e -> started[0].callerDisconnected());
-        started[0].start();
+        GuardedCall started =
+                new GuardedCall(
+                        call, arrival.body(), mResources, responseTo(request), mCalls::remove);
+        request.response().closeHandler(ignored -> started.callerDisconnected());
+        request.response().exceptionHandler(e -> started.callerDisconnected());
+        mCalls.add(started);
+        started.start();
     }
 
     /** A request that has arrived completely; it began to arrive at the given time. */
@@ -439,19 +452,25 @@
     }
 
     private void refuse(HttpServerRequest request, SkylarkError error) {
+        responseTo(request)
+                .failure(error.kind(), error.detail(), mSettings.staleRetryMilliseconds());
         mMetrics.counter("gateway_refused_" + error.kind().code()).inc();
         LOG.info(
                 "call.refused",
                 "id",
-                request.getHeader(mSettings.headers().requestId()),
+                id(request),
                 "kind",
                 error.kind().code(),
                 "catalog",
                 mAdmissions.catalogNumber(),
                 "detail",
                 error.detail());
-        responseTo(request)
-                .failure(error.kind(), error.detail(), mSettings.staleRetryMilliseconds());
+    }
+
+    /** Returns the ID that the caller gave to a request; empty if it gave none. */
+    private String id(HttpServerRequest request) {
+        String id = request.getHeader(mSettings.headers().requestId());
+        return id == null ? "" : id;
     }
 
     private long now() {
--- a/gateway/src/main/java/org/skylarkbend/gateway/front/HttpCallerResponse.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/front/HttpCallerResponse.java
@@ -15,6 +15,7 @@
 final class HttpCallerResponse implements CallerResponse {
     private final HttpServerRequest mRequest;
     private final BooleanSupplier mIsDraining;
+    private boolean mBegun;
 
     /**
      * Creates a response that has not started.
@@ -80,6 +81,10 @@
         if (!isOpen()) {
             return;
         }
+        if (mBegun) {
+            // The response of an endpoint could not be passed on; nothing of it may remain.
+            mRequest.response().headers().clear();
+        }
         HttpServerResponse response = begin(kind.httpStatus(), MultiMap.caseInsensitiveMultiMap());
         if (kind.retryable()) {
             response.putHeader(
@@ -99,6 +104,7 @@
     }
 
     private HttpServerResponse begin(int httpStatus, MultiMap headers) {
+        mBegun = true;
         HttpServerResponse response = mRequest.response().setStatusCode(httpStatus);
         response.headers().addAll(CallHeadReader.forwardedResponseHeaders(headers));
         if (mIsDraining.getAsBoolean()) {
--- a/gateway/src/test/java/org/skylarkbend/gateway/call/AttemptTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/call/AttemptTest.java
@@ -45,7 +45,7 @@
         RawServer server = new RawServer(mVertx, (request, socket) -> socket.close());
         Endpoint endpoint = ListedEndpoint.of("e", await(server.listen()));
         AbortedAttempt aborted = new AbortedAttempt();
-        Attempt attempt = new Attempt(choice(endpoint), aborted);
+        Attempt attempt = new Attempt(choice(endpoint), aborted, new CallBoundary("c1", () -> {}));
         mVertx.getOrCreateContext().runOnContext(ignored -> start(attempt, "/x \r\nX: y"));
         AttemptOutcome outcome = await(aborted.mOutcome.future());
         assertThat(outcome.isSent()).isFalse();
--- a/gateway/src/test/java/org/skylarkbend/gateway/front/GatewayFixture.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/front/GatewayFixture.java
@@ -32,6 +32,7 @@
 import org.skylarkbend.catalog.Route;
 import org.skylarkbend.catalog.Service;
 import org.skylarkbend.catalog.SiteLimits;
+import org.skylarkbend.catalog.SiteMessage.WorkUnderWay;
 import org.skylarkbend.gateway.FakeEndpoint;
 import org.skylarkbend.gateway.GatewaySettings;
 import org.skylarkbend.limits.LimitMessage;
@@ -50,6 +51,7 @@
     protected GatewayTask mGateway;
     protected MetricRegistry mMetrics;
     protected int mPort;
+    protected volatile WorkUnderWay mReportedWork = new WorkUnderWay(Map.of(), 0);
     private Context mGatewayContext;
 
     /** Response as received by the caller. */
@@ -60,7 +62,7 @@
         mVertx = Vertx.vertx();
         mClient = mVertx.createHttpClient();
         mPort = LoopbackPorts.next();
-        mMetrics = new MetricRegistry();
+        mMetrics = createMetrics();
         GatewaySettings settings =
                 new GatewaySettings(
                         ObjectName.of("front-1"),
@@ -79,9 +81,10 @@
                         settings,
                         new ByteBudget("gateway_held", memoryBytes(), mMetrics),
                         mMetrics,
-                        MillisecondClock.monotonic(),
+                        clock(),
                         message -> {},
-                        new GatewayReports(work -> {}, outcomes -> {}, crashes -> {}),
+                        new GatewayReports(
+                                work -> mReportedWork = work, outcomes -> {}, crashes -> {}),
                         ready -> {});
         await(mVertx.deployVerticle(new ContextCapture()));
     }
@@ -115,6 +118,16 @@
         return CallerLimits.defaults();
     }
 
+    /** Returns the clock of the gateway. */
+    protected MillisecondClock clock() {
+        return MillisecondClock.monotonic();
+    }
+
+    /** Returns the registry of the gateway's metrics. */
+    protected MetricRegistry createMetrics() {
+        return new MetricRegistry();
+    }
+
     /** Returns the memory for bodies. */
     protected long memoryBytes() {
         return 64 * 1024 * 1024;
