Do not resume a stream at an ID that no header can carry

Callers of a resumable stream whose last event had an ID with a control character waited until the time-out of their route when the stream broke; an ID beyond Latin-1 was sent to the next engine as another one.

Cause: the ID is put into a header as it is. The header refuses some characters with an exception and replaces others.

Change: an attempt whose ID is not printable ASCII is withdrawn before anything is sent, so that the stream is cut at once.

Evidence: OddHeadsTest, 7 IDs and 35 odd heads of requests. Before: 3 of 42 red (vertical tab and a carriage return: a step of the call failed; the euro sign: another ID arrived). After: 42 of 42 green. No odd head made a step fail.

--- a/gateway/src/main/java/org/skylarkbend/gateway/call/Attempt.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/Attempt.java
@@ -113,6 +113,10 @@
             long remainingMilliseconds) {}
 
     void start(EndpointClient client, HeaderNames names, Content content) {
+        if (!content.lastEventId().map(Attempt::isHeaderText).orElse(true)) {
+            aborted(AttemptOutcome.WITHDRAWN, "the ID of the last event fits no header");
+            return;
+        }
         CallRequest call = content.call();
         Exchange exchange =
                 new Exchange(
@@ -128,6 +132,11 @@
         client.start(exchange);
     }
 
+    /** Returns whether a text arrives as it is when it is sent in a header. */
+    private static boolean isHeaderText(String text) {
+        return text.chars().allMatch(c -> c >= ' ' && c <= '~');
+    }
+
     private MultiMap headers(HeaderNames names, Content content) {
         CallRequest call = content.call();
         MultiMap headers = HttpHeaders.headers().addAll(call.headers());
