Decide on one message of a gateway's token shares at a time

Calls that waited for tokens were refused up to a second late, or stayed until some other call came by.

Cause: executing an effect of a decision can end a call, and thereby begin or cancel another, which was decided on within the loop over the outer decision's effects. The outer WakeAt was applied last and set the only timer to its own, later time.

Change: LimitShareInbox queues messages; one that an effect causes is decided on after all effects before it.

--- a/gateway/src/main/java/org/skylarkbend/gateway/limits/TokenGate.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/limits/TokenGate.java
@@ -12,6 +12,7 @@
 import org.skylarkbend.limits.LimitMessage;
 import org.skylarkbend.limits.LimitShareDecider;
 import org.skylarkbend.limits.LimitShareEffect;
+import org.skylarkbend.limits.LimitShareInbox;
 import org.skylarkbend.limits.LimitShareMessage;
 
 /**
@@ -23,7 +24,7 @@
 public final class TokenGate {
     /**
      * Receives the decision on a call. Exactly one method is called, once, possibly before {@link
-     * #reserve} returns.
+     * #reserve} returns, unless the call is cancelled first.
      */
     public interface Caller {
         /** Called when the call is admitted. */
@@ -42,7 +43,7 @@
     /** Call that was neither admitted nor refused yet. */
     private record PendingCall(Caller caller, long tokens) {}
 
-    private final LimitShareDecider mDecider;
+    private final LimitShareInbox mInbox;
     private final Consumer<LimitMessage> mLimitOwner;
     private final LongConsumer mWakeAt;
     private final Map<Long, PendingCall> mPendingCalls = new HashMap<>();
@@ -57,7 +58,7 @@
      * @param wakeAt requests a call of {@link #wake} at a time
      */
     public TokenGate(LimitShareDecider decider, Consumer<LimitMessage> owner, LongConsumer wakeAt) {
-        mDecider = decider;
+        mInbox = new LimitShareInbox(decider, this::apply);
         mLimitOwner = owner;
         mWakeAt = wakeAt;
     }
@@ -109,8 +110,7 @@
     }
 
     private void handle(LimitShareMessage message, long nowMilliseconds) {
-        List.copyOf(mDecider.decide(message, nowMilliseconds))
-                .forEach(effect -> apply(effect, nowMilliseconds));
+        mInbox.handle(message, nowMilliseconds);
     }
 
     private void apply(LimitShareEffect effect, long nowMilliseconds) {
