--- a/gateway/src/main/java/org/skylarkbend/gateway/call/Attempt.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/Attempt.java
@@ -48,13 +48,22 @@
     private final EngineChoice mChoice;
     private final Endpoint mEndpoint;
     private final Listener mListener;
+    private final CallBoundary mBoundary;
     private Optional<Exchange> mExchange = Optional.empty();
     private boolean mEnded;
     private boolean mSent;
     private boolean mPromptRead;
 
-    Attempt(EngineChoice choice, Listener listener) {
+    /**
+     * Creates an attempt that has not started.
+     *
+     * @param choice the endpoint
+     * @param listener receives the progress
+     * @param boundary boundary of the call
+     */
+    Attempt(EngineChoice choice, Listener listener, CallBoundary boundary) {
         mChoice = choice;
+        mBoundary = boundary;
         mEndpoint = choice.endpoint();
         mListener = listener;
     }
@@ -104,6 +113,10 @@
             long remainingMilliseconds) {}
 
     void start(EndpointClient client, HeaderNames names, Content content) {
+        if (!content.lastEventId().map(Attempt::isHeaderText).orElse(true)) {
+            aborted(AttemptOutcome.WITHDRAWN, "the ID of the last event fits no header");
+            return;
+        }
         CallRequest call = content.call();
         Exchange exchange =
                 new Exchange(
@@ -114,11 +127,16 @@
                                 headers(names, content),
                                 content.body(),
                                 start -> ResponseHead.isOfOtherCall(start, call, names)),
-                        this::handle);
+                        mBoundary.around(this::handle));
         mExchange = Optional.of(exchange);
         client.start(exchange);
     }
 
+    /** Returns whether a text arrives as it is when it is sent in a header. */
+    private static boolean isHeaderText(String text) {
+        return text.chars().allMatch(c -> c >= ' ' && c <= '~');
+    }
+
     private MultiMap headers(HeaderNames names, Content content) {
         CallRequest call = content.call();
         MultiMap headers = HttpHeaders.headers().addAll(call.headers());
