Sync the names of new data folders

What operators saw: something that had been accepted was gone after disks were lost and the power failed.

Cause: the data folder and the folders above it were created, but their names were never synced. A member with a new disk acknowledged entries in files that were synced, in a folder whose name was not. A loss of power could take the whole folder. If the other disks had been lost before, an acknowledged change was gone with it.

Change: DurableFolders creates the missing folders and syncs the name of each before the folder is used.

--- a/agreement/src/main/java/org/skylarkbend/agreement/DataFolder.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/DataFolder.java
@@ -31,7 +31,8 @@
     }
 
     static DataFolder open(Path path, FileOperations fileOperations) throws IOException {
-        Files.createDirectories(path);
+        FileOperations operations = new NamedFileOperations(fileOperations);
+        DurableFolders.create(path, operations);
         FileChannel channel =
                 FileChannel.open(
                         path.resolve(LOCK_FILE_NAME),
@@ -47,7 +48,7 @@
             channel.close();
             throw e;
         }
-        return new DataFolder(path, new NamedFileOperations(fileOperations), channel);
+        return new DataFolder(path, operations, channel);
     }
 
     Path file(String name) {
@@ -108,9 +109,7 @@
 
     /** Syncs the directory entries of the folder. */
     void sync() throws IOException {
-        try (FileChannel channel = FileChannel.open(mPath, StandardOpenOption.READ)) {
-            mFileOperations.sync(channel);
-        }
+        mFileOperations.syncFolder(mPath);
     }
 
     /** Replaces a file by one of at least this many bytes, as a snapshot does, and removes it. */
--- a/agreement/src/main/java/org/skylarkbend/agreement/FileOperations.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/FileOperations.java
@@ -6,6 +6,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
 
 /** The operations that change files, each of which may fail. Tests substitute a failing disk. */
 @FunctionalInterface
@@ -18,6 +19,13 @@
         channel.force(true);
     }
 
+    /** Syncs the names in a folder: of files that were created, renamed or removed. */
+    default void syncFolder(Path folder) throws IOException {
+        try (FileChannel channel = FileChannel.open(folder, StandardOpenOption.READ)) {
+            sync(channel);
+        }
+    }
+
     /** Cuts a file to this length. Does not sync it. */
     default void truncate(FileChannel channel, long lengthBytes) throws IOException {
         channel.truncate(lengthBytes);
--- a/agreement/src/main/java/org/skylarkbend/agreement/NamedFileOperations.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/NamedFileOperations.java
@@ -17,6 +17,11 @@
         named("sync", () -> operations.sync(channel));
     }
 
+    @Override
+    public void syncFolder(Path folder) throws IOException {
+        named("sync", () -> operations.syncFolder(folder));
+    }
+
     @Override
     public void truncate(FileChannel channel, long lengthBytes) throws IOException {
         named("truncate", () -> operations.truncate(channel, lengthBytes));
