Withdraw a candidacy whose vote could not be saved

What operators saw: a sound leader was lost, and changes waited for an election, some time after the disk of another member had no room.

Cause: a candidate whose vote could not be saved kept the raised term in memory. Until it had room it was mute, because its messages wait for the term to be on disk; then it refused the leader that the others had gone on with as stale, and that leader stepped down. Shown as harmless by the same tests: the term rises once and not with each election, the vote that was not saved is not counted, and none is cast twice after a restart, whether the disk kept the first one or not.

Change: the candidate returns to the hard state before its candidacy, if that is on disk. Its requests for votes waited for the disk, so nobody has heard of the term, and no message of the term was accepted. It stands again at the next election timeout.

--- a/agreement/src/main/java/org/skylarkbend/agreement/Elections.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/Elections.java
@@ -125,8 +125,7 @@
     private void startVote(long nowMilliseconds) {
         mState.resetElectionTimeout(nowMilliseconds);
         mLeaderlessMilliseconds = mState.leaderlessMilliseconds(nowMilliseconds);
-        mState.mRole = MemberRole.CANDIDATE;
-        mState.setTermAndVote(mState.mTerm + 1, Optional.of(mState.mSelf));
+        mState.startCandidacy();
         mGrantedBy.clear();
         sendToOthers(
                 new VoteRequest(mState.mTerm, mState.mLog.lastIndex(), mState.mLog.lastTerm()));
--- a/agreement/src/main/java/org/skylarkbend/agreement/MemberState.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/MemberState.java
@@ -34,6 +34,7 @@
     private boolean mHardStateFailed;
     private long mFirstUnsavedIndex;
     private boolean mHardStateUnsaved;
+    private Optional<SavedHardState> mBeforeCandidacy = Optional.empty();
     private MemberRole mReportedRole = MemberRole.FOLLOWER;
     private long mReportedTerm;
     private Optional<MemberId> mReportedLeader = Optional.empty();
@@ -42,6 +43,9 @@
     /** Pre-votes before the first leader start after the minimum election timeout over this. */
     private static final long FIRST_PRE_VOTE_DIVISOR = 5;
 
+    /** A hard state that is on disk, and the number of the write that put it there. */
+    private record SavedHardState(HardState hardState, long number) {}
+
     /** A persist that is not yet synced, and the last index that it makes durable. */
     private record PendingPersist(long number, long lastIndex) {}
 
@@ -138,6 +142,16 @@
         mHardStateUnsaved = true;
     }
 
+    /** Starts the next term with a vote for this member. */
+    void startCandidacy() {
+        mRole = MemberRole.CANDIDATE;
+        mBeforeCandidacy =
+                isHardStateDurable()
+                        ? Optional.of(new SavedHardState(hardState(), mHardStateNumber))
+                        : Optional.empty();
+        setTermAndVote(mTerm + 1, Optional.of(mSelf));
+    }
+
     void append(LogEntry entry) {
         mLog.append(entry);
         mFirstUnsavedIndex = Math.min(mFirstUnsavedIndex, entry.index());
@@ -211,18 +225,34 @@
 
     /**
      * Discards entries that did not reach the disk. A hard state that did not is written again
-     * after the next tick.
+     * after the next tick, unless it is a candidacy, which nobody has heard of.
      */
     void persistFailed() {
         mPending.clear();
         if (mHardStateNumber > mSyncedNumber) {
-            mHardStateUnsaved = true;
-            mHardStateFailed = true;
+            if (mRole == MemberRole.CANDIDATE && mBeforeCandidacy.isPresent()) {
+                withdrawCandidacy(mBeforeCandidacy.get());
+            } else {
+                mHardStateUnsaved = true;
+                mHardStateFailed = true;
+            }
         }
         mLog.truncateFrom(mPersistedIndex + 1);
         mFirstUnsavedIndex = mLog.lastIndex() + 1;
     }
 
+    /**
+     * Returns to the term before a candidacy that was not saved. Its requests for votes waited for
+     * the disk, and no message of its term was accepted, or this member would be no candidate.
+     */
+    private void withdrawCandidacy(SavedHardState before) {
+        mTerm = before.hardState().term();
+        mVote = before.hardState().vote();
+        mHardStateNumber = before.number();
+        mHardStateUnsaved = false;
+        mBeforeCandidacy = Optional.empty();
+    }
+
     /** Allows a hard state that could not be saved to be written again. */
     void retryHardState() {
         mHardStateFailed = false;
