Remove silent members down to the intended number of voters

Operators saw: after three control VMs had been replaced in a row, the loss of one more left the group without a leader for good, and an acknowledged config reached nobody.

Cause: a silent voter was only removed while the number of voters was even. With the new VM taken in before the old one was out the group grew to seven voters of which several were gone for good; seven is odd, so none was removed, and one allowed loss left three live of seven.

Change: the settings say how many losses have to be tolerated (f, tolerated_losses, from FaultTolerance.Machines). A silent voter is removed, one at a time and whatever the parity, while there are more than 2f + 1; at 2f + 1 only if a new member is ready, which is taken in next. Neither raises the quorum, and each commit is on f + 1 disks. The group grows beyond 2f + 1 only while all voters have responded in this term, and no change is appended that leaves no responding quorum.

--- a/agreement/src/main/java/org/skylarkbend/agreement/LeaderReplication.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/LeaderReplication.java
@@ -143,6 +143,18 @@
                 || progress != null && progress.isLive(nowMilliseconds, timeoutMilliseconds);
     }
 
+    /**
+     * Returns whether a member has responded in this term, and within the maximum election timeout.
+     */
+    boolean responds(MemberId member, long nowMilliseconds) {
+        MemberProgress progress = mProgress.get(member);
+        return member.equals(mState.mSelf)
+                || progress != null
+                        && progress.hasResponded()
+                        && progress.isLive(
+                                nowMilliseconds, mState.mOptions.electionMaxMilliseconds());
+    }
+
     private long acknowledgedRound(MemberId voter) {
         if (voter.equals(mState.mSelf)) {
             return mRound;
--- a/agreement/src/main/java/org/skylarkbend/agreement/MemberProgress.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/MemberProgress.java
@@ -20,6 +20,11 @@
         return nowMilliseconds - mLastResponseMilliseconds <= timeoutMilliseconds;
     }
 
+    /** Returns whether the member has responded at all since the leader tracks it. */
+    boolean hasResponded() {
+        return mAcknowledgedRound > 0;
+    }
+
     void recordResponse(long round, long nowMilliseconds) {
         mAcknowledgedRound = Math.max(mAcknowledgedRound, round);
         mLastResponseMilliseconds = nowMilliseconds;
--- a/agreement/src/main/java/org/skylarkbend/agreement/MembershipChanges.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/MembershipChanges.java
@@ -44,31 +44,39 @@
         }
     }
 
-    /** Returns the next membership change, if one may be appended now. */
+    /**
+     * Returns the next membership change, if one may be appended now. A quorum of the members that
+     * it leaves must respond, since it takes effect before it is committed.
+     */
     Optional<MembershipChange> nextChange(long nowMilliseconds) {
         removeStaleLearners(nowMilliseconds);
         if (!canChange()) {
             return Optional.empty();
         }
-        Optional<Membership> withoutUnresponsive = withoutUnresponsive(nowMilliseconds);
-        if (withoutUnresponsive.isPresent()) {
-            return withoutUnresponsive.map(MembershipChange::new);
-        }
-        return mLearnersHeardAtMilliseconds.keySet().stream()
-                .filter(learner -> isUpToDate(learner, nowMilliseconds))
-                .findFirst()
-                .flatMap(learner -> changeFor(learner, nowMilliseconds))
+        List<MemberId> ready =
+                mLearnersHeardAtMilliseconds.keySet().stream()
+                        .filter(learner -> isUpToDate(learner, nowMilliseconds))
+                        .toList();
+        return withoutUnresponsive(ready, nowMilliseconds)
+                .or(() -> withNewMember(ready, nowMilliseconds))
+                .or(() -> withoutReplaced(ready, nowMilliseconds))
+                .filter(next -> next.isQuorum(voter -> responds(voter, nowMilliseconds)))
                 .map(MembershipChange::new);
     }
 
     /**
-     * Returns the membership without an unresponsive voter, if the number of voters is even. The
-     * quorum is then smaller by one, so the log tolerates as many failures as before.
+     * Returns the membership without an unresponsive voter, if more remain than are intended, or if
+     * one is missing afterwards for which a new member is ready. Neither raises the quorum, and
+     * each commit is still on one disk more than may be lost. A removed member that had only paused
+     * becomes a learner and then a voter again.
      */
-    private Optional<Membership> withoutUnresponsive(long nowMilliseconds) {
+    private Optional<Membership> withoutUnresponsive(List<MemberId> ready, long nowMilliseconds) {
         Membership membership = mState.mLog.membership();
+        boolean canTakePlace =
+                ready.stream().anyMatch(learner -> memberOnSameVm(learner).isEmpty());
+        int leastVoters = mRules.intendedVoters() + (canTakePlace ? 0 : 1);
         if (mRules.removeUnresponsiveAfterMilliseconds().isEmpty()
-                || membership.voters().size() % 2 != 0) {
+                || membership.voters().size() < leastVoters) {
             return Optional.empty();
         }
         long timeoutMilliseconds = mRules.removeUnresponsiveAfterMilliseconds().getAsLong();
@@ -81,17 +89,35 @@
                 .map(membership::without);
     }
 
-    private Optional<Membership> changeFor(MemberId learner, long nowMilliseconds) {
+    /**
+     * Returns the membership with a new member on a VM without a voter. The quorum is raised above
+     * the one of the intended members only while all voters respond.
+     */
+    private Optional<Membership> withNewMember(List<MemberId> ready, long nowMilliseconds) {
         Membership membership = mState.mLog.membership();
-        Optional<MemberId> previous = memberOnSameVm(learner);
-        if (previous.isPresent()) {
-            return isLive(previous.get(), nowMilliseconds)
-                    ? Optional.empty()
-                    : Optional.of(membership.without(previous.get()));
+        if (membership.voters().size() >= Membership.MAX_VOTERS) {
+            return Optional.empty();
         }
-        return membership.voters().size() < Membership.MAX_VOTERS
-                ? Optional.of(membership.with(learner))
-                : Optional.empty();
+        boolean allRespond =
+                membership.voters().stream().allMatch(voter -> responds(voter, nowMilliseconds));
+        return ready.stream()
+                .filter(learner -> memberOnSameVm(learner).isEmpty())
+                .findFirst()
+                .map(membership::with)
+                .filter(
+                        next ->
+                                allRespond
+                                        || next.quorum() == membership.quorum()
+                                        || next.voters().size() <= mRules.intendedVoters());
+    }
+
+    /** Returns the membership without a voter that a new member on the same VM replaces. */
+    private Optional<Membership> withoutReplaced(List<MemberId> ready, long nowMilliseconds) {
+        return ready.stream()
+                .flatMap(learner -> memberOnSameVm(learner).stream())
+                .filter(previous -> !isLive(previous, nowMilliseconds))
+                .findFirst()
+                .map(mState.mLog.membership()::without);
     }
 
     /**
@@ -118,6 +144,10 @@
         return mState.mLog.membership().onVm(learner.vm());
     }
 
+    private boolean responds(MemberId member, long nowMilliseconds) {
+        return mLeaderReplication.responds(member, nowMilliseconds);
+    }
+
     private boolean isLive(MemberId member, long nowMilliseconds) {
         return mLeaderReplication.isLive(
                 member, nowMilliseconds, mState.mOptions.electionMaxMilliseconds());
--- a/agreement/src/main/java/org/skylarkbend/agreement/MembershipRules.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/MembershipRules.java
@@ -11,28 +11,44 @@
  * @param initialVms the VMs that form the initial membership; if empty, this member never creates a
  *     log
  * @param mayJoin returns whether a member on a VM may join
+ * @param toleratedLosses the number of members that may be lost at the same time
  * @param removeUnresponsiveAfterMilliseconds the time after which an unresponsive member is
- *     removed, if the number of members is even: its removal then shrinks the quorum and the log
- *     tolerates as many failures as before; empty to never remove members
+ *     removed, if more voters remain than are needed to tolerate the losses, or if a new member can
+ *     take its place; empty to never remove members
  */
 public record MembershipRules(
         Set<ObjectName> initialVms,
         Predicate<ObjectName> mayJoin,
+        int toleratedLosses,
         OptionalLong removeUnresponsiveAfterMilliseconds) {
-    /** Copies the set. */
+    /** The number of losses that the maximum number of voters tolerates. */
+    public static final int MAX_TOLERATED_LOSSES = (Membership.MAX_VOTERS - 1) / 2;
+
+    /** Copies the set, and limits the losses to those that a log can tolerate. */
     public MembershipRules {
         initialVms = Set.copyOf(initialVms);
+        toleratedLosses = Math.min(toleratedLosses, MAX_TOLERATED_LOSSES);
     }
 
     /** Returns the rules of a log whose members are fixed by the settings. */
     public static MembershipRules fixed(Set<ObjectName> vms) {
-        return new MembershipRules(vms, vms::contains, OptionalLong.empty());
+        return new MembershipRules(vms, vms::contains, (vms.size() - 1) / 2, OptionalLong.empty());
     }
 
     /** Returns the rules of a log that any VM may join if it can reach a member. */
     public static MembershipRules open(
-            Set<ObjectName> initialVms, long removeUnresponsiveAfterMilliseconds) {
+            Set<ObjectName> initialVms,
+            int toleratedLosses,
+            long removeUnresponsiveAfterMilliseconds) {
         return new MembershipRules(
-                initialVms, vm -> true, OptionalLong.of(removeUnresponsiveAfterMilliseconds));
+                initialVms,
+                vm -> true,
+                toleratedLosses,
+                OptionalLong.of(removeUnresponsiveAfterMilliseconds));
+    }
+
+    /** Returns the number of voters whose quorum remains after the losses. */
+    int intendedVoters() {
+        return 2 * toleratedLosses + 1;
     }
 }
--- a/agreement/src/test/java/org/skylarkbend/agreement/ClusterSimulation.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/ClusterSimulation.java
@@ -9,7 +9,6 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
-import java.util.TreeSet;
 import java.util.function.Consumer;
 import java.util.function.ToIntFunction;
 import java.util.stream.IntStream;
@@ -25,7 +24,10 @@
     private static final long FAULT_FREE_MILLISECONDS = 2_000;
     private static final long START_SPREAD_MILLISECONDS = 300;
     private static final int SEED_VMS = 3;
-    private static final long REMOVE_UNRESPONSIVE_MILLISECONDS = 700;
+    private static final int TOLERATED_LOSSES = 2;
+
+    /** Near the maximum election timeout, so that members that only pause are removed often. */
+    private static final long REMOVE_UNRESPONSIVE_MILLISECONDS = 500;
 
     private final SplittableRandom mRandom;
     private final SafetyChecks mChecks = new SafetyChecks();
@@ -47,6 +49,7 @@
     private boolean mFaultsStopped;
     private final boolean mMayJoin;
     private final MemberDisk.Factory mNewDisk;
+    private final Set<ObjectName> mInitialVms;
 
     /** An action scheduled for a point in simulated time. */
     private record Event(long atMilliseconds, long sequence, Runnable work) {}
@@ -91,6 +94,7 @@
         int count = memberCount.applyAsInt(mRandom);
         List<ObjectName> vms =
                 IntStream.rangeClosed(1, count).mapToObj(i -> ObjectName.of("vm-" + i)).toList();
+        mInitialVms = Set.copyOf(mayJoin ? vms.subList(0, SEED_VMS) : vms);
         vms.forEach(vm -> mMembers.put(vm, null));
         vms.forEach(vm -> mMembers.put(vm, new SimulatedMember(this, mChecks, vm)));
     }
@@ -225,7 +229,8 @@
     /** Returns the rules for a member. */
     MembershipRules rules() {
         return mMayJoin
-                ? MembershipRules.open(initialVms(), REMOVE_UNRESPONSIVE_MILLISECONDS)
+                ? MembershipRules.open(
+                        mInitialVms, TOLERATED_LOSSES, REMOVE_UNRESPONSIVE_MILLISECONDS)
                 : MembershipRules.fixed(vms());
     }
 
@@ -234,13 +239,39 @@
     }
 
     boolean isInitialVm(ObjectName vm) {
-        return initialVms().contains(vm);
+        return mInitialVms.contains(vm);
     }
 
-    private Set<ObjectName> initialVms() {
-        return mMayJoin
-                ? new TreeSet<>(vms().stream().limit(SEED_VMS).toList())
-                : Set.copyOf(vms());
+    /** Starts all members without faults, and requests that go on until the simulation ends. */
+    SafetyChecks startWithoutFaults() {
+        mFaultsStopped = true;
+        mMembers.values().forEach(SimulatedMember::start);
+        after(1, this::nextRequest);
+        runUntil(FAULT_FREE_MILLISECONDS);
+        return mChecks;
+    }
+
+    /** Starts a member with an empty disk on a new VM. */
+    SimulatedMember startNew(ObjectName vm) {
+        SimulatedMember member = new SimulatedMember(this, mChecks, vm);
+        mMembers.put(vm, member);
+        member.start();
+        return member;
+    }
+
+    SimulatedMember member(ObjectName vm) {
+        return mMembers.get(vm);
+    }
+
+    /** Cuts a member off from all others, in both directions. */
+    void cutOff(SimulatedMember member, long durationMilliseconds) {
+        List<BlockedLink> blockedLinks = new ArrayList<>();
+        for (ObjectName other : mMembers.keySet()) {
+            blockedLinks.add(new BlockedLink(member.vm(), other));
+            blockedLinks.add(new BlockedLink(other, member.vm()));
+        }
+        mBlockedLinks.addAll(blockedLinks);
+        after(durationMilliseconds, () -> mBlockedLinks.removeAll(blockedLinks));
     }
 
     Set<ObjectName> vms() {
@@ -292,7 +323,7 @@
                 });
     }
 
-    private void runUntil(long atMilliseconds) {
+    void runUntil(long atMilliseconds) {
         while (!mEvents.isEmpty() && mEvents.peek().atMilliseconds() <= atMilliseconds) {
             Event event = mEvents.poll();
             mNowMilliseconds = event.atMilliseconds();
@@ -332,7 +363,7 @@
         after(mRandom.nextLong(10, mMaxFaultIntervalMilliseconds), this::nextFault);
     }
 
-    private void crash(SimulatedMember member, long durationMilliseconds) {
+    void crash(SimulatedMember member, long durationMilliseconds) {
         member.crash();
         after(
                 durationMilliseconds,
@@ -343,7 +374,7 @@
                 });
     }
 
-    private void pause(SimulatedMember member, long durationMilliseconds) {
+    void pause(SimulatedMember member, long durationMilliseconds) {
         member.pause();
         after(durationMilliseconds, member::resume);
     }
--- a/agreement/src/test/java/org/skylarkbend/agreement/SimulatedMember.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/SimulatedMember.java
@@ -57,6 +57,7 @@
     private boolean mPaused;
     private boolean mDiskFull;
     private boolean mDiskHangs;
+    private boolean mHasEnded;
 
     SimulatedMember(ClusterSimulation simulation, SafetyChecks checks, ObjectName vm) {
         mSimulation = simulation;
@@ -106,6 +107,9 @@
     }
 
     void start() {
+        if (mHasEnded) {
+            return;
+        }
         mIncarnation++;
         mAppliedIndex = 0;
         mSyncedNumber = 0;
@@ -134,6 +138,12 @@
         mPaused = false;
     }
 
+    /** Ends the VM for good. */
+    void end() {
+        crash();
+        mHasEnded = true;
+    }
+
     void loseDisk() {
         mDisk = mSimulation.newDisk(mVm, mSimulation.hasFixedMembers());
     }
--- a/control/src/main/java/org/skylarkbend/control/site/SiteControlParts.java
+++ b/control/src/main/java/org/skylarkbend/control/site/SiteControlParts.java
@@ -20,8 +20,7 @@
  * @param bootstrapsLog true if the seeds bootstrap a new log together if none of them has one
  * @param ports the listen ports, the same on all control VMs
  * @param dataFolder the folder on persistent storage
- * @param removeUnresponsiveAfterMilliseconds the time for which a member may be silent before
- *     another VM may replace it
+ * @param members the rules for removing members of the replicated log
  * @param engineOrders the options of engine orders
  * @param bounds the bounds on what customers and new versions get
  * @param reader parses the documents of operators
@@ -37,7 +36,7 @@
         boolean bootstrapsLog,
         Ports ports,
         Path dataFolder,
-        long removeUnresponsiveAfterMilliseconds,
+        Members members,
         EngineOrderOptions engineOrders,
         Bounds bounds,
         CatalogReader reader,
@@ -53,6 +52,16 @@
      */
     public record Ports(int agreement, int feed) {}
 
+    /**
+     * The rules for removing members of the replicated log.
+     *
+     * @param toleratedLosses the number of control VMs that may be lost at the same time
+     * @param removeUnresponsiveAfterMilliseconds the time for which a member may be silent before
+     *     it is removed, if there are more members than these losses require, or if another VM can
+     *     take its place
+     */
+    public record Members(int toleratedLosses, long removeUnresponsiveAfterMilliseconds) {}
+
     /**
      * The bounds on what customers and new versions get.
      *
--- a/control/src/main/java/org/skylarkbend/control/site/SiteControlProcess.java
+++ b/control/src/main/java/org/skylarkbend/control/site/SiteControlProcess.java
@@ -75,6 +75,7 @@
 public final class SiteControlProcess {
     private static final StructuredLog LOG = StructuredLog.of(SiteControlProcess.class);
     private static final SecureRandom RANDOM = new SecureRandom();
+    private static final AgreementOptions OPTIONS = AgreementOptions.lowLatency();
 
     /**
      * The time for which a gateway may serve after the last confirmation that its catalog is up to
@@ -216,7 +217,7 @@
                 new AgreementTask(
                         mParts.self(),
                         directory(),
-                        AgreementOptions.lowLatency(),
+                        OPTIONS,
                         WireOptions.plain(),
                         storage,
                         new AppliedState(state),
@@ -240,7 +241,12 @@
         return new MemberDirectory(
                 mParts.seeds(),
                 vm -> Optional.of(new MemberAddress(vm.value(), mParts.ports().agreement())),
-                MembershipRules.open(mParts.seeds(), mParts.removeUnresponsiveAfterMilliseconds()));
+                MembershipRules.open(
+                        mParts.seeds(),
+                        mParts.members().toleratedLosses(),
+                        Math.max(
+                                OPTIONS.electionMaxMilliseconds(),
+                                mParts.members().removeUnresponsiveAfterMilliseconds())));
     }
 
     private void documentChanged(NumberedDocument document) {
--- a/control/src/test/java/org/skylarkbend/control/site/SiteControlProcessTest.java
+++ b/control/src/test/java/org/skylarkbend/control/site/SiteControlProcessTest.java
@@ -185,7 +185,7 @@
                 bootstrapsLog,
                 mPorts,
                 mFolder.resolve(vm.value()),
-                1_000,
+                new SiteControlParts.Members(2, 1_000),
                 new SiteControlParts.EngineOrderOptions(0, 10_000, true),
                 new SiteControlParts.Bounds(SiteLimits.Slack.none(), new ExposureLimit(0.1, 50)),
                 SiteControlProcessTest::read,
