Keep a silent endpoint until another one goes on

What callers saw: a resumable stream whose sound endpoint was silent for 1.5 s or more was broken off without its rest, and a repeatable call whose response took over three times the target of its route got 502 or 504, if no other endpoint was there, if it refused, failed or accepted no connection, or if the retry budget was empty. The same happened to a stream with an open connection when a probe of its endpoint was refused.

Cause: the silent attempt was stopped first. Whether an endpoint and a retry were left, and whether that endpoint took the call, was asked afterwards. What worked was given up before its successor was secured.

Change: HandOver secures a successor (endpoint, connection, retry of the budget) beside the silent attempt. Each attempt has its own response (Run), their accounts are kept in one place (Runs). A stream goes on with the endpoint that sends the next whole event; the silent one stops 250 ms after the other was sent the call at the latest. Calls that are no streams take the first whole response. If nothing can be secured, the silent endpoint keeps the call. Attempts count from their start.

--- a/gateway/src/main/java/org/skylarkbend/gateway/call/Attempt.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/Attempt.java
@@ -210,7 +210,9 @@
         if (mListener.isStillWanted(this)) {
             mSent = true;
         } else {
-            aborted(AttemptOutcome.WITHDRAWN, "the endpoint stopped accepting calls");
+            aborted(
+                    AttemptOutcome.WITHDRAWN,
+                    "the endpoint stopped accepting calls or no retry is left");
         }
     }
 
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/AttemptHistory.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/AttemptHistory.java
@@ -10,6 +10,7 @@
 final class AttemptHistory {
     private final Route mRoute;
     private final Set<String> mTriedIncarnations = new HashSet<>();
+    private int mRunning;
     private int mSent;
     private int mConnectFailures;
     private boolean mMayHaveRun;
@@ -21,15 +22,34 @@
     /** Records the start of an attempt. */
     void started(Endpoint endpoint) {
         mTriedIncarnations.add(endpoint.incarnation());
+        mRunning++;
     }
 
     /** Records an attempt that ended without a usable response. */
     void failed(AttemptOutcome outcome) {
+        mRunning--;
         mMayHaveRun |= outcome.mayHaveRun();
         mConnectFailures += outcome.isSent() ? 0 : 1;
         mSent += outcome.isSent() ? 1 : 0;
     }
 
+    /** Records an attempt whose response is the one of the call. */
+    void answered(Attempt attempt) {
+        mRunning--;
+        mayHaveRunAt(attempt);
+    }
+
+    /**
+     * Records an attempt that was stopped because another one went on. Its endpoint has shown no
+     * fault and may be tried again.
+     */
+    void stopped(Attempt attempt) {
+        mRunning--;
+        mTriedIncarnations.remove(attempt.endpoint().incarnation());
+        mSent += attempt.isSent() ? 1 : 0;
+        mayHaveRunAt(attempt);
+    }
+
     /** Records that an endpoint may have run the call. */
     void mayHaveRunAt(Attempt attempt) {
         mMayHaveRun |= attempt.isSent();
@@ -40,7 +60,7 @@
         return mMayHaveRun;
     }
 
-    /** Returns the number of endpoints to which the call was sent, without the current one. */
+    /** Returns the number of endpoints to which the call was sent, without current ones. */
     int sent() {
         return mSent;
     }
@@ -52,12 +72,12 @@
 
     /** Returns what matters for the choice of the next endpoint. */
     PriorAttempts prior() {
-        return new PriorAttempts(mTriedIncarnations, isLastAttempt());
+        return new PriorAttempts(mTriedIncarnations, mSent + mRunning + 1 >= mRoute.maxAttempts());
     }
 
-    /** Returns whether the current attempt is the last that the route allows. */
+    /** Returns whether the route allows no attempt besides the current ones. */
     boolean isLastAttempt() {
-        return mSent + 1 >= mRoute.maxAttempts();
+        return mSent + mRunning >= mRoute.maxAttempts();
     }
 
     /** Returns whether the call may be sent again after the attempt that was recorded last. */
@@ -65,9 +85,14 @@
         return AttemptPolicy.mayRetry(mRoute, mSent, mConnectFailures, outcome);
     }
 
-    /** Returns whether the call may be sent again if the current attempt ends like this. */
-    boolean mayRetryIfCurrentEndsWith(AttemptOutcome outcome) {
-        return AttemptPolicy.mayRetry(mRoute, mSent + 1, mConnectFailures, outcome);
+    /** Returns whether another attempt may be started while the current ones are silent. */
+    boolean mayStartAnother() {
+        return mConnectFailures < AttemptPolicy.MAX_CONNECT_FAILURES
+                && mayRetryIfCurrentEndsWith(AttemptOutcome.SILENT);
+    }
+
+    private boolean mayRetryIfCurrentEndsWith(AttemptOutcome outcome) {
+        return AttemptPolicy.mayRetry(mRoute, mSent + mRunning, mConnectFailures, outcome);
     }
 
     /**
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/CallLog.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/CallLog.java
@@ -80,6 +80,73 @@
                 remainingMilliseconds);
     }
 
+    /** Logs that a silent endpoint is kept because no other one can be secured. */
+    void kept(Endpoint endpoint, String reason, long nowMilliseconds) {
+        LOG.info(
+                "handover.kept",
+                "id",
+                mCall.id(),
+                "endpoint",
+                endpoint.incarnation(),
+                "reason",
+                reason,
+                "elapsed_milliseconds",
+                nowMilliseconds - mCall.arrivedMilliseconds());
+    }
+
+    /** Logs that another endpoint is asked while a silent one may still go on. */
+    void successorStarted(Endpoint from, Endpoint to, long nowMilliseconds) {
+        LOG.info(
+                "handover.started",
+                "id",
+                mCall.id(),
+                "from",
+                from.incarnation(),
+                "to",
+                to.incarnation(),
+                "elapsed_milliseconds",
+                nowMilliseconds - mCall.arrivedMilliseconds());
+    }
+
+    /** Logs that a successor has a connection and a retry of the budget, and is sent the call. */
+    void successorSent(Endpoint to, long nowMilliseconds) {
+        LOG.info(
+                "handover.sent",
+                "id",
+                mCall.id(),
+                "to",
+                to.incarnation(),
+                "elapsed_milliseconds",
+                nowMilliseconds - mCall.arrivedMilliseconds());
+    }
+
+    /**
+     * Logs that one of two endpoints goes on and the other one was stopped.
+     *
+     * @param by endpoint that goes on
+     * @param stopped endpoint that was stopped
+     * @param wasSent true if the call was sent to the one that was stopped
+     * @param reason what decided it
+     * @param nowMilliseconds current time
+     */
+    void handedOver(
+            Endpoint by, Endpoint stopped, boolean wasSent, String reason, long nowMilliseconds) {
+        LOG.info(
+                "handover.decided",
+                "id",
+                mCall.id(),
+                "by",
+                by.incarnation(),
+                "stopped",
+                stopped.incarnation(),
+                "was_sent",
+                wasSent,
+                "reason",
+                reason,
+                "elapsed_milliseconds",
+                nowMilliseconds - mCall.arrivedMilliseconds());
+    }
+
     private String partIds() {
         return String.join(",", mFingerprint.parts().stream().map(PromptPart::id).toList());
     }
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/CallRequest.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/CallRequest.java
@@ -4,6 +4,7 @@
 import io.vertx.core.http.HttpMethod;
 import java.util.List;
 import java.util.Optional;
+import org.skylarkbend.catalog.CallKind;
 import org.skylarkbend.catalog.Customer;
 import org.skylarkbend.catalog.Route;
 import org.skylarkbend.gateway.endpoints.Prompt;
@@ -46,6 +47,11 @@
                 + Math.min(callerTimeoutMilliseconds, route.timeoutMilliseconds());
     }
 
+    /** Returns whether the response is a stream of events. */
+    public boolean isStream() {
+        return route.kind() == CallKind.STREAM;
+    }
+
     /** Returns the parts of the prompt that other calls may share; none without a prompt. */
     public List<PromptPart> sharedParts() {
         return prompt.map(Prompt::sharedParts).orElse(List.of());
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/EndpointReports.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/EndpointReports.java
@@ -63,6 +63,14 @@
         }
     }
 
+    /**
+     * Records that an endpoint accepts no more connections while the call waits there. If it has
+     * crashed, the call is suspect also if no other endpoint takes it.
+     */
+    void endpointLost(Endpoint endpoint) {
+        mResources.crashes().waitedInVain(endpoint, suspect());
+    }
+
     /** Records, once for the call, that an endpoint has survived it. */
     void promptServed() {
         if (!mServed) {
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/GatewayCall.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/GatewayCall.java
@@ -7,15 +7,13 @@
 import org.skylarkbend.catalog.Customer;
 import org.skylarkbend.catalog.Endpoint;
 import org.skylarkbend.exchange.ResponseStart;
-import org.skylarkbend.gateway.endpoints.EndpointSelector;
 import org.skylarkbend.gateway.endpoints.EngineChoice;
-import org.skylarkbend.gateway.endpoints.PriorAttempts;
 import org.skylarkbend.gateway.limits.TokenGate;
 import org.skylarkbend.wire.HeldBytes;
 
 /**
  * Call in progress, from its admission to the end of the response. It is confined to the task that
- * serves the calls, and owns its timers and the current attempt.
+ * serves the calls, and owns its timers and the attempts that are under way.
  */
 public final class GatewayCall implements Attempt.Listener, TokenGate.Caller {
     /** An engine that goes on sending events for this time has survived the prompt. */
@@ -32,16 +30,16 @@
     private final CallLog mLog;
     private final EndpointReports mReports;
     private final AttemptHistory mHistory;
-    private final ReceivedResponse mReceived;
+    private final Runs mRuns;
+    private final HandOver mHandOver;
     private final StreamTiming mTiming;
     private final SilenceTimer mSilenceTimer;
-    private Optional<Attempt> mAttempt = Optional.empty();
     private Optional<EngineChoice> mLastChoice = Optional.empty();
+    private Optional<String> mLastEventId = Optional.empty();
     private OptionalLong mReservation = OptionalLong.empty();
     private long mTimeoutTimer = -1;
     private boolean mStreaming;
     private boolean mEnded;
-    private ResponseHead mHead;
     private boolean mSendingResponse;
 
     /**
@@ -68,7 +66,16 @@
         mHistory = new AttemptHistory(call.route());
         mLog = new CallLog(call, mFingerprint);
         mReports = new EndpointReports(call, mFingerprint, resources);
-        mReceived = new ReceivedResponse(resources.responses(), this::giveUpResponse);
+        mRuns = new Runs(call, resources, mHistory, mReports, mLog);
+        mHandOver =
+                new HandOver(
+                        call,
+                        resources,
+                        mHistory,
+                        mRuns,
+                        mLog,
+                        choice -> start(choice, false),
+                        run -> goOnWith(run, "the time for both has passed"));
         mTiming = new StreamTiming(call.arrivedMilliseconds());
         mSilenceTimer = new SilenceTimer(resources.vertx(), call.route(), this::handleSilence);
     }
@@ -121,13 +128,17 @@
 
     /** Handles the loss of an endpoint that accepts no more connections. */
     public void endpointLost(Endpoint endpoint) {
-        boolean isAffected =
-                mAttempt.map(Attempt::endpoint)
-                        .filter(own -> own.incarnation().equals(endpoint.incarnation()))
-                        .isPresent();
-        if (isAffected) {
-            handleSilence();
-        }
+        Optional<Run> affected =
+                mRuns.newest()
+                        .filter(run -> run.endpoint().incarnation().equals(endpoint.incarnation()))
+                        .filter(run -> !run.waitsForCaller());
+        affected.ifPresent(
+                run -> {
+                    if (mRuns.isWaiting(run) && mHistory.mayStartAnother()) {
+                        mReports.endpointLost(endpoint);
+                    }
+                    handleSilence();
+                });
     }
 
     /**
@@ -135,7 +146,7 @@
      * whether the call may have run.
      */
     public void gatewayStopping() {
-        mAttempt.ifPresent(mHistory::mayHaveRunAt);
+        mRuns.mayHaveRun();
         fail(
                 mHistory.mayHaveRun() ? ErrorKind.ENDPOINT_FAILED : ErrorKind.ROUTER_DRAINING,
                 "the gateway is shutting down",
@@ -147,9 +158,8 @@
      * would crash the engine.
      */
     public void quarantineChanged() {
-        boolean isWaiting = mAttempt.filter(attempt -> !attempt.isPromptRead()).isPresent();
-        if (!mEnded && isWaiting && isQuarantined()) {
-            mAttempt.ifPresent(mHistory::mayHaveRunAt);
+        if (!mEnded && mRuns.all().stream().anyMatch(mRuns::isWaiting) && isQuarantined()) {
+            mRuns.mayHaveRun();
             refuseQuarantined();
         }
     }
@@ -168,7 +178,7 @@
 
     private void refuseQuarantined() {
         long remainingMilliseconds = quarantinedMilliseconds().orElse(RETRY_AFTER_MILLISECONDS);
-        mLog.quarantined(mAttempt.isPresent(), remainingMilliseconds);
+        mLog.quarantined(!mRuns.isEmpty(), remainingMilliseconds);
         fail(
                 mHistory.mayHaveRun() ? ErrorKind.ENDPOINT_FAILED : ErrorKind.PROMPT_QUARANTINED,
                 "a part of the prompt crashes engines",
@@ -180,7 +190,7 @@
             refuseQuarantined();
             return;
         }
-        Optional<EngineChoice> chosen = choose();
+        Optional<EngineChoice> chosen = mRuns.choose();
         if (chosen.isEmpty()) {
             ErrorKind kind =
                     mHistory.mayHaveRun() ? ErrorKind.ENDPOINT_FAILED : ErrorKind.NO_ENDPOINT;
@@ -192,130 +202,145 @@
             fail(kind, "no endpoint is left to try", pausedMilliseconds);
             return;
         }
-        Endpoint endpoint = chosen.get().endpoint();
-        mLastChoice = chosen;
-        mHistory.started(endpoint);
-        Attempt attempt = new Attempt(chosen.get(), this);
-        mAttempt = Optional.of(attempt);
-        mReceived.discard();
-        mTiming.attemptStarted(now());
-        mResources.outcomes().sent(endpoint);
-        mResources.selector().sent(endpoint, attempt.tokensToRead(), now());
-        attempt.start(
-                mResources.client(),
-                mResources.names(),
-                new Attempt.Content(
-                        mCall,
-                        mRequestBody.content(),
-                        Urgency.of(mCall, chosen.get()),
-                        mReceived.lastEventId(),
-                        Math.max(1, mCall.deadlineMilliseconds() - now())));
-        mSilenceTimer.restart(mStreaming);
+        start(chosen.get(), true);
     }
 
-    private Optional<EngineChoice> choose() {
-        EndpointSelector selector = mResources.selector();
-        String service = mCall.service();
-        PriorAttempts prior = mHistory.prior();
-        return mCall.prompt().isEmpty()
-                ? selector.choose(service, prior, now())
-                : selector.choose(service, mCall.prompt().get(), mCall.cacheScope(), prior, now());
+    private void start(EngineChoice choice, boolean isPaid) {
+        mLastChoice = Optional.of(choice);
+        Run run = mRuns.add(choice, this, this::giveUpResponse, isPaid);
+        mSilenceTimer.restart(mStreaming);
+        run.attempt()
+                .start(
+                        mResources.client(),
+                        mResources.names(),
+                        new Attempt.Content(
+                                mCall,
+                                mRequestBody.content(),
+                                Urgency.of(mCall, choice),
+                                mLastEventId,
+                                Math.max(1, mCall.deadlineMilliseconds() - now())));
     }
 
     @Override
     public boolean isStillWanted(Attempt attempt) {
-        return mResources.selector().acceptsCalls(attempt.endpoint(), now()) && !isQuarantined();
+        return mResources.selector().acceptsCalls(attempt.endpoint(), now())
+                && !isQuarantined()
+                && mRuns.of(attempt).filter(mHandOver::maySend).isPresent();
     }
 
     @Override
     public void headReceived(Attempt attempt, ResponseStart response) {
-        mHead = new ResponseHead(response, mCall, mResources.names());
+        Run run = mRuns.of(attempt).orElseThrow();
+        ResponseHead head = new ResponseHead(response, mCall, mResources.names());
+        run.headReceived(head);
         mResources.selector().responded(attempt.endpoint(), now());
         mSilenceTimer.restart(mStreaming);
-        if (mHead.isForThisCall()) {
+        if (head.isForThisCall()) {
             mReports.loadReceived(attempt.endpoint(), response);
             mReports.responded(attempt.endpoint(), response);
         }
-        if (!mHead.isForThisCall() || !mHead.isError() && !mHead.isSealed()) {
-            stop(attempt, AttemptOutcome.BROKEN, "the response has another request ID or no seal");
-        } else if (mStreaming && !mHead.resumesStream()) {
+        boolean mustResume = mStreaming || mRuns.isSuccessor(run) && mCall.isStream();
+        if (!head.isForThisCall() || !head.isError() && !head.isSealed()) {
+            stop(run, AttemptOutcome.BROKEN, "the response has another request ID or no seal");
+        } else if (mustResume && !head.resumesStream()) {
             stop(
-                    attempt,
-                    mHead.statesNotRun() ? AttemptOutcome.NOT_RUN : AttemptOutcome.FAILED,
-                    "the endpoint did not resume the stream: status " + mHead.status());
+                    run,
+                    head.statesNotRun() ? AttemptOutcome.NOT_RUN : AttemptOutcome.FAILED,
+                    "the endpoint did not resume the stream: status " + head.status());
         }
     }
 
-    private void stop(Attempt attempt, AttemptOutcome outcome, String cause) {
-        attempt.stop();
-        aborted(attempt, outcome, cause);
+    private void stop(Run run, AttemptOutcome outcome, String cause) {
+        run.attempt().stop();
+        aborted(run.attempt(), outcome, cause);
     }
 
     @Override
     public void chunk(Attempt attempt, Buffer chunk) {
+        Run run = mRuns.of(attempt).orElseThrow();
         mResources.selector().responded(attempt.endpoint(), now());
-        if (mHead.isStream()) {
-            mReceived
+        if (run.head().isStream()) {
+            run.received()
                     .appendToStream(chunk)
-                    .ifPresentOrElse(events -> forward(attempt, events), this::giveUpResponse);
-        } else if (mReceived.appendToBody(chunk)) {
+                    .ifPresentOrElse(events -> forward(run, events), () -> giveUpResponse(attempt));
+        } else if (run.received().appendToBody(chunk)) {
+            run.setSilent(false);
             mSilenceTimer.restart(mStreaming);
         } else {
-            giveUpResponse();
+            giveUpResponse(attempt);
         }
     }
 
     /** Gives up a response for which there is no memory. */
-    private void giveUpResponse() {
+    private void giveUpResponse(Attempt attempt) {
         if (mSendingResponse) {
             mResponse.abortStream();
             return;
         }
-        mAttempt.ifPresent(
-                attempt -> stop(attempt, AttemptOutcome.BROKEN, "the response is too large"));
+        mRuns.of(attempt)
+                .ifPresent(run -> stop(run, AttemptOutcome.BROKEN, "the response is too large"));
     }
 
-    private void forward(Attempt attempt, Buffer events) {
-        if (events.length() == 0) {
+    private void forward(Run run, Buffer events) {
+        boolean hasNewEvent = run.received().hasNewEvent();
+        if (events.length() == 0 || mRuns.isSuccessor(run) && !hasNewEvent) {
             return;
         }
+        if (hasNewEvent) {
+            goOnWith(run, "it sent the next event");
+        }
+        run.received().lastEventId().ifPresent(id -> mLastEventId = Optional.of(id));
         mTiming.eventsArrived(now());
-        promptRead(attempt);
-        if (mTiming.attemptStreamMilliseconds(now()) >= SURVIVED_MILLISECONDS) {
+        mRuns.eventsArrived(run);
+        if (run.streamMilliseconds(now()) >= SURVIVED_MILLISECONDS) {
             mReports.promptServed();
         }
         if (!mStreaming) {
-            mStreaming = true;
-            mResponse.beginStream(mHead.status(), mHead.headers());
-            mResources
-                    .metrics()
-                    .histogram("gateway_first_event_milliseconds")
-                    .update(now() - mCall.arrivedMilliseconds());
-            releaseRequestBodyIfUnneeded();
+            beginStream(run);
         }
         mResponse.events(events);
         if (mResponse.isCongested()) {
-            waitForCaller(attempt);
-        } else if (mReceived.hasNewEvent()) {
+            waitForCaller(run);
+        } else if (hasNewEvent) {
             mSilenceTimer.restart(mStreaming);
         }
     }
 
+    private void beginStream(Run run) {
+        mStreaming = true;
+        mResponse.beginStream(run.head().status(), run.head().headers());
+        mResources
+                .metrics()
+                .histogram("gateway_first_event_milliseconds")
+                .update(now() - mCall.arrivedMilliseconds());
+        releaseRequestBodyIfUnneeded();
+    }
+
+    /** Stops all other attempts because this one goes on. */
+    private void goOnWith(Run run, String reason) {
+        run.setSilent(false);
+        if (mRuns.areSeveral()) {
+            mHandOver.cancel();
+            mRuns.stopAllBut(run, reason);
+        }
+    }
+
     /** Stops reading the stream until the caller has read more of it. */
-    private void waitForCaller(Attempt attempt) {
-        attempt.pause();
+    private void waitForCaller(Run run) {
+        run.pause();
         mSilenceTimer.cancel();
         mResponse.onDrained(
                 () -> {
-                    if (!mEnded && mAttempt.filter(own -> own == attempt).isPresent()) {
+                    if (!mEnded && mRuns.of(run.attempt()).isPresent()) {
                         mSilenceTimer.restart(mStreaming);
-                        attempt.resume();
+                        run.resume();
                     }
                 });
     }
 
     @Override
     public void bodySent(Attempt attempt) {
+        mRuns.of(attempt).ifPresent(Run::bodySent);
         releaseRequestBodyIfUnneeded();
     }
 
@@ -323,7 +348,7 @@
     private void releaseRequestBodyIfUnneeded() {
         boolean mayBeSentAgain =
                 !mHistory.isLastAttempt() && (!mStreaming || mCall.route().resumable());
-        if (mEnded || !mayBeSentAgain) {
+        if (mEnded || mRuns.areBodiesSent() && !mayBeSentAgain) {
             mFingerprint.bodyReleased();
             mRequestBody.release();
         }
@@ -331,79 +356,75 @@
 
     @Override
     public void ended(Attempt attempt) {
-        if (mHead.isStream()) {
-            if (mReceived.hasPartialEvent()) {
-                aborted(
-                        attempt,
-                        AttemptOutcome.BROKEN,
-                        "the stream ended in the middle of an event");
+        Run run = mRuns.of(attempt).orElseThrow();
+        ResponseHead head = run.head();
+        String cause = "the endpoint responded with status " + head.status();
+        if (head.isStream()) {
+            if (run.received().hasPartialEvent()) {
+                String partial = "the stream ended in the middle of an event";
+                aborted(attempt, AttemptOutcome.BROKEN, partial);
             } else {
-                endCompleteStream(attempt);
+                endCompleteStream(run);
             }
-            return;
-        }
-        String cause = "the endpoint responded with status " + mHead.status();
-        if (mHead.statesNotRun()) {
+        } else if (head.statesNotRun()) {
             aborted(attempt, AttemptOutcome.NOT_RUN, cause);
-        } else if (mHead.isServerError() && mHistory.mayRetryServerError()) {
+        } else if (head.isServerError() && (mRuns.areSeveral() || mHistory.mayRetryServerError())) {
             aborted(attempt, AttemptOutcome.FAILED, cause);
         } else {
-            answered(attempt);
-            sendCompleteResponse();
+            answered(run);
+            sendCompleteResponse(run);
         }
     }
 
-    private void answered(Attempt attempt) {
-        endAttempt(attempt);
-        mHistory.mayHaveRunAt(attempt);
-        mResources.selector().succeeded(attempt.endpoint());
-        recordOutcome(attempt, !mHead.isServerError());
-        if (!mHead.isError()) {
-            mReports.promptServed();
-        }
+    private void answered(Run run) {
+        goOnWith(run, "its response is whole");
+        mLastChoice = Optional.of(run.choice());
+        mRuns.answered(run);
     }
 
-    private void endCompleteStream(Attempt attempt) {
-        answered(attempt);
+    private void endCompleteStream(Run run) {
+        answered(run);
         if (mStreaming) {
+            run.received().discard();
             mResponse.endStream();
-            finish("answered", mHead.status());
+            finish("answered", run.head().status());
         } else {
-            sendCompleteResponse();
+            sendCompleteResponse(run);
         }
     }
 
     /** Sends the response, which takes memory until the caller has got it. */
-    private void sendCompleteResponse() {
+    private void sendCompleteResponse(Run run) {
         mSendingResponse = true;
         mResponse
-                .complete(mHead.status(), mHead.headers(), mReceived.body())
-                .onComplete(ignored -> mReceived.discard());
-        finish("answered", mHead.status());
+                .complete(run.head().status(), run.head().headers(), run.received().body())
+                .onComplete(ignored -> run.received().discard());
+        finish("answered", run.head().status());
     }
 
     @Override
     public void aborted(Attempt attempt, AttemptOutcome outcome, String cause) {
-        if (mEnded) {
+        Optional<Run> found = mRuns.of(attempt);
+        if (mEnded || found.isEmpty()) {
             return;
         }
-        boolean isWaiting = !attempt.isPromptRead() && !mStreaming;
-        endAttempt(attempt);
-        mReports.attemptFailed(attempt.endpoint(), outcome, isWaiting);
-        if (outcome == AttemptOutcome.NOT_RUN) {
-            mResources.selector().refused(attempt.endpoint(), now());
-        } else if (outcome != AttemptOutcome.WITHDRAWN) {
-            mResources.selector().failed(attempt.endpoint(), now());
-        }
-        mHistory.failed(outcome);
-        if (outcome.mayHaveRun()) {
-            recordOutcome(attempt, false);
+        Run run = found.get();
+        mHandOver.cancel();
+        mRuns.failed(run, outcome, cause);
+        if (mRuns.isEmpty()) {
+            retryOrFail(run, outcome, cause);
+        } else if (mRuns.newest().filter(Run::isSilent).isPresent()) {
+            mSilenceTimer.restart(mStreaming);
+            mHandOver.secureSuccessor();
         }
-        mLog.attemptFailed(attempt.endpoint(), outcome, cause, isWaiting, mHistory.sent(), now());
+    }
+
+    private void retryOrFail(Run last, AttemptOutcome outcome, String cause) {
+        boolean needsRetry = outcome.isSent() || !last.isPaid();
         boolean willRetry =
                 mHistory.mayRetryAfter(outcome)
                         && now() < mCall.deadlineMilliseconds()
-                        && (!outcome.isSent() || mResources.retries().tryTake(mCall.service()));
+                        && (!needsRetry || mResources.retries().tryTake(mCall.service()));
         if (willRetry) {
             sendToNextEndpoint();
         } else {
@@ -414,37 +435,25 @@
         }
     }
 
-    private void recordOutcome(Attempt attempt, boolean isSuccess) {
-        long firstEventMilliseconds = mTiming.attemptFirstEventMilliseconds(now());
-        mReports.outcome(attempt.endpoint(), isSuccess, firstEventMilliseconds);
-    }
-
-    private void promptRead(Attempt attempt) {
-        if (attempt.markPromptRead()) {
-            mResources.selector().promptRead(attempt.endpoint(), attempt.tokensToRead());
-        }
-    }
-
-    private void endAttempt(Attempt attempt) {
-        promptRead(attempt);
-        mResources.selector().ended(attempt.endpoint());
-        mAttempt = Optional.empty();
-    }
-
     private void handleSilence() {
-        if (mEnded || mAttempt.isEmpty()) {
+        if (mEnded || mRuns.isEmpty()) {
             return;
         }
-        if (mHistory.mayRetryIfCurrentEndsWith(AttemptOutcome.SILENT)) {
-            stop(mAttempt.get(), AttemptOutcome.SILENT, "the endpoint was silent");
+        Run newest = mRuns.newest().orElseThrow();
+        if (mRuns.isSuccessor(newest) && !newest.attempt().isSent()) {
+            stop(newest, AttemptOutcome.WITHDRAWN, "there was no connection in time");
+            return;
         }
+        newest.setSilent(true);
+        mSilenceTimer.restart(mStreaming);
+        mHandOver.secureSuccessor();
     }
 
     private void timedOut() {
         if (mEnded) {
             return;
         }
-        mAttempt.ifPresent(mHistory::mayHaveRunAt);
+        mRuns.mayHaveRun();
         ErrorKind kind = mHistory.mayHaveRun() ? ErrorKind.ENDPOINT_TIMEOUT : ErrorKind.OVERLOADED;
         fail(kind, "the deadline of the call has passed", RETRY_AFTER_MILLISECONDS);
     }
@@ -463,17 +472,11 @@
 
     private void finish(String outcome, int status) {
         mEnded = true;
-        mAttempt.ifPresent(
-                attempt -> {
-                    attempt.stop();
-                    endAttempt(attempt);
-                });
+        mHandOver.cancel();
+        mRuns.stopAll();
         mResources.vertx().cancelTimer(mTimeoutTimer);
         mSilenceTimer.cancel();
         releaseRequestBodyIfUnneeded();
-        if (!mSendingResponse) {
-            mReceived.discard();
-        }
         mReservation.ifPresent(number -> mResources.gate().cancel(number, now()));
         mResources.metrics().counter("gateway_calls_" + outcome).inc();
         mLog.ended(
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/ResponseHead.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/ResponseHead.java
@@ -2,7 +2,6 @@
 
 import io.vertx.core.MultiMap;
 import java.util.List;
-import org.skylarkbend.catalog.CallKind;
 import org.skylarkbend.exchange.ResponseStart;
 import org.skylarkbend.gateway.HeaderNames;
 
@@ -63,7 +62,7 @@
 
     /** Returns whether the body is a stream of events. */
     boolean isStream() {
-        return call.route().kind() == CallKind.STREAM && !isError();
+        return call.isStream() && !isError();
     }
 
     /** Returns whether the body goes on with a stream that another endpoint began. */
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/RetryBudget.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/RetryBudget.java
@@ -32,6 +32,11 @@
         mTokens.put(service, Math.min(mMaxTokens, tokens + mRetriesPerCall));
     }
 
+    /** Returns whether the budget of a service has a retry left. */
+    public boolean hasRetry(String service) {
+        return mTokens.getOrDefault(service, mMaxTokens) >= 1;
+    }
+
     /** Takes one retry from the budget of a service. Returns false if none is left. */
     public boolean tryTake(String service) {
         double tokens = mTokens.getOrDefault(service, mMaxTokens);
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/SilenceTimer.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/SilenceTimer.java
@@ -5,13 +5,13 @@
 import org.skylarkbend.catalog.Route;
 
 /**
- * Timer that sends a call to another endpoint if the current one is silent for too long. Only
+ * Timer after which another endpoint is asked because the current one is silent for too long. Only
  * repeatable calls and resumable streams have one. Confined to the task that serves the calls.
  */
 final class SilenceTimer {
     /**
-     * Timeout between two events of a resumable stream. After it the stream resumes at another
-     * endpoint. Bytes that complete no event do not count.
+     * Timeout between two events of a resumable stream. After it another endpoint is asked to go
+     * on. Bytes that complete no event do not count.
      */
     private static final long EVENT_TIMEOUT_MILLISECONDS = 1_500;
 
--- a/gateway/src/test/java/org/skylarkbend/gateway/front/GatewayFixture.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/front/GatewayFixture.java
@@ -10,9 +10,11 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.PoolOptions;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -32,6 +34,7 @@
 import org.skylarkbend.catalog.Route;
 import org.skylarkbend.catalog.Service;
 import org.skylarkbend.catalog.SiteLimits;
+import org.skylarkbend.catalog.SiteMessage.WorkUnderWay;
 import org.skylarkbend.gateway.FakeEndpoint;
 import org.skylarkbend.gateway.GatewaySettings;
 import org.skylarkbend.limits.LimitMessage;
@@ -43,6 +46,7 @@
 abstract class GatewayFixture {
     private static final long WAIT_LIMIT_SECONDS = 30;
     private static final long POLL_MILLISECONDS = 20;
+    private static final int MAX_CALLER_CONNECTIONS = 100;
     private static final String KEY = "secret";
 
     protected Vertx mVertx;
@@ -50,6 +54,10 @@
     protected GatewayTask mGateway;
     protected MetricRegistry mMetrics;
     protected int mPort;
+
+    /** What the gateway last reported as under way at endpoints. */
+    protected volatile WorkUnderWay mWork = new WorkUnderWay(Map.of(), 0);
+
     private Context mGatewayContext;
 
     /** Response as received by the caller. */
@@ -58,7 +66,10 @@
     @BeforeMethod
     public void startGateway() throws Exception {
         mVertx = Vertx.vertx();
-        mClient = mVertx.createHttpClient();
+        mClient =
+                mVertx.createHttpClient(
+                        new HttpClientOptions(),
+                        new PoolOptions().setHttp1MaxSize(MAX_CALLER_CONNECTIONS));
         mPort = LoopbackPorts.next();
         mMetrics = new MetricRegistry();
         GatewaySettings settings =
@@ -72,7 +83,8 @@
                         List.of("127.0.0.1"),
                         1,
                         FakeEndpoint.NAMES,
-                        new GatewaySettings.Budgets(1, 10, SiteLimits.Slack.none(), 60_000),
+                        new GatewaySettings.Budgets(
+                                1, retryBudgetCapacity(), SiteLimits.Slack.none(), 60_000),
                         5_000);
         mGateway =
                 new GatewayTask(
@@ -81,7 +93,7 @@
                         mMetrics,
                         MillisecondClock.monotonic(),
                         message -> {},
-                        new GatewayReports(work -> {}, outcomes -> {}, crashes -> {}),
+                        new GatewayReports(work -> mWork = work, outcomes -> {}, crashes -> {}),
                         ready -> {});
         await(mVertx.deployVerticle(new ContextCapture()));
     }
@@ -120,6 +132,11 @@
         return 64 * 1024 * 1024;
     }
 
+    /** Returns the maximum number of retries in the budget of a service. */
+    protected double retryBudgetCapacity() {
+        return 10;
+    }
+
     protected void publish(Route route, FakeEndpoint... endpoints) throws Exception {
         publish(
                 route,
