--- a/gateway/src/test/java/org/skylarkbend/gateway/front/FailingStepTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/front/FailingStepTest.java
@@ -103,7 +103,7 @@
         assertThat(use).as("uses of clock and metrics").isGreaterThan(5);
         assertThat(unanswered).as("after %s uses; sound: %s", use, sound).isEmpty();
         awaitUntil(() -> heldBytes() == 0);
-        awaitUntil(() -> mReportedWork.byIncarnation().isEmpty());
+        awaitUntil(() -> mWork.byIncarnation().isEmpty());
         await(mGateway.drain(DRAIN));
     }
 
--- a/gateway/src/test/java/org/skylarkbend/gateway/front/GatewayFixture.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/front/GatewayFixture.java
@@ -10,9 +10,11 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.PoolOptions;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -44,6 +46,7 @@
 abstract class GatewayFixture {
     private static final long WAIT_LIMIT_SECONDS = 30;
     private static final long POLL_MILLISECONDS = 20;
+    private static final int MAX_CALLER_CONNECTIONS = 100;
     private static final String KEY = "secret";
 
     protected Vertx mVertx;
@@ -51,7 +54,10 @@
     protected GatewayTask mGateway;
     protected MetricRegistry mMetrics;
     protected int mPort;
-    protected volatile WorkUnderWay mReportedWork = new WorkUnderWay(Map.of(), 0);
+
+    /** What the gateway last reported as under way at endpoints. */
+    protected volatile WorkUnderWay mWork = new WorkUnderWay(Map.of(), 0);
+
     private Context mGatewayContext;
 
     /** Response as received by the caller. */
@@ -60,7 +66,10 @@
     @BeforeMethod
     public void startGateway() throws Exception {
         mVertx = Vertx.vertx();
-        mClient = mVertx.createHttpClient();
+        mClient =
+                mVertx.createHttpClient(
+                        new HttpClientOptions(),
+                        new PoolOptions().setHttp1MaxSize(MAX_CALLER_CONNECTIONS));
         mPort = LoopbackPorts.next();
         mMetrics = createMetrics();
         GatewaySettings settings =
@@ -74,7 +83,8 @@
                         List.of("127.0.0.1"),
                         1,
                         FakeEndpoint.NAMES,
-                        new GatewaySettings.Budgets(1, 10, SiteLimits.Slack.none(), 60_000),
+                        new GatewaySettings.Budgets(
+                                1, retryBudgetCapacity(), SiteLimits.Slack.none(), 60_000),
                         5_000);
         mGateway =
                 new GatewayTask(
@@ -83,8 +93,7 @@
                         mMetrics,
                         clock(),
                         message -> {},
-                        new GatewayReports(
-                                work -> mReportedWork = work, outcomes -> {}, crashes -> {}),
+                        new GatewayReports(work -> mWork = work, outcomes -> {}, crashes -> {}),
                         ready -> {});
         await(mVertx.deployVerticle(new ContextCapture()));
     }
@@ -133,6 +142,11 @@
         return 64 * 1024 * 1024;
     }
 
+    /** Returns the maximum number of retries in the budget of a service. */
+    protected double retryBudgetCapacity() {
+        return 10;
+    }
+
     protected void publish(Route route, FakeEndpoint... endpoints) throws Exception {
         publish(
                 route,
