Remove a core VM that is stopped as planned before it ends

Operators saw: a core VM that was replaced as planned, with its successor in, counted as a voter until its silence was noticed. Two losses within that time left no quorum for good.

Cause: the group learned of a departure by silence only, and each new leader measures the silence anew.

A member that the others can do without is removed at once; a leader commits the change without itself and steps down. One that is needed ends soon and is the first to lose its place to a ready new member. It does not announce itself while it leaves and joins again after a restart.

Evidence: MemberReplacementTest with notices, where a planned stop counts as no loss.

--- a/agreement/src/main/java/org/skylarkbend/agreement/AgreementCodec.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/AgreementCodec.java
@@ -6,6 +6,8 @@
 import org.skylarkbend.agreement.AgreementMessage.AppendResponse;
 import org.skylarkbend.agreement.AgreementMessage.DiskCheckRequest;
 import org.skylarkbend.agreement.AgreementMessage.DiskCheckResponse;
+import org.skylarkbend.agreement.AgreementMessage.LeaveRequest;
+import org.skylarkbend.agreement.AgreementMessage.LeaveResponse;
 import org.skylarkbend.agreement.AgreementMessage.PreVoteRequest;
 import org.skylarkbend.agreement.AgreementMessage.PreVoteResponse;
 import org.skylarkbend.agreement.AgreementMessage.SnapshotChunk;
@@ -30,6 +32,8 @@
     private static final int ANNOUNCEMENT = 9;
     private static final int DISK_CHECK_REQUEST = 10;
     private static final int DISK_CHECK_RESPONSE = 11;
+    private static final int LEAVE_REQUEST = 12;
+    private static final int LEAVE_RESPONSE = 13;
 
     @Override
     public byte[] encode(Envelope envelope) {
@@ -54,15 +58,6 @@
                     .number(response.nextOffsetBytes())
                     .toBytes();
         }
-        if (message instanceof DiskCheckRequest request) {
-            return startMessage(DISK_CHECK_REQUEST, envelope)
-                    .number(request.failure())
-                    .number(request.sizeBytes())
-                    .toBytes();
-        }
-        if (message instanceof DiskCheckResponse response) {
-            return startMessage(DISK_CHECK_RESPONSE, envelope).number(response.failure()).toBytes();
-        }
         if (message instanceof Announcement announcement) {
             MessageWriter writer =
                     startMessage(ANNOUNCEMENT, envelope)
@@ -71,7 +66,7 @@
             EntryEncoding.write(writer, announcement.knownBootstrapMember());
             return writer.toBytes();
         }
-        return encodeElection(envelope);
+        return encodeNotice(envelope);
     }
 
     @Override
@@ -79,6 +74,26 @@
         return MessageReader.decode(payload, AgreementCodec::read);
     }
 
+    private static byte[] encodeNotice(Envelope envelope) {
+        AgreementMessage message = envelope.message();
+        if (message instanceof DiskCheckRequest request) {
+            return startMessage(DISK_CHECK_REQUEST, envelope)
+                    .number(request.failure())
+                    .number(request.sizeBytes())
+                    .toBytes();
+        }
+        if (message instanceof DiskCheckResponse response) {
+            return startMessage(DISK_CHECK_RESPONSE, envelope).number(response.failure()).toBytes();
+        }
+        if (message instanceof LeaveRequest) {
+            return startMessage(LEAVE_REQUEST, envelope).toBytes();
+        }
+        if (message instanceof LeaveResponse response) {
+            return startMessage(LEAVE_RESPONSE, envelope).flag(response.removed()).toBytes();
+        }
+        return encodeElection(envelope);
+    }
+
     private static byte[] encodeElection(Envelope envelope) {
         AgreementMessage message = envelope.message();
         if (message instanceof PreVoteRequest request) {
@@ -158,6 +173,8 @@
                             reader.flag(), reader.flag(), EntryEncoding.readOptionalMember(reader));
             case DISK_CHECK_REQUEST -> new DiskCheckRequest(term, reader.number(), reader.number());
             case DISK_CHECK_RESPONSE -> new DiskCheckResponse(term, reader.number());
+            case LEAVE_REQUEST -> new LeaveRequest();
+            case LEAVE_RESPONSE -> new LeaveResponse(reader.flag());
             default -> MessageReader.unknownType(type);
         };
     }
--- a/agreement/src/main/java/org/skylarkbend/agreement/AgreementDecider.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/AgreementDecider.java
@@ -7,6 +7,7 @@
 import java.util.function.LongUnaryOperator;
 import org.skylarkbend.agreement.AgreementInput.ConfirmLeadership;
 import org.skylarkbend.agreement.AgreementInput.DiskChecked;
+import org.skylarkbend.agreement.AgreementInput.Leave;
 import org.skylarkbend.agreement.AgreementInput.PersistFailed;
 import org.skylarkbend.agreement.AgreementInput.Persisted;
 import org.skylarkbend.agreement.AgreementInput.Propose;
@@ -17,6 +18,8 @@
 import org.skylarkbend.agreement.AgreementMessage.AppendResponse;
 import org.skylarkbend.agreement.AgreementMessage.DiskCheckRequest;
 import org.skylarkbend.agreement.AgreementMessage.DiskCheckResponse;
+import org.skylarkbend.agreement.AgreementMessage.LeaveRequest;
+import org.skylarkbend.agreement.AgreementMessage.LeaveResponse;
 import org.skylarkbend.agreement.AgreementMessage.PreVoteRequest;
 import org.skylarkbend.agreement.AgreementMessage.PreVoteResponse;
 import org.skylarkbend.agreement.AgreementMessage.SnapshotChunk;
@@ -46,6 +49,7 @@
     private final LeadershipConfirmations mConfirmations;
     private final DiskHandOver mDiskHandOver;
     private final MembershipChanges mMembershipChanges;
+    private final Departure mDeparture;
     private final ClusterBootstrap mBootstrap;
     private final TreeMap<Long, Long> mProposalsByIndex = new TreeMap<>();
     private long mNowMilliseconds;
@@ -86,6 +90,7 @@
         mConfirmations = new LeadershipConfirmations(mState, mLeaderReplication);
         mDiskHandOver = new DiskHandOver(mState);
         mMembershipChanges = new MembershipChanges(mState, mLeaderReplication, rules);
+        mDeparture = new Departure(mState, mMembershipChanges);
         mBootstrap = new ClusterBootstrap(mState, rules.initialVms());
         mAppliedIndex = mState.mCommitIndex;
         mSnapshotIndex = mState.mCommitIndex;
@@ -110,6 +115,9 @@
             diskChecked(checked);
         } else if (input instanceof SnapshotTaken taken) {
             saveSnapshot(taken);
+        } else if (input instanceof Leave) {
+            mDeparture.begin();
+            tick();
         } else {
             tick();
         }
@@ -156,6 +164,7 @@
     private void tick() {
         mState.retryHardState();
         takeSnapshotIfDue();
+        mDeparture.tick(mNowMilliseconds);
         if (mState.isLeader()) {
             tickAsLeader();
             return;
@@ -247,6 +256,10 @@
             mElections.receive(from, request, mNowMilliseconds);
         } else if (message instanceof Announcement announcement) {
             receiveAnnouncement(from, announcement);
+        } else if (message instanceof LeaveResponse response) {
+            mDeparture.receive(response);
+        } else if (message instanceof LeaveRequest) {
+            receiveLeave(from);
         } else if (message.term() > mState.mTerm) {
             stepDown(message.term());
             receiveInTerm(from, message);
@@ -291,6 +304,12 @@
         }
     }
 
+    private void receiveLeave(MemberId from) {
+        if (mState.isLeader()) {
+            mDeparture.receive(from, mNowMilliseconds);
+        }
+    }
+
     private void recordLeaderContact(MemberId leader) {
         mState.mRole = MemberRole.FOLLOWER;
         mState.mLeader = Optional.of(leader);
--- a/agreement/src/main/java/org/skylarkbend/agreement/AgreementEffect.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/AgreementEffect.java
@@ -67,6 +67,9 @@
     record RoleChanged(MemberRole role, long term, Optional<MemberId> leader)
             implements AgreementEffect {}
 
+    /** Reports whether this member, which is about to end, remains a voter. */
+    record LeaveDecided(LeaveOutcome outcome) implements AgreementEffect {}
+
     /**
      * Reports a change of the newest membership in the log, committed or not.
      *
--- a/agreement/src/main/java/org/skylarkbend/agreement/AgreementInput.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/AgreementInput.java
@@ -14,6 +14,9 @@
     /** A request to commit a command. */
     record Propose(long proposalId, EntryContent.Command command) implements AgreementInput {}
 
+    /** The process of this member is about to end. */
+    record Leave() implements AgreementInput {}
+
     /** A request to confirm that this member is still the leader. */
     record ConfirmLeadership(long confirmationId) implements AgreementInput {}
 
--- a/agreement/src/main/java/org/skylarkbend/agreement/AgreementMessage.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/AgreementMessage.java
@@ -143,6 +143,26 @@
     /** The response to {@link DiskCheckRequest}, sent only by a member whose disk can write. */
     record DiskCheckResponse(long term, long failure) implements AgreementMessage {}
 
+    /** Tells the leader that a voter is about to end. */
+    record LeaveRequest() implements AgreementMessage {
+        @Override
+        public long term() {
+            return 0;
+        }
+    }
+
+    /**
+     * The response to {@link LeaveRequest}.
+     *
+     * @param removed true if a committed change has removed the member; false if it is needed
+     */
+    record LeaveResponse(boolean removed) implements AgreementMessage {
+        @Override
+        public long term() {
+            return 0;
+        }
+    }
+
     /**
      * Announces a member that is not a voter or knows no leader.
      *
--- a/agreement/src/main/java/org/skylarkbend/agreement/AgreementTask.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/AgreementTask.java
@@ -19,6 +19,7 @@
 import org.skylarkbend.agreement.AgreementEffect.ConfirmationFailed;
 import org.skylarkbend.agreement.AgreementEffect.FailProposal;
 import org.skylarkbend.agreement.AgreementEffect.LeadershipConfirmed;
+import org.skylarkbend.agreement.AgreementEffect.LeaveDecided;
 import org.skylarkbend.agreement.AgreementEffect.MembershipChanged;
 import org.skylarkbend.agreement.AgreementEffect.Persist;
 import org.skylarkbend.agreement.AgreementEffect.Restore;
@@ -28,6 +29,7 @@
 import org.skylarkbend.agreement.AgreementEffect.TakeSnapshot;
 import org.skylarkbend.agreement.AgreementInput.ConfirmLeadership;
 import org.skylarkbend.agreement.AgreementInput.DiskChecked;
+import org.skylarkbend.agreement.AgreementInput.Leave;
 import org.skylarkbend.agreement.AgreementInput.PersistFailed;
 import org.skylarkbend.agreement.AgreementInput.Persisted;
 import org.skylarkbend.agreement.AgreementInput.Propose;
@@ -83,6 +85,7 @@
     private long mTimerId;
     private long mSyncedNumber;
     private long mLastRequestId;
+    private Consumer<LeaveOutcome> mOnLeaveDecided = outcome -> {};
     private boolean mDeciding;
 
     /**
@@ -207,6 +210,27 @@
                 });
     }
 
+    /**
+     * Tells the other members that the process is about to end, and returns whether this member
+     * remains a voter. A member that others can do without is removed at once.
+     *
+     * @param withinMilliseconds the time after which the outcome is {@code UNKNOWN}
+     */
+    public Future<LeaveOutcome> leave(long withinMilliseconds) {
+        Promise<LeaveOutcome> promise = Promise.promise();
+        Context caller = vertx.getOrCreateContext();
+        mContext.runOnContext(
+                ignored -> {
+                    mOnLeaveDecided =
+                            outcome ->
+                                    caller.runOnContext(onCaller -> promise.tryComplete(outcome));
+                    vertx.setTimer(
+                            withinMilliseconds, id -> promise.tryComplete(LeaveOutcome.UNKNOWN));
+                    decide(new Leave());
+                });
+        return promise.future();
+    }
+
     /** Returns the current status of this member. */
     public Future<AgreementStatus> status() {
         Promise<AgreementStatus> promise = Promise.promise();
@@ -330,6 +354,8 @@
                     "leader",
                     changed.leader().map(MemberId::toString).orElse("none"));
             mOnRoleChange.accept(currentStatus());
+        } else if (effect instanceof LeaveDecided decided) {
+            mOnLeaveDecided.accept(decided.outcome());
         } else if (effect instanceof MembershipChanged changed) {
             LOG.info(
                     "agreement.members",
--- a/agreement/src/main/java/org/skylarkbend/agreement/ClusterBootstrap.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/ClusterBootstrap.java
@@ -42,15 +42,15 @@
     }
 
     /**
-     * Announces this member periodically while it is not a voter or knows no leader. A voter
-     * without a leader announces itself too, because it may be the only member with the entry that
-     * added it.
+     * Announces this member periodically while it is not a voter or knows no leader, unless it is
+     * about to end. A voter without a leader announces itself too, because it may be the only
+     * member with the entry that added it.
      */
     void announceIfDue(long nowMilliseconds) {
         boolean isDue =
                 nowMilliseconds - mLastAnnouncementMilliseconds
                         >= mState.mOptions.electionMinMilliseconds() / 2;
-        if (isDue && (!mState.isVoter() || mState.mLeader.isEmpty())) {
+        if (isDue && !mState.mIsLeaving && (!mState.isVoter() || mState.mLeader.isEmpty())) {
             mLastAnnouncementMilliseconds = nowMilliseconds;
             mState.mOutbox.add(
                     new AgreementEffect.Broadcast(
--- a/agreement/src/main/java/org/skylarkbend/agreement/MemberState.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/MemberState.java
@@ -26,6 +26,7 @@
     long mPersistedIndex;
     long mLastContactMilliseconds;
     long mElectionDeadlineMilliseconds;
+    boolean mIsLeaving;
 
     private boolean mLeaderSeen;
     private long mLastNumber;
--- a/agreement/src/main/java/org/skylarkbend/agreement/MembershipChanges.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/MembershipChanges.java
@@ -18,6 +18,7 @@
     private final LeaderReplication mLeaderReplication;
     private final MembershipRules mRules;
     private final Map<MemberId, Long> mLearnersHeardAtMilliseconds = new TreeMap<>();
+    private final Map<MemberId, Long> mLeavingHeardAtMilliseconds = new TreeMap<>();
 
     MembershipChanges(MemberState state, LeaderReplication replication, MembershipRules rules) {
         mState = state;
@@ -28,6 +29,7 @@
     /** Starts a term as leader without learners. */
     void startTerm() {
         mLearnersHeardAtMilliseconds.clear();
+        mLeavingHeardAtMilliseconds.clear();
     }
 
     /** Starts replicating to a member that may join and whose VM has no live voter. */
@@ -53,11 +55,8 @@
         if (!canChange()) {
             return Optional.empty();
         }
-        List<MemberId> ready =
-                mLearnersHeardAtMilliseconds.keySet().stream()
-                        .filter(learner -> isUpToDate(learner, nowMilliseconds))
-                        .toList();
-        return withoutUnresponsive(ready, nowMilliseconds)
+        List<MemberId> ready = readyLearners(nowMilliseconds);
+        return withoutAbsent(nowMilliseconds)
                 .or(() -> withNewMember(ready, nowMilliseconds))
                 .or(() -> withoutReplaced(ready, nowMilliseconds))
                 .filter(next -> next.isQuorum(voter -> responds(voter, nowMilliseconds)))
@@ -65,20 +64,36 @@
     }
 
     /**
-     * Returns the membership without an unresponsive voter, if more remain than are intended, or if
-     * one is missing afterwards for which a new member is ready. Neither raises the quorum, and
-     * each commit is still on one disk more than may be lost. A removed member that had only paused
-     * becomes a learner and then a voter again.
+     * Records that a voter is about to end. Until it is known to be silent or back, it is the first
+     * to lose its place to a new member.
      */
-    private Optional<Membership> withoutUnresponsive(List<MemberId> ready, long nowMilliseconds) {
-        Membership membership = mState.mLog.membership();
+    void receiveLeave(MemberId member, long nowMilliseconds) {
+        mLeavingHeardAtMilliseconds.put(member, nowMilliseconds);
+    }
+
+    /**
+     * Returns whether a voter that is gone may be removed, because more remain than are intended,
+     * or because one is missing afterwards for which a new member is ready. Neither raises the
+     * quorum, and each commit is still on one disk more than may be lost.
+     */
+    boolean mayRemove(long nowMilliseconds) {
         boolean canTakePlace =
-                ready.stream().anyMatch(learner -> memberOnSameVm(learner).isEmpty());
+                readyLearners(nowMilliseconds).stream()
+                        .anyMatch(learner -> memberOnSameVm(learner).isEmpty());
         int leastVoters = mRules.intendedVoters() + (canTakePlace ? 0 : 1);
-        if (mRules.removeUnresponsiveAfterMilliseconds().isEmpty()
-                || membership.voters().size() < leastVoters) {
+        return mRules.removeUnresponsiveAfterMilliseconds().isPresent()
+                && mState.mLog.membership().voters().size() >= leastVoters;
+    }
+
+    /**
+     * Returns the membership without an unresponsive voter, or else without one that is about to
+     * end. A removed member that had only paused becomes a learner and then a voter again.
+     */
+    private Optional<Membership> withoutAbsent(long nowMilliseconds) {
+        if (!mayRemove(nowMilliseconds)) {
             return Optional.empty();
         }
+        Membership membership = mState.mLog.membership();
         long timeoutMilliseconds = mRules.removeUnresponsiveAfterMilliseconds().getAsLong();
         return membership.voters().stream()
                 .filter(
@@ -86,9 +101,23 @@
                                 !mLeaderReplication.isLive(
                                         voter, nowMilliseconds, timeoutMilliseconds))
                 .findFirst()
+                .or(() -> leavingVoter(nowMilliseconds))
                 .map(membership::without);
     }
 
+    private Optional<MemberId> leavingVoter(long nowMilliseconds) {
+        return mState.mLog.membership().voters().stream()
+                .filter(voter -> isLeaving(voter, nowMilliseconds))
+                .findFirst();
+    }
+
+    private boolean isLeaving(MemberId member, long nowMilliseconds) {
+        Long heardAtMilliseconds = mLeavingHeardAtMilliseconds.get(member);
+        return heardAtMilliseconds != null
+                && nowMilliseconds - heardAtMilliseconds
+                        <= mState.mOptions.electionMaxMilliseconds();
+    }
+
     /**
      * Returns the membership with a new member on a VM without a voter. The quorum is raised above
      * the one of the intended members only while all voters respond.
@@ -133,6 +162,12 @@
         return hasCommittedInTerm && mState.mLog.membershipIndex() <= mState.mCommitIndex;
     }
 
+    private List<MemberId> readyLearners(long nowMilliseconds) {
+        return mLearnersHeardAtMilliseconds.keySet().stream()
+                .filter(learner -> isUpToDate(learner, nowMilliseconds))
+                .toList();
+    }
+
     private boolean isUpToDate(MemberId learner, long nowMilliseconds) {
         MemberProgress progress = mLeaderReplication.progress().get(learner);
         return progress != null
@@ -159,6 +194,7 @@
                 .keySet()
                 .removeIf(learner -> mState.mLog.membership().contains(learner));
         mLearnersHeardAtMilliseconds.values().removeIf(heard -> heard < oldestMilliseconds);
+        mLeavingHeardAtMilliseconds.values().removeIf(heard -> heard < oldestMilliseconds);
         for (MemberId member : List.copyOf(mLeaderReplication.progress().keySet())) {
             boolean isKnown =
                     mState.mLog.membership().contains(member)
--- a/agreement/src/test/java/org/skylarkbend/agreement/AgreementCodecFuzzTest.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/AgreementCodecFuzzTest.java
@@ -53,6 +53,8 @@
                         new AgreementMessage.SnapshotResponse(1, 2, 3, 4),
                         new AgreementMessage.DiskCheckRequest(1, 2, 3),
                         new AgreementMessage.DiskCheckResponse(1, 2),
+                        new AgreementMessage.LeaveRequest(),
+                        new AgreementMessage.LeaveResponse(true),
                         new AgreementMessage.Announcement(true, false, Optional.of(B)));
         return messages.stream().map(message -> new Envelope(A, Optional.of(B), message)).toList();
     }
--- a/agreement/src/test/java/org/skylarkbend/agreement/AgreementCodecTest.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/AgreementCodecTest.java
@@ -10,6 +10,8 @@
 import org.skylarkbend.agreement.AgreementMessage.AppendResponse;
 import org.skylarkbend.agreement.AgreementMessage.DiskCheckRequest;
 import org.skylarkbend.agreement.AgreementMessage.DiskCheckResponse;
+import org.skylarkbend.agreement.AgreementMessage.LeaveRequest;
+import org.skylarkbend.agreement.AgreementMessage.LeaveResponse;
 import org.skylarkbend.agreement.AgreementMessage.PreVoteRequest;
 import org.skylarkbend.agreement.AgreementMessage.PreVoteResponse;
 import org.skylarkbend.agreement.AgreementMessage.SnapshotChunk;
@@ -43,6 +45,8 @@
                     new SnapshotResponse(1, 2, 3, 4),
                     new DiskCheckRequest(1, 2, 3),
                     new DiskCheckResponse(1, 2),
+                    new LeaveRequest(),
+                    new LeaveResponse(true),
                     new Announcement(true, false, Optional.of(B)));
 
     private final AgreementCodec mCodec = new AgreementCodec();
--- a/agreement/src/test/java/org/skylarkbend/agreement/AgreementTaskTest.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/AgreementTaskTest.java
@@ -97,6 +97,24 @@
         assertThat(resultOf(leader().task(), "b")).isEqualTo("2:b");
     }
 
+    @Test
+    public void aMemberThatIsNeededLearnsThatItRemainsBeforeItEnds() throws Exception {
+        leader();
+        for (Running running : mRunning.values()) {
+            LeaveOutcome outcome =
+                    await(running.task().leave(TimeUnit.SECONDS.toMillis(LIMIT_SECONDS)));
+            assertThat(outcome).isEqualTo(LeaveOutcome.REMAINS);
+        }
+    }
+
+    @Test
+    public void aMemberWithoutALeaderIsNotKeptFromEnding() throws Exception {
+        leader();
+        stop(VMS.get(0));
+        stop(VMS.get(1));
+        assertThat(await(mRunning.get(VMS.get(2)).task().leave(1))).isEqualTo(LeaveOutcome.UNKNOWN);
+    }
+
     @Test
     public void aVmWhoseDiskIsLostComesBackAsAnotherMember() throws Exception {
         assertThat(resultOf(leader().task(), "a")).isEqualTo("1:a");
--- a/agreement/src/test/java/org/skylarkbend/agreement/ClusterSimulation.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/ClusterSimulation.java
@@ -27,7 +27,7 @@
     private static final int TOLERATED_LOSSES = 2;
 
     /** Near the maximum election timeout, so that members that only pause are removed often. */
-    private static final long REMOVE_UNRESPONSIVE_MILLISECONDS = 500;
+    private static final long REMOVE_UNRESPONSIVE_MILLISECONDS = 333;
 
     private final SplittableRandom mRandom;
     private final SafetyChecks mChecks = new SafetyChecks();
--- a/agreement/src/test/java/org/skylarkbend/agreement/LeaderOfGroup.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/LeaderOfGroup.java
@@ -17,6 +17,7 @@
 import org.skylarkbend.agreement.AgreementMessage.Announcement;
 import org.skylarkbend.agreement.AgreementMessage.AppendRequest;
 import org.skylarkbend.agreement.AgreementMessage.AppendResponse;
+import org.skylarkbend.agreement.AgreementMessage.LeaveRequest;
 import org.skylarkbend.agreement.AgreementMessage.PreVoteResponse;
 import org.skylarkbend.agreement.AgreementMessage.VoteResponse;
 import org.skylarkbend.base.ObjectName;
@@ -67,6 +68,7 @@
         SafetyChecks.check(mDecider.role() == MemberRole.LEADER, "no leader");
         runFor(OPTIONS.heartbeatMilliseconds());
         mMemberships.clear();
+        mEffects.clear();
     }
 
     static MemberId member(int number) {
@@ -86,11 +88,24 @@
         return mMemberships.stream().map(membership -> membership.voters().size()).toList();
     }
 
-    /** Returns all effects since the last call. */
-    List<AgreementEffect> takeEffects() {
-        List<AgreementEffect> taken = List.copyOf(mEffects);
-        mEffects.clear();
-        return taken;
+    /** Returns all effects so far. */
+    List<AgreementEffect> effects() {
+        return mEffects;
+    }
+
+    /** Returns all messages to a member so far. */
+    List<AgreementMessage> sentTo(int number) {
+        return mEffects.stream()
+                .filter(Send.class::isInstance)
+                .map(Send.class::cast)
+                .filter(send -> send.to().equals(member(number)))
+                .map(Send::message)
+                .toList();
+    }
+
+    /** Lets a member tell the leader that it is about to end. */
+    void leave(int number) {
+        decide(new Received(member(number), new LeaveRequest()));
     }
 
     /** Keeps members from responding from now on. */
--- a/agreement/src/test/java/org/skylarkbend/agreement/MemberReplacements.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/MemberReplacements.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.stream.IntStream;
 import org.skylarkbend.base.ObjectName;
 
@@ -28,6 +29,9 @@
     /** Ten times the maximum election timeout. */
     private static final long COMMIT_BOUND_MILLISECONDS = 3_000;
 
+    /** The time after which a member that is stopped ends even if no leader has responded. */
+    private static final long MAX_NOTICE_MILLISECONDS = 1_000;
+
     private static final long CHECK_MILLISECONDS = 50;
     private static final int VMS = 5;
     private static final int TOLERATED_LOSSES = 2;
@@ -40,6 +44,7 @@
     private final List<Place> mPlaces = new ArrayList<>();
     private final List<Long> mUnnoticedUntilMilliseconds = new ArrayList<>();
     private final StringBuilder mHistory = new StringBuilder();
+    private final boolean mStopsWithNotice;
     private int mLastVm = VMS;
     private long mAcknowledgedIndex;
     private long mAcknowledgedAtMilliseconds;
@@ -56,7 +61,14 @@
         }
     }
 
-    MemberReplacements(long seed) {
+    /**
+     * Prepares a group of five.
+     *
+     * @param stopsWithNotice true if VMs that leave as planned tell the others before; they are
+     *     never lost then
+     */
+    MemberReplacements(long seed, boolean stopsWithNotice) {
+        mStopsWithNotice = stopsWithNotice;
         mSimulation = ClusterSimulation.joiningMembers(seed);
         mRandom = mSimulation.random();
         mChecks = mSimulation.startWithoutFaults();
@@ -104,7 +116,7 @@
     private void lose(Place place) {
         SimulatedMember member = place.mMember;
         long durationMilliseconds = mRandom.nextLong(1, MAX_LOSS_MILLISECONDS);
-        switch (mRandom.nextInt(6)) {
+        switch (mRandom.nextInt(7)) {
             case 0 -> {
                 record("pause", member);
                 mSimulation.pause(member, durationMilliseconds);
@@ -122,6 +134,13 @@
                 mSimulation.crash(member, durationMilliseconds);
                 member.loseDisk();
             }
+            case 4 -> {
+                if (mStopsWithNotice) {
+                    record("restart", member);
+                    stopWithNotice(member, () -> mSimulation.crash(member, durationMilliseconds));
+                    loseUntil(place, MAX_NOTICE_MILLISECONDS);
+                }
+            }
             default -> {
                 killForGood(place);
                 return;
@@ -159,16 +178,37 @@
     }
 
     private void leaveWhenAllowed(Place place, SimulatedMember successor) {
-        if (lostVms() + (isLost(place) ? 0 : 1) > TOLERATED_LOSSES) {
+        boolean countsAsLoss = !mStopsWithNotice && !isLost(place);
+        if (lostVms() + (countsAsLoss ? 1 : 0) > TOLERATED_LOSSES) {
             mSimulation.after(CHECK_MILLISECONDS, () -> leaveWhenAllowed(place, successor));
             return;
         }
-        record("stop", place.mMember);
-        place.mMember.end();
+        SimulatedMember previous = place.mMember;
         place.mMember = successor;
         place.mIsPlanned = false;
+        boolean wasLost = isLost(place);
         place.mLostUntilMilliseconds = 0;
-        mUnnoticedUntilMilliseconds.add(mSimulation.nowMilliseconds() + UNNOTICED_MILLISECONDS);
+        if (mStopsWithNotice && !wasLost) {
+            record("stop with notice", previous);
+            stopWithNotice(previous, previous::end);
+        } else {
+            record("stop", previous);
+            previous.end();
+            mUnnoticedUntilMilliseconds.add(mSimulation.nowMilliseconds() + UNNOTICED_MILLISECONDS);
+        }
+    }
+
+    /** Stops a member, which may tell the others before it ends. */
+    private void stopWithNotice(SimulatedMember member, Runnable end) {
+        AtomicBoolean hasEnded = new AtomicBoolean();
+        Runnable endOnce =
+                () -> {
+                    if (!hasEnded.getAndSet(true)) {
+                        end.run();
+                    }
+                };
+        member.leave(endOnce);
+        mSimulation.after(MAX_NOTICE_MILLISECONDS, endOnce);
     }
 
     private SimulatedMember startSuccessor() {
--- a/agreement/src/test/java/org/skylarkbend/agreement/MembershipChangesTest.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/MembershipChangesTest.java
@@ -3,12 +3,15 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
+import org.skylarkbend.agreement.AgreementMessage.LeaveResponse;
 import org.testng.annotations.Test;
 
 /** Tests which members a leader adds and removes, and when. */
 public class MembershipChangesTest {
     private static final long ELECTION_MILLISECONDS =
             LeaderOfGroup.OPTIONS.electionMaxMilliseconds();
+    private static final long ONE_HEARTBEAT_MILLISECONDS =
+            LeaderOfGroup.OPTIONS.heartbeatMilliseconds();
     private static final long SILENCE_MILLISECONDS = LeaderOfGroup.REMOVE_UNRESPONSIVE_MILLISECONDS;
 
     /** Guards against members that are gone for good and count because their number is odd. */
@@ -50,6 +53,58 @@
         assertThat(group.voterCounts()).containsExactly(6);
     }
 
+    /** Guards against a member that was stopped as planned and counts until it is noticed. */
+    @Test
+    public void aMemberThatIsNotNeededIsRemovedAtOnceWhenItLeavesAndToldSo() {
+        LeaderOfGroup group = new LeaderOfGroup(6);
+        group.leave(6);
+        group.runFor(ONE_HEARTBEAT_MILLISECONDS);
+        group.leave(6);
+        assertThat(group.voterCounts()).containsExactly(5);
+        assertThat(group.sentTo(6)).contains(new LeaveResponse(true));
+        assertThat(group.sentTo(6)).doesNotContain(new LeaveResponse(false));
+    }
+
+    @Test
+    public void aMemberThatIsNeededRemainsWhenItLeavesAndIsToldSo() {
+        LeaderOfGroup group = new LeaderOfGroup(5);
+        group.leave(5);
+        group.runFor(ONE_HEARTBEAT_MILLISECONDS);
+        assertThat(group.voterCounts()).isEmpty();
+        assertThat(group.sentTo(5)).contains(new LeaveResponse(false));
+    }
+
+    /** Guards against a quorum that is raised while a member is about to be lost. */
+    @Test
+    public void aNewMemberTakesThePlaceOfANeededOneThatLeaves() {
+        LeaderOfGroup group = new LeaderOfGroup(5);
+        group.leave(5);
+        group.join(6);
+        group.runFor(3 * ONE_HEARTBEAT_MILLISECONDS);
+        assertThat(group.voterCounts()).containsExactly(4, 5);
+        assertThat(group.voters()).doesNotContain(LeaderOfGroup.member(5));
+    }
+
+    @Test
+    public void aLeaderThatIsNotNeededCommitsItsOwnRemovalAndStepsDownWhenItLeaves() {
+        LeaderOfGroup group = new LeaderOfGroup(6);
+        group.decide(new AgreementInput.Leave());
+        group.runFor(ONE_HEARTBEAT_MILLISECONDS);
+        assertThat(group.voterCounts()).containsExactly(5);
+        assertThat(group.decider().role()).isEqualTo(MemberRole.FOLLOWER);
+        assertThat(group.effects())
+                .contains(new AgreementEffect.LeaveDecided(LeaveOutcome.REMOVED))
+                .noneMatch(AgreementEffect.Broadcast.class::isInstance);
+    }
+
+    @Test
+    public void aLeaderThatIsNeededRemainsWhenItLeaves() {
+        LeaderOfGroup group = new LeaderOfGroup(5);
+        group.decide(new AgreementInput.Leave());
+        assertThat(group.effects())
+                .contains(new AgreementEffect.LeaveDecided(LeaveOutcome.REMAINS));
+    }
+
     /** Guards against a vote that a member lost by pausing, and does not get back. */
     @Test
     public void aRemovedMemberThatHadOnlyPausedBecomesAVoterAgain() {
--- a/agreement/src/test/java/org/skylarkbend/agreement/SimulatedMember.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/SimulatedMember.java
@@ -14,12 +14,14 @@
 import org.skylarkbend.agreement.AgreementEffect.ConfirmationFailed;
 import org.skylarkbend.agreement.AgreementEffect.FailProposal;
 import org.skylarkbend.agreement.AgreementEffect.LeadershipConfirmed;
+import org.skylarkbend.agreement.AgreementEffect.LeaveDecided;
 import org.skylarkbend.agreement.AgreementEffect.Restore;
 import org.skylarkbend.agreement.AgreementEffect.RoleChanged;
 import org.skylarkbend.agreement.AgreementEffect.Send;
 import org.skylarkbend.agreement.AgreementEffect.TakeSnapshot;
 import org.skylarkbend.agreement.AgreementInput.ConfirmLeadership;
 import org.skylarkbend.agreement.AgreementInput.DiskChecked;
+import org.skylarkbend.agreement.AgreementInput.Leave;
 import org.skylarkbend.agreement.AgreementInput.PersistFailed;
 import org.skylarkbend.agreement.AgreementInput.Persisted;
 import org.skylarkbend.agreement.AgreementInput.Propose;
@@ -58,6 +60,7 @@
     private boolean mDiskFull;
     private boolean mDiskHangs;
     private boolean mHasEnded;
+    private Runnable mOnLeaveDecided = () -> {};
 
     SimulatedMember(ClusterSimulation simulation, SafetyChecks checks, ObjectName vm) {
         mSimulation = simulation;
@@ -138,6 +141,12 @@
         mPaused = false;
     }
 
+    /** Tells the other members that this one is about to end, and runs the action once it may. */
+    void leave(Runnable onDecided) {
+        mOnLeaveDecided = onDecided;
+        runWhenActive(() -> decide(new Leave()));
+    }
+
     /** Ends the VM for good. */
     void end() {
         crash();
@@ -259,6 +268,8 @@
                     mAppliedIndex, mAcknowledgedIndexAtRequest.remove(confirmed.confirmationId()));
         } else if (effect instanceof ConfirmationFailed failed) {
             mAcknowledgedIndexAtRequest.remove(failed.confirmationId());
+        } else if (effect instanceof LeaveDecided) {
+            mSimulation.after(1, mOnLeaveDecided);
         } else if (effect instanceof RoleChanged changed && changed.role() == MemberRole.LEADER) {
             mChecks.recordLeader(identity(), changed.term());
         }
--- a/control/src/main/java/org/skylarkbend/control/site/SiteControlProcess.java
+++ b/control/src/main/java/org/skylarkbend/control/site/SiteControlProcess.java
@@ -13,6 +13,7 @@
 import org.skylarkbend.agreement.AgreementStorage;
 import org.skylarkbend.agreement.AgreementTask;
 import org.skylarkbend.agreement.FileOperations;
+import org.skylarkbend.agreement.LeaveOutcome;
 import org.skylarkbend.agreement.MemberAddress;
 import org.skylarkbend.agreement.MemberDirectory;
 import org.skylarkbend.agreement.MemberId;
@@ -94,6 +95,7 @@
     private final ControlLog mLog = new AgreementControlLog(() -> this.mAgreement);
     private Context mOperatorContext;
     private AgreementTask mAgreement;
+    private volatile boolean mStarted;
     private long mTermAtStart;
     private long mEndpointListNumber;
 
@@ -165,6 +167,18 @@
         return opened.fold(this::startTasks, error -> Future.failedFuture(error.detail()));
     }
 
+    /**
+     * Tells the other control VMs that this process is about to end, and returns whether this one
+     * remains a voter.
+     *
+     * @param withinMilliseconds the time after which the outcome is {@code UNKNOWN}
+     */
+    public Future<LeaveOutcome> leave(long withinMilliseconds) {
+        return mStarted
+                ? mAgreement.leave(withinMilliseconds)
+                : Future.succeededFuture(LeaveOutcome.UNKNOWN);
+    }
+
     /** Stops all tasks. */
     public Future<Void> stop() {
         return mParts.vertx()
@@ -233,7 +247,11 @@
                 .compose(id -> mParts.vertx().deployVerticle(mWork))
                 .compose(id -> mParts.vertx().deployVerticle(mFeed))
                 .compose(id -> mParts.vertx().deployVerticle(mAgreement))
-                .onSuccess(id -> LOG.info("control.started", "vm", mParts.self()))
+                .onSuccess(
+                        id -> {
+                            mStarted = true;
+                            LOG.info("control.started", "vm", mParts.self());
+                        })
                 .mapEmpty();
     }
 
--- a/control/src/test/java/org/skylarkbend/control/site/SiteControlProcessTest.java
+++ b/control/src/test/java/org/skylarkbend/control/site/SiteControlProcessTest.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import java.util.function.Supplier;
+import org.skylarkbend.agreement.LeaveOutcome;
 import org.skylarkbend.base.ErrorKind;
 import org.skylarkbend.base.MillisecondClock;
 import org.skylarkbend.base.ObjectName;
@@ -98,6 +99,30 @@
         assertThat(current()).isEqualTo("9");
     }
 
+    /** Guards against a VM that was stopped as planned and still counts as a voter. */
+    @Test
+    public void aVmThatIsNotNeededIsRemovedWhenItLeavesAndJoinsAgainWhenItStarts()
+            throws Exception {
+        for (int i = 1; i <= 5; i++) {
+            start(vm(i), true);
+        }
+        publish("7");
+        start(vm(6), false);
+        LeaveOutcome outcome = LeaveOutcome.REMAINS;
+        while (outcome != LeaveOutcome.REMOVED) {
+            if (!mRunning.containsKey(vm(2))) {
+                start(vm(2), false);
+            }
+            outcome = await(mRunning.get(vm(2)).process().leave(TIMEOUT_SECONDS * 1_000));
+            stop(vm(2));
+        }
+        stop(vm(3));
+        stop(vm(4));
+        publish("8");
+        start(vm(2), false);
+        assertThat(current()).isEqualTo("8");
+    }
+
     @Test
     public void whatCannotBeReadOrHasAProblemIsRefusedAndChangesNothing() throws Exception {
         for (int i = 1; i <= 3; i++) {
