Report how many more losses control bears, and why members change

Operators saw nothing while members that were gone for good used up the losses that control bears; the first sign was that there was no leader any more. No line said why a member was added or removed.

Change: the leader compares the voters that have responded to it in this term with the quorum. agreement.margin.low (warning) and agreement.margin.sound name the inputs at each crossing, each further loss and once from each new leader; three gauges have the values. agreement.member.added and agreement.member.removed name the reason: joined, silent for N ms of M, leaving, replaced.

Evidence: MembershipChangesTest checks the reports without network; AgreementTaskTest, DiskHandOverTest and SiteControlProcessTest pass.

--- a/agreement/src/main/java/org/skylarkbend/agreement/AgreementDecider.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/AgreementDecider.java
@@ -50,6 +50,7 @@
     private final DiskHandOver mDiskHandOver;
     private final MembershipChanges mMembershipChanges;
     private final Departure mDeparture;
+    private final LossMarginWatch mLossMargin;
     private final ClusterBootstrap mBootstrap;
     private final TreeMap<Long, Long> mProposalsByIndex = new TreeMap<>();
     private long mNowMilliseconds;
@@ -91,6 +92,7 @@
         mDiskHandOver = new DiskHandOver(mState);
         mMembershipChanges = new MembershipChanges(mState, mLeaderReplication, rules);
         mDeparture = new Departure(mState, mMembershipChanges);
+        mLossMargin = new LossMarginWatch(mState, mLeaderReplication, rules.toleratedLosses());
         mBootstrap = new ClusterBootstrap(mState, rules.initialVms());
         mAppliedIndex = mState.mCommitIndex;
         mSnapshotIndex = mState.mCommitIndex;
@@ -190,6 +192,7 @@
             makeWay();
             return;
         }
+        mLossMargin.tick(mNowMilliseconds);
         mMembershipChanges.nextChange(mNowMilliseconds).ifPresent(this::changeMembership);
     }
 
@@ -199,11 +202,16 @@
         mState.append(new LogEntry(1, term, new MembershipChange(membership)));
     }
 
-    private void changeMembership(MembershipChange change) {
-        mState.append(new LogEntry(mState.mLog.lastIndex() + 1, mState.mTerm, change));
-        for (MemberId voter : change.membership().voters()) {
+    private void changeMembership(MemberChange change) {
+        mState.append(
+                new LogEntry(
+                        mState.mLog.lastIndex() + 1,
+                        mState.mTerm,
+                        new MembershipChange(change.next())));
+        for (MemberId voter : change.next().voters()) {
             mLeaderReplication.track(voter, mNowMilliseconds);
         }
+        mState.mOutbox.add(mMembershipChanges.report(change));
     }
 
     private void becomeLeader() {
@@ -212,6 +220,7 @@
         mState.leaderSeen();
         mLeaderReplication.startTerm(mNowMilliseconds);
         mMembershipChanges.startTerm();
+        mLossMargin.startTerm(mNowMilliseconds);
         mDiskHandOver.startTerm();
         appendFirstEntryOfTerm();
         mLeaderReplication.startRound(mNowMilliseconds);
--- a/agreement/src/main/java/org/skylarkbend/agreement/AgreementEffect.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/AgreementEffect.java
@@ -67,6 +67,24 @@
     record RoleChanged(MemberRole role, long term, Optional<MemberId> leader)
             implements AgreementEffect {}
 
+    /**
+     * Reports that this leader has decided to add or remove a member.
+     *
+     * @param voters the number of voters after the change
+     * @param intendedVoters the number of voters that the tolerated losses require
+     */
+    record MemberChangeDecided(
+            MemberId member, boolean added, ChangeReason reason, int voters, int intendedVoters)
+            implements AgreementEffect {}
+
+    /**
+     * Reports on the leader how many more losses the log bears.
+     *
+     * @param isNews true if the log bears too few losses now, or enough again, or if the leader is
+     *     new
+     */
+    record LossMarginChanged(LossMargin margin, boolean isNews) implements AgreementEffect {}
+
     /** Reports whether this member, which is about to end, remains a voter. */
     record LeaveDecided(LeaveOutcome outcome) implements AgreementEffect {}
 
--- a/agreement/src/main/java/org/skylarkbend/agreement/AgreementTask.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/AgreementTask.java
@@ -1,5 +1,6 @@
 package org.skylarkbend.agreement;
 
+import com.codahale.metrics.MetricRegistry;
 import io.vertx.core.Context;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
@@ -20,6 +21,8 @@
 import org.skylarkbend.agreement.AgreementEffect.FailProposal;
 import org.skylarkbend.agreement.AgreementEffect.LeadershipConfirmed;
 import org.skylarkbend.agreement.AgreementEffect.LeaveDecided;
+import org.skylarkbend.agreement.AgreementEffect.LossMarginChanged;
+import org.skylarkbend.agreement.AgreementEffect.MemberChangeDecided;
 import org.skylarkbend.agreement.AgreementEffect.MembershipChanged;
 import org.skylarkbend.agreement.AgreementEffect.Persist;
 import org.skylarkbend.agreement.AgreementEffect.Restore;
@@ -72,6 +75,7 @@
     private final MillisecondClock mClock;
     private final long mStartedMilliseconds;
     private final LongUnaryOperator mRandomBelow;
+    private final AgreementReports mReports;
 
     private final Deque<AgreementInput> mInputs = new ArrayDeque<>();
     private final PendingSends mPendingSends = new PendingSends();
@@ -101,6 +105,7 @@
      * @param clock a monotonic clock
      * @param startedMilliseconds the time of the clock at which the process started
      * @param randomBelow returns a random number from 0 (inclusive) to its argument (exclusive)
+     * @param metrics the registry of the metrics of the process
      */
     public AgreementTask(
             ObjectName vm,
@@ -112,7 +117,8 @@
             Consumer<AgreementStatus> onRoleChange,
             MillisecondClock clock,
             long startedMilliseconds,
-            LongUnaryOperator randomBelow) {
+            LongUnaryOperator randomBelow,
+            MetricRegistry metrics) {
         mVm = vm;
         mDirectory = directory;
         mOptions = options;
@@ -123,6 +129,7 @@
         mClock = clock;
         mStartedMilliseconds = startedMilliseconds;
         mRandomBelow = randomBelow;
+        mReports = new AgreementReports(metrics);
     }
 
     @Override
@@ -345,30 +352,16 @@
         } else if (effect instanceof ConfirmationFailed failed) {
             respond(mConfirmations.remove(failed.confirmationId()), Result.failure(failed.error()));
         } else if (effect instanceof RoleChanged changed) {
-            LOG.info(
-                    "agreement.role",
-                    "role",
-                    changed.role(),
-                    "term",
-                    changed.term(),
-                    "leader",
-                    changed.leader().map(MemberId::toString).orElse("none"));
+            mReports.roleChanged(changed);
             mOnRoleChange.accept(currentStatus());
         } else if (effect instanceof LeaveDecided decided) {
             mOnLeaveDecided.accept(decided.outcome());
         } else if (effect instanceof MembershipChanged changed) {
-            LOG.info(
-                    "agreement.members",
-                    "voters",
-                    changed.current().voters(),
-                    "quorum",
-                    changed.current().quorum(),
-                    "added",
-                    changed.current().notIn(changed.previous()),
-                    "removed",
-                    changed.previous().notIn(changed.current()),
-                    "index",
-                    changed.index());
+            mReports.membershipChanged(changed);
+        } else if (effect instanceof MemberChangeDecided decided) {
+            mReports.memberChangeDecided(decided);
+        } else if (effect instanceof LossMarginChanged changed) {
+            mReports.lossMarginChanged(changed);
         }
     }
 
--- a/agreement/src/main/java/org/skylarkbend/agreement/LeaderReplication.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/LeaderReplication.java
@@ -155,6 +155,12 @@
                                 nowMilliseconds, mState.mOptions.electionMaxMilliseconds());
     }
 
+    /** Returns the time since the last response of a member, or since it has been tracked. */
+    long silentMilliseconds(MemberId member, long nowMilliseconds) {
+        MemberProgress progress = mProgress.get(member);
+        return progress == null ? 0 : progress.silentMilliseconds(nowMilliseconds);
+    }
+
     private long acknowledgedRound(MemberId voter) {
         if (voter.equals(mState.mSelf)) {
             return mRound;
--- a/agreement/src/main/java/org/skylarkbend/agreement/MemberProgress.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/MemberProgress.java
@@ -16,8 +16,12 @@
         mLastResponseMilliseconds = nowMilliseconds;
     }
 
+    long silentMilliseconds(long nowMilliseconds) {
+        return nowMilliseconds - mLastResponseMilliseconds;
+    }
+
     boolean isLive(long nowMilliseconds, long timeoutMilliseconds) {
-        return nowMilliseconds - mLastResponseMilliseconds <= timeoutMilliseconds;
+        return silentMilliseconds(nowMilliseconds) <= timeoutMilliseconds;
     }
 
     /** Returns whether the member has responded at all since the leader tracks it. */
--- a/agreement/src/main/java/org/skylarkbend/agreement/MembershipChanges.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/MembershipChanges.java
@@ -4,7 +4,10 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
-import org.skylarkbend.agreement.EntryContent.MembershipChange;
+import org.skylarkbend.agreement.ChangeReason.Joined;
+import org.skylarkbend.agreement.ChangeReason.Leaving;
+import org.skylarkbend.agreement.ChangeReason.Replaced;
+import org.skylarkbend.agreement.ChangeReason.Silent;
 
 /**
  * Adds and removes members on the leader, one change at a time.
@@ -50,7 +53,7 @@
      * Returns the next membership change, if one may be appended now. A quorum of the members that
      * it leaves must respond, since it takes effect before it is committed.
      */
-    Optional<MembershipChange> nextChange(long nowMilliseconds) {
+    Optional<MemberChange> nextChange(long nowMilliseconds) {
         removeStaleLearners(nowMilliseconds);
         if (!canChange()) {
             return Optional.empty();
@@ -59,8 +62,19 @@
         return withoutAbsent(nowMilliseconds)
                 .or(() -> withNewMember(ready, nowMilliseconds))
                 .or(() -> withoutReplaced(ready, nowMilliseconds))
-                .filter(next -> next.isQuorum(voter -> responds(voter, nowMilliseconds)))
-                .map(MembershipChange::new);
+                .filter(
+                        change ->
+                                change.next().isQuorum(voter -> responds(voter, nowMilliseconds)));
+    }
+
+    /** Returns the report of a change. */
+    AgreementEffect report(MemberChange change) {
+        return new AgreementEffect.MemberChangeDecided(
+                change.member(),
+                change.next().contains(change.member()),
+                change.reason(),
+                change.next().voters().size(),
+                mRules.intendedVoters());
     }
 
     /**
@@ -89,7 +103,7 @@
      * Returns the membership without an unresponsive voter, or else without one that is about to
      * end. A removed member that had only paused becomes a learner and then a voter again.
      */
-    private Optional<Membership> withoutAbsent(long nowMilliseconds) {
+    private Optional<MemberChange> withoutAbsent(long nowMilliseconds) {
         if (!mayRemove(nowMilliseconds)) {
             return Optional.empty();
         }
@@ -101,8 +115,22 @@
                                 !mLeaderReplication.isLive(
                                         voter, nowMilliseconds, timeoutMilliseconds))
                 .findFirst()
-                .or(() -> leavingVoter(nowMilliseconds))
-                .map(membership::without);
+                .map(
+                        voter ->
+                                removal(
+                                        voter,
+                                        new Silent(
+                                                mLeaderReplication.silentMilliseconds(
+                                                        voter, nowMilliseconds),
+                                                timeoutMilliseconds)))
+                .or(
+                        () ->
+                                leavingVoter(nowMilliseconds)
+                                        .map(voter -> removal(voter, new Leaving())));
+    }
+
+    private MemberChange removal(MemberId member, ChangeReason reason) {
+        return new MemberChange(member, mState.mLog.membership().without(member), reason);
     }
 
     private Optional<MemberId> leavingVoter(long nowMilliseconds) {
@@ -122,7 +150,7 @@
      * Returns the membership with a new member on a VM without a voter. The quorum is raised above
      * the one of the intended members only while all voters respond.
      */
-    private Optional<Membership> withNewMember(List<MemberId> ready, long nowMilliseconds) {
+    private Optional<MemberChange> withNewMember(List<MemberId> ready, long nowMilliseconds) {
         Membership membership = mState.mLog.membership();
         if (membership.voters().size() >= Membership.MAX_VOTERS) {
             return Optional.empty();
@@ -132,21 +160,29 @@
         return ready.stream()
                 .filter(learner -> memberOnSameVm(learner).isEmpty())
                 .findFirst()
-                .map(membership::with)
+                .map(learner -> new MemberChange(learner, membership.with(learner), new Joined()))
                 .filter(
-                        next ->
+                        change ->
                                 allRespond
-                                        || next.quorum() == membership.quorum()
-                                        || next.voters().size() <= mRules.intendedVoters());
+                                        || change.next().quorum() == membership.quorum()
+                                        || change.next().voters().size()
+                                                <= mRules.intendedVoters());
     }
 
     /** Returns the membership without a voter that a new member on the same VM replaces. */
-    private Optional<Membership> withoutReplaced(List<MemberId> ready, long nowMilliseconds) {
+    private Optional<MemberChange> withoutReplaced(List<MemberId> ready, long nowMilliseconds) {
         return ready.stream()
-                .flatMap(learner -> memberOnSameVm(learner).stream())
-                .filter(previous -> !isLive(previous, nowMilliseconds))
+                .filter(
+                        learner ->
+                                memberOnSameVm(learner)
+                                        .filter(previous -> !isLive(previous, nowMilliseconds))
+                                        .isPresent())
                 .findFirst()
-                .map(mState.mLog.membership()::without);
+                .map(
+                        learner ->
+                                removal(
+                                        memberOnSameVm(learner).orElseThrow(),
+                                        new Replaced(learner)));
     }
 
     /**
--- a/agreement/src/test/java/org/skylarkbend/agreement/AgreementTaskTest.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/AgreementTaskTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import com.codahale.metrics.MetricRegistry;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import java.io.IOException;
@@ -232,7 +233,8 @@
                         this::recordLeader,
                         MillisecondClock.monotonic(),
                         MillisecondClock.monotonic().nowMilliseconds(),
-                        bound -> ThreadLocalRandom.current().nextLong(bound));
+                        bound -> ThreadLocalRandom.current().nextLong(bound),
+                        new MetricRegistry());
         mRunning.put(vm, new Running(task, machine, await(mVertx.deployVerticle(task))));
     }
 
--- a/agreement/src/test/java/org/skylarkbend/agreement/LeaderOfGroup.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/LeaderOfGroup.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.stream.IntStream;
+import org.skylarkbend.agreement.AgreementEffect.LossMarginChanged;
 import org.skylarkbend.agreement.AgreementEffect.MembershipChanged;
 import org.skylarkbend.agreement.AgreementEffect.Persist;
 import org.skylarkbend.agreement.AgreementEffect.Send;
@@ -38,7 +39,14 @@
     private final List<AgreementEffect> mEffects = new ArrayList<>();
     private long mNowMilliseconds = 2 * OPTIONS.electionMaxMilliseconds();
 
-    LeaderOfGroup(int count) {
+    /**
+     * Elects the leader.
+     *
+     * @param count the number of voters
+     * @param silent the numbers of those that do not respond from the start
+     */
+    LeaderOfGroup(int count, int... silent) {
+        silence(silent);
         List<MemberId> members =
                 IntStream.rangeClosed(1, count).mapToObj(LeaderOfGroup::member).toList();
         Snapshot snapshot = new Snapshot(10, TERM - 1, new Membership(members), new byte[0]);
@@ -93,6 +101,19 @@
         return mEffects;
     }
 
+    /** Returns all effects of one type so far. */
+    <T extends AgreementEffect> List<T> effects(Class<T> type) {
+        return mEffects.stream().filter(type::isInstance).map(type::cast).toList();
+    }
+
+    /** Returns the margins that were reported as news so far. */
+    List<LossMargin> news() {
+        return effects(LossMarginChanged.class).stream()
+                .filter(LossMarginChanged::isNews)
+                .map(LossMarginChanged::margin)
+                .toList();
+    }
+
     /** Returns all messages to a member so far. */
     List<AgreementMessage> sentTo(int number) {
         return mEffects.stream()
--- a/agreement/src/test/java/org/skylarkbend/agreement/MembershipChangesTest.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/MembershipChangesTest.java
@@ -3,6 +3,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
+import java.util.stream.IntStream;
+import org.skylarkbend.agreement.AgreementEffect.MemberChangeDecided;
 import org.skylarkbend.agreement.AgreementMessage.LeaveResponse;
 import org.testng.annotations.Test;
 
@@ -105,6 +107,62 @@
                 .contains(new AgreementEffect.LeaveDecided(LeaveOutcome.REMAINS));
     }
 
+    @Test
+    public void eachChangeIsReportedWithTheReasonForIt() {
+        LeaderOfGroup group = new LeaderOfGroup(5);
+        group.join(6);
+        group.runFor(ELECTION_MILLISECONDS);
+        group.silence(5);
+        group.runFor(2 * SILENCE_MILLISECONDS);
+        assertThat(group.effects(MemberChangeDecided.class))
+                .containsExactly(
+                        new MemberChangeDecided(
+                                LeaderOfGroup.member(6), true, new ChangeReason.Joined(), 6, 5),
+                        new MemberChangeDecided(
+                                LeaderOfGroup.member(5),
+                                false,
+                                new ChangeReason.Silent(
+                                        SILENCE_MILLISECONDS + ONE_HEARTBEAT_MILLISECONDS / 2,
+                                        SILENCE_MILLISECONDS),
+                                5,
+                                5));
+    }
+
+    /** Guards against losses that are noticed only when there is no quorum any more. */
+    @Test
+    public void aMarginBelowTheToleratedLossesIsNewsOnceAndSoIsItsReturn() {
+        LeaderOfGroup group = new LeaderOfGroup(5);
+        group.silence(5);
+        group.runFor(2 * ELECTION_MILLISECONDS);
+        assertThat(group.news()).containsExactly(new LossMargin(5, 3, 2, members(5)));
+        assertThat(group.news().get(0).isLow()).isTrue();
+        group.silence(4);
+        group.runFor(2 * ELECTION_MILLISECONDS);
+        assertThat(group.news())
+                .hasSize(2)
+                .last()
+                .isEqualTo(new LossMargin(5, 3, 2, members(4, 5)));
+        assertThat(group.news().get(1).furtherLosses()).isZero();
+        group.join(4);
+        group.join(5);
+        group.runFor(2 * ELECTION_MILLISECONDS);
+        assertThat(group.news()).last().isEqualTo(new LossMargin(5, 3, 2, List.of()));
+        assertThat(group.news()).hasSize(3);
+    }
+
+    @Test
+    public void aNewLeaderReportsItsMarginOnceItKnowsWhoResponds() {
+        LeaderOfGroup group = new LeaderOfGroup(5, 4);
+        group.runFor(ELECTION_MILLISECONDS / 2);
+        assertThat(group.news()).isEmpty();
+        group.runFor(ELECTION_MILLISECONDS);
+        assertThat(group.news()).containsExactly(new LossMargin(5, 3, 2, members(4)));
+    }
+
+    private static List<MemberId> members(int... numbers) {
+        return IntStream.of(numbers).mapToObj(LeaderOfGroup::member).toList();
+    }
+
     /** Guards against a vote that a member lost by pausing, and does not get back. */
     @Test
     public void aRemovedMemberThatHadOnlyPausedBecomesAVoterAgain() {
--- a/control/src/main/java/org/skylarkbend/control/ControlProcess.java
+++ b/control/src/main/java/org/skylarkbend/control/ControlProcess.java
@@ -165,7 +165,8 @@
                         this::roleChanged,
                         mParts.monotonic(),
                         mParts.monotonic().nowMilliseconds(),
-                        bound -> ThreadLocalRandom.current().nextLong(bound));
+                        bound -> ThreadLocalRandom.current().nextLong(bound),
+                        mParts.metrics());
         return mParts.vertx()
                 .deployVerticle(mOperators)
                 .compose(id -> mParts.vertx().deployVerticle(mLimits))
--- a/control/src/main/java/org/skylarkbend/control/site/SiteControlProcess.java
+++ b/control/src/main/java/org/skylarkbend/control/site/SiteControlProcess.java
@@ -238,7 +238,8 @@
                         this::roleChanged,
                         mParts.clock().monotonic(),
                         mParts.clock().startedMilliseconds(),
-                        bound -> ThreadLocalRandom.current().nextLong(bound));
+                        bound -> ThreadLocalRandom.current().nextLong(bound),
+                        mParts.metrics());
         return mParts.vertx()
                 .deployVerticle(mLimits)
                 .compose(id -> mParts.vertx().deployVerticle(mRollouts))
