Tell gateways of changed control VMs while the leader remains

Callers saw nothing yet: a gateway learned of control VMs that had joined or left only when the leader changed. After replacements in a row it could know only VMs that were gone.

Cause: ControlVms was sent with a change of the role only.

Change: the task of the log also reports each change of the newest membership, and the control process sends ControlVms with it.

--- a/agreement/src/main/java/org/skylarkbend/agreement/AgreementTask.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/AgreementTask.java
@@ -71,7 +71,7 @@
     private final WireOptions mWireOptions;
     private final AgreementStorage mStorage;
     private final StateMachine mStateMachine;
-    private final Consumer<AgreementStatus> mOnRoleChange;
+    private final Listeners mListeners;
     private final MillisecondClock mClock;
     private final long mStartedMilliseconds;
     private final LongUnaryOperator mRandomBelow;
@@ -92,6 +92,16 @@
     private Consumer<LeaveOutcome> mOnLeaveDecided = outcome -> {};
     private boolean mDeciding;
 
+    /**
+     * The functions that a task calls.
+     *
+     * @param onRoleChange called when the role, term or leader changes
+     * @param onMembershipChange called at the start and when the newest membership in the log
+     *     changes, committed or not
+     */
+    public record Listeners(
+            Consumer<AgreementStatus> onRoleChange, Consumer<Membership> onMembershipChange) {}
+
     /**
      * Creates a task, which runs once it is deployed.
      *
@@ -101,7 +111,7 @@
      * @param wireOptions limits and keys of the connections
      * @param storage the open data folder, closed when the task stops
      * @param stateMachine the state machine that commands are applied to
-     * @param onRoleChange called on the task's context when the role, term or leader changes
+     * @param listeners called on the task's context
      * @param clock a monotonic clock
      * @param startedMilliseconds the time of the clock at which the process started
      * @param randomBelow returns a random number from 0 (inclusive) to its argument (exclusive)
@@ -114,7 +124,7 @@
             WireOptions wireOptions,
             AgreementStorage storage,
             StateMachine stateMachine,
-            Consumer<AgreementStatus> onRoleChange,
+            Listeners listeners,
             MillisecondClock clock,
             long startedMilliseconds,
             LongUnaryOperator randomBelow,
@@ -125,7 +135,7 @@
         mWireOptions = wireOptions;
         mStorage = storage;
         mStateMachine = stateMachine;
-        mOnRoleChange = onRoleChange;
+        mListeners = listeners;
         mClock = clock;
         mStartedMilliseconds = startedMilliseconds;
         mRandomBelow = randomBelow;
@@ -353,11 +363,12 @@
             respond(mConfirmations.remove(failed.confirmationId()), Result.failure(failed.error()));
         } else if (effect instanceof RoleChanged changed) {
             mReports.roleChanged(changed);
-            mOnRoleChange.accept(currentStatus());
+            mListeners.onRoleChange().accept(currentStatus());
         } else if (effect instanceof LeaveDecided decided) {
             mOnLeaveDecided.accept(decided.outcome());
         } else if (effect instanceof MembershipChanged changed) {
             mReports.membershipChanged(changed);
+            mListeners.onMembershipChange().accept(changed.current());
         } else if (effect instanceof MemberChangeDecided decided) {
             mReports.memberChangeDecided(decided);
         } else if (effect instanceof LossMarginChanged changed) {
--- a/agreement/src/test/java/org/skylarkbend/agreement/AgreementTaskTest.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/AgreementTaskTest.java
@@ -11,9 +11,11 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
@@ -41,6 +43,8 @@
 
     private final Map<ObjectName, Running> mRunning = new TreeMap<>();
     private final BlockingQueue<MemberId> mLeaders = new LinkedBlockingQueue<>();
+    private final BlockingQueue<Map.Entry<ObjectName, Membership>> mMemberships =
+            new LinkedBlockingQueue<>();
     private volatile boolean mDisksFull;
     private volatile boolean mMemoryExhausted;
     private volatile Optional<ObjectName> mFullVm = Optional.empty();
@@ -132,6 +136,34 @@
         assertThat(membership.onVm(VMS.get(2))).isPresent();
     }
 
+    /** Guards against gateways that learn of new control VMs only when the leader changes. */
+    @Test
+    public void everyMemberIsToldOfAChangeOfTheMembersWhileTheLeaderRemains() throws Exception {
+        ObjectName leader = await(leader().task().status()).self().vm();
+        ObjectName replaced =
+                VMS.stream().filter(vm -> !vm.equals(leader)).findFirst().orElseThrow();
+        ObjectName follower =
+                VMS.stream()
+                        .filter(vm -> !vm.equals(leader) && !vm.equals(replaced))
+                        .findFirst()
+                        .orElseThrow();
+        mMemberships.clear();
+        stop(replaced);
+        Files.move(mFolder.resolve(replaced.value()), mFolder.resolve("lost"));
+        start(replaced);
+        MemberId added = await(mRunning.get(replaced).task().status()).self();
+        Set<ObjectName> untold = new HashSet<>(Set.of(leader, follower));
+        while (!untold.isEmpty()) {
+            Map.Entry<ObjectName, Membership> next =
+                    mMemberships.poll(LIMIT_SECONDS, TimeUnit.SECONDS);
+            assertThat(next).as("a change at " + untold).isNotNull();
+            if (next.getValue().contains(added)) {
+                untold.remove(next.getKey());
+            }
+        }
+        assertThat(await(leader().task().status()).self().vm()).isEqualTo(leader);
+    }
+
     @Test
     public void aFullDiskFailsProposalsButNotReadsUntilItHasSpaceAgain() throws Exception {
         Running leader = leader();
@@ -230,7 +262,9 @@
                         WireOptions.plain(),
                         storage,
                         machine,
-                        this::recordLeader,
+                        new AgreementTask.Listeners(
+                                this::recordLeader,
+                                membership -> mMemberships.add(Map.entry(vm, membership))),
                         MillisecondClock.monotonic(),
                         MillisecondClock.monotonic().nowMilliseconds(),
                         bound -> ThreadLocalRandom.current().nextLong(bound),
--- a/control/src/main/java/org/skylarkbend/control/ControlProcess.java
+++ b/control/src/main/java/org/skylarkbend/control/ControlProcess.java
@@ -162,7 +162,7 @@
                         mParts.wire(),
                         storage,
                         new AppliedState(state),
-                        this::roleChanged,
+                        new AgreementTask.Listeners(this::roleChanged, membership -> {}),
                         mParts.monotonic(),
                         mParts.monotonic().nowMilliseconds(),
                         bound -> ThreadLocalRandom.current().nextLong(bound),
--- a/control/src/main/java/org/skylarkbend/control/site/SiteControlProcess.java
+++ b/control/src/main/java/org/skylarkbend/control/site/SiteControlProcess.java
@@ -18,6 +18,7 @@
 import org.skylarkbend.agreement.MemberDirectory;
 import org.skylarkbend.agreement.MemberId;
 import org.skylarkbend.agreement.MemberRole;
+import org.skylarkbend.agreement.Membership;
 import org.skylarkbend.agreement.MembershipRules;
 import org.skylarkbend.base.MillisecondClock;
 import org.skylarkbend.base.ObjectName;
@@ -235,7 +236,7 @@
                         WireOptions.plain(),
                         storage,
                         new AppliedState(state),
-                        this::roleChanged,
+                        new AgreementTask.Listeners(this::roleChanged, this::membershipChanged),
                         mParts.clock().monotonic(),
                         mParts.clock().startedMilliseconds(),
                         bound -> ThreadLocalRandom.current().nextLong(bound),
@@ -398,11 +399,13 @@
         mRollouts.post(leadership);
         mQuarantine.post(leadership);
         mFeed.post(new LeadershipChanged(leads, leader.map(this::feedAddress)));
+    }
+
+    /** Tells gateways the control VMs, so that those of a group that changes are always known. */
+    private void membershipChanged(Membership membership) {
         broadcast(
                 new ControlVms(
-                        status.membership().voters().stream()
-                                .map(member -> member.vm().value())
-                                .toList()));
+                        membership.voters().stream().map(member -> member.vm().value()).toList()));
     }
 
     private ControlAddress feedAddress(ObjectName vm) {
