--- a/agreement/src/main/java/org/skylarkbend/agreement/AgreementTask.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/AgreementTask.java
@@ -1,5 +1,6 @@
 package org.skylarkbend.agreement;
 
+import com.codahale.metrics.MetricRegistry;
 import io.vertx.core.Context;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
@@ -19,6 +20,9 @@
 import org.skylarkbend.agreement.AgreementEffect.ConfirmationFailed;
 import org.skylarkbend.agreement.AgreementEffect.FailProposal;
 import org.skylarkbend.agreement.AgreementEffect.LeadershipConfirmed;
+import org.skylarkbend.agreement.AgreementEffect.LeaveDecided;
+import org.skylarkbend.agreement.AgreementEffect.LossMarginChanged;
+import org.skylarkbend.agreement.AgreementEffect.MemberChangeDecided;
 import org.skylarkbend.agreement.AgreementEffect.MembershipChanged;
 import org.skylarkbend.agreement.AgreementEffect.Persist;
 import org.skylarkbend.agreement.AgreementEffect.Restore;
@@ -28,6 +32,7 @@
 import org.skylarkbend.agreement.AgreementEffect.TakeSnapshot;
 import org.skylarkbend.agreement.AgreementInput.ConfirmLeadership;
 import org.skylarkbend.agreement.AgreementInput.DiskChecked;
+import org.skylarkbend.agreement.AgreementInput.Leave;
 import org.skylarkbend.agreement.AgreementInput.PersistFailed;
 import org.skylarkbend.agreement.AgreementInput.Persisted;
 import org.skylarkbend.agreement.AgreementInput.Propose;
@@ -66,10 +71,11 @@
     private final WireOptions mWireOptions;
     private final AgreementStorage mStorage;
     private final StateMachine mStateMachine;
-    private final Consumer<AgreementStatus> mOnRoleChange;
+    private final Listeners mListeners;
     private final MillisecondClock mClock;
     private final long mStartedMilliseconds;
     private final LongUnaryOperator mRandomBelow;
+    private final AgreementReports mReports;
 
     private final Deque<AgreementInput> mInputs = new ArrayDeque<>();
     private final PendingSends mPendingSends = new PendingSends();
@@ -83,8 +89,19 @@
     private long mTimerId;
     private long mSyncedNumber;
     private long mLastRequestId;
+    private Consumer<LeaveOutcome> mOnLeaveDecided = outcome -> {};
     private boolean mDeciding;
 
+    /**
+     * The functions that a task calls.
+     *
+     * @param onRoleChange called when the role, term or leader changes
+     * @param onMembershipChange called at the start and when the newest membership in the log
+     *     changes, committed or not
+     */
+    public record Listeners(
+            Consumer<AgreementStatus> onRoleChange, Consumer<Membership> onMembershipChange) {}
+
     /**
      * Creates a task, which runs once it is deployed.
      *
@@ -94,10 +111,11 @@
      * @param wireOptions limits and keys of the connections
      * @param storage the open data folder, closed when the task stops
      * @param stateMachine the state machine that commands are applied to
-     * @param onRoleChange called on the task's context when the role, term or leader changes
+     * @param listeners called on the task's context
      * @param clock a monotonic clock
      * @param startedMilliseconds the time of the clock at which the process started
      * @param randomBelow returns a random number from 0 (inclusive) to its argument (exclusive)
+     * @param metrics the registry of the metrics of the process
      */
     public AgreementTask(
             ObjectName vm,
@@ -106,20 +124,22 @@
             WireOptions wireOptions,
             AgreementStorage storage,
             StateMachine stateMachine,
-            Consumer<AgreementStatus> onRoleChange,
+            Listeners listeners,
             MillisecondClock clock,
             long startedMilliseconds,
-            LongUnaryOperator randomBelow) {
+            LongUnaryOperator randomBelow,
+            MetricRegistry metrics) {
         mVm = vm;
         mDirectory = directory;
         mOptions = options;
         mWireOptions = wireOptions;
         mStorage = storage;
         mStateMachine = stateMachine;
-        mOnRoleChange = onRoleChange;
+        mListeners = listeners;
         mClock = clock;
         mStartedMilliseconds = startedMilliseconds;
         mRandomBelow = randomBelow;
+        mReports = new AgreementReports(metrics);
     }
 
     @Override
@@ -207,6 +227,27 @@
                 });
     }
 
+    /**
+     * Tells the other members that the process is about to end, and returns whether this member
+     * remains a voter. A member that others can do without is removed at once.
+     *
+     * @param withinMilliseconds the time after which the outcome is {@code UNKNOWN}
+     */
+    public Future<LeaveOutcome> leave(long withinMilliseconds) {
+        Promise<LeaveOutcome> promise = Promise.promise();
+        Context caller = vertx.getOrCreateContext();
+        mContext.runOnContext(
+                ignored -> {
+                    mOnLeaveDecided =
+                            outcome ->
+                                    caller.runOnContext(onCaller -> promise.tryComplete(outcome));
+                    vertx.setTimer(
+                            withinMilliseconds, id -> promise.tryComplete(LeaveOutcome.UNKNOWN));
+                    decide(new Leave());
+                });
+        return promise.future();
+    }
+
     /** Returns the current status of this member. */
     public Future<AgreementStatus> status() {
         Promise<AgreementStatus> promise = Promise.promise();
@@ -321,28 +362,17 @@
         } else if (effect instanceof ConfirmationFailed failed) {
             respond(mConfirmations.remove(failed.confirmationId()), Result.failure(failed.error()));
         } else if (effect instanceof RoleChanged changed) {
-            LOG.info(
-                    "agreement.role",
-                    "role",
-                    changed.role(),
-                    "term",
-                    changed.term(),
-                    "leader",
-                    changed.leader().map(MemberId::toString).orElse("none"));
-            mOnRoleChange.accept(currentStatus());
+            mReports.roleChanged(changed);
+            mListeners.onRoleChange().accept(currentStatus());
+        } else if (effect instanceof LeaveDecided decided) {
+            mOnLeaveDecided.accept(decided.outcome());
         } else if (effect instanceof MembershipChanged changed) {
-            LOG.info(
-                    "agreement.members",
-                    "voters",
-                    changed.current().voters(),
-                    "quorum",
-                    changed.current().quorum(),
-                    "added",
-                    changed.current().notIn(changed.previous()),
-                    "removed",
-                    changed.previous().notIn(changed.current()),
-                    "index",
-                    changed.index());
+            mReports.membershipChanged(changed);
+            mListeners.onMembershipChange().accept(changed.current());
+        } else if (effect instanceof MemberChangeDecided decided) {
+            mReports.memberChangeDecided(decided);
+        } else if (effect instanceof LossMarginChanged changed) {
+            mReports.lossMarginChanged(changed);
         }
     }
 
--- a/agreement/src/main/java/org/skylarkbend/agreement/MembershipChanges.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/MembershipChanges.java
@@ -4,7 +4,10 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
-import org.skylarkbend.agreement.EntryContent.MembershipChange;
+import org.skylarkbend.agreement.ChangeReason.Joined;
+import org.skylarkbend.agreement.ChangeReason.Leaving;
+import org.skylarkbend.agreement.ChangeReason.Replaced;
+import org.skylarkbend.agreement.ChangeReason.Silent;
 
 /**
  * Adds and removes members on the leader, one change at a time.
@@ -18,6 +21,7 @@
     private final LeaderReplication mLeaderReplication;
     private final MembershipRules mRules;
     private final Map<MemberId, Long> mLearnersHeardAtMilliseconds = new TreeMap<>();
+    private final Map<MemberId, Long> mLeavingHeardAtMilliseconds = new TreeMap<>();
 
     MembershipChanges(MemberState state, LeaderReplication replication, MembershipRules rules) {
         mState = state;
@@ -28,6 +32,7 @@
     /** Starts a term as leader without learners. */
     void startTerm() {
         mLearnersHeardAtMilliseconds.clear();
+        mLeavingHeardAtMilliseconds.clear();
     }
 
     /** Starts replicating to a member that may join and whose VM has no live voter. */
@@ -48,37 +53,61 @@
      * Returns the next membership change, if one may be appended now. A quorum of the members that
      * it leaves must respond, since it takes effect before it is committed.
      */
-    Optional<MembershipChange> nextChange(long nowMilliseconds) {
+    Optional<MemberChange> nextChange(long nowMilliseconds) {
         removeStaleLearners(nowMilliseconds);
         if (!canChange()) {
             return Optional.empty();
         }
-        List<MemberId> ready =
-                mLearnersHeardAtMilliseconds.keySet().stream()
-                        .filter(learner -> isUpToDate(learner, nowMilliseconds))
-                        .toList();
-        return withoutUnresponsive(ready, nowMilliseconds)
+        List<MemberId> ready = readyLearners(nowMilliseconds);
+        return withoutAbsent(nowMilliseconds)
                 .or(() -> withNewMember(ready, nowMilliseconds))
                 .or(() -> withoutReplaced(ready, nowMilliseconds))
-                .filter(next -> next.isQuorum(voter -> responds(voter, nowMilliseconds)))
-                .map(MembershipChange::new);
+                .filter(
+                        change ->
+                                change.next().isQuorum(voter -> responds(voter, nowMilliseconds)));
+    }
+
+    /** Returns the report of a change. */
+    AgreementEffect report(MemberChange change) {
+        return new AgreementEffect.MemberChangeDecided(
+                change.member(),
+                change.next().contains(change.member()),
+                change.reason(),
+                change.next().voters().size(),
+                mRules.intendedVoters());
     }
 
     /**
-     * Returns the membership without an unresponsive voter, if more remain than are intended, or if
-     * one is missing afterwards for which a new member is ready. Neither raises the quorum, and
-     * each commit is still on one disk more than may be lost. A removed member that had only paused
-     * becomes a learner and then a voter again.
+     * Records that a voter is about to end. Until it is known to be silent or back, it is the first
+     * to lose its place to a new member.
      */
-    private Optional<Membership> withoutUnresponsive(List<MemberId> ready, long nowMilliseconds) {
-        Membership membership = mState.mLog.membership();
+    void receiveLeave(MemberId member, long nowMilliseconds) {
+        mLeavingHeardAtMilliseconds.put(member, nowMilliseconds);
+    }
+
+    /**
+     * Returns whether a voter that is gone may be removed, because more remain than are intended,
+     * or because one is missing afterwards for which a new member is ready. Neither raises the
+     * quorum, and each commit is still on one disk more than may be lost.
+     */
+    boolean mayRemove(long nowMilliseconds) {
         boolean canTakePlace =
-                ready.stream().anyMatch(learner -> memberOnSameVm(learner).isEmpty());
+                readyLearners(nowMilliseconds).stream()
+                        .anyMatch(learner -> memberOnSameVm(learner).isEmpty());
         int leastVoters = mRules.intendedVoters() + (canTakePlace ? 0 : 1);
-        if (mRules.removeUnresponsiveAfterMilliseconds().isEmpty()
-                || membership.voters().size() < leastVoters) {
+        return mRules.removeUnresponsiveAfterMilliseconds().isPresent()
+                && mState.mLog.membership().voters().size() >= leastVoters;
+    }
+
+    /**
+     * Returns the membership without an unresponsive voter, or else without one that is about to
+     * end. A removed member that had only paused becomes a learner and then a voter again.
+     */
+    private Optional<MemberChange> withoutAbsent(long nowMilliseconds) {
+        if (!mayRemove(nowMilliseconds)) {
             return Optional.empty();
         }
+        Membership membership = mState.mLog.membership();
         long timeoutMilliseconds = mRules.removeUnresponsiveAfterMilliseconds().getAsLong();
         return membership.voters().stream()
                 .filter(
@@ -86,14 +115,42 @@
                                 !mLeaderReplication.isLive(
                                         voter, nowMilliseconds, timeoutMilliseconds))
                 .findFirst()
-                .map(membership::without);
+                .map(
+                        voter ->
+                                removal(
+                                        voter,
+                                        new Silent(
+                                                mLeaderReplication.silentMilliseconds(
+                                                        voter, nowMilliseconds),
+                                                timeoutMilliseconds)))
+                .or(
+                        () ->
+                                leavingVoter(nowMilliseconds)
+                                        .map(voter -> removal(voter, new Leaving())));
+    }
+
+    private MemberChange removal(MemberId member, ChangeReason reason) {
+        return new MemberChange(member, mState.mLog.membership().without(member), reason);
+    }
+
+    private Optional<MemberId> leavingVoter(long nowMilliseconds) {
+        return mState.mLog.membership().voters().stream()
+                .filter(voter -> isLeaving(voter, nowMilliseconds))
+                .findFirst();
+    }
+
+    private boolean isLeaving(MemberId member, long nowMilliseconds) {
+        Long heardAtMilliseconds = mLeavingHeardAtMilliseconds.get(member);
+        return heardAtMilliseconds != null
+                && nowMilliseconds - heardAtMilliseconds
+                        <= mState.mOptions.electionMaxMilliseconds();
     }
 
     /**
      * Returns the membership with a new member on a VM without a voter. The quorum is raised above
      * the one of the intended members only while all voters respond.
      */
-    private Optional<Membership> withNewMember(List<MemberId> ready, long nowMilliseconds) {
+    private Optional<MemberChange> withNewMember(List<MemberId> ready, long nowMilliseconds) {
         Membership membership = mState.mLog.membership();
         if (membership.voters().size() >= Membership.MAX_VOTERS) {
             return Optional.empty();
@@ -103,21 +160,29 @@
         return ready.stream()
                 .filter(learner -> memberOnSameVm(learner).isEmpty())
                 .findFirst()
-                .map(membership::with)
+                .map(learner -> new MemberChange(learner, membership.with(learner), new Joined()))
                 .filter(
-                        next ->
+                        change ->
                                 allRespond
-                                        || next.quorum() == membership.quorum()
-                                        || next.voters().size() <= mRules.intendedVoters());
+                                        || change.next().quorum() == membership.quorum()
+                                        || change.next().voters().size()
+                                                <= mRules.intendedVoters());
     }
 
     /** Returns the membership without a voter that a new member on the same VM replaces. */
-    private Optional<Membership> withoutReplaced(List<MemberId> ready, long nowMilliseconds) {
+    private Optional<MemberChange> withoutReplaced(List<MemberId> ready, long nowMilliseconds) {
         return ready.stream()
-                .flatMap(learner -> memberOnSameVm(learner).stream())
-                .filter(previous -> !isLive(previous, nowMilliseconds))
+                .filter(
+                        learner ->
+                                memberOnSameVm(learner)
+                                        .filter(previous -> !isLive(previous, nowMilliseconds))
+                                        .isPresent())
                 .findFirst()
-                .map(mState.mLog.membership()::without);
+                .map(
+                        learner ->
+                                removal(
+                                        memberOnSameVm(learner).orElseThrow(),
+                                        new Replaced(learner)));
     }
 
     /**
@@ -133,6 +198,12 @@
         return hasCommittedInTerm && mState.mLog.membershipIndex() <= mState.mCommitIndex;
     }
 
+    private List<MemberId> readyLearners(long nowMilliseconds) {
+        return mLearnersHeardAtMilliseconds.keySet().stream()
+                .filter(learner -> isUpToDate(learner, nowMilliseconds))
+                .toList();
+    }
+
     private boolean isUpToDate(MemberId learner, long nowMilliseconds) {
         MemberProgress progress = mLeaderReplication.progress().get(learner);
         return progress != null
@@ -159,6 +230,7 @@
                 .keySet()
                 .removeIf(learner -> mState.mLog.membership().contains(learner));
         mLearnersHeardAtMilliseconds.values().removeIf(heard -> heard < oldestMilliseconds);
+        mLeavingHeardAtMilliseconds.values().removeIf(heard -> heard < oldestMilliseconds);
         for (MemberId member : List.copyOf(mLeaderReplication.progress().keySet())) {
             boolean isKnown =
                     mState.mLog.membership().contains(member)
--- a/agreement/src/test/java/org/skylarkbend/agreement/LeaderOfGroup.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/LeaderOfGroup.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.stream.IntStream;
+import org.skylarkbend.agreement.AgreementEffect.LossMarginChanged;
 import org.skylarkbend.agreement.AgreementEffect.MembershipChanged;
 import org.skylarkbend.agreement.AgreementEffect.Persist;
 import org.skylarkbend.agreement.AgreementEffect.Send;
@@ -17,6 +18,7 @@
 import org.skylarkbend.agreement.AgreementMessage.Announcement;
 import org.skylarkbend.agreement.AgreementMessage.AppendRequest;
 import org.skylarkbend.agreement.AgreementMessage.AppendResponse;
+import org.skylarkbend.agreement.AgreementMessage.LeaveRequest;
 import org.skylarkbend.agreement.AgreementMessage.PreVoteResponse;
 import org.skylarkbend.agreement.AgreementMessage.VoteResponse;
 import org.skylarkbend.base.ObjectName;
@@ -37,7 +39,14 @@
     private final List<AgreementEffect> mEffects = new ArrayList<>();
     private long mNowMilliseconds = 2 * OPTIONS.electionMaxMilliseconds();
 
-    LeaderOfGroup(int count) {
+    /**
+     * Elects the leader.
+     *
+     * @param count the number of voters
+     * @param silent the numbers of those that do not respond from the start
+     */
+    LeaderOfGroup(int count, int... silent) {
+        silence(silent);
         List<MemberId> members =
                 IntStream.rangeClosed(1, count).mapToObj(LeaderOfGroup::member).toList();
         Snapshot snapshot = new Snapshot(10, TERM - 1, new Membership(members), new byte[0]);
@@ -67,6 +76,7 @@
         SafetyChecks.check(mDecider.role() == MemberRole.LEADER, "no leader");
         runFor(OPTIONS.heartbeatMilliseconds());
         mMemberships.clear();
+        mEffects.clear();
     }
 
     static MemberId member(int number) {
@@ -86,11 +96,37 @@
         return mMemberships.stream().map(membership -> membership.voters().size()).toList();
     }
 
-    /** Returns all effects since the last call. */
-    List<AgreementEffect> takeEffects() {
-        List<AgreementEffect> taken = List.copyOf(mEffects);
-        mEffects.clear();
-        return taken;
+    /** Returns all effects so far. */
+    List<AgreementEffect> effects() {
+        return mEffects;
+    }
+
+    /** Returns all effects of one type so far. */
+    <T extends AgreementEffect> List<T> effects(Class<T> type) {
+        return mEffects.stream().filter(type::isInstance).map(type::cast).toList();
+    }
+
+    /** Returns the margins that were reported as news so far. */
+    List<LossMargin> news() {
+        return effects(LossMarginChanged.class).stream()
+                .filter(LossMarginChanged::isNews)
+                .map(LossMarginChanged::margin)
+                .toList();
+    }
+
+    /** Returns all messages to a member so far. */
+    List<AgreementMessage> sentTo(int number) {
+        return mEffects.stream()
+                .filter(Send.class::isInstance)
+                .map(Send.class::cast)
+                .filter(send -> send.to().equals(member(number)))
+                .map(Send::message)
+                .toList();
+    }
+
+    /** Lets a member tell the leader that it is about to end. */
+    void leave(int number) {
+        decide(new Received(member(number), new LeaveRequest()));
     }
 
     /** Keeps members from responding from now on. */
--- a/control/src/main/java/org/skylarkbend/control/ControlProcess.java
+++ b/control/src/main/java/org/skylarkbend/control/ControlProcess.java
@@ -162,10 +162,11 @@
                         mParts.wire(),
                         storage,
                         new AppliedState(state),
-                        this::roleChanged,
+                        new AgreementTask.Listeners(this::roleChanged, membership -> {}),
                         mParts.monotonic(),
                         mParts.monotonic().nowMilliseconds(),
-                        bound -> ThreadLocalRandom.current().nextLong(bound));
+                        bound -> ThreadLocalRandom.current().nextLong(bound),
+                        mParts.metrics());
         return mParts.vertx()
                 .deployVerticle(mOperators)
                 .compose(id -> mParts.vertx().deployVerticle(mLimits))
--- a/control/src/main/java/org/skylarkbend/control/site/SiteControlProcess.java
+++ b/control/src/main/java/org/skylarkbend/control/site/SiteControlProcess.java
@@ -13,10 +13,12 @@
 import org.skylarkbend.agreement.AgreementStorage;
 import org.skylarkbend.agreement.AgreementTask;
 import org.skylarkbend.agreement.FileOperations;
+import org.skylarkbend.agreement.LeaveOutcome;
 import org.skylarkbend.agreement.MemberAddress;
 import org.skylarkbend.agreement.MemberDirectory;
 import org.skylarkbend.agreement.MemberId;
 import org.skylarkbend.agreement.MemberRole;
+import org.skylarkbend.agreement.Membership;
 import org.skylarkbend.agreement.MembershipRules;
 import org.skylarkbend.base.MillisecondClock;
 import org.skylarkbend.base.ObjectName;
@@ -94,6 +96,7 @@
     private final ControlLog mLog = new AgreementControlLog(() -> this.mAgreement);
     private Context mOperatorContext;
     private AgreementTask mAgreement;
+    private volatile boolean mStarted;
     private long mTermAtStart;
     private long mEndpointListNumber;
 
@@ -165,6 +168,18 @@
         return opened.fold(this::startTasks, error -> Future.failedFuture(error.detail()));
     }
 
+    /**
+     * Tells the other control VMs that this process is about to end, and returns whether this one
+     * remains a voter.
+     *
+     * @param withinMilliseconds the time after which the outcome is {@code UNKNOWN}
+     */
+    public Future<LeaveOutcome> leave(long withinMilliseconds) {
+        return mStarted
+                ? mAgreement.leave(withinMilliseconds)
+                : Future.succeededFuture(LeaveOutcome.UNKNOWN);
+    }
+
     /** Stops all tasks. */
     public Future<Void> stop() {
         return mParts.vertx()
@@ -221,10 +236,11 @@
                         WireOptions.plain(),
                         storage,
                         new AppliedState(state),
-                        this::roleChanged,
+                        new AgreementTask.Listeners(this::roleChanged, this::membershipChanged),
                         mParts.clock().monotonic(),
                         mParts.clock().startedMilliseconds(),
-                        bound -> ThreadLocalRandom.current().nextLong(bound));
+                        bound -> ThreadLocalRandom.current().nextLong(bound),
+                        mParts.metrics());
         return mParts.vertx()
                 .deployVerticle(mLimits)
                 .compose(id -> mParts.vertx().deployVerticle(mRollouts))
@@ -233,7 +249,11 @@
                 .compose(id -> mParts.vertx().deployVerticle(mWork))
                 .compose(id -> mParts.vertx().deployVerticle(mFeed))
                 .compose(id -> mParts.vertx().deployVerticle(mAgreement))
-                .onSuccess(id -> LOG.info("control.started", "vm", mParts.self()))
+                .onSuccess(
+                        id -> {
+                            mStarted = true;
+                            LOG.info("control.started", "vm", mParts.self());
+                        })
                 .mapEmpty();
     }
 
@@ -379,11 +399,13 @@
         mRollouts.post(leadership);
         mQuarantine.post(leadership);
         mFeed.post(new LeadershipChanged(leads, leader.map(this::feedAddress)));
+    }
+
+    /** Tells gateways the control VMs, so that those of a group that changes are always known. */
+    private void membershipChanged(Membership membership) {
         broadcast(
                 new ControlVms(
-                        status.membership().voters().stream()
-                                .map(member -> member.vm().value())
-                                .toList()));
+                        membership.voters().stream().map(member -> member.vm().value()).toList()));
     }
 
     private ControlAddress feedAddress(ObjectName vm) {
