Keep an engine's silent connection until its stream was resumed

What callers saw: the router ended a stream with an error or an abort after silence_milliseconds of silence, although the engine went on, if the engine refused the resume, did not know the attempt, closed the new connection or did not respond on it.

Cause: the silent connection was closed before the resume was sent.

Change: the silent connection is kept and read until the new one has the head of the resumed stream (KeptConnection). Whichever has the next event is read. If the resume is refused, the silent connection is the stream's again. A call that may not be repeated waits for it as long as it is open; one that may starts over elsewhere, as before.

--- a/forwarding/src/main/java/org/skylarkbend/forwarding/StreamDecider.java
+++ b/forwarding/src/main/java/org/skylarkbend/forwarding/StreamDecider.java
@@ -20,7 +20,8 @@
  * resumes, the attempt is alive and only slow. If the endpoint cannot resume, a new attempt starts
  * from the beginning. If events were already delivered, a new attempt is allowed only for a call
  * whose second execution gives the same response, and the hash of the replayed part must match the
- * delivered part. The stream is complete only if the end marker follows the final event.
+ * delivered part. A call that allows none waits for its silent connection, as long as that is open.
+ * The stream is complete only if the end marker follows the final event.
  */
 public final class StreamDecider {
     /** The maximum number of resumes of an attempt without a new event in between. */
@@ -49,13 +50,13 @@
             return handleEndMarker(state);
         }
         if (message instanceof Interrupted end && end.attempt().equals(state.attempt())) {
-            return resume(state, end.cause());
+            return resume(state, end.cause(), false);
         }
         if (message instanceof SilenceTimedOut silent && silent.attempt().equals(state.attempt())) {
             return handleSilence(state, silent);
         }
         if (message instanceof ResumeRefused end && end.attempt().equals(state.attempt())) {
-            return startNewAttempt(state, end.cause());
+            return startNewAttempt(state, end.cause(), end.othersOpen());
         }
         return unchanged(state);
     }
@@ -65,7 +66,7 @@
             return unchanged(state);
         }
         if (event.position() > state.receivedPosition() + 1) {
-            return resume(state, "events are missing before position " + event.position());
+            return resume(state, "events are missing before position " + event.position(), false);
         }
         StreamState next = state.withReceived(event.content(), event.isLast());
         if (next.isReplaying()) {
@@ -83,7 +84,7 @@
 
     private static StreamDecision handleEndMarker(StreamState state) {
         if (!state.finalEventReceived()) {
-            return resume(state, "the stream ended before its final event");
+            return resume(state, "the stream ended before its final event", false);
         }
         if (state.isReplaying()) {
             return fail(state, "the replayed response is shorter than the part already delivered");
@@ -98,25 +99,30 @@
 
     private static StreamDecision handleSilence(StreamState state, SilenceTimedOut silent) {
         if (!silent.provenAlive()) {
-            return resume(state, "no data was received within the silence timeout");
+            String cause = "no data was received within the silence timeout";
+            return resume(state, cause, silent.othersOpen());
         }
         StreamEffect resume = new StreamEffect.Resume(state.attempt(), state.receivedPosition());
         return new StreamDecision(state, List.of(resume));
     }
 
-    private static StreamDecision resume(StreamState state, String cause) {
+    private static StreamDecision resume(StreamState state, String cause, boolean othersOpen) {
         if (state.finalEventReceived() && !state.isReplaying()) {
             return complete(state);
         }
         if (state.resumes() >= MAX_RESUMES_WITHOUT_EVENT) {
-            return startNewAttempt(state, cause);
+            return startNewAttempt(state, cause, othersOpen);
         }
         StreamEffect resume = new StreamEffect.Resume(state.attempt(), state.receivedPosition());
         return new StreamDecision(state.withResume(), List.of(resume));
     }
 
-    private static StreamDecision startNewAttempt(StreamState state, String cause) {
+    private static StreamDecision startNewAttempt(
+            StreamState state, String cause, boolean othersOpen) {
         if (state.deliveredPosition() > 0 && !state.repeatable()) {
+            if (othersOpen) {
+                return unchanged(state);
+            }
             return fail(state, cause + "; a second run may give a different response");
         }
         return new StreamDecision(
--- a/forwarding/src/main/java/org/skylarkbend/forwarding/StreamMessage.java
+++ b/forwarding/src/main/java/org/skylarkbend/forwarding/StreamMessage.java
@@ -24,12 +24,31 @@
      *
      * @param attempt the attempt to which the connection belongs
      * @param provenAlive true if the endpoint has responded on this connection before
+     * @param othersOpen true if an earlier connection of the attempt may still go on
      */
-    record SilenceTimedOut(AttemptId attempt, boolean provenAlive) implements StreamMessage {}
+    record SilenceTimedOut(AttemptId attempt, boolean provenAlive, boolean othersOpen)
+            implements StreamMessage {
+        /** Creates the message for an attempt with a single connection. */
+        public SilenceTimedOut(AttemptId attempt, boolean provenAlive) {
+            this(attempt, provenAlive, false);
+        }
+    }
 
     /** The connection was closed or sent invalid data. */
     record Interrupted(AttemptId attempt, String cause) implements StreamMessage {}
 
-    /** The endpoint cannot resume the attempt. */
-    record ResumeRefused(AttemptId attempt, String cause) implements StreamMessage {}
+    /**
+     * The endpoint cannot resume the attempt.
+     *
+     * @param attempt the attempt
+     * @param cause what the endpoint did
+     * @param othersOpen true if an earlier connection of the attempt may still go on
+     */
+    record ResumeRefused(AttemptId attempt, String cause, boolean othersOpen)
+            implements StreamMessage {
+        /** Creates the message for an attempt without another connection. */
+        public ResumeRefused(AttemptId attempt, String cause) {
+            this(attempt, cause, false);
+        }
+    }
 }
--- a/forwarding/src/test/java/org/skylarkbend/forwarding/StreamDeciderTest.java
+++ b/forwarding/src/test/java/org/skylarkbend/forwarding/StreamDeciderTest.java
@@ -48,6 +48,22 @@
         assertThat(differs.effects()).singleElement().isInstanceOf(StreamEffect.Fail.class);
     }
 
+    /** Guards against a stream that is ended although its silent connection is still open. */
+    @Test
+    public void aStreamThatCannotBeRepeatedWaitsForItsOpenConnectionWhenAResumeIsRefused() {
+        AttemptId first = new AttemptId("c", 1);
+        StreamState state = StreamState.opening(first, false);
+        state = StreamDecider.decide(state, event(first, 1, 7)).state();
+        StreamDecision open =
+                StreamDecider.decide(
+                        state, new StreamMessage.ResumeRefused(first, "unknown", true));
+        assertThat(open.effects()).isEmpty();
+        StreamDecision closed =
+                StreamDecider.decide(
+                        open.state(), new StreamMessage.ResumeRefused(first, "unknown", false));
+        assertThat(closed.effects()).singleElement().isInstanceOf(StreamEffect.Fail.class);
+    }
+
     @Test
     public void aSlowEngineThatTakesResumesIsAskedAgainWithoutEnd() {
         AttemptId first = new AttemptId("c", 1);
--- a/router/src/main/java/org/skylarkbend/router/forward/EngineStream.java
+++ b/router/src/main/java/org/skylarkbend/router/forward/EngineStream.java
@@ -25,6 +25,7 @@
     private final Consumer<StreamEffect> mEffects;
     private StreamState mState;
     private SseParser mParser;
+    private SseParser mKeptParser;
     private int mConnections;
     private Optional<TokenUsage> mUsage = Optional.empty();
 
@@ -57,12 +58,41 @@
         handle(new StreamMessage.Interrupted(mState.attempt(), cause), Optional.empty());
     }
 
-    void silenceTimedOut(boolean hasResponded) {
-        handle(new StreamMessage.SilenceTimedOut(mState.attempt(), hasResponded), Optional.empty());
+    /** Keeps the silent connection for {@link #keptBytesReceived} while another is opened. */
+    void keepConnection() {
+        mKeptParser = mParser;
     }
 
-    void resumeRefused(String cause) {
-        handle(new StreamMessage.ResumeRefused(mState.attempt(), cause), Optional.empty());
+    /** Reads from the connection that was kept. */
+    void returnToKept() {
+        mConnections++;
+        mParser = mKeptParser;
+    }
+
+    /** Decodes bytes of the connection that was kept. If they hold an event, it goes on. */
+    void keptBytesReceived(byte[] chunk, Runnable onGoesOn) {
+        mKeptParser
+                .feed(chunk)
+                .match(
+                        events -> {
+                            if (!events.isEmpty()) {
+                                onGoesOn.run();
+                                handleAll(events);
+                            }
+                        },
+                        error -> {});
+    }
+
+    void silenceTimedOut(boolean hasResponded, boolean othersOpen) {
+        handle(
+                new StreamMessage.SilenceTimedOut(mState.attempt(), hasResponded, othersOpen),
+                Optional.empty());
+    }
+
+    void resumeRefused(String cause, boolean othersOpen) {
+        handle(
+                new StreamMessage.ResumeRefused(mState.attempt(), cause, othersOpen),
+                Optional.empty());
     }
 
     /** Returns the token usage if the final event has been received. */
--- a/router/src/main/java/org/skylarkbend/router/forward/ForwardCall.java
+++ b/router/src/main/java/org/skylarkbend/router/forward/ForwardCall.java
@@ -38,6 +38,7 @@
     private final CallOwner mOwner;
     private final long mStartedMilliseconds;
     private final ResponseBuffer mBuffer;
+    private final KeptConnection mKept = new KeptConnection();
     private AttemptState mState;
     private Optional<EngineStream> mStream = Optional.empty();
     private Endpoint mEndpoint;
@@ -111,6 +112,7 @@
         if (mExchange != null) {
             mExchange.pause();
         }
+        mKept.pause();
     }
 
     void resumeReading() {
@@ -118,6 +120,7 @@
         if (mExchange != null) {
             mExchange.resumeReading();
         }
+        mKept.resumeReading();
     }
 
     /** Checks the timeouts of the connection and of the whole call. */
@@ -126,7 +129,8 @@
             return;
         }
         boolean isEngine = mCall.traits().kind() == EndpointKind.ENGINE;
-        if (isEngine && nowMilliseconds - mStartedMilliseconds > responseTimeoutMilliseconds()) {
+        long timeoutMilliseconds = mResources.bounds().responseTimeoutMilliseconds();
+        if (isEngine && nowMilliseconds - mStartedMilliseconds > timeoutMilliseconds) {
             abort(
                     new SkylarkError(
                             ErrorKind.ENDPOINT_TIMEOUT,
@@ -138,13 +142,19 @@
         }
     }
 
-    private long responseTimeoutMilliseconds() {
-        return mResources.bounds().responseTimeoutMilliseconds();
-    }
-
     private void checkStreamTimeout() {
         if (mExchange.idleMilliseconds() > mResources.bounds().silenceMilliseconds()) {
-            mStream.orElseThrow().silenceTimedOut(mExchange.hasResponded());
+            boolean hasResponded = mExchange.hasResponded();
+            mExchange.progressed();
+            if (hasResponded) {
+                mKept.keep(mExchange);
+                mExchange = null;
+                mStream.orElseThrow().keepConnection();
+            }
+            mStream.orElseThrow().silenceTimedOut(hasResponded, mKept.isPresent());
+            if (mExchange == null && mKept.isPresent()) {
+                returnToKept();
+            }
         }
     }
 
@@ -256,6 +266,8 @@
                         event -> {
                             if (self[0] == mExchange) {
                                 handle(event, isResume);
+                            } else if (mKept.is(self[0])) {
+                                handleKept(event);
                             }
                         });
         mExchange = self[0];
@@ -283,9 +295,32 @@
         }
     }
 
+    /** Handles a silent connection that goes on, or ends, before the attempt was resumed. */
+    private void handleKept(ExchangeEvent event) {
+        if (event instanceof ExchangeEvent.ChunkReceived chunk) {
+            mStream.orElseThrow().keptBytesReceived(chunk.chunk().getBytes(), this::returnToKept);
+        } else {
+            mKept.abandon();
+        }
+    }
+
+    private void returnToKept() {
+        abandonExchange();
+        mExchange = mKept.take();
+        mStream.orElseThrow().returnToKept();
+        progressed();
+    }
+
+    private void resumeRefused(String cause) {
+        mStream.orElseThrow().resumeRefused(cause, mKept.isPresent());
+        if (mKept.isPresent() && !mFinished) {
+            returnToKept();
+        }
+    }
+
     private void notConnected(String cause, boolean isResume) {
         if (isResume) {
-            mStream.orElseThrow().resumeRefused(cause);
+            resumeRefused(cause);
         } else {
             apply(new AttemptMessage.NotConnected(mState.attempt(), cause));
         }
@@ -294,9 +329,10 @@
     private void handleHead(ReceivedHead head, boolean isResume) {
         boolean resumed = head.isEventStream() && head.head().belongsTo(mState.attempt());
         if (isResume && !resumed) {
-            mStream.orElseThrow().resumeRefused("the endpoint cannot resume the attempt");
+            resumeRefused("the endpoint cannot resume the attempt");
             return;
         }
+        mKept.abandon();
         mHead = head;
         apply(new AttemptMessage.HeadReceived(mState.attempt(), head.head()));
     }
@@ -327,7 +363,9 @@
     }
 
     private void lost(String cause) {
-        if (isStreaming()) {
+        if (mKept.isPresent()) {
+            resumeRefused(cause);
+        } else if (isStreaming()) {
             mStream.orElseThrow().interrupted(cause);
         } else {
             apply(new AttemptMessage.ConnectionLost(mState.attempt(), cause));
@@ -444,6 +482,7 @@
         mSpan.end();
         mOwner.attemptEnded(mAttempt, mEndpoint.name(), !mAborting);
         abandonExchange();
+        mKept.abandon();
     }
 
     private void abandonExchange() {
@@ -454,14 +493,7 @@
     }
 
     private void startSpan(AttemptId attempt) {
-        mSpan =
-                mResources
-                        .tracer()
-                        .spanBuilder("attempt")
-                        .setParent(mCall.trace())
-                        .setAttribute("attempt", attempt.value())
-                        .setAttribute("endpoint", mEndpoint.name().value())
-                        .startSpan();
+        mSpan = mResources.startAttemptSpan(mCall.trace(), attempt, mEndpoint);
         mTrace = mCall.trace().with(mSpan);
     }
 }
--- a/router/src/main/java/org/skylarkbend/router/forward/ForwardResources.java
+++ b/router/src/main/java/org/skylarkbend/router/forward/ForwardResources.java
@@ -1,11 +1,15 @@
 package org.skylarkbend.router.forward;
 
+import io.opentelemetry.api.trace.Span;
 import io.opentelemetry.api.trace.Tracer;
+import io.opentelemetry.context.Context;
 import io.opentelemetry.context.propagation.TextMapPropagator;
 import java.util.function.Consumer;
 import org.skylarkbend.base.ByteBudget;
 import org.skylarkbend.base.MillisecondClock;
 import org.skylarkbend.exchange.EndpointClient;
+import org.skylarkbend.forwarding.AttemptId;
+import org.skylarkbend.publishing.Endpoint;
 import org.skylarkbend.router.RouterBounds;
 
 /**
@@ -32,4 +36,13 @@
         Consumer<ResponseMessage> responses,
         Tracer tracer,
         TextMapPropagator propagator,
-        ForwardMetrics metrics) {}
+        ForwardMetrics metrics) {
+    /** Starts the span of an attempt within the trace of its call. */
+    Span startAttemptSpan(Context trace, AttemptId attempt, Endpoint endpoint) {
+        return tracer.spanBuilder("attempt")
+                .setParent(trace)
+                .setAttribute("attempt", attempt.value())
+                .setAttribute("endpoint", endpoint.name().value())
+                .startSpan();
+    }
+}
