Leave out requests behind a refused body

Callers whose next request stood behind a body that was refused got no answer to it, although an endpoint ran it.

Cause: the connection is closed a second after the refusal, or later than the rest of the body has arrived, and requests on it were served as on any other connection until then.

Evidence: RefusedBodyTest, the next request in one piece with the body and behind the response. Before: 2 of 2 red, the endpoint had got it and the connection closed without a response. After: 2 of 2 green; HostileCallerTest, HostileOperatorTest and GatewayMemoryTest green.

--- a/control/src/main/java/org/skylarkbend/control/operator/OperatorTask.java
+++ b/control/src/main/java/org/skylarkbend/control/operator/OperatorTask.java
@@ -98,7 +98,7 @@
         RequestDecoder.Limits limits =
                 RequestDecoder.Limits.ofIdleMilliseconds(mParts.idleMilliseconds());
         mServer = RequestDecoder.createServer(vertx, options, connection -> limits);
-        mServer.requestHandler(this::handle);
+        mServer.requestHandler(RefusedBody.leavingOut(this::handle));
         mServer.invalidRequestHandler(this::handleInvalid);
         return mServer.listen(mParts.port(), mParts.settings().self().host());
     }
--- a/gateway/src/main/java/org/skylarkbend/gateway/front/GatewayTask.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/front/GatewayTask.java
@@ -177,7 +177,7 @@
         vertx.setPeriodic(PROBE_INTERVAL_MILLISECONDS, id -> check(probes));
         scheduleWorkReport();
         mServer = RequestDecoder.createServer(vertx, serverOptions(), this::connected);
-        mServer.requestHandler(this::receive);
+        mServer.requestHandler(RefusedBody.leavingOut(this::receive));
         return mServer.listen(mSettings.callers().port(), mSettings.callers().host());
     }
 
