Refuse a late body only after its connection was read again

Callers whose bodies were whole, or were not read because memory was full, had their connections closed without an answer; a changed catalog with a shorter idle limit closed those that were in time under the limit before.

Cause: idle bodies were judged by the time since their last byte, by a timer on the loop that reads them. After a loop that was held up the timer can run before the reads; a body that waits for room is not read at all; the limit was that of the newest catalog.

Change: a body is late when it is so at two checks in a row, with its connection read in between. Of the time between two checks half a second counts at most. Bodies that wait for room are left to their own limit, and each keeps the limits under which it began. It is refused with request_timeout (408), also when it takes too long, which was bad_request (400).

--- a/base/src/main/java/org/skylarkbend/base/ErrorKind.java
+++ b/base/src/main/java/org/skylarkbend/base/ErrorKind.java
@@ -9,6 +9,8 @@
 public enum ErrorKind {
     /** The request is malformed or exceeds a structural limit. */
     BAD_REQUEST(400, RunState.NOT_RUN, false),
+    /** The request did not arrive completely in time. */
+    REQUEST_TIMEOUT(408, RunState.NOT_RUN, true),
     /** The body exceeds the configured maximum size. */
     BODY_TOO_LARGE(413, RunState.NOT_RUN, false),
     /** The headers exceed the configured maximum size. */
--- a/gateway/src/main/java/org/skylarkbend/gateway/front/BodyIntake.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/front/BodyIntake.java
@@ -12,6 +12,7 @@
 import org.skylarkbend.base.ErrorKind;
 import org.skylarkbend.base.MillisecondClock;
 import org.skylarkbend.base.SkylarkError;
+import org.skylarkbend.catalog.CallerLimits;
 import org.skylarkbend.gateway.call.CallBoundary;
 import org.skylarkbend.wire.HeldBytes;
 
@@ -26,6 +27,12 @@
     /** A caller gives up a connection that does not read its request within a second. */
     private static final long MAX_WAIT_MILLISECONDS = 500;
 
+    /**
+     * Longest time between two checks that counts as idle. A gateway that checks later was held up
+     * itself, and what callers sent meanwhile is still to be read.
+     */
+    private static final long MAX_CHECK_MILLISECONDS = 500;
+
     /** Bodies up to this size are read before larger ones that wait. */
     private static final long SMALL_BYTES = 64 * 1024;
 
@@ -34,6 +41,7 @@
     private final MillisecondClock mClock;
     private final Deque<Reading> mWaiting = new ArrayDeque<>();
     private final Set<Reading> mReadings = new HashSet<>();
+    private long mCheckedMilliseconds;
 
     /**
      * Receives a complete body, or the reason why there is none. Neither is called if the
@@ -51,6 +59,7 @@
         mVertx = vertx;
         mBudget = budget;
         mClock = clock;
+        mCheckedMilliseconds = clock.nowMilliseconds();
         budget.onRelease(this::startWaiting);
     }
 
@@ -59,18 +68,17 @@
      *
      * @param id ID that the caller gave to the request
      * @param request request whose head has arrived
-     * @param maxBodyBytes maximum size of the body
+     * @param limits limits in force when the request began, which stay those of its body
      * @param untilMilliseconds time at which a body that is still incomplete is refused
      * @param listener receives the outcome
      */
     void read(
             String id,
             HttpServerRequest request,
-            int maxBodyBytes,
+            CallerLimits limits,
             long untilMilliseconds,
             Listener listener) {
-        int maxBytes = (int) Math.min(maxBodyBytes, mBudget.limitBytes());
-        Reading reading = new Reading(request, maxBytes, untilMilliseconds, listener);
+        Reading reading = new Reading(request, limits, untilMilliseconds, listener);
         mReadings.add(reading);
         CallBoundary boundary = new CallBoundary(id, () -> reading.refuse(stepFailed()));
         request.handler(boundary.around(reading::append)::accept);
@@ -90,19 +98,21 @@
     }
 
     /**
-     * Closes the connections whose callers have sent nothing of a body for a time, and refuses the
-     * bodies that take too long, however often a byte of them arrives.
+     * Refuses the bodies of which nothing has arrived for a time, and those that take too long,
+     * however often a byte of them arrives. To be called at intervals.
      */
-    void endLate(long idleMilliseconds) {
+    void endLate() {
         long nowMilliseconds = mClock.nowMilliseconds();
+        long elapsedMilliseconds =
+                Math.min(MAX_CHECK_MILLISECONDS, nowMilliseconds - mCheckedMilliseconds);
+        mCheckedMilliseconds = nowMilliseconds;
         for (Reading reading : List.copyOf(mReadings)) {
-            if (reading.mLastMilliseconds < nowMilliseconds - idleMilliseconds) {
-                reading.stop();
-                reading.mRequest.connection().close();
-            } else if (reading.mUntilMilliseconds <= nowMilliseconds) {
+            if (!mWaiting.contains(reading)
+                    && reading.isLate(nowMilliseconds, elapsedMilliseconds)) {
                 reading.refuse(
                         new SkylarkError(
-                                ErrorKind.BAD_REQUEST, "the request was not completed in time"));
+                                ErrorKind.REQUEST_TIMEOUT,
+                                "the request was not completed in time"));
             }
         }
     }
@@ -144,27 +154,45 @@
     /** A body that is being read. */
     private final class Reading {
         private final HttpServerRequest mRequest;
+        private final CallerLimits mLimits;
         private final int mMaxBodyBytes;
         private final long mUntilMilliseconds;
         private final Listener mListener;
         private final HeldBytes mBody = new HeldBytes(mBudget);
         private long mNeededBytes;
-        private long mLastMilliseconds = mClock.nowMilliseconds();
+        private long mIdleMilliseconds;
+        private boolean mHasArrived = true;
+        private boolean mSeemsLate;
         private boolean mEnded;
 
         Reading(
                 HttpServerRequest request,
-                int maxBodyBytes,
+                CallerLimits limits,
                 long untilMilliseconds,
                 Listener listener) {
             mRequest = request;
-            mMaxBodyBytes = maxBodyBytes;
+            mLimits = limits;
+            mMaxBodyBytes = (int) Math.min(limits.bodyBytes(), mBudget.limitBytes());
             mUntilMilliseconds = untilMilliseconds;
             mListener = listener;
         }
 
+        /**
+         * Returns whether the body is late, and was already at the check before, so that what
+         * waited in the socket then has been read.
+         */
+        boolean isLate(long nowMilliseconds, long elapsedMilliseconds) {
+            mIdleMilliseconds = mHasArrived ? 0 : mIdleMilliseconds + elapsedMilliseconds;
+            mHasArrived = false;
+            boolean seemedLate = mSeemsLate;
+            mSeemsLate =
+                    mIdleMilliseconds > mLimits.idleMilliseconds()
+                            || mUntilMilliseconds <= nowMilliseconds;
+            return seemedLate && mSeemsLate;
+        }
+
         void append(Buffer chunk) {
-            mLastMilliseconds = mClock.nowMilliseconds();
+            mHasArrived = true;
             if (mEnded) {
                 return;
             }
--- a/gateway/src/main/java/org/skylarkbend/gateway/front/GatewayTask.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/front/GatewayTask.java
@@ -184,7 +184,7 @@
     private void check(EndpointProbes probes) {
         probes.probe();
         mStoreProbe.connect();
-        mIntake.endLate(mAdmissions.callerLimits().idleMilliseconds());
+        mIntake.endLate();
     }
 
     private void scheduleWorkReport() {
@@ -359,7 +359,7 @@
         mIntake.read(
                 id(request),
                 request,
-                mAdmissions.callerLimits().bodyBytes(),
+                mAdmissions.callerLimits(),
                 arrivedMilliseconds + mAdmissions.bodyMilliseconds(request, decision),
                 new BodyIntake.Listener() {
                     @Override
--- a/gateway/src/test/java/org/skylarkbend/gateway/front/GatewayFixture.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/front/GatewayFixture.java
@@ -166,6 +166,11 @@
         await(takenOver.future());
     }
 
+    /** Runs an action on the event loop of the gateway. */
+    protected void runOnGateway(Runnable action) {
+        mGatewayContext.runOnContext(ignored -> action.run());
+    }
+
     protected Response call(Map<String, String> headers) throws Exception {
         return await(send(headers));
     }
