Close a late head only after its connection was read again

Callers whose request had arrived completely had their connection closed without an answer when the process had been held up for the time of a head.

Cause: as with bodies, the timer of a head can run before the reads of a loop that was held up.

Change: a head that is late is given 50 ms, in which its connection is read once more.

Evidence: RequestDecoderTest.aHeadWhoseRestArrivesWhileTheServerIsHeldUpIsServed. Before: red, closed without a byte.

--- a/wire/src/main/java/org/skylarkbend/wire/RequestDecoder.java
+++ b/wire/src/main/java/org/skylarkbend/wire/RequestDecoder.java
@@ -48,10 +48,17 @@
      */
     private static final int MAX_IGNORED_BYTES = 1024 * 1024;
 
+    /**
+     * Time in which a connection is read once more before its head counts as late. If the loop was
+     * held up, the rest of the head may wait in the socket.
+     */
+    private static final long READ_AGAIN_MILLISECONDS = 50;
+
     private final Limits mLimits;
     private Future<?> mHeadTimer;
     private Future<?> mUnreadTimer;
     private long mUnreadBytes;
+    private boolean mHeadSeemsLate;
     private boolean mReadingBody;
     private boolean mInvalid;
     private long mIgnoredBytes;
@@ -215,17 +222,22 @@
     }
 
     private void startHeadTimer(ChannelHandlerContext context) {
+        mHeadSeemsLate = false;
+        startHeadTimer(context, mLimits.headMilliseconds().getAsLong());
+    }
+
+    private void startHeadTimer(ChannelHandlerContext context, long milliseconds) {
         mHeadTimer =
                 context.executor()
-                        .schedule(
-                                () -> headLate(context),
-                                mLimits.headMilliseconds().getAsLong(),
-                                TimeUnit.MILLISECONDS);
+                        .schedule(() -> headLate(context), milliseconds, TimeUnit.MILLISECONDS);
     }
 
     private void headLate(ChannelHandlerContext context) {
         if (mLimits.isServing().getAsBoolean() || !context.channel().isWritable()) {
             startHeadTimer(context);
+        } else if (!mHeadSeemsLate) {
+            mHeadSeemsLate = true;
+            startHeadTimer(context, READ_AGAIN_MILLISECONDS);
         } else {
             LOG.info("request.head.late", "peer", context.channel().remoteAddress());
             context.close();
--- a/wire/src/test/java/org/skylarkbend/wire/RequestDecoderTest.java
+++ b/wire/src/test/java/org/skylarkbend/wire/RequestDecoderTest.java
@@ -4,6 +4,8 @@
 import static org.skylarkbend.testing.Waits.await;
 import static org.skylarkbend.testing.Waits.awaitUntil;
 
+import io.vertx.core.Context;
+import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
@@ -11,6 +13,7 @@
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetSocket;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
@@ -40,6 +43,8 @@
     /** Kept, since a client that is garbage closes its connections. */
     private NetClient mClient;
 
+    private Promise<Context> mConnected;
+    private Promise<Void> mHeadBegun;
     private AtomicInteger mServed;
     private AtomicInteger mClosed;
     private AtomicInteger mAskedWhileServing;
@@ -49,6 +54,8 @@
     public void start() {
         mVertx = Vertx.vertx();
         mClient = mVertx.createNetClient();
+        mConnected = Promise.promise();
+        mHeadBegun = Promise.promise();
         mServed = new AtomicInteger();
         mClosed = new AtomicInteger();
         mAskedWhileServing = new AtomicInteger();
@@ -68,6 +75,35 @@
         assertThat(mServed.get()).isZero();
     }
 
+    /** Guards against a head that is given up while the rest of it waits in the socket. */
+    @Test
+    public void aHeadWhoseRestArrivesWhileTheServerIsHeldUpIsServed() throws Exception {
+        Vertx peers = Vertx.vertx();
+        int port = listen(request -> request.response().end("served"));
+        RawClient peer = await(RawClient.connect(peers, port));
+        peer.send("GET ");
+        Context server = await(mConnected.future());
+        await(mHeadBegun.future());
+        // The timer of the head is due once the server goes on, behind the one that is set here.
+        server.runOnContext(
+                ignored -> {
+                    mVertx.setTimer(
+                            1, id -> holdUpWhile(peer.send(REQUEST.substring("GET ".length()))));
+                    holdUpWhile(peers.timer(2 * LATE_MILLISECONDS, TimeUnit.MILLISECONDS));
+                });
+        awaitUntil(mVertx, () -> peer.isClosed() || peer.received().contains("served"));
+        assertThat(peer.received()).contains("served");
+        await(peers.close());
+    }
+
+    private static void holdUpWhile(Future<Void> other) {
+        try {
+            await(other);
+        } catch (Exception e) {
+            throw new AssertionError(e);
+        }
+    }
+
     /** Guards against a response that is cut because the next head came in parts. */
     @Test
     public void aHeadInPartsDoesNotEndTheRequestBeforeIt() throws Exception {
@@ -182,6 +218,11 @@
         return Buffer.buffer(new byte[32 * 1024 * 1024]);
     }
 
+    private long headMilliseconds() {
+        mHeadBegun.tryComplete();
+        return LATE_MILLISECONDS;
+    }
+
     private boolean isServing() {
         if (mServing) {
             mAskedWhileServing.incrementAndGet();
@@ -198,12 +239,13 @@
         HttpServerOptions options = new HttpServerOptions().setHttp2ClearTextEnabled(false);
         RequestDecoder.Limits limits =
                 new RequestDecoder.Limits(
-                        () -> LATE_MILLISECONDS, () -> unreadMilliseconds, this::isServing);
+                        this::headMilliseconds, () -> unreadMilliseconds, this::isServing);
         return await(
                 RequestDecoder.createServer(
                                 mVertx,
                                 options,
                                 connection -> {
+                                    mConnected.tryComplete(mVertx.getOrCreateContext());
                                     connection.closeHandler(ignored -> mClosed.incrementAndGet());
                                     return limits;
                                 })
