--- a/gateway/src/main/java/org/skylarkbend/gateway/front/GatewayTask.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/front/GatewayTask.java
@@ -177,14 +177,14 @@
         vertx.setPeriodic(PROBE_INTERVAL_MILLISECONDS, id -> check(probes));
         scheduleWorkReport();
         mServer = RequestDecoder.createServer(vertx, serverOptions(), this::connected);
-        mServer.requestHandler(this::receive);
+        mServer.requestHandler(RefusedBody.leavingOut(this::receive));
         return mServer.listen(mSettings.callers().port(), mSettings.callers().host());
     }
 
     private void check(EndpointProbes probes) {
         probes.probe();
         mStoreProbe.connect();
-        mIntake.endLate(mAdmissions.callerLimits().idleMilliseconds());
+        mIntake.endLate();
     }
 
     private void scheduleWorkReport() {
@@ -359,7 +359,7 @@
         mIntake.read(
                 id(request),
                 request,
-                mAdmissions.callerLimits().bodyBytes(),
+                mAdmissions.callerLimits(),
                 arrivedMilliseconds + mAdmissions.bodyMilliseconds(request, decision),
                 new BodyIntake.Listener() {
                     @Override
