--- a/gateway/src/test/java/org/skylarkbend/gateway/crashes/CrashSchedule.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/crashes/CrashSchedule.java
@@ -1,22 +1,12 @@
 package org.skylarkbend.gateway.crashes;
 
-import com.codahale.metrics.MetricRegistry;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
-import java.util.PriorityQueue;
 import java.util.Random;
-import java.util.Set;
 import org.skylarkbend.catalog.Endpoint;
-import org.skylarkbend.quarantine.CrashAnalysis;
-import org.skylarkbend.quarantine.CrashEvidence;
-import org.skylarkbend.quarantine.PartCombination;
 import org.skylarkbend.quarantine.PromptPart;
-import org.skylarkbend.quarantine.QuarantineMessage;
-import org.skylarkbend.quarantine.QuarantineNotice;
-import org.skylarkbend.quarantine.QuarantineState;
 import org.skylarkbend.quarantine.SuspectCall;
 
 /**
@@ -40,16 +30,6 @@
     private static final int TICK_MILLISECONDS = 100;
     private static final String MODEL = "m";
 
-    /** An action at a time; actions at the same time keep their order. */
-    private record Event(long atMilliseconds, long number, Runnable action)
-            implements Comparable<Event> {
-        @Override
-        public int compareTo(Event other) {
-            int order = Long.compare(atMilliseconds, other.atMilliseconds);
-            return order != 0 ? order : Long.compare(number, other.number);
-        }
-    }
-
     /** A call at an engine; it waits until its prompt has been read. */
     private static final class Call {
         private final String mId;
@@ -77,18 +57,11 @@
     private final Random mRandom;
     private final Trouble mTrouble;
     private final boolean mGuarded;
-    private final PriorityQueue<Event> mEvents = new PriorityQueue<>();
+    private final SimulatedTime mTime = new SimulatedTime();
+    private final SimulatedControl mControl;
     private final List<Engine> mEngines = new ArrayList<>();
-    private final List<CrashGuard> mGateways = new ArrayList<>();
     private final List<Long> mCrashTimesMilliseconds = new ArrayList<>();
     private final List<Long> mDeadlySentTimesMilliseconds = new ArrayList<>();
-    private CrashAnalysis mAnalysis = new CrashAnalysis();
-    private QuarantineState mState = QuarantineState.empty();
-    private final Map<PartCombination, Long> mInForceSinceMilliseconds = new HashMap<>();
-    private QuarantineNotice mLastNotice = QuarantineNotice.none();
-    private final Map<CrashGuard, Long> mLastDeliveryMilliseconds = new HashMap<>();
-    private long mNowMilliseconds;
-    private long mNumber;
     private int mSoundCalls;
     private int mSoundRefused;
 
@@ -100,25 +73,17 @@
         for (int i = 0; i < engines; i++) {
             mEngines.add(new Engine());
         }
-        int gateways = 2 + mRandom.nextInt(20);
-        for (int i = 0; i < gateways; i++) {
-            String name = "front-" + i;
-            mGateways.add(new CrashGuard(evidence -> report(name, evidence), new MetricRegistry()));
-        }
+        mControl = new SimulatedControl(mTime, mRandom, 2 + mRandom.nextInt(20));
     }
 
     void run() {
-        at(0, this::arrive);
-        at(0, this::tick);
-        at(TROUBLE_MILLISECONDS, this::trouble);
+        mTime.at(0, this::arrive);
+        mTime.at(0, mControl::tick);
+        mTime.at(TROUBLE_MILLISECONDS, this::trouble);
         if (mRandom.nextBoolean()) {
-            at(TROUBLE_MILLISECONDS + mRandom.nextInt(8_000), this::replaceLeader);
-        }
-        while (!mEvents.isEmpty() && mEvents.peek().atMilliseconds() < END_MILLISECONDS) {
-            Event event = mEvents.poll();
-            mNowMilliseconds = event.atMilliseconds();
-            event.action().run();
+            mTime.at(TROUBLE_MILLISECONDS + mRandom.nextInt(8_000), mControl::replaceLeader);
         }
+        mTime.runUntil(END_MILLISECONDS);
     }
 
     int crashes() {
@@ -142,18 +107,18 @@
         return mDeadlySentTimesMilliseconds.stream().filter(at -> at > boundMilliseconds).count();
     }
 
-    private void at(long atMilliseconds, Runnable action) {
-        mEvents.add(new Event(atMilliseconds, mNumber++, action));
+    private void after(long milliseconds, Runnable action) {
+        mTime.after(milliseconds, action);
     }
 
-    private void after(long milliseconds, Runnable action) {
-        at(mNowMilliseconds + milliseconds, action);
+    private long now() {
+        return mTime.nowMilliseconds();
     }
 
     private void arrive() {
         boolean deadly =
                 mTrouble == Trouble.DEADLY_PART
-                        && mNowMilliseconds > TROUBLE_MILLISECONDS
+                        && now() > TROUBLE_MILLISECONDS
                         && mRandom.nextInt(40) == 0;
         List<PromptPart> parts = new ArrayList<>();
         int customer = mRandom.nextInt(4);
@@ -163,7 +128,12 @@
             parts.add(new PromptPart(MODEL, "deadly"));
         }
         mSoundCalls += deadly ? 0 : 1;
-        send(new Call("c" + mNumber, mRandom.nextInt(mGateways.size()), parts, deadly));
+        send(
+                new Call(
+                        "c" + mTime.nextNumber(),
+                        mRandom.nextInt(mControl.gateways().size()),
+                        parts,
+                        deadly));
         after(1 + mRandom.nextInt(40), this::arrive);
     }
 
@@ -172,8 +142,8 @@
     }
 
     private void send(Call call) {
-        CrashGuard guard = mGateways.get(call.mGateway);
-        OptionalLong refused = guard.quarantinedMilliseconds(() -> call.mParts, mNowMilliseconds);
+        CrashGuard guard = mControl.gateways().get(call.mGateway);
+        OptionalLong refused = guard.quarantinedMilliseconds(() -> call.mParts, now());
         if (mGuarded && refused.isPresent()) {
             mSoundRefused += call.mDeadly ? 0 : 1;
             return;
@@ -185,13 +155,13 @@
                 call.mSent++;
                 call.mBegun = false;
                 if (call.mDeadly) {
-                    mDeadlySentTimesMilliseconds.add(mNowMilliseconds);
+                    mDeadlySentTimesMilliseconds.add(now());
                 }
                 engine.mCalls.add(call);
                 after(20 + mRandom.nextInt(300), () -> begin(engine, call));
                 return;
             }
-            guard.refusedConnection(endpoint(engine), mNowMilliseconds);
+            guard.refusedConnection(endpoint(engine), now());
         }
     }
 
@@ -208,9 +178,9 @@
                 50 + mRandom.nextInt(2_000),
                 () -> {
                     if (engine.mCalls.remove(call)) {
-                        mGateways
+                        mControl.gateways()
                                 .get(call.mGateway)
-                                .served(MODEL, call.mParts, List::of, mNowMilliseconds);
+                                .served(MODEL, call.mParts, List::of, now());
                     }
                 });
     }
@@ -220,7 +190,7 @@
             return;
         }
         engine.mUp = false;
-        mCrashTimesMilliseconds.add(mNowMilliseconds);
+        mCrashTimesMilliseconds.add(now());
         Endpoint crashed = endpoint(engine);
         for (Call call : List.copyOf(engine.mCalls)) {
             if (!call.mBegun) {
@@ -237,9 +207,9 @@
     }
 
     private void broke(Endpoint crashed, Call call) {
-        CrashGuard guard = mGateways.get(call.mGateway);
-        guard.connectionBroke(crashed, new SuspectCall(call.mId, call.mParts), mNowMilliseconds);
-        after(1 + mRandom.nextInt(5), () -> guard.refusedConnection(crashed, mNowMilliseconds));
+        CrashGuard guard = mControl.gateways().get(call.mGateway);
+        guard.connectionBroke(crashed, new SuspectCall(call.mId, call.mParts), now());
+        after(1 + mRandom.nextInt(5), () -> guard.refusedConnection(crashed, now()));
         if (call.mSent < 2) {
             send(call);
         }
@@ -262,61 +232,4 @@
             }
         }
     }
-
-    private void report(String gateway, CrashEvidence evidence) {
-        if (mRandom.nextInt(10) > 0) {
-            CrashAnalysis leader = mAnalysis;
-            after(
-                    1 + mRandom.nextInt(20),
-                    () -> {
-                        leader.add(gateway, evidence, mNowMilliseconds);
-                        decide();
-                    });
-        }
-    }
-
-    private void tick() {
-        mGateways.forEach(gateway -> gateway.reportIfDue(mNowMilliseconds));
-        decide();
-        after(TICK_MILLISECONDS, this::tick);
-    }
-
-    private void decide() {
-        for (PartCombination verdict : mAnalysis.verdicts(mState, mNowMilliseconds)) {
-            mState = mState.after(new QuarantineMessage.Imposed(verdict), mNowMilliseconds);
-            mInForceSinceMilliseconds.put(verdict, mNowMilliseconds);
-        }
-        for (PartCombination combination : mState.inForce()) {
-            long untilMilliseconds =
-                    mInForceSinceMilliseconds.get(combination)
-                            + mState.of(combination).orElseThrow().durationMilliseconds();
-            if (untilMilliseconds <= mNowMilliseconds) {
-                mState = mState.after(new QuarantineMessage.Lifted(combination), mNowMilliseconds);
-                mAnalysis.lifted(combination, mNowMilliseconds);
-            }
-        }
-        Set<PromptPart> watched = mAnalysis.watched(mState, mNowMilliseconds);
-        Map<PartCombination, Long> inForce = new HashMap<>();
-        mState.inForce().forEach(combination -> inForce.put(combination, 1L));
-        QuarantineNotice notice = new QuarantineNotice(watched, inForce);
-        if (!notice.equals(mLastNotice)) {
-            mLastNotice = notice;
-            mGateways.forEach(gateway -> sendInOrder(gateway, notice));
-        }
-    }
-
-    /** Delivers a notice after those that were sent before it, as one connection does. */
-    private void sendInOrder(CrashGuard gateway, QuarantineNotice notice) {
-        long atMilliseconds =
-                Math.max(
-                        mNowMilliseconds + 1 + mRandom.nextInt(20),
-                        mLastDeliveryMilliseconds.getOrDefault(gateway, 0L));
-        mLastDeliveryMilliseconds.put(gateway, atMilliseconds);
-        at(atMilliseconds, () -> gateway.noticeReceived(notice, mNowMilliseconds));
-    }
-
-    private void replaceLeader() {
-        mAnalysis = new CrashAnalysis();
-        mAnalysis.clearReports(mNowMilliseconds);
-    }
 }
