Quarantine the one call that crashed engines, not the topic it shares

What callers saw: a call was repeated and crashed engine after engine. Other calls of its topic waited beside it, so the topic had more waiting calls at the same crashes and went first. It had been answered before, so four crashes and twenty answers since the last one were needed, which did not come while the call went on; or the topic was quarantined with all its sound calls.

Cause: the suspect with more waiting calls hid the call within it that explains as many crashes. And a crash counted as soon as the first gateway had reported its own calls, so a shared part seemed to have waited more often than the call itself.

Change: if one call within the top suspect waited at as many crashes, the verdict is on that call, combined with the parts that waited as often. The combination refuses repetitions of that call only, and keeps the evidence against the parts. Crashes count for verdicts after 100 ms.

Evidence: both new tests fail on the analysis before and pass now.

--- a/quarantine/src/main/java/org/skylarkbend/quarantine/CrashAnalysis.java
+++ b/quarantine/src/main/java/org/skylarkbend/quarantine/CrashAnalysis.java
@@ -43,6 +43,12 @@
     /** Crashes that are at most this far apart count as one. */
     private static final long SAME_TIME_MILLISECONDS = 50;
 
+    /**
+     * Time that all gateways need to report which calls waited at a crash. Before it, a part that
+     * calls at several gateways share seems to have waited more often than the one call that did.
+     */
+    private static final long SETTLE_MILLISECONDS = 100;
+
     /** Time that all gateways need to report that they answered calls with a watched part. */
     private static final long REPORT_MILLISECONDS = 300;
 
@@ -84,6 +90,13 @@
             return crashes == other.crashes && waits.size() == other.waits.size();
         }
 
+        /** Returns whether the other one waited at as many crashes, but in fewer calls. */
+        boolean isMoreGeneralThan(Suspect other) {
+            return crashes == other.crashes
+                    && waits.size() > other.waits.size()
+                    && waits.containsAll(other.waits);
+        }
+
         long firstMilliseconds() {
             return waits.stream().mapToLong(Wait::atMilliseconds).min().orElse(0);
         }
@@ -143,7 +156,7 @@
     /** Returns the suspected parts, of which gateways are to report answers. */
     public Set<PromptPart> watched(QuarantineState state, long nowMilliseconds) {
         removeOld(nowMilliseconds);
-        return suspects(state.inForce()).stream()
+        return suspects(state.inForce(), nowMilliseconds).stream()
                 .flatMap(suspect -> suspect.parts().parts().stream())
                 .limit(MAX_WATCHED)
                 .collect(Collectors.toSet());
@@ -157,7 +170,12 @@
         }
         Set<PartCombination> verdicts = new HashSet<>();
         List<Suspect> suspects =
-                suspects(state.inForce()).stream().map(this::withoutPartsServedBefore).toList();
+                narrowed(
+                                suspects(state.inForce(), nowMilliseconds - SETTLE_MILLISECONDS),
+                                state.inForce())
+                        .stream()
+                        .map(this::withoutPartsServedBefore)
+                        .toList();
         if (!suspects.isEmpty()) {
             Suspect top = suspects.get(0);
             List<Suspect> equals =
@@ -227,9 +245,14 @@
      * Returns the suspects, the most suspicious first. A crash that a quarantine explains counts
      * only against the parts of that quarantine, one of which may be the cause alone.
      */
-    private List<Suspect> suspects(Set<PartCombination> inForce) {
+    private List<Suspect> suspects(Set<PartCombination> inForce, long untilMilliseconds) {
         Map<PromptPart, Set<Wait>> waits = new HashMap<>();
-        mCrashes.forEach((incarnation, crash) -> addWaits(incarnation, crash, inForce, waits));
+        mCrashes.forEach(
+                (incarnation, crash) -> {
+                    if (crash.mAtMilliseconds <= untilMilliseconds) {
+                        addWaits(incarnation, crash, inForce, waits);
+                    }
+                });
         Map<Set<Wait>, List<PromptPart>> partsByWaits = new HashMap<>();
         waits.forEach(
                 (part, own) -> partsByWaits.computeIfAbsent(own, k -> new ArrayList<>()).add(part));
@@ -245,6 +268,42 @@
         return suspects;
     }
 
+    /**
+     * Returns the suspects with the most suspicious one narrowed to a single call, if one call
+     * waited at as many crashes as all calls with the suspected parts. The crashes then do not tell
+     * whether the parts or that call are the cause, and other calls with the parts will.
+     */
+    private static List<Suspect> narrowed(List<Suspect> suspects, Set<PartCombination> inForce) {
+        if (suspects.isEmpty()) {
+            return suspects;
+        }
+        Suspect top = suspects.get(0);
+        List<Suspect> within = suspects.stream().filter(top::isMoreGeneralThan).toList();
+        List<Suspect> narrowest =
+                within.stream()
+                        .filter(one -> within.stream().noneMatch(one::isMoreGeneralThan))
+                        .toList();
+        if (narrowest.size() != 1) {
+            return suspects;
+        }
+        Suspect call = narrowest.get(0);
+        List<PromptPart> parts = new ArrayList<>(call.parts().parts());
+        suspects.stream()
+                .filter(suspect -> suspect.isMoreGeneralThan(call))
+                .forEach(suspect -> parts.addAll(suspect.parts().parts()));
+        List<Suspect> others =
+                suspects.stream()
+                        .filter(other -> !other.equals(call) && !other.isMoreGeneralThan(call))
+                        .toList();
+        List<Suspect> narrowed = new ArrayList<>();
+        PartCombination combination = PartCombination.of(parts);
+        if (inForce.stream().noneMatch(quarantined -> quarantined.isIn(combination.parts()))) {
+            narrowed.add(new Suspect(combination, call.waits(), call.crashes()));
+        }
+        narrowed.addAll(others);
+        return narrowed;
+    }
+
     private void addWaits(
             String incarnation,
             Crash crash,
--- a/quarantine/src/test/java/org/skylarkbend/quarantine/CrashAnalysisTest.java
+++ b/quarantine/src/test/java/org/skylarkbend/quarantine/CrashAnalysisTest.java
@@ -64,6 +64,33 @@
         assertThat(verdicts(REPORTED)).containsExactly(combination(digest));
     }
 
+    /**
+     * Guards against refusing a topic of sound calls in place of the one call that is the cause.
+     */
+    @Test
+    public void aRepeatedCallIsQuarantinedAloneThoughOtherCallsOfItsTopicWaitedBesideIt() {
+        PromptPart digest = part("call-digest");
+        crash("e1", 0, call("c1", COMMON, TOPIC, digest), call("s1", COMMON, TOPIC, part("own")));
+        crash("e2", 500, call("c2", COMMON, TOPIC, digest));
+        answered(600, COMMON);
+        assertThat(verdicts(REPORTED)).containsExactly(combination(TOPIC, digest));
+        impose(combination(TOPIC, digest));
+        assertThat(verdicts(REPORTED)).as("nothing is left to explain").isEmpty();
+    }
+
+    /** Guards against blaming a topic because the report about the cause comes last. */
+    @Test
+    public void aCrashCountsOnceAllGatewaysCanHaveReportedItsCalls() {
+        PromptPart digest = part("call-digest");
+        crash("e1", 0, call("c1", COMMON, TOPIC, digest));
+        answered(400, COMMON);
+        crash("e2", 500, call("s1", COMMON, TOPIC, part("own")));
+        assertThat(verdicts(510)).isEmpty();
+        crash("e2", 520, call("c2", COMMON, TOPIC, digest));
+        answered(600, COMMON);
+        assertThat(verdicts(REPORTED)).containsExactly(combination(TOPIC, digest));
+    }
+
     @Test
     public void partsThatOnlyOccurTogetherAreQuarantinedTogether() {
         crash("e1", 0, call("c1", COMMON, TOPIC, DEADLY));
