Judge two repeated calls that crash different engines separately

What callers saw: of two calls that were repeated at once, neither was quarantined as long as both had waited at as many crashes; or the topic that both share was quarantined in their place.

Cause: any two suspects with equal evidence made each other doubtful, also if they explain different crashes. And a part that had been answered before the crashes hid the calls within it that had not.

Change: suspects compete only if they share a crash. If the top suspect was answered before, calls within it that account for two crashes go first.

Evidence: both new tests fail on the analysis before and pass now.

--- a/quarantine/src/main/java/org/skylarkbend/quarantine/CrashAnalysis.java
+++ b/quarantine/src/main/java/org/skylarkbend/quarantine/CrashAnalysis.java
@@ -90,6 +90,19 @@
             return crashes == other.crashes && waits.size() == other.waits.size();
         }
 
+        /** Returns whether both are as suspicious, and because of some of the same crashes. */
+        boolean competesWith(Suspect other) {
+            return !equals(other)
+                    && isAsSuspiciousAs(other)
+                    && waits.stream()
+                            .map(Wait::incarnation)
+                            .anyMatch(
+                                    crashed ->
+                                            other.waits.stream()
+                                                    .map(Wait::incarnation)
+                                                    .anyMatch(crashed::equals));
+        }
+
         /** Returns whether the other one waited at as many crashes, but in fewer calls. */
         boolean isMoreGeneralThan(Suspect other) {
             return crashes == other.crashes
@@ -177,11 +190,11 @@
                         .map(this::withoutPartsServedBefore)
                         .toList();
         if (!suspects.isEmpty()) {
-            Suspect top = suspects.get(0);
-            List<Suspect> equals =
-                    suspects.stream().filter(suspect -> suspect.isAsSuspiciousAs(top)).toList();
-            equals.stream()
-                    .filter(suspect -> isProved(suspect, equals.size() > 1, nowMilliseconds))
+            List<Suspect> candidates = candidates(suspects);
+            Suspect top = candidates.get(0);
+            candidates.stream()
+                    .filter(suspect -> suspect.isAsSuspiciousAs(top))
+                    .filter(suspect -> isProved(suspect, candidates, nowMilliseconds))
                     .forEach(suspect -> verdicts.add(suspect.parts()));
         }
         state.combinations().keySet().stream()
@@ -196,16 +209,39 @@
         return mCrashes.values().stream().filter(crash -> crash.hasCallWith(combination)).count();
     }
 
-    private boolean isProved(Suspect suspect, boolean hasEquals, long nowMilliseconds) {
-        boolean wasServedBefore =
-                suspect.parts().parts().stream().anyMatch(mServedMilliseconds::containsKey);
-        boolean isDoubtful = hasEquals || wasServedBefore;
-        return suspect.crashes() >= (isDoubtful ? CRASHES_IF_DOUBTFUL : CRASHES)
-                && isReported(suspect.firstMilliseconds(), nowMilliseconds)
-                && (isDoubtful
-                        ? answersSince(suspect.parts(), suspect.lastMilliseconds())
-                                >= ANSWERS_IF_DOUBTFUL
-                        : answersSince(suspect.parts(), suspect.firstMilliseconds()) >= ANSWERS);
+    /**
+     * Returns the suspects of which the first is to be judged, the most suspicious first. If that
+     * one was answered before the crashes, calls that account for some of them go first, as long as
+     * there are any.
+     */
+    private List<Suspect> candidates(List<Suspect> suspects) {
+        Suspect top = suspects.get(0);
+        if (!wasServedBefore(top)) {
+            return suspects;
+        }
+        List<Suspect> within =
+                suspects.stream()
+                        .filter(one -> one.crashes() >= CRASHES && !wasServedBefore(one))
+                        .filter(one -> top.waits().containsAll(one.waits()))
+                        .toList();
+        return within.isEmpty() ? suspects : within;
+    }
+
+    private boolean wasServedBefore(Suspect suspect) {
+        return suspect.parts().parts().stream().anyMatch(mServedMilliseconds::containsKey);
+    }
+
+    private boolean isProved(Suspect suspect, List<Suspect> others, long nowMilliseconds) {
+        if (!isReported(suspect.firstMilliseconds(), nowMilliseconds)) {
+            return false;
+        }
+        long answers = answersSince(suspect.parts(), suspect.firstMilliseconds());
+        if (wasServedBefore(suspect) || others.stream().anyMatch(suspect::competesWith)) {
+            return suspect.crashes() >= CRASHES_IF_DOUBTFUL
+                    && answersSince(suspect.parts(), suspect.lastMilliseconds())
+                            >= ANSWERS_IF_DOUBTFUL;
+        }
+        return suspect.crashes() >= CRASHES && answers >= ANSWERS;
     }
 
     /** Returns whether an engine crashed under a combination after its quarantine was lifted. */
--- a/quarantine/src/test/java/org/skylarkbend/quarantine/CrashAnalysisTest.java
+++ b/quarantine/src/test/java/org/skylarkbend/quarantine/CrashAnalysisTest.java
@@ -91,6 +91,35 @@
         assertThat(verdicts(REPORTED)).containsExactly(combination(TOPIC, digest));
     }
 
+    /** Guards against two repeated calls that hide each other, as both are as suspicious. */
+    @Test
+    public void twoRepeatedCallsThatCrashDifferentEnginesAreBothQuarantined() {
+        crash("e1", 0, call("a1", COMMON, part("call-a")));
+        crash("e2", 200, call("b1", COMMON, part("call-b")));
+        crash("e3", 400, call("a2", COMMON, part("call-a")));
+        crash("e4", 600, call("b2", COMMON, part("call-b")));
+        answered(700, COMMON);
+        assertThat(verdicts(REPORTED))
+                .containsExactlyInAnyOrder(
+                        combination(part("call-a")), combination(part("call-b")));
+    }
+
+    /**
+     * Guards against refusing a topic that two repeated calls share and that was answered before.
+     */
+    @Test
+    public void aTopicThatWasAnsweredBeforeDoesNotHideTheCallsThatCrashEngines() {
+        answered(-5_000, COMMON, TOPIC);
+        crash("e1", 0, call("a1", COMMON, TOPIC, part("call-a")));
+        crash("e2", 200, call("b1", COMMON, TOPIC, part("call-b")));
+        crash("e3", 400, call("a2", COMMON, TOPIC, part("call-a")));
+        crash("e4", 600, call("b2", COMMON, TOPIC, part("call-b")));
+        answered(700, COMMON);
+        assertThat(verdicts(REPORTED))
+                .containsExactlyInAnyOrder(
+                        combination(part("call-a")), combination(part("call-b")));
+    }
+
     @Test
     public void partsThatOnlyOccurTogetherAreQuarantinedTogether() {
         crash("e1", 0, call("c1", COMMON, TOPIC, DEADLY));
