Quarantine a call with four crashes after one answer

What callers saw: a call crashed so many engines that the rest answered hardly anything. It went on, as five answers to other calls are needed for a verdict and never came. Longer still after the loss of the leader, as the next one counts answers anew.

Evidence: the new test fails before (no verdict) and passes now.

--- a/quarantine/src/main/java/org/skylarkbend/quarantine/CrashAnalysis.java
+++ b/quarantine/src/main/java/org/skylarkbend/quarantine/CrashAnalysis.java
@@ -40,6 +40,9 @@
      */
     static final int ANSWERS_IF_DOUBTFUL = 20;
 
+    /** Answers that are enough if one suspect waited at so many crashes as for doubtful ones. */
+    static final int ANSWERS_IF_CERTAIN = 1;
+
     /** Crashes that are at most this far apart count as one. */
     private static final long SAME_TIME_MILLISECONDS = 50;
 
@@ -241,7 +244,8 @@
                     && answersSince(suspect.parts(), suspect.lastMilliseconds())
                             >= ANSWERS_IF_DOUBTFUL;
         }
-        return suspect.crashes() >= CRASHES && answers >= ANSWERS;
+        return suspect.crashes() >= CRASHES && answers >= ANSWERS
+                || suspect.crashes() >= CRASHES_IF_DOUBTFUL && answers >= ANSWERS_IF_CERTAIN;
     }
 
     /** Returns whether an engine crashed under a combination after its quarantine was lifted. */
--- a/quarantine/src/test/java/org/skylarkbend/quarantine/CrashAnalysisTest.java
+++ b/quarantine/src/test/java/org/skylarkbend/quarantine/CrashAnalysisTest.java
@@ -120,6 +120,19 @@
                         combination(part("call-a")), combination(part("call-b")));
     }
 
+    /** Guards against a call that goes on since it leaves too few engines to answer others. */
+    @Test
+    public void aCallThatWaitedAtFourCrashesIsQuarantinedAfterOneAnswer() {
+        PromptPart digest = part("call-digest");
+        for (int i = 0; i < CrashAnalysis.CRASHES_IF_DOUBTFUL; i++) {
+            crash("e" + i, 100 * i, call("c" + i, COMMON, digest));
+        }
+        assertThat(verdicts(REPORTED)).as("without any answer").isEmpty();
+        mAnswers += CrashAnalysis.ANSWERS_IF_CERTAIN;
+        add(new CrashEvidence(List.of(), Map.of(COMMON, 0L), totalAnswers()), 800);
+        assertThat(verdicts(REPORTED)).containsExactly(combination(digest));
+    }
+
     @Test
     public void partsThatOnlyOccurTogetherAreQuarantinedTogether() {
         crash("e1", 0, call("c1", COMMON, TOPIC, DEADLY));
