Know a repeated call by its host in any case

What callers saw: a call that crashes engines counted as another one if its host was spelled in another case, and crashed two engines more.

Cause: the digest contained the host as it was written.

Change: the digest contains it in lower case.

Evidence: aRepetitionWithTheHostInAnotherCaseHasTheSameParts fails before and passes now.

--- a/gateway/src/main/java/org/skylarkbend/gateway/call/CallFingerprint.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/CallFingerprint.java
@@ -3,6 +3,7 @@
 import io.vertx.core.buffer.Buffer;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.function.Supplier;
 import java.util.zip.CRC32C;
@@ -79,7 +80,7 @@
                 String.join(
                         " ",
                         mCall.method().name(),
-                        mCall.host(),
+                        String.valueOf(mCall.host()).toLowerCase(Locale.ROOT),
                         mCall.uri(),
                         mCall.prompt().map(Prompt::toString).orElse(""),
                         bodyChecksum());
