Keep answers to other customers from clearing a call that crashes engines

What callers saw: a call that crashes engines only for one customer was never quarantined while another customer's call with the same path and body, such as a lookup, was answered.

Cause: the digest of a call left out the customer, so these answers cleared it.

Change: a second digest contains the customer. If the content alone is cleared, it remains suspected; if not, both are quarantined together.

Evidence: theSameCallOfAnotherCustomerSharesThePartsOfItsContentOnly fails before and passes now.

--- a/gateway/src/main/java/org/skylarkbend/gateway/call/CallFingerprint.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/CallFingerprint.java
@@ -13,11 +13,12 @@
 
 /**
  * What a call has in common with others that may crash the same endpoints: the parts of its prompt,
- * and a digest that is the same for all repetitions of the call. Confined to the task that serves
- * the calls.
+ * a digest of its content, and one that is the same for all repetitions by its customer. Confined
+ * to the task that serves the calls.
  */
 final class CallFingerprint {
-    private static final String DIGEST_PREFIX = "call-";
+    private static final String CONTENT_PREFIX = "call-";
+    private static final String REPETITION_PREFIX = "caller-";
 
     /** Length of a digest of 128 bits, which no two calls share by chance. */
     private static final int DIGEST_CHARS = 32;
@@ -56,7 +57,9 @@
         if (mOwn.isEmpty()) {
             List<PromptPart> own = new ArrayList<>();
             mCall.prompt().flatMap(Prompt::ownPart).ifPresent(own::add);
-            own.add(new PromptPart(subject(), DIGEST_PREFIX + digest()));
+            String content = content();
+            own.add(new PromptPart(subject(), CONTENT_PREFIX + digest(content)));
+            own.add(new PromptPart(subject(), REPETITION_PREFIX + digest(content + customer())));
             mOwn = List.copyOf(own);
         }
         return mOwn;
@@ -74,17 +77,23 @@
         return mCall.prompt().map(Prompt::model).orElse(mCall.service());
     }
 
-    /** Digests what the caller repeats. IDs, deadlines and keys differ between repetitions. */
-    private String digest() {
-        String content =
-                String.join(
-                        " ",
-                        mCall.method().name(),
-                        String.valueOf(mCall.host()).toLowerCase(Locale.ROOT),
-                        mCall.uri(),
-                        mCall.prompt().map(Prompt::toString).orElse(""),
-                        bodyChecksum());
-        return Sha256.hexOf(content).substring(0, DIGEST_CHARS);
+    /** Returns what the caller repeats. IDs, deadlines and keys differ between repetitions. */
+    private String content() {
+        return String.join(
+                " ",
+                mCall.method().name(),
+                String.valueOf(mCall.host()).toLowerCase(Locale.ROOT),
+                mCall.uri(),
+                mCall.prompt().map(Prompt::toString).orElse(""),
+                bodyChecksum());
+    }
+
+    private String customer() {
+        return mCall.customer().map(customer -> " by " + customer.name()).orElse("");
+    }
+
+    private static String digest(String identity) {
+        return Sha256.hexOf(identity).substring(0, DIGEST_CHARS);
     }
 
     private String bodyChecksum() {
--- a/gateway/src/test/java/org/skylarkbend/gateway/call/CallFingerprintTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/call/CallFingerprintTest.java
@@ -31,6 +31,14 @@
         assertThat(parts(call("c2", "A.Example", "one", noHeaders()), BODY)).isEqualTo(first());
     }
 
+    /** Guards against answers to one customer that clear a call of another one. */
+    @Test
+    public void theSameCallOfAnotherCustomerSharesThePartsOfItsContentOnly() {
+        List<PromptPart> other = parts(call("c2", "a.example", "two", noHeaders()), BODY);
+        assertThat(other).isNotEqualTo(first());
+        assertThat(Collections.disjoint(other, first())).as("shares the content").isFalse();
+    }
+
     @Test
     public void aCallWithAnotherBodySharesNoPart() {
         List<PromptPart> other = parts(call("c2", "a.example", "one", noHeaders()), "{}");
