--- a/quarantine/src/main/java/org/skylarkbend/quarantine/CrashAnalysis.java
+++ b/quarantine/src/main/java/org/skylarkbend/quarantine/CrashAnalysis.java
@@ -40,9 +40,18 @@
      */
     static final int ANSWERS_IF_DOUBTFUL = 20;
 
+    /** Answers that are enough if one suspect waited at so many crashes as for doubtful ones. */
+    static final int ANSWERS_IF_CERTAIN = 1;
+
     /** Crashes that are at most this far apart count as one. */
     private static final long SAME_TIME_MILLISECONDS = 50;
 
+    /**
+     * Time that all gateways need to report which calls waited at a crash. Before it, a part that
+     * calls at several gateways share seems to have waited more often than the one call that did.
+     */
+    private static final long SETTLE_MILLISECONDS = 100;
+
     /** Time that all gateways need to report that they answered calls with a watched part. */
     private static final long REPORT_MILLISECONDS = 300;
 
@@ -84,6 +93,26 @@
             return crashes == other.crashes && waits.size() == other.waits.size();
         }
 
+        /** Returns whether both are as suspicious, and because of some of the same crashes. */
+        boolean competesWith(Suspect other) {
+            return !equals(other)
+                    && isAsSuspiciousAs(other)
+                    && waits.stream()
+                            .map(Wait::incarnation)
+                            .anyMatch(
+                                    crashed ->
+                                            other.waits.stream()
+                                                    .map(Wait::incarnation)
+                                                    .anyMatch(crashed::equals));
+        }
+
+        /** Returns whether the other one waited at as many crashes, but in fewer calls. */
+        boolean isMoreGeneralThan(Suspect other) {
+            return crashes == other.crashes
+                    && waits.size() > other.waits.size()
+                    && waits.containsAll(other.waits);
+        }
+
         long firstMilliseconds() {
             return waits.stream().mapToLong(Wait::atMilliseconds).min().orElse(0);
         }
@@ -143,7 +172,7 @@
     /** Returns the suspected parts, of which gateways are to report answers. */
     public Set<PromptPart> watched(QuarantineState state, long nowMilliseconds) {
         removeOld(nowMilliseconds);
-        return suspects(state.inForce()).stream()
+        return suspects(state.inForce(), nowMilliseconds).stream()
                 .flatMap(suspect -> suspect.parts().parts().stream())
                 .limit(MAX_WATCHED)
                 .collect(Collectors.toSet());
@@ -157,13 +186,18 @@
         }
         Set<PartCombination> verdicts = new HashSet<>();
         List<Suspect> suspects =
-                suspects(state.inForce()).stream().map(this::withoutPartsServedBefore).toList();
+                narrowed(
+                                suspects(state.inForce(), nowMilliseconds - SETTLE_MILLISECONDS),
+                                state.inForce())
+                        .stream()
+                        .map(this::withoutPartsServedBefore)
+                        .toList();
         if (!suspects.isEmpty()) {
-            Suspect top = suspects.get(0);
-            List<Suspect> equals =
-                    suspects.stream().filter(suspect -> suspect.isAsSuspiciousAs(top)).toList();
-            equals.stream()
-                    .filter(suspect -> isProved(suspect, equals.size() > 1, nowMilliseconds))
+            List<Suspect> candidates = candidates(suspects);
+            Suspect top = candidates.get(0);
+            candidates.stream()
+                    .filter(suspect -> suspect.isAsSuspiciousAs(top))
+                    .filter(suspect -> isProved(suspect, candidates, nowMilliseconds))
                     .forEach(suspect -> verdicts.add(suspect.parts()));
         }
         state.combinations().keySet().stream()
@@ -178,16 +212,40 @@
         return mCrashes.values().stream().filter(crash -> crash.hasCallWith(combination)).count();
     }
 
-    private boolean isProved(Suspect suspect, boolean hasEquals, long nowMilliseconds) {
-        boolean wasServedBefore =
-                suspect.parts().parts().stream().anyMatch(mServedMilliseconds::containsKey);
-        boolean isDoubtful = hasEquals || wasServedBefore;
-        return suspect.crashes() >= (isDoubtful ? CRASHES_IF_DOUBTFUL : CRASHES)
-                && isReported(suspect.firstMilliseconds(), nowMilliseconds)
-                && (isDoubtful
-                        ? answersSince(suspect.parts(), suspect.lastMilliseconds())
-                                >= ANSWERS_IF_DOUBTFUL
-                        : answersSince(suspect.parts(), suspect.firstMilliseconds()) >= ANSWERS);
+    /**
+     * Returns the suspects of which the first is to be judged, the most suspicious first. If that
+     * one was answered before the crashes, calls that account for some of them go first, as long as
+     * there are any.
+     */
+    private List<Suspect> candidates(List<Suspect> suspects) {
+        Suspect top = suspects.get(0);
+        if (!wasServedBefore(top)) {
+            return suspects;
+        }
+        List<Suspect> within =
+                suspects.stream()
+                        .filter(one -> one.crashes() >= CRASHES && !wasServedBefore(one))
+                        .filter(one -> top.waits().containsAll(one.waits()))
+                        .toList();
+        return within.isEmpty() ? suspects : within;
+    }
+
+    private boolean wasServedBefore(Suspect suspect) {
+        return suspect.parts().parts().stream().anyMatch(mServedMilliseconds::containsKey);
+    }
+
+    private boolean isProved(Suspect suspect, List<Suspect> others, long nowMilliseconds) {
+        if (!isReported(suspect.firstMilliseconds(), nowMilliseconds)) {
+            return false;
+        }
+        long answers = answersSince(suspect.parts(), suspect.firstMilliseconds());
+        if (wasServedBefore(suspect) || others.stream().anyMatch(suspect::competesWith)) {
+            return suspect.crashes() >= CRASHES_IF_DOUBTFUL
+                    && answersSince(suspect.parts(), suspect.lastMilliseconds())
+                            >= ANSWERS_IF_DOUBTFUL;
+        }
+        return suspect.crashes() >= CRASHES && answers >= ANSWERS
+                || suspect.crashes() >= CRASHES_IF_DOUBTFUL && answers >= ANSWERS_IF_CERTAIN;
     }
 
     /** Returns whether an engine crashed under a combination after its quarantine was lifted. */
@@ -227,9 +285,14 @@
      * Returns the suspects, the most suspicious first. A crash that a quarantine explains counts
      * only against the parts of that quarantine, one of which may be the cause alone.
      */
-    private List<Suspect> suspects(Set<PartCombination> inForce) {
+    private List<Suspect> suspects(Set<PartCombination> inForce, long untilMilliseconds) {
         Map<PromptPart, Set<Wait>> waits = new HashMap<>();
-        mCrashes.forEach((incarnation, crash) -> addWaits(incarnation, crash, inForce, waits));
+        mCrashes.forEach(
+                (incarnation, crash) -> {
+                    if (crash.mAtMilliseconds <= untilMilliseconds) {
+                        addWaits(incarnation, crash, inForce, waits);
+                    }
+                });
         Map<Set<Wait>, List<PromptPart>> partsByWaits = new HashMap<>();
         waits.forEach(
                 (part, own) -> partsByWaits.computeIfAbsent(own, k -> new ArrayList<>()).add(part));
@@ -245,6 +308,42 @@
         return suspects;
     }
 
+    /**
+     * Returns the suspects with the most suspicious one narrowed to a single call, if one call
+     * waited at as many crashes as all calls with the suspected parts. The crashes then do not tell
+     * whether the parts or that call are the cause, and other calls with the parts will.
+     */
+    private static List<Suspect> narrowed(List<Suspect> suspects, Set<PartCombination> inForce) {
+        if (suspects.isEmpty()) {
+            return suspects;
+        }
+        Suspect top = suspects.get(0);
+        List<Suspect> within = suspects.stream().filter(top::isMoreGeneralThan).toList();
+        List<Suspect> narrowest =
+                within.stream()
+                        .filter(one -> within.stream().noneMatch(one::isMoreGeneralThan))
+                        .toList();
+        if (narrowest.size() != 1) {
+            return suspects;
+        }
+        Suspect call = narrowest.get(0);
+        List<PromptPart> parts = new ArrayList<>(call.parts().parts());
+        suspects.stream()
+                .filter(suspect -> suspect.isMoreGeneralThan(call))
+                .forEach(suspect -> parts.addAll(suspect.parts().parts()));
+        List<Suspect> others =
+                suspects.stream()
+                        .filter(other -> !other.equals(call) && !other.isMoreGeneralThan(call))
+                        .toList();
+        List<Suspect> narrowed = new ArrayList<>();
+        PartCombination combination = PartCombination.of(parts);
+        if (inForce.stream().noneMatch(quarantined -> quarantined.isIn(combination.parts()))) {
+            narrowed.add(new Suspect(combination, call.waits(), call.crashes()));
+        }
+        narrowed.addAll(others);
+        return narrowed;
+    }
+
     private void addWaits(
             String incarnation,
             Crash crash,
--- a/quarantine/src/test/java/org/skylarkbend/quarantine/CrashAnalysisTest.java
+++ b/quarantine/src/test/java/org/skylarkbend/quarantine/CrashAnalysisTest.java
@@ -64,6 +64,75 @@
         assertThat(verdicts(REPORTED)).containsExactly(combination(digest));
     }
 
+    /**
+     * Guards against refusing a topic of sound calls in place of the one call that is the cause.
+     */
+    @Test
+    public void aRepeatedCallIsQuarantinedAloneThoughOtherCallsOfItsTopicWaitedBesideIt() {
+        PromptPart digest = part("call-digest");
+        crash("e1", 0, call("c1", COMMON, TOPIC, digest), call("s1", COMMON, TOPIC, part("own")));
+        crash("e2", 500, call("c2", COMMON, TOPIC, digest));
+        answered(600, COMMON);
+        assertThat(verdicts(REPORTED)).containsExactly(combination(TOPIC, digest));
+        impose(combination(TOPIC, digest));
+        assertThat(verdicts(REPORTED)).as("nothing is left to explain").isEmpty();
+    }
+
+    /** Guards against blaming a topic because the report about the cause comes last. */
+    @Test
+    public void aCrashCountsOnceAllGatewaysCanHaveReportedItsCalls() {
+        PromptPart digest = part("call-digest");
+        crash("e1", 0, call("c1", COMMON, TOPIC, digest));
+        answered(400, COMMON);
+        crash("e2", 500, call("s1", COMMON, TOPIC, part("own")));
+        assertThat(verdicts(510)).isEmpty();
+        crash("e2", 520, call("c2", COMMON, TOPIC, digest));
+        answered(600, COMMON);
+        assertThat(verdicts(REPORTED)).containsExactly(combination(TOPIC, digest));
+    }
+
+    /** Guards against two repeated calls that hide each other, as both are as suspicious. */
+    @Test
+    public void twoRepeatedCallsThatCrashDifferentEnginesAreBothQuarantined() {
+        crash("e1", 0, call("a1", COMMON, part("call-a")));
+        crash("e2", 200, call("b1", COMMON, part("call-b")));
+        crash("e3", 400, call("a2", COMMON, part("call-a")));
+        crash("e4", 600, call("b2", COMMON, part("call-b")));
+        answered(700, COMMON);
+        assertThat(verdicts(REPORTED))
+                .containsExactlyInAnyOrder(
+                        combination(part("call-a")), combination(part("call-b")));
+    }
+
+    /**
+     * Guards against refusing a topic that two repeated calls share and that was answered before.
+     */
+    @Test
+    public void aTopicThatWasAnsweredBeforeDoesNotHideTheCallsThatCrashEngines() {
+        answered(-5_000, COMMON, TOPIC);
+        crash("e1", 0, call("a1", COMMON, TOPIC, part("call-a")));
+        crash("e2", 200, call("b1", COMMON, TOPIC, part("call-b")));
+        crash("e3", 400, call("a2", COMMON, TOPIC, part("call-a")));
+        crash("e4", 600, call("b2", COMMON, TOPIC, part("call-b")));
+        answered(700, COMMON);
+        assertThat(verdicts(REPORTED))
+                .containsExactlyInAnyOrder(
+                        combination(part("call-a")), combination(part("call-b")));
+    }
+
+    /** Guards against a call that goes on since it leaves too few engines to answer others. */
+    @Test
+    public void aCallThatWaitedAtFourCrashesIsQuarantinedAfterOneAnswer() {
+        PromptPart digest = part("call-digest");
+        for (int i = 0; i < CrashAnalysis.CRASHES_IF_DOUBTFUL; i++) {
+            crash("e" + i, 100 * i, call("c" + i, COMMON, digest));
+        }
+        assertThat(verdicts(REPORTED)).as("without any answer").isEmpty();
+        mAnswers += CrashAnalysis.ANSWERS_IF_CERTAIN;
+        add(new CrashEvidence(List.of(), Map.of(COMMON, 0L), totalAnswers()), 800);
+        assertThat(verdicts(REPORTED)).containsExactly(combination(digest));
+    }
+
     @Test
     public void partsThatOnlyOccurTogetherAreQuarantinedTogether() {
         crash("e1", 0, call("c1", COMMON, TOPIC, DEADLY));
