--- a/agreement/src/test/java/org/skylarkbend/agreement/DiskLossSimulation.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/DiskLossSimulation.java
@@ -204,7 +204,8 @@
     }
 
     MembershipRules rules() {
-        return MembershipRules.open(mMembers.keySet(), REMOVE_UNRESPONSIVE_MILLISECONDS);
+        return MembershipRules.open(
+                mMembers.keySet(), (mMembers.size() - 1) / 2, REMOVE_UNRESPONSIVE_MILLISECONDS);
     }
 
     AgreementOptions options() {
