Show by a test that a mute successor ends a sound stream

What callers see: a stream whose sound endpoint is silent for more than 1.75 s is broken off if the only other endpoint accepts the call and sends nothing.

Cause: two endpoints may not work on a stream for 400 ms, so the silent one is stopped 250 ms after the other was sent the call, whether or not that has begun.

--- a/gateway/src/test/java/org/skylarkbend/gateway/front/SilentStreamTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/front/SilentStreamTest.java
@@ -68,6 +68,12 @@
         assertAllArriveWholeBeside(ListedEndpoint.of("closed", LoopbackPorts.next()));
     }
 
+    /** Guards against a sound stream that is ended for an endpoint that accepts it and is mute. */
+    @Test
+    public void aSoundStreamThatWasSilentArrivesWholeBesideAMuteEndpoint() throws Exception {
+        assertAllArriveWholeBeside(listen("mute", request -> {}).listed());
+    }
+
     /** Guards against a sound stream that is ended because its endpoint refused a probe. */
     @Test(dataProvider = "neighbors")
     public void aStreamWhoseEndpointAcceptsNoMoreConnectionsArrivesWholeBeside(
