Report the call that caused a crash also if many others waited

What callers saw: nothing yet; found in the code and shown by a test.

Cause: a gateway kept 64 calls for each crash, in the order in which their connections broke, and left out the others, among them perhaps the one that was the cause.

Change: the limit is on the calls of all crashes together, 4,096 as before (64 crashes with 64 calls each). Logs name the first 64.

Evidence: both new tests of CrashRecorderTest fail before and pass now.

--- a/gateway/src/main/java/org/skylarkbend/gateway/crashes/CrashRecorder.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/crashes/CrashRecorder.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Stream;
 import org.skylarkbend.base.StructuredLog;
 import org.skylarkbend.catalog.Endpoint;
 import org.skylarkbend.quarantine.EndpointCrash;
@@ -31,7 +32,11 @@
     private static final long KEEP_MILLISECONDS = 15_000;
 
     private static final int MAX_CRASHES = 64;
-    private static final int MAX_CALLS = 64;
+
+    /** Calls that are kept over all crashes, which bounds the size of a report. */
+    private static final int MAX_CALLS = 4_096;
+
+    private static final int MAX_LOGGED_CALLS = 64;
 
     /** Calls that waited at an endpoint when its connections broke. */
     private static final class Break {
@@ -42,10 +47,8 @@
             mAtMilliseconds = atMilliseconds;
         }
 
-        void add(SuspectCall call) {
-            if (mCalls.size() < MAX_CALLS) {
-                mCalls.put(call.id(), call);
-            }
+        int size() {
+            return mCalls.size();
         }
     }
 
@@ -61,9 +64,10 @@
         if (waitedInVain(endpoint, call)) {
             return true;
         }
-        mUnconfirmed
-                .computeIfAbsent(endpoint.incarnation(), key -> new Break(nowMilliseconds))
-                .add(call);
+        add(
+                mUnconfirmed.computeIfAbsent(
+                        endpoint.incarnation(), key -> new Break(nowMilliseconds)),
+                call);
         return false;
     }
 
@@ -74,7 +78,7 @@
     public boolean waitedInVain(Endpoint endpoint, SuspectCall call) {
         Break crash = mCrashes.get(endpoint.incarnation());
         if (crash != null) {
-            crash.add(call);
+            add(crash, call);
         }
         return crash != null;
     }
@@ -104,7 +108,7 @@
                 "waiting_calls",
                 found.mCalls.size(),
                 "calls",
-                String.join(",", found.mCalls.keySet()),
+                String.join(",", found.mCalls.keySet().stream().limit(MAX_LOGGED_CALLS).toList()),
                 "parts",
                 partsOf(found),
                 "since_break_milliseconds",
@@ -132,9 +136,20 @@
         return crashes;
     }
 
+    private void add(Break found, SuspectCall call) {
+        int calls =
+                Stream.concat(mUnconfirmed.values().stream(), mCrashes.values().stream())
+                        .mapToInt(Break::size)
+                        .sum();
+        if (calls < MAX_CALLS) {
+            found.mCalls.put(call.id(), call);
+        }
+    }
+
     private static String partsOf(Break crash) {
         List<String> ids =
                 crash.mCalls.values().stream()
+                        .limit(MAX_LOGGED_CALLS)
                         .flatMap(call -> call.parts().stream())
                         .map(PromptPart::id)
                         .distinct()
--- a/gateway/src/test/java/org/skylarkbend/gateway/crashes/CrashRecorderTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/crashes/CrashRecorderTest.java
@@ -66,6 +66,31 @@
         assertThat(mRecorder.crashes(102).get(0).calls()).containsExactly(CALL, takenBack);
     }
 
+    /** Guards against the call that caused a crash being left out since many others waited. */
+    @Test
+    public void allCallsThatAnEndpointCanHoldAreReported() {
+        for (int i = 0; i < 300; i++) {
+            mRecorder.connectionBroke(ENGINE, new SuspectCall("w" + i, List.of()), 100);
+        }
+        mRecorder.connectionBroke(ENGINE, CALL, 100);
+        mRecorder.refusedConnection(ENGINE, 101);
+        assertThat(mRecorder.crashes(102).get(0).calls()).hasSize(301).contains(CALL);
+    }
+
+    @Test
+    public void theCallsOfAllCrashesTogetherAreLimited() {
+        for (int i = 0; i < 40; i++) {
+            Endpoint engine =
+                    new Endpoint("e" + i, "desk", "h", 1, "z", "v1", 6, false, 7, Map.of());
+            for (int call = 0; call < 300; call++) {
+                mRecorder.connectionBroke(engine, new SuspectCall("w" + call, List.of()), 100);
+            }
+            mRecorder.refusedConnection(engine, 101);
+        }
+        int calls = mRecorder.crashes(102).stream().mapToInt(crash -> crash.calls().size()).sum();
+        assertThat(calls).isEqualTo(4_096);
+    }
+
     @Test
     public void callsThatAreTakenBackFromASilentEndpointAreNoSuspects() {
         assertThat(mRecorder.waitedInVain(ENGINE, CALL)).isFalse();
