Read a changed catalog off the event loop

Callers of a gateway waited, beside a change of a large configuration, until the gateway had read it.

Cause: a gateway has one event loop, which decoded the document and serves the calls.

Change: the document is read by a worker, in order of arrival. The heartbeat names a catalog once it is in force, as control takes it; afterAPauseTheLeaderIsLeftAndOnlyANewerCatalogIsTaken says so now before it expects the number.

--- a/gateway/src/main/java/org/skylarkbend/gateway/link/SiteLinkDecider.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/link/SiteLinkDecider.java
@@ -35,6 +35,7 @@
     private boolean mConnected;
     private long mSequence;
     private long mCatalogNumber;
+    private long mInForceNumber;
     private long mLastConfirmedMilliseconds;
 
     /**
@@ -74,6 +75,8 @@
             effects.add(new SiteLinkEffect.Send(slice.message()));
         } else if (message instanceof SiteLinkMessage.ControlVmsListed listed) {
             mDiscovered = listed.hosts();
+        } else if (message instanceof SiteLinkMessage.DocumentRead read) {
+            mInForceNumber = Math.max(mInForceNumber, read.number());
         } else if (message instanceof SiteLinkMessage.SeedsChanged changed) {
             mSeeds = changed.hosts();
         }
@@ -86,7 +89,7 @@
             return;
         }
         mSequence++;
-        effects.add(new SiteLinkEffect.Send(new RouterHeartbeat(mSequence, mCatalogNumber)));
+        effects.add(new SiteLinkEffect.Send(new RouterHeartbeat(mSequence, mInForceNumber)));
     }
 
     private void receive(FeedMessage message, long nowMilliseconds, List<SiteLinkEffect> effects) {
--- a/gateway/src/main/java/org/skylarkbend/gateway/link/SiteLinkMessage.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/link/SiteLinkMessage.java
@@ -20,6 +20,9 @@
     /** A message of control has arrived. */
     record Received(FeedMessage message) implements SiteLinkMessage {}
 
+    /** A document was read, and its catalog is in force unless it was refused. */
+    record DocumentRead(long number) implements SiteLinkMessage {}
+
     /** A slice has a message for its counterpart at control. */
     record SliceToSend(FeedMessage.SliceMessage message) implements SiteLinkMessage {}
 
--- a/gateway/src/main/java/org/skylarkbend/gateway/link/SiteLinkTask.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/link/SiteLinkTask.java
@@ -7,7 +7,9 @@
 import java.util.List;
 import java.util.Set;
 import org.skylarkbend.base.MillisecondClock;
+import org.skylarkbend.base.Result;
 import org.skylarkbend.base.StructuredLog;
+import org.skylarkbend.catalog.Catalog;
 import org.skylarkbend.catalog.CatalogReader;
 import org.skylarkbend.catalog.Endpoint;
 import org.skylarkbend.catalog.EndpointSource;
@@ -186,17 +188,23 @@
         }
     }
 
+    /**
+     * Reads a document off the event loop, which serves calls meanwhile. Documents are read in the
+     * order of their arrival.
+     */
     private void applyDocument(SiteLinkEffect.ApplyDocument document) {
-        mReader.read(document.text().getBytes(StandardCharsets.UTF_8))
-                .match(
-                        mListener::catalogChanged,
-                        error ->
-                                LOG.warn(
-                                        "catalog.refused",
-                                        "number",
-                                        document.number(),
-                                        "detail",
-                                        error.detail()));
+        long number = document.number();
+        byte[] bytes = document.text().getBytes(StandardCharsets.UTF_8);
+        vertx.executeBlocking(() -> mReader.read(bytes))
+                .onSuccess(catalog -> catalogRead(number, catalog))
+                .onFailure(e -> LOG.error(e, "catalog.unread", "number", number, "cause", e));
+    }
+
+    private void catalogRead(long number, Result<Catalog> result) {
+        result.match(
+                mListener::catalogChanged,
+                error -> LOG.warn("catalog.refused", "number", number, "detail", error.detail()));
+        handle(new SiteLinkMessage.DocumentRead(number));
     }
 
     private void deliverSlice(SliceMessage message) {
--- a/gateway/src/test/java/org/skylarkbend/gateway/link/SiteLinkDeciderTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/link/SiteLinkDeciderTest.java
@@ -82,6 +82,7 @@
     @Test
     public void afterAPauseTheLeaderIsLeftAndOnlyANewerCatalogIsTaken() {
         receive(new SetDocument(8, "eight"));
+        decide(new SiteLinkMessage.DocumentRead(8));
         long afterPauseMilliseconds = 60_000;
         assertThat(mLink.decide(new SiteLinkMessage.HeartbeatDue(), afterPauseMilliseconds))
                 .hasOnlyElementsOfType(SiteLinkEffect.Close.class);
@@ -95,6 +96,17 @@
                 .contains(new SiteLinkEffect.ApplyDocument(9, "nine"));
     }
 
+    /** Guards against a heartbeat that names a catalog which is not in force yet. */
+    @Test
+    public void aHeartbeatNamesACatalogOnceItWasRead() {
+        receive(new SetDocument(8, "eight"));
+        assertThat(decide(new SiteLinkMessage.HeartbeatDue()))
+                .containsExactly(new SiteLinkEffect.Send(new RouterHeartbeat(1 + SENT_BEFORE, 0)));
+        decide(new SiteLinkMessage.DocumentRead(8));
+        assertThat(decide(new SiteLinkMessage.HeartbeatDue()))
+                .containsExactly(new SiteLinkEffect.Send(new RouterHeartbeat(2 + SENT_BEFORE, 8)));
+    }
+
     private List<SiteLinkEffect> receive(FeedMessage message) {
         return decide(new SiteLinkMessage.Received(message));
     }
