Go on reporting after a report that failed

Control learned nothing more of a gateway's work, outcomes and crashes after one of its reports had thrown an exception.

Cause: the timer of the next report was set after the reports were sent.

Change: it is set before.

Evidence: FailingReportTest, the first report throws. Before: red, no other report within 30 s. After: green, with GatewayTaskTest.

--- a/gateway/src/main/java/org/skylarkbend/gateway/front/GatewayTask.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/front/GatewayTask.java
@@ -191,10 +191,10 @@
         vertx.setTimer(
                 mWorkReport.intervalMilliseconds(),
                 id -> {
+                    scheduleWorkReport();
                     mWorkReport.sendIfDue(now());
                     mOutcomes.report();
                     mCrashes.reportIfDue(now());
-                    scheduleWorkReport();
                 });
     }
 
--- a/gateway/src/test/java/org/skylarkbend/gateway/front/GatewayFixture.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/front/GatewayFixture.java
@@ -83,8 +83,7 @@
                         mMetrics,
                         clock(),
                         message -> {},
-                        new GatewayReports(
-                                work -> mReportedWork = work, outcomes -> {}, crashes -> {}),
+                        new GatewayReports(this::workReported, outcomes -> {}, crashes -> {}),
                         ready -> {});
         await(mVertx.deployVerticle(new ContextCapture()));
     }
@@ -118,6 +117,11 @@
         return CallerLimits.defaults();
     }
 
+    /** Receives the work in flight that the gateway reports. */
+    protected void workReported(WorkUnderWay work) {
+        mReportedWork = work;
+    }
+
     /** Returns the clock of the gateway. */
     protected MillisecondClock clock() {
         return MillisecondClock.monotonic();
