--- a/gateway/src/test/java/org/skylarkbend/gateway/front/GatewayFixture.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/front/GatewayFixture.java
@@ -93,7 +93,7 @@
                         mMetrics,
                         clock(),
                         message -> {},
-                        new GatewayReports(work -> mWork = work, outcomes -> {}, crashes -> {}),
+                        new GatewayReports(this::workReported, outcomes -> {}, crashes -> {}),
                         ready -> {});
         await(mVertx.deployVerticle(new ContextCapture()));
     }
@@ -127,6 +127,11 @@
         return CallerLimits.defaults();
     }
 
+    /** Receives the work in flight that the gateway reports. */
+    protected void workReported(WorkUnderWay work) {
+        mWork = work;
+    }
+
     /** Returns the clock of the gateway. */
     protected MillisecondClock clock() {
         return MillisecondClock.monotonic();
