--- a/gateway/src/test/java/org/skylarkbend/gateway/link/SiteLinkTaskTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/link/SiteLinkTaskTest.java
@@ -9,42 +9,14 @@
 import org.skylarkbend.base.MillisecondClock;
 import org.skylarkbend.base.ObjectName;
 import org.skylarkbend.base.Result;
-import org.skylarkbend.catalog.Catalog;
-import org.skylarkbend.catalog.Endpoints;
 import org.skylarkbend.catalog.SiteMessage.WorkUnderWay;
-import org.skylarkbend.catalog.VersionSplit;
 import org.skylarkbend.limits.LimitMessage;
 import org.skylarkbend.publishing.feed.FeedMessage.RouterHello;
 import org.skylarkbend.quarantine.CrashEvidence;
-import org.skylarkbend.quarantine.QuarantineNotice;
 import org.testng.annotations.Test;
 
 /** Tests the link to control before it has started. */
 public class SiteLinkTaskTest {
-    private static final SiteListener NO_LISTENER =
-            new SiteListener() {
-                @Override
-                public void catalogChanged(Catalog catalog) {}
-
-                @Override
-                public void endpointsChanged(Endpoints endpoints) {}
-
-                @Override
-                public void splitsChanged(List<VersionSplit> splits) {}
-
-                @Override
-                public void weightsNamed(Map<String, Long> versions) {}
-
-                @Override
-                public void otherWorkChanged(WorkUnderWay work) {}
-
-                @Override
-                public void quarantineChanged(QuarantineNotice notice) {}
-
-                @Override
-                public void limitMessageReceived(LimitMessage message) {}
-            };
-
     /** Guards against a gateway that sends no reports because the first one came too early. */
     @Test
     public void aReportBeforeTheStartIsLostAndTheReporterIsNotDisturbed() {
@@ -52,7 +24,7 @@
         SiteLinkTask link =
                 new SiteLinkTask(
                         new SiteLinkDecider(hello, List.of("127.0.0.1"), 1),
-                        NO_LISTENER,
+                        new IdleSiteListener(),
                         document -> Result.failure(ErrorKind.SET_INVALID, "none"),
                         () ->
                                 Future.succeededFuture(
--- a/gateway/src/test/java/org/skylarkbend/gateway/link/SlowCatalogTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/link/SlowCatalogTest.java
@@ -17,10 +17,6 @@
 import org.skylarkbend.catalog.CallerLimits;
 import org.skylarkbend.catalog.Catalog;
 import org.skylarkbend.catalog.CatalogReader;
-import org.skylarkbend.catalog.Endpoints;
-import org.skylarkbend.catalog.SiteMessage.WorkUnderWay;
-import org.skylarkbend.catalog.VersionSplit;
-import org.skylarkbend.limits.LimitMessage;
 import org.skylarkbend.publishing.feed.FeedCodec;
 import org.skylarkbend.publishing.feed.FeedMessage;
 import org.skylarkbend.publishing.feed.FeedMessage.RouterHeartbeat;
@@ -28,7 +24,6 @@
 import org.skylarkbend.publishing.feed.FeedMessage.ServingLease;
 import org.skylarkbend.publishing.feed.FeedMessage.SetDocument;
 import org.skylarkbend.publishing.feed.FeedMessage.SetRequest;
-import org.skylarkbend.quarantine.QuarantineNotice;
 import org.skylarkbend.wire.FrameConnection;
 import org.skylarkbend.wire.FrameListener;
 import org.skylarkbend.wire.WireOptions;
@@ -111,28 +106,10 @@
     }
 
     /** Keeps the catalog. */
-    private final class CatalogListener implements SiteListener {
+    private final class CatalogListener extends IdleSiteListener {
         @Override
         public void catalogChanged(Catalog catalog) {
             mCatalog.complete(catalog);
         }
-
-        @Override
-        public void endpointsChanged(Endpoints endpoints) {}
-
-        @Override
-        public void splitsChanged(List<VersionSplit> splits) {}
-
-        @Override
-        public void weightsNamed(Map<String, Long> versions) {}
-
-        @Override
-        public void otherWorkChanged(WorkUnderWay work) {}
-
-        @Override
-        public void quarantineChanged(QuarantineNotice notice) {}
-
-        @Override
-        public void limitMessageReceived(LimitMessage message) {}
     }
 }
