--- a/limits/src/main/java/org/skylarkbend/limits/LimitOwnerDecider.java
+++ b/limits/src/main/java/org/skylarkbend/limits/LimitOwnerDecider.java
@@ -58,12 +58,6 @@
      */
     private static final long SILENT_REPORTS = 10;
 
-    /**
-     * Time after which a router that has not reported to a new owner is taken for gone, as in the
-     * status of the feed. It joins again if it comes back.
-     */
-    static final long UNREPORTED_MILLISECONDS = 600_000;
-
     /** Time between two wake-ups while routers wait for grants. */
     private static final long PENDING_WAKE_MILLISECONDS = 20;
 
@@ -114,11 +108,7 @@
         mPolicy = policy;
         mTerm = term;
         mOwnerlessMilliseconds = ownerlessMilliseconds;
-        for (RouterIdentity router : registry.routers()) {
-            RouterHoldings holdings = new RouterHoldings();
-            holdings.expectEndBy(nowMilliseconds + UNREPORTED_MILLISECONDS);
-            mRouters.put(router, holdings);
-        }
+        registry.routers().forEach(router -> mRouters.put(router, new RouterHoldings()));
         registry.routers().forEach(router -> expireOlderIncarnations(router, nowMilliseconds));
     }
 
