--- a/limits/src/main/java/org/skylarkbend/limits/CustomerBucket.java
+++ b/limits/src/main/java/org/skylarkbend/limits/CustomerBucket.java
@@ -21,7 +21,6 @@
     private long mMaxThousandths;
     private long mFilledAtMilliseconds;
     private long mHeldTokens;
-    private long mSilentTokens;
     private boolean mExhausted;
 
     /**
@@ -45,14 +44,14 @@
 
     /**
      * Fills the bucket up to the given time. The level never exceeds the burst less all held
-     * tokens. Tokens that unreported and silent routers may hold reduce what can be filled in and
-     * granted, but are not deducted from the current level.
+     * tokens. Tokens that unreported routers may hold reduce what can be filled in and granted, but
+     * are not deducted from the current level.
      */
     void fill(long nowMilliseconds, long unreportedHeldTokens) {
         long elapsedMilliseconds = Math.max(0, nowMilliseconds - mFilledAtMilliseconds);
         mFilledAtMilliseconds = Math.max(mFilledAtMilliseconds, nowMilliseconds);
         long capacityThousandths =
-                Math.max(0, (mLimit.burstTokens() - heldTokens()) * THOUSANDTHS_PER_TOKEN);
+                Math.max(0, (mLimit.burstTokens() - mHeldTokens) * THOUSANDTHS_PER_TOKEN);
         mMaxThousandths =
                 Math.max(0, capacityThousandths - unreportedHeldTokens * THOUSANDTHS_PER_TOKEN);
         mLevelThousandths = Math.min(mLevelThousandths, capacityThousandths);
@@ -87,14 +86,9 @@
         mHeldTokens += deltaTokens;
     }
 
-    /** Sets the tokens held by known routers that have been silent for long. */
-    void setSilentTokens(long tokens) {
-        mSilentTokens = tokens;
-    }
-
-    /** Returns the tokens held by known routers that are not silent. */
+    /** Returns the tokens held by known routers. */
     long heldTokens() {
-        return mHeldTokens - mSilentTokens;
+        return mHeldTokens;
     }
 
     Map<RouterIdentity, TokenRequest> requests() {
--- a/limits/src/main/java/org/skylarkbend/limits/LimitOwnerDecider.java
+++ b/limits/src/main/java/org/skylarkbend/limits/LimitOwnerDecider.java
@@ -52,12 +52,6 @@
 public final class LimitOwnerDecider {
     private static final long MIN_RECALL_INTERVAL_MILLISECONDS = 100;
 
-    /**
-     * The reports that a router has failed to send when its tokens count like those of a router
-     * that has not reported to a new owner. Pauses of some seconds are shorter.
-     */
-    private static final long SILENT_REPORTS = 10;
-
     /** Time between two wake-ups while routers wait for grants. */
     private static final long PENDING_WAKE_MILLISECONDS = 20;
 
@@ -162,7 +156,7 @@
             mEffects.add(new Send(router, new TermBegan(mTerm)));
             return;
         }
-        holdings.markAlive(nowMilliseconds);
+        holdings.markAlive();
         boolean newest = holdings.isNewest(report);
         fillBeforeChange(holdings, report.entries(), nowMilliseconds);
         holdings.markKnown();
@@ -362,21 +356,9 @@
     }
 
     private void fill(CustomerBucket bucket, long nowMilliseconds) {
-        long silentSinceMilliseconds =
-                nowMilliseconds - SILENT_REPORTS * mPolicy.idleReportMilliseconds();
-        long unreportedRouters = 0;
-        long silentTokens = 0;
-        for (RouterHoldings holdings : mRouters.values()) {
-            if (!holdings.isKnown()) {
-                unreportedRouters++;
-            } else if (holdings.isSilentSince(silentSinceMilliseconds)) {
-                silentTokens += holdings.of(bucket.limit().customer()).heldTokens();
-            }
-        }
-        bucket.setSilentTokens(silentTokens);
-        bucket.fill(
-                nowMilliseconds,
-                mPolicy.unreportedTokens(bucket.limit(), unreportedRouters, silentTokens));
+        long unreportedRouters =
+                mRouters.values().stream().filter(holdings -> !holdings.isKnown()).count();
+        bucket.fill(nowMilliseconds, mPolicy.unreportedTokens(bucket.limit(), unreportedRouters));
     }
 
     private void publish(List<CustomerLimit> limits, long nowMilliseconds) {
--- a/limits/src/main/java/org/skylarkbend/limits/LimitPolicy.java
+++ b/limits/src/main/java/org/skylarkbend/limits/LimitPolicy.java
@@ -83,14 +83,9 @@
         return (long) Math.min(limit.burstTokens(), tokens);
     }
 
-    /**
-     * Returns the maximum number of tokens that routers which have not reported, or not for long,
-     * hold together of a customer.
-     */
-    long unreportedTokens(CustomerLimit limit, long unreportedRouters, long silentTokens) {
-        return Math.min(
-                unreportedRouters * maxHeldTokens(limit) + silentTokens,
-                maxUnreportedTokens(limit));
+    /** Returns the maximum number of tokens that unreported routers hold together of a customer. */
+    long unreportedTokens(CustomerLimit limit, long unreportedRouters) {
+        return Math.min(unreportedRouters * maxHeldTokens(limit), maxUnreportedTokens(limit));
     }
 
     /** Returns the limit on the tokens of a customer that are granted in advance to all routers. */
--- a/limits/src/main/java/org/skylarkbend/limits/RouterHoldings.java
+++ b/limits/src/main/java/org/skylarkbend/limits/RouterHoldings.java
@@ -63,7 +63,6 @@
     private boolean mKnown;
     private boolean mEnded;
     private long mLastSequence;
-    private long mHeardMilliseconds;
     private long mExpiresAtMilliseconds = Long.MAX_VALUE;
 
     /** Returns whether the incarnation has reported everything that it holds in this term. */
@@ -103,18 +102,12 @@
     /**
      * Records a sign of life, which cancels the removal unless the incarnation has certainly ended.
      */
-    void markAlive(long nowMilliseconds) {
-        mHeardMilliseconds = nowMilliseconds;
+    void markAlive() {
         if (!mEnded) {
             mExpiresAtMilliseconds = Long.MAX_VALUE;
         }
     }
 
-    /** Returns whether the incarnation has given no sign of life since this time. */
-    boolean isSilentSince(long milliseconds) {
-        return mHeardMilliseconds < milliseconds;
-    }
-
     long expiresAtMilliseconds() {
         return mExpiresAtMilliseconds;
     }
