Keep as many control VMs as there are where no number of losses is given

What operators would see: on a site with three control VMs whose losses count by data centre, the loss of a second VM after one had been replaced left no leader.

Cause: without a number of losses the rule asked for five voters, so that a dead voter among four was never removed.

Change: without a number the group bears as many losses as its voters do. An even number of voters is reduced by a silent one, and a new member takes the place of a silent one.

Sites that name a number are not affected.

--- a/agreement/src/main/java/org/skylarkbend/agreement/AgreementDecider.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/AgreementDecider.java
@@ -92,7 +92,7 @@
         mDiskHandOver = new DiskHandOver(mState);
         mMembershipChanges = new MembershipChanges(mState, mLeaderReplication, rules);
         mDeparture = new Departure(mState, mMembershipChanges);
-        mLossMargin = new LossMarginWatch(mState, mLeaderReplication, rules.toleratedLosses());
+        mLossMargin = new LossMarginWatch(mState, mLeaderReplication, rules);
         mBootstrap = new ClusterBootstrap(mState, rules.initialVms());
         mAppliedIndex = mState.mCommitIndex;
         mSnapshotIndex = mState.mCommitIndex;
--- a/agreement/src/main/java/org/skylarkbend/agreement/LossMarginWatch.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/LossMarginWatch.java
@@ -7,14 +7,14 @@
 final class LossMarginWatch {
     private final MemberState mState;
     private final LeaderReplication mLeaderReplication;
-    private final int mToleratedLosses;
+    private final MembershipRules mRules;
     private Optional<LossMargin> mReported = Optional.empty();
     private long mTermStartedMilliseconds;
 
-    LossMarginWatch(MemberState state, LeaderReplication replication, int toleratedLosses) {
+    LossMarginWatch(MemberState state, LeaderReplication replication, MembershipRules rules) {
         mState = state;
         mLeaderReplication = replication;
-        mToleratedLosses = toleratedLosses;
+        mRules = rules;
     }
 
     void startTerm(long nowMilliseconds) {
@@ -38,7 +38,10 @@
                                 > mState.mOptions.electionMaxMilliseconds();
         LossMargin margin =
                 new LossMargin(
-                        membership.voters().size(), membership.quorum(), mToleratedLosses, silent);
+                        membership.voters().size(),
+                        membership.quorum(),
+                        mRules.toleratedLosses(membership.voters().size()),
+                        silent);
         if (!isKnown || mReported.filter(margin::equals).isPresent()) {
             return;
         }
--- a/agreement/src/main/java/org/skylarkbend/agreement/MembershipChanges.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/MembershipChanges.java
@@ -74,7 +74,7 @@
                 change.next().contains(change.member()),
                 change.reason(),
                 change.next().voters().size(),
-                mRules.intendedVoters());
+                mRules.intendedVoters(change.next().voters().size()));
     }
 
     /**
@@ -94,9 +94,9 @@
         boolean canTakePlace =
                 readyLearners(nowMilliseconds).stream()
                         .anyMatch(learner -> memberOnSameVm(learner).isEmpty());
-        int leastVoters = mRules.intendedVoters() + (canTakePlace ? 0 : 1);
-        return mRules.removeUnresponsiveAfterMilliseconds().isPresent()
-                && mState.mLog.membership().voters().size() >= leastVoters;
+        int voters = mState.mLog.membership().voters().size();
+        int leastVoters = mRules.intendedVoters(voters) + (canTakePlace ? 0 : 1);
+        return mRules.removeUnresponsiveAfterMilliseconds().isPresent() && voters >= leastVoters;
     }
 
     /**
@@ -166,7 +166,8 @@
                                 allRespond
                                         || change.next().quorum() == membership.quorum()
                                         || change.next().voters().size()
-                                                <= mRules.intendedVoters());
+                                                <= mRules.intendedVoters(
+                                                        membership.voters().size()));
     }
 
     /** Returns the membership without a voter that a new member on the same VM replaces. */
--- a/agreement/src/main/java/org/skylarkbend/agreement/MembershipRules.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/MembershipRules.java
@@ -11,7 +11,8 @@
  * @param initialVms the VMs that form the initial membership; if empty, this member never creates a
  *     log
  * @param mayJoin returns whether a member on a VM may join
- * @param toleratedLosses the number of members that may be lost at the same time
+ * @param toleratedLosses the number of members that may be lost at the same time; 0 for as many as
+ *     the present number of voters bears
  * @param removeUnresponsiveAfterMilliseconds the time after which an unresponsive member is
  *     removed, if more voters remain than are needed to tolerate the losses, or if a new member can
  *     take its place; empty to never remove members
@@ -47,8 +48,17 @@
                 OptionalLong.of(removeUnresponsiveAfterMilliseconds));
     }
 
-    /** Returns the number of voters whose quorum remains after the losses. */
-    int intendedVoters() {
-        return 2 * toleratedLosses + 1;
+    /** Returns the number of losses that a log with this many voters is to tolerate. */
+    int toleratedLosses(int voters) {
+        return toleratedLosses > 0 ? toleratedLosses : (voters - 1) / 2;
+    }
+
+    /**
+     * Returns the number of voters whose quorum remains after the losses.
+     *
+     * @param voters the present number of voters
+     */
+    int intendedVoters(int voters) {
+        return 2 * toleratedLosses(voters) + 1;
     }
 }
--- a/agreement/src/test/java/org/skylarkbend/agreement/LeaderOfGroup.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/LeaderOfGroup.java
@@ -39,6 +39,11 @@
     private final List<AgreementEffect> mEffects = new ArrayList<>();
     private long mNowMilliseconds = 2 * OPTIONS.electionMaxMilliseconds();
 
+    /** Elects the leader of a group that is not told how many losses it has to tolerate. */
+    static LeaderOfGroup withUnknownLosses(int count) {
+        return new LeaderOfGroup(0, count, new int[0]);
+    }
+
     /**
      * Elects the leader.
      *
@@ -46,6 +51,10 @@
      * @param silent the numbers of those that do not respond from the start
      */
     LeaderOfGroup(int count, int... silent) {
+        this(TOLERATED_LOSSES, count, silent);
+    }
+
+    private LeaderOfGroup(int toleratedLosses, int count, int[] silent) {
         silence(silent);
         List<MemberId> members =
                 IntStream.rangeClosed(1, count).mapToObj(LeaderOfGroup::member).toList();
@@ -61,7 +70,7 @@
                         OPTIONS,
                         MembershipRules.open(
                                 Set.of(member(1).vm()),
-                                TOLERATED_LOSSES,
+                                toleratedLosses,
                                 REMOVE_UNRESPONSIVE_MILLISECONDS),
                         bound -> 0,
                         0,
--- a/agreement/src/test/java/org/skylarkbend/agreement/MembershipChangesTest.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/MembershipChangesTest.java
@@ -47,6 +47,19 @@
                 .isEqualTo(List.of(1, 2, 3, 4, 6).stream().map(LeaderOfGroup::member).toList());
     }
 
+    /** Guards against members that are gone and count on sites that name no number of losses. */
+    @Test
+    public void aGroupThatKnowsNoNumberOfLossesStillBearsOneAfterAMemberWasReplaced() {
+        LeaderOfGroup group = LeaderOfGroup.withUnknownLosses(3);
+        group.silence(3);
+        group.runFor(2 * SILENCE_MILLISECONDS);
+        group.join(4);
+        group.runFor(2 * SILENCE_MILLISECONDS);
+        group.silence(2);
+        group.runFor(4 * ELECTION_MILLISECONDS);
+        assertThat(group.decider().role()).as("%s", group.voters()).isEqualTo(MemberRole.LEADER);
+    }
+
     @Test
     public void aNewMemberIsTakenInAtOnceWhileAllOthersRespond() {
         LeaderOfGroup group = new LeaderOfGroup(5);
--- a/control/src/main/java/org/skylarkbend/control/site/SiteControlParts.java
+++ b/control/src/main/java/org/skylarkbend/control/site/SiteControlParts.java
@@ -55,7 +55,8 @@
     /**
      * The rules for removing members of the replicated log.
      *
-     * @param toleratedLosses the number of control VMs that may be lost at the same time
+     * @param toleratedLosses the number of control VMs that may be lost at the same time; 0 for as
+     *     many as the present number of members bears
      * @param removeUnresponsiveAfterMilliseconds the time for which a member may be silent before
      *     it is removed, if there are more members than these losses require, or if another VM can
      *     take its place
