Keep a member that leaves while another one may be gone

What operators would see: the group lost its leader for good under fewer losses than it is to bear.

Cause: a member that announced its end was removed while a voter was dead that did not count as silent yet; the dead one stayed.

--- a/agreement/src/main/java/org/skylarkbend/agreement/MembershipChanges.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/MembershipChanges.java
@@ -133,9 +133,19 @@
         return new MemberChange(member, mState.mLog.membership().without(member), reason);
     }
 
+    /**
+     * Returns a voter that is about to end. One that still responds is kept while others do not,
+     * since they may be gone and are to be removed first.
+     */
     private Optional<MemberId> leavingVoter(long nowMilliseconds) {
-        return mState.mLog.membership().voters().stream()
+        List<MemberId> voters = mState.mLog.membership().voters();
+        return voters.stream()
                 .filter(voter -> isLeaving(voter, nowMilliseconds))
+                .filter(
+                        leaving ->
+                                voters.stream()
+                                        .filter(voter -> !voter.equals(leaving))
+                                        .allMatch(voter -> responds(voter, nowMilliseconds)))
                 .findFirst();
     }
 
--- a/agreement/src/test/java/org/skylarkbend/agreement/MembershipChangesTest.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/MembershipChangesTest.java
@@ -68,6 +68,18 @@
         assertThat(group.voterCounts()).containsExactly(6);
     }
 
+    /** Guards against a live member that leaves in place of one that is gone. */
+    @Test
+    public void aMemberThatLeavesIsKeptUntilAnotherOneThatDoesNotRespondIsOut() {
+        LeaderOfGroup group = new LeaderOfGroup(6, 5);
+        group.leave(6);
+        group.runFor(ONE_HEARTBEAT_MILLISECONDS);
+        assertThat(group.voterCounts()).isEmpty();
+        group.runFor(2 * SILENCE_MILLISECONDS);
+        assertThat(group.voterCounts()).containsExactly(5);
+        assertThat(group.voters()).doesNotContain(LeaderOfGroup.member(5));
+    }
+
     /** Guards against a member that was stopped as planned and counts until it is noticed. */
     @Test
     public void aMemberThatIsNotNeededIsRemovedAtOnceWhenItLeavesAndToldSo() {
