Serve a voter until its removal is committed

What operators would see: control bore one loss fewer than its voters say, until the leader changed.

Cause: the leader stopped serving a member as soon as its removal was appended. If the removal could not be saved it was undone, and the member was a voter that nobody served.

Change: members are forgotten only while no change is in flight.

--- a/agreement/src/main/java/org/skylarkbend/agreement/MembershipChanges.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/MembershipChanges.java
@@ -206,7 +206,11 @@
                         .termAt(mState.mCommitIndex)
                         .filter(term -> term == mState.mTerm)
                         .isPresent();
-        return hasCommittedInTerm && mState.mLog.membershipIndex() <= mState.mCommitIndex;
+        return hasCommittedInTerm && isChangeCommitted();
+    }
+
+    private boolean isChangeCommitted() {
+        return mState.mLog.membershipIndex() <= mState.mCommitIndex;
     }
 
     private List<MemberId> readyLearners(long nowMilliseconds) {
@@ -242,6 +246,13 @@
                 .removeIf(learner -> mState.mLog.membership().contains(learner));
         mLearnersHeardAtMilliseconds.values().removeIf(heard -> heard < oldestMilliseconds);
         mLeavingHeardAtMilliseconds.values().removeIf(heard -> heard < oldestMilliseconds);
+        if (isChangeCommitted()) {
+            stopServingUnknownMembers();
+        }
+    }
+
+    /** A removal that cannot be saved is undone, so that its member has to be served until then. */
+    private void stopServingUnknownMembers() {
         for (MemberId member : List.copyOf(mLeaderReplication.progress().keySet())) {
             boolean isKnown =
                     mState.mLog.membership().contains(member)
--- a/agreement/src/test/java/org/skylarkbend/agreement/LeaderOfGroup.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/LeaderOfGroup.java
@@ -8,10 +8,13 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.stream.IntStream;
+import org.skylarkbend.agreement.AgreementEffect.CheckDisk;
 import org.skylarkbend.agreement.AgreementEffect.LossMarginChanged;
 import org.skylarkbend.agreement.AgreementEffect.MembershipChanged;
 import org.skylarkbend.agreement.AgreementEffect.Persist;
 import org.skylarkbend.agreement.AgreementEffect.Send;
+import org.skylarkbend.agreement.AgreementInput.DiskChecked;
+import org.skylarkbend.agreement.AgreementInput.PersistFailed;
 import org.skylarkbend.agreement.AgreementInput.Persisted;
 import org.skylarkbend.agreement.AgreementInput.Received;
 import org.skylarkbend.agreement.AgreementInput.Tick;
@@ -21,7 +24,9 @@
 import org.skylarkbend.agreement.AgreementMessage.LeaveRequest;
 import org.skylarkbend.agreement.AgreementMessage.PreVoteResponse;
 import org.skylarkbend.agreement.AgreementMessage.VoteResponse;
+import org.skylarkbend.base.ErrorKind;
 import org.skylarkbend.base.ObjectName;
+import org.skylarkbend.base.SkylarkError;
 
 /** The leader of a group, number 1, whose other members respond at once unless they are silent. */
 final class LeaderOfGroup {
@@ -37,6 +42,8 @@
     private final Set<MemberId> mJoining = new TreeSet<>();
     private final List<Membership> mMemberships = new ArrayList<>();
     private final List<AgreementEffect> mEffects = new ArrayList<>();
+    private boolean mHoldsWrites;
+    private long mHeldWrite;
     private long mNowMilliseconds = 2 * OPTIONS.electionMaxMilliseconds();
 
     /** Elects the leader of a group that is not told how many losses it has to tolerate. */
@@ -149,6 +156,18 @@
         mJoining.add(member(number));
     }
 
+    /** Keeps the leader's writes from ending from now on. */
+    void holdWrites() {
+        mHoldsWrites = true;
+    }
+
+    /** Lets the writes that were held fail, and later ones succeed. */
+    void failHeldWrites() {
+        mHoldsWrites = false;
+        SkylarkError noSpace = new SkylarkError(ErrorKind.STORAGE_FAILED, "no space");
+        decide(new PersistFailed(mHeldWrite, noSpace));
+    }
+
     void runFor(long milliseconds) {
         long endMilliseconds = mNowMilliseconds + milliseconds;
         while (mNowMilliseconds < endMilliseconds) {
@@ -168,7 +187,12 @@
             for (AgreementEffect effect : mDecider.decide(inputs.poll(), mNowMilliseconds)) {
                 mEffects.add(effect);
                 if (effect instanceof Persist persist) {
-                    inputs.add(new Persisted(persist.number()));
+                    mHeldWrite = persist.number();
+                    if (!mHoldsWrites) {
+                        inputs.add(new Persisted(persist.number()));
+                    }
+                } else if (effect instanceof CheckDisk) {
+                    inputs.add(new DiskChecked(true));
                 } else if (effect instanceof MembershipChanged changed) {
                     mMemberships.add(changed.current());
                 } else if (effect instanceof Send send
--- a/agreement/src/test/java/org/skylarkbend/agreement/MembershipChangesTest.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/MembershipChangesTest.java
@@ -80,6 +80,25 @@
         assertThat(group.voters()).doesNotContain(LeaderOfGroup.member(5));
     }
 
+    /** Guards against a voter that counts but is never served, as its removal was not saved. */
+    @Test
+    public void aVoterWhoseRemovalWasNotSavedIsServedAgain() {
+        LeaderOfGroup group = new LeaderOfGroup(5);
+        group.leave(5);
+        group.join(6);
+        group.holdWrites();
+        group.runFor(2 * ONE_HEARTBEAT_MILLISECONDS);
+        assertThat(group.voters()).doesNotContain(LeaderOfGroup.member(5));
+        group.silence(6);
+        group.runFor(ELECTION_MILLISECONDS + ONE_HEARTBEAT_MILLISECONDS);
+        group.failHeldWrites();
+        assertThat(group.voters()).contains(LeaderOfGroup.member(5));
+        int sent = group.sentTo(5).size();
+        group.runFor(4 * ELECTION_MILLISECONDS);
+        assertThat(group.decider().role()).isEqualTo(MemberRole.LEADER);
+        assertThat(group.sentTo(5)).hasSizeGreaterThan(sent + 10);
+    }
+
     /** Guards against a member that was stopped as planned and counts until it is noticed. */
     @Test
     public void aMemberThatIsNotNeededIsRemovedAtOnceWhenItLeavesAndToldSo() {
