--- a/gateway/src/test/java/org/skylarkbend/gateway/front/SilentStreamTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/front/SilentStreamTest.java
@@ -26,6 +26,10 @@
     private static final Route ROUTE = Routes.of(CallKind.STREAM, 3, true);
     private static final long[] SILENCES_MILLISECONDS = {900, 1_300, 1_800, 2_500};
     private static final int STREAMS_OF_A_SILENCE = 4;
+
+    /** Longer than the time for which two endpoints may work on a stream. */
+    private static final long LATE_REFUSAL_MILLISECONDS = 350;
+
     private static final long LONG_SILENCE_MILLISECONDS = 2_500;
 
     /** Silence of an endpoint that goes on while its successor is being asked. */
@@ -61,6 +65,19 @@
         }
     }
 
+    /** Guards against a sound stream that is ended before its successor has refused it. */
+    @Test
+    public void aSoundStreamThatWasSilentArrivesWholeBesideOneThatRefusesLate() throws Exception {
+        Consumer<HttpServerRequest> refusing = FakeEndpoint.refusing();
+        FakeEndpoint other =
+                listen(
+                        "other",
+                        request ->
+                                mVertx.setTimer(
+                                        LATE_REFUSAL_MILLISECONDS, id -> refusing.accept(request)));
+        assertAllArriveWholeBeside(other.listed());
+    }
+
     /** Guards against a sound stream that is ended before its successor has a connection. */
     @Test
     public void aSoundStreamThatWasSilentArrivesWholeBesideOneThatRefusesConnections()
