Keep clients that open connections referenced

Cause: Vert.x shuts down a client that is no longer referenced, with 30 s for its connections, and Vertx.close waits for that shutdown. PressureTask opened its idle connections with a local client, so a garbage collection began to end the connections a run is about.

Ruled out: load, and an event loop that does not end. With System.gc() before each close, closing took 29,856 ms in FrameConnectionTest after the test of the paused peer and 15 to 47 ms after the other five. The others have peers in the same Vertx instance, which close the connections first. Without the call, 32 runs of the class beside load showed nothing.

Before: aGarbageCollectionDoesNotEndTheIdleConnections fails after 31 s. After: it passes; clients are fields of the task and of the tests.

--- a/standin/src/main/java/org/skylarkbend/standin/pressure/PressureTask.java
+++ b/standin/src/main/java/org/skylarkbend/standin/pressure/PressureTask.java
@@ -32,6 +32,10 @@
     private final PressureReport mReport = new PressureReport();
     private final Promise<PressureReport> mDone = Promise.promise();
     private HttpClient mClient;
+
+    /** Kept for the run, as Vert.x shuts down clients that are no longer referenced. */
+    private NetClient mIdleClient;
+
     private boolean mEnded;
 
     /** Creates a task for one run. */
@@ -66,9 +70,10 @@
 
     private void openIdleConnections() {
         URI target = URI.create(mPlan.url());
-        NetClient client = vertx.createNetClient();
+        mIdleClient = vertx.createNetClient();
         for (int i = 0; i < mPlan.idleConnections(); i++) {
-            client.connect(target.getPort(), target.getHost())
+            mIdleClient
+                    .connect(target.getPort(), target.getHost())
                     .onSuccess(socket -> mReport.answered("idle", 0))
                     .onFailure(e -> mReport.failed("idle"));
         }
--- a/standin/src/test/java/org/skylarkbend/standin/pressure/PressureTaskTest.java
+++ b/standin/src/test/java/org/skylarkbend/standin/pressure/PressureTaskTest.java
@@ -17,6 +17,12 @@
     private static final long LIMIT_SECONDS = 60;
     private static final int LONG_BYTES = 10_000;
 
+    /** Time in which collected clients begin their shutdown. */
+    private static final long COLLECTION_MILLISECONDS = 500;
+
+    /** Less than the 30 s that Vert.x gives the connections of a collected client. */
+    private static final long SHUTDOWN_SECONDS = 15;
+
     private Vertx mVertx;
     private HttpServer mServer;
 
@@ -69,6 +75,33 @@
         assertThat(report.table(3, "1 kB")).contains("100.0%").contains("peak memory: 1 kB");
     }
 
+    /** Guards against idle connections that are shut down with a client that nothing refers to. */
+    @Test
+    public void aGarbageCollectionDoesNotEndTheIdleConnections() throws Exception {
+        PressureTask task =
+                new PressureTask(
+                        new PressurePlan(
+                                "http://127.0.0.1:" + mServer.actualPort() + "/x",
+                                Map.of("Host", "site.example"),
+                                "Id",
+                                0,
+                                0,
+                                LONG_BYTES,
+                                0,
+                                5,
+                                1));
+        Vertx callers = Vertx.vertx();
+        await(callers.deployVerticle(task));
+        await(task.completion());
+        System.gc();
+        Thread.sleep(COLLECTION_MILLISECONDS);
+        long beganNanoseconds = System.nanoTime();
+        await(callers.close());
+        assertThat(TimeUnit.NANOSECONDS.toSeconds(System.nanoTime() - beganNanoseconds))
+                .as("seconds for which a client that is being shut down was waited for")
+                .isLessThan(SHUTDOWN_SECONDS);
+    }
+
     private static <T> T await(Future<T> future) throws Exception {
         return future.toCompletionStage()
                 .toCompletableFuture()
--- a/wire/src/test/java/org/skylarkbend/wire/FrameConnectionTest.java
+++ b/wire/src/test/java/org/skylarkbend/wire/FrameConnectionTest.java
@@ -7,6 +7,7 @@
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetSocket;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -36,6 +37,11 @@
                     MAX_PAYLOAD_BYTES, MAX_UNSENT_BYTES, 20, 200, 1_000, 1_000, Optional.empty());
 
     private Vertx mVertx;
+
+    /** Kept by the test: Vert.x shuts down clients that are no longer referenced. */
+    private NetClient mRawClient;
+
+    private FrameDialer<String> mDialer;
     private FrameListener<String> mListener;
     private Promise<String> mReceived;
     private Promise<Void> mClosed;
@@ -46,6 +52,8 @@
     @BeforeMethod
     public void listen() throws Exception {
         mVertx = Vertx.vertx();
+        mRawClient = mVertx.createNetClient();
+        mDialer = new FrameDialer<>(mVertx, codec(), OPTIONS, MillisecondClock.monotonic());
         mReceived = Promise.promise();
         mClosed = Promise.promise();
         mAccepted = Promise.promise();
@@ -59,9 +67,7 @@
 
     @Test
     public void aMessageIsReceivedByThePeer() throws Exception {
-        FrameDialer<String> dialer =
-                new FrameDialer<>(mVertx, codec(), OPTIONS, MillisecondClock.monotonic());
-        await(dialer.dial(HOST, mPort)).send("hello");
+        await(mDialer.dial(HOST, mPort)).send("hello");
         assertThat(await(mReceived.future())).isEqualTo("hello");
     }
 
@@ -142,7 +148,7 @@
     }
 
     private Future<NetSocket> rawSocket() {
-        return mVertx.createNetClient().connect(mPort, HOST);
+        return mRawClient.connect(mPort, HOST);
     }
 
     private static MessageCodec<String> codec() {
--- a/wire/src/test/java/org/skylarkbend/wire/TlsConnectionTest.java
+++ b/wire/src/test/java/org/skylarkbend/wire/TlsConnectionTest.java
@@ -9,6 +9,8 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -28,6 +30,10 @@
     private static final int MAX_ATTEMPTS = 500;
 
     private Vertx mVertx;
+
+    /** Kept by the test: Vert.x shuts down clients that are no longer referenced. */
+    private final List<FrameDialer<String>> mDialers = new ArrayList<>();
+
     private Path mFolder;
     private TestAuthority mAuthority;
     private Promise<String> mReceived;
@@ -54,6 +60,7 @@
     @AfterMethod
     public void close() throws Exception {
         await(mVertx.close());
+        mDialers.clear();
     }
 
     @Test
@@ -103,8 +110,7 @@
                 yaml,
                 root -> {
                     boolean plainTcp = root.booleanOr("plain_tcp", false);
-                    TlsFiles.checkPlainTcp(
-                            root, java.util.List.of(host), TlsFiles.read(root), plainTcp);
+                    TlsFiles.checkPlainTcp(root, List.of(host), TlsFiles.read(root), plainTcp);
                     return plainTcp;
                 });
     }
@@ -126,6 +132,7 @@
         FrameDialer<String> dialer =
                 new FrameDialer<>(
                         mVertx, new TextCodec(), options(files), MillisecondClock.monotonic());
+        mDialers.add(dialer);
         await(
                 dialer.dial(HOST, mPort)
                         .onSuccess(
