Drop the endpoint list of a leadership that has ended

A control VM that leads again sent each gateway, with its first lease, the endpoint list of its earlier leadership, so that calls went to endpoints that had left meanwhile until the next poll of the list. If the list was the same as the last one it had announced, gateways got no list from it at all; otherwise they got a difference with a number of another leader, and closed their connection.

Cause: the feed retains one message for each slice, whoever knows it. That is right for replicated state. The endpoint list is known to the leader only, and nobody replaces it while another member leads.

Messages that only the leader knows are retained apart: they are dropped with the leadership. The task that reads the list announces a whole list first when it begins to lead, and ignores a response to a read of an earlier leadership. The feed hears of the leadership before that task does.

Before: FeedDeciderTest 2 of the new tests fail, EndpointsTaskTest both (the list of the former leadership is announced; no second announcement in 30 s). After: FeedDeciderTest and EndpointsTaskTest pass.

--- a/control/src/main/java/org/skylarkbend/control/feed/FeedDecider.java
+++ b/control/src/main/java/org/skylarkbend/control/feed/FeedDecider.java
@@ -17,6 +17,7 @@
 import org.skylarkbend.control.feed.FeedEffect.Send;
 import org.skylarkbend.control.feed.FeedInput.ConfirmationEnded;
 import org.skylarkbend.control.feed.FeedInput.ConnectionEnded;
+import org.skylarkbend.control.feed.FeedInput.LeaderMessageChanged;
 import org.skylarkbend.control.feed.FeedInput.LeadershipChanged;
 import org.skylarkbend.control.feed.FeedInput.MessageForRouter;
 import org.skylarkbend.control.feed.FeedInput.RetainedMessageChanged;
@@ -47,6 +48,7 @@
     private final Map<Long, RouterHello> mConnections = new TreeMap<>();
     private final Map<RouterKey, RouterRecord> mRouters = new TreeMap<>();
     private final Map<String, SliceMessage> mRetainedMessages = new TreeMap<>();
+    private final Set<String> mLeaderSlices = new TreeSet<>();
     private final Set<Long> mLeasedConnections = new TreeSet<>();
     private final Map<Long, Long> mSentRevisions = new TreeMap<>();
     private List<Heartbeat> mPendingHeartbeats = new ArrayList<>();
@@ -78,7 +80,9 @@
         } else if (input instanceof ConfirmationEnded ended) {
             confirmationEnded(effects, ended, nowMilliseconds);
         } else if (input instanceof RetainedMessageChanged changed) {
-            retainedMessageChanged(effects, changed);
+            retain(effects, changed.message(), changed.update());
+        } else if (input instanceof LeaderMessageChanged changed) {
+            leaderMessageChanged(effects, changed);
         } else if (input instanceof MessageForRouter message) {
             sendTo(effects, message);
         } else if (input instanceof RevisionCommitted committed) {
@@ -199,10 +203,17 @@
                 .ifPresent(c -> effects.add(new Send(c, message.message())));
     }
 
-    private void retainedMessageChanged(List<FeedEffect> effects, RetainedMessageChanged changed) {
-        mRetainedMessages.put(changed.message().slice(), changed.message());
+    private void leaderMessageChanged(List<FeedEffect> effects, LeaderMessageChanged changed) {
         if (mLeads) {
-            mLeasedConnections.forEach(c -> effects.add(new Send(c, changed.update())));
+            mLeaderSlices.add(changed.message().slice());
+            retain(effects, changed.message(), changed.update());
+        }
+    }
+
+    private void retain(List<FeedEffect> effects, SliceMessage message, SliceMessage update) {
+        mRetainedMessages.put(message.slice(), message);
+        if (mLeads) {
+            mLeasedConnections.forEach(c -> effects.add(new Send(c, update)));
         }
     }
 
@@ -247,6 +258,8 @@
             return;
         }
         mLeads = changed.leads();
+        mRetainedMessages.keySet().removeAll(mLeaderSlices);
+        mLeaderSlices.clear();
         if (mLeads) {
             mRouters.clear();
             mLeasedConnections.clear();
--- a/control/src/main/java/org/skylarkbend/control/feed/FeedInput.java
+++ b/control/src/main/java/org/skylarkbend/control/feed/FeedInput.java
@@ -39,6 +39,12 @@
         }
     }
 
+    /**
+     * As {@link RetainedMessageChanged}, for a message that only the leader knows. It is dropped
+     * when the leadership of this member ends.
+     */
+    record LeaderMessageChanged(SliceMessage message, SliceMessage update) implements FeedInput {}
+
     /** The owner of a slice has a message for a router. */
     record MessageForRouter(ObjectName vm, long incarnation, SliceMessage message)
             implements FeedInput {}
--- a/control/src/main/java/org/skylarkbend/control/site/EndpointsTask.java
+++ b/control/src/main/java/org/skylarkbend/control/site/EndpointsTask.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.BiConsumer;
 import org.skylarkbend.base.MillisecondClock;
 import org.skylarkbend.base.Result;
@@ -57,11 +58,11 @@
     private final WeightsDecider mWeights;
     private final MillisecondClock mClock;
     private final MillisecondClock mWall;
-    private final BiConsumer<Endpoints, Endpoints> mOnChange;
+    private final BiConsumer<Optional<Endpoints>, Endpoints> mOnChange;
     private final Map<String, Endpoint> mEndpoints = new HashMap<>();
     private Context mContext;
     private Leadership mLeadership = Leadership.unknown();
-    private Endpoints mLastNotified = Endpoints.none();
+    private Optional<Endpoints> mLastNotified = Optional.empty();
     private long mLastNotifiedMilliseconds = Long.MIN_VALUE / 2;
     private boolean mNotifyScheduled;
     private boolean mListKnown;
@@ -77,7 +78,7 @@
      * @param clock a monotonic clock
      * @param wall the clock for the timestamps of log entries
      * @param onChange called on the context of the task with the previous and the new endpoint data
-     *     for gateways
+     *     for gateways; without the previous data when this member has begun to lead
      */
     public EndpointsTask(
             EndpointSource source,
@@ -86,7 +87,7 @@
             WeightsDecider weights,
             MillisecondClock clock,
             MillisecondClock wall,
-            BiConsumer<Endpoints, Endpoints> onChange) {
+            BiConsumer<Optional<Endpoints>, Endpoints> onChange) {
         mSource = source;
         mCommands = commands;
         mLog = log;
@@ -131,6 +132,7 @@
         mLeadership = leadership;
         if (!continues) {
             mListKnown = false;
+            mLastNotified = Optional.empty();
             decide(leadership.leads() ? new CommandTaken(leadership.term()) : new CommandLost());
             list();
         }
@@ -146,12 +148,15 @@
         if (!mLeadership.leads() || mListInFlight) {
             return;
         }
+        Leadership leadership = mLeadership;
         mListInFlight = true;
         mSource.list()
                 .onComplete(
                         done -> {
                             mListInFlight = false;
-                            if (done.succeeded()) {
+                            if (!mLeadership.continues(leadership)) {
+                                list();
+                            } else if (done.succeeded()) {
                                 listReceived(done.result());
                             }
                         });
@@ -210,13 +215,16 @@
     }
 
     private void notifyGatewaysNow() {
+        if (!mListKnown) {
+            return;
+        }
         List<Endpoint> known = mEndpoints.values().stream().map(this::withReportedWeights).toList();
         List<Endpoint> sorted = new ArrayList<>(known);
         sorted.sort(java.util.Comparator.comparing(Endpoint::incarnation));
         Endpoints now = new Endpoints(sorted, mWeights.loading());
-        if (!now.equals(mLastNotified)) {
-            Endpoints previous = mLastNotified;
-            mLastNotified = now;
+        if (!mLastNotified.equals(Optional.of(now))) {
+            Optional<Endpoints> previous = mLastNotified;
+            mLastNotified = Optional.of(now);
             mLastNotifiedMilliseconds = mClock.nowMilliseconds();
             mOnChange.accept(previous, now);
         }
--- a/control/src/main/java/org/skylarkbend/control/site/SiteControlProcess.java
+++ b/control/src/main/java/org/skylarkbend/control/site/SiteControlProcess.java
@@ -38,6 +38,7 @@
 import org.skylarkbend.control.feed.FeedDecider;
 import org.skylarkbend.control.feed.FeedEffect.Forward;
 import org.skylarkbend.control.feed.FeedEffect.ReportConnected;
+import org.skylarkbend.control.feed.FeedInput.LeaderMessageChanged;
 import org.skylarkbend.control.feed.FeedInput.LeadershipChanged;
 import org.skylarkbend.control.feed.FeedInput.MessageForRouter;
 import org.skylarkbend.control.feed.FeedInput.RetainedMessageChanged;
@@ -360,18 +361,20 @@
     }
 
     /**
-     * Sends the difference to the gateways that are connected, and keeps the whole list for those
-     * that connect later. Called on the context of one task only.
+     * Sends the difference, or the whole list if this member has begun to lead, to the gateways
+     * that are connected, and keeps the whole list for those that connect later. Called on the
+     * context of one task only.
      */
-    private void endpointsChanged(Endpoints previous, Endpoints endpoints) {
+    private void endpointsChanged(Optional<Endpoints> previous, Endpoints endpoints) {
         mEndpointListNumber++;
         mRollouts.post(endpoints);
-        mFeed.post(
-                new RetainedMessageChanged(
-                        sliceMessage(new EndpointsListed(mEndpointListNumber, endpoints)),
-                        sliceMessage(
-                                new EndpointsChanged(
-                                        mEndpointListNumber, previous.differenceTo(endpoints)))));
+        SliceMessage whole = sliceMessage(new EndpointsListed(mEndpointListNumber, endpoints));
+        SliceMessage update =
+                previous.map(earlier -> earlier.differenceTo(endpoints))
+                        .map(difference -> new EndpointsChanged(mEndpointListNumber, difference))
+                        .map(SiteControlProcess::sliceMessage)
+                        .orElse(whole);
+        mFeed.post(new LeaderMessageChanged(whole, update));
     }
 
     /**
@@ -394,11 +397,12 @@
                 new Leadership(leads, status.term(), leader, status.leaderlessMilliseconds());
         mOperatorContext.runOnContext(ignored -> mOperators.leadershipChanged(leadership));
         mLimits.post(leadership);
-        mEndpoints.post(leadership);
+        mFeed.post(new LeadershipChanged(leads, leader.map(this::feedAddress)));
         mWork.post(leadership);
         mRollouts.post(leadership);
         mQuarantine.post(leadership);
-        mFeed.post(new LeadershipChanged(leads, leader.map(this::feedAddress)));
+        // Last, as the others would drop the list that it begins with.
+        mEndpoints.post(leadership);
     }
 
     /** Tells gateways the control VMs, so that those of a group that changes are always known. */
--- a/control/src/test/java/org/skylarkbend/control/feed/FeedDeciderTest.java
+++ b/control/src/test/java/org/skylarkbend/control/feed/FeedDeciderTest.java
@@ -209,6 +209,35 @@
                 .doesNotContain(new Send(2, update));
     }
 
+    /** Guards against gateways that get the endpoints of a former leadership of this member. */
+    @Test
+    public void whatALeaderFoundOutIsNotSentAfterItsLeadershipEnded() {
+        SliceMessage replicated = new SliceMessage("usage", new byte[] {1});
+        SliceMessage found = new SliceMessage("list", new byte[] {2});
+        decide(new FeedInput.RetainedMessageChanged(replicated));
+        decide(new FeedInput.LeaderMessageChanged(found, found));
+        decide(new LeadershipChanged(false, OTHER));
+        decide(new LeadershipChanged(true, Optional.empty()));
+        hello(1, "entry-1", 7);
+        heartbeat(1, 1, 1);
+        assertThat(decide(new ConfirmationEnded(2, true)))
+                .contains(new Send(1, replicated))
+                .doesNotContain(new Send(1, found));
+        assertThat(decide(new FeedInput.LeaderMessageChanged(found, found)))
+                .containsExactly(new Send(1, found));
+    }
+
+    @Test
+    public void whatAMemberFindsOutLateIsNotKeptAfterItsLeadershipEnded() {
+        SliceMessage found = new SliceMessage("list", new byte[] {2});
+        decide(new LeadershipChanged(false, OTHER));
+        decide(new FeedInput.LeaderMessageChanged(found, found));
+        decide(new LeadershipChanged(true, Optional.empty()));
+        hello(1, "entry-1", 7);
+        heartbeat(1, 1, 1);
+        assertThat(decide(new ConfirmationEnded(2, true))).doesNotContain(new Send(1, found));
+    }
+
     @Test
     public void messagesOfASliceThatTheLeaderOwnsGoToItAndComeBackOnTheNewestConnection() {
         hello(1, "entry-1", 7);
--- a/control/src/test/java/org/skylarkbend/control/site/EndpointsTaskTest.java
+++ b/control/src/test/java/org/skylarkbend/control/site/EndpointsTaskTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.vertx.core.Context;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
@@ -13,10 +14,13 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BooleanSupplier;
 import org.skylarkbend.base.MillisecondClock;
 import org.skylarkbend.base.Result;
 import org.skylarkbend.catalog.Endpoint;
+import org.skylarkbend.catalog.EndpointSource;
+import org.skylarkbend.catalog.Endpoints;
 import org.skylarkbend.control.log.ControlEntry;
 import org.skylarkbend.control.log.ControlLog;
 import org.skylarkbend.control.log.Leadership;
@@ -44,12 +48,17 @@
     private final LinkedBlockingQueue<Proposal> mProposals = new LinkedBlockingQueue<>();
     private final List<Load> mOrders = new CopyOnWriteArrayList<>();
     private final List<EndpointsTask> mTasks = new CopyOnWriteArrayList<>();
+    private final List<Announced> mAnnounced = new CopyOnWriteArrayList<>();
+    private final AtomicReference<EndpointSource> mSource = new AtomicReference<>();
     private final AtomicInteger mLists = new AtomicInteger();
     private Vertx mVertx;
 
     /** An entry that is not committed yet. */
     private record Proposal(ControlEntry entry, Promise<Result<byte[]>> result) {}
 
+    /** A list of endpoints as it was announced to gateways. */
+    private record Announced(Optional<Endpoints> previous, Endpoints whole) {}
+
     /** A log that commits an entry only when the test says so. */
     private final class HeldLog implements ControlLog {
         @Override
@@ -91,6 +100,8 @@
         mProposals.clear();
         mOrders.clear();
         mTasks.clear();
+        mAnnounced.clear();
+        mSource.set(() -> Future.succeededFuture(Result.success(List.of(ENGINE))));
     }
 
     @AfterMethod(alwaysRun = true)
@@ -133,19 +144,59 @@
         assertThat(mOrders).isEmpty();
     }
 
+    /** Guards against gateways that never get the list of a member that leads again. */
+    @Test
+    public void aMemberThatLeadsAgainAnnouncesTheWholeListAlthoughItIsTheSame() throws Exception {
+        EndpointsTask task = start();
+        task.post(leaderOf(1));
+        awaitUntil(() -> mAnnounced.size() == 1);
+        task.post(new Leadership(false, 2, Optional.empty(), 0));
+        task.post(leaderOf(3));
+        awaitUntil(() -> mAnnounced.size() == 2);
+        assertThat(mAnnounced).extracting(Announced::previous).containsOnly(Optional.empty());
+        assertThat(mAnnounced)
+                .extracting(Announced::whole)
+                .allMatch(mAnnounced.get(0).whole()::equals);
+    }
+
+    /** Guards against gateways that get a list that was asked for in a former leadership. */
+    @Test
+    public void aListThatWasAskedForInAFormerLeadershipIsNotAnnounced() throws Exception {
+        Promise<Result<List<Endpoint>>> late = Promise.promise();
+        AtomicReference<Context> owner = new AtomicReference<>();
+        mSource.set(
+                () -> {
+                    owner.set(mVertx.getOrCreateContext());
+                    return late.future();
+                });
+        EndpointsTask task = start();
+        task.post(leaderOf(1));
+        awaitUntil(() -> owner.get() != null);
+        task.post(new Leadership(false, 2, Optional.empty(), 0));
+        task.post(leaderOf(3));
+        mSource.set(() -> Future.succeededFuture(Result.success(List.of(ENGINE))));
+        Endpoint left =
+                new Endpoint("left", "desk", "127.0.0.1", 2, "z", "v1", 6, false, 1, Map.of());
+        owner.get().runOnContext(ignored -> late.complete(Result.success(List.of(left))));
+        awaitUntil(() -> !mAnnounced.isEmpty());
+        assertThat(mAnnounced.get(0).whole().endpoints())
+                .extracting(Endpoint::incarnation)
+                .containsExactly(ENGINE.incarnation());
+    }
+
     private EndpointsTask start() throws Exception {
         EndpointsTask task =
                 new EndpointsTask(
                         () -> {
                             mLists.incrementAndGet();
-                            return Future.succeededFuture(Result.success(List.of(ENGINE)));
+                            return mSource.get().list();
                         },
                         new RecordingEngine(),
                         new HeldLog(),
                         new WeightsDecider(TAKEOVER_MILLISECONDS, OLD_WEIGHTS_MILLISECONDS),
                         mNowMilliseconds::get,
                         MillisecondClock.wall(),
-                        (previous, now) -> {});
+                        (previous, whole) -> mAnnounced.add(new Announced(previous, whole)));
         await(mVertx.deployVerticle(task));
         task.postWeights(Map.of("m", 2L));
         mTasks.add(task);
