Judge rollouts only by endpoints read in the present leadership

A leader that had not read the list yet judged rollouts with an empty one: an overdue trial was rolled back because "no endpoint of the version is listed", and a shift at its end was completed without the versions that it retires. A member that led again judged by the endpoints of its earlier leadership.

Cause: an unread list and an empty one were the same value.

The list is optional now, and forgotten with the leadership. Without it a rollout keeps its share, and only evidence that the version is worse ends it.

Before: both tests of RolloutTaskTest fail with the wrong reason. After: RolloutTaskTest, RolloutJudgeTest, RolloutStateTest and SiteControlProcessTest pass.

--- a/control/src/main/java/org/skylarkbend/control/rollout/RolloutTask.java
+++ b/control/src/main/java/org/skylarkbend/control/rollout/RolloutTask.java
@@ -8,6 +8,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 import org.skylarkbend.base.MillisecondClock;
@@ -65,7 +66,10 @@
     private Context mContext;
     private Leadership mLeadership = Leadership.unknown();
     private RolloutState mState = RolloutState.empty();
-    private Endpoints mEndpoints = Endpoints.none();
+
+    /** The endpoints that this member has read since it leads. */
+    private Optional<Endpoints> mEndpoints = Optional.empty();
+
     private Map<String, EndpointWork> mWork = Map.of();
     private long mWorkMilliseconds = Long.MIN_VALUE / 2;
     private CallSplits mLastSplits = new CallSplits(List.of());
@@ -124,7 +128,14 @@
 
     /** Notifies the task of a change of the listed endpoints. */
     public void post(Endpoints endpoints) {
-        mContext.runOnContext(ignored -> mEndpoints = endpoints);
+        mContext.runOnContext(
+                ignored -> {
+                    boolean isFirst = mEndpoints.isEmpty();
+                    mEndpoints = Optional.of(endpoints);
+                    if (isFirst) {
+                        decide();
+                    }
+                });
     }
 
     /** Passes the work that all gateways together have in flight, by endpoint. */
@@ -163,6 +174,7 @@
         if (!continues) {
             mJudges.clear();
             mProposed.clear();
+            mEndpoints = Optional.empty();
             decide();
         }
     }
@@ -229,9 +241,16 @@
             judged = new Judged(newJudge(rollout, nowMilliseconds), 0);
         }
         judged.judge().update(rollout, nowMilliseconds);
-        RolloutDecision decision = judged.judge().decide(fleetOf(rollout), nowMilliseconds);
-        mJudges.put(rollout.service(), new Judged(judged.judge(), decision.share()));
-        decision.advance().ifPresent(this::propose);
+        RolloutJudge judge = judged.judge();
+        Optional<RolloutDecision> decision =
+                mEndpoints
+                        .map(
+                                endpoints ->
+                                        judge.decide(fleetOf(rollout, endpoints), nowMilliseconds))
+                        .or(() -> judge.decideWithoutFleet(nowMilliseconds));
+        double share = decision.map(RolloutDecision::share).orElseGet(() -> lastShareOf(rollout));
+        mJudges.put(rollout.service(), new Judged(judge, share));
+        decision.flatMap(RolloutDecision::advance).ifPresent(this::propose);
     }
 
     private RolloutJudge newJudge(Rollout rollout, long nowMilliseconds) {
@@ -241,11 +260,11 @@
                 rollout, mExposure, knowsAllCalls, orderedMilliseconds, nowMilliseconds);
     }
 
-    private RolloutFleet fleetOf(Rollout rollout) {
+    private RolloutFleet fleetOf(Rollout rollout, Endpoints endpoints) {
         boolean listsVersion = false;
         Set<String> otherVersions = new HashSet<>();
         long callsAtOthers = 0;
-        for (Endpoint endpoint : mEndpoints.endpoints()) {
+        for (Endpoint endpoint : endpoints.endpoints()) {
             if (!endpoint.service().equals(rollout.service())) {
                 continue;
             }
@@ -313,13 +332,17 @@
         }
         Judged judged = mJudges.get(rollout.service());
         double share = judged == null ? 0 : judged.share();
+        double last = lastShareOf(rollout);
+        boolean isSmallChange = last > 0 && share > 0 && Math.abs(last - share) < MIN_SHARE_CHANGE;
+        return isSmallChange ? last : share;
+    }
+
+    private double lastShareOf(Rollout rollout) {
         return mLastSplits.splits().stream()
                 .filter(split -> split.service().equals(rollout.service()))
                 .filter(split -> split.version().equals(rollout.version()))
-                .map(VersionSplit::share)
-                .filter(last -> last > 0 && share > 0)
-                .filter(last -> Math.abs(last - share) < MIN_SHARE_CHANGE)
+                .mapToDouble(VersionSplit::share)
                 .findFirst()
-                .orElse(share);
+                .orElse(0);
     }
 }
--- a/moves/src/main/java/org/skylarkbend/moves/rollout/RolloutJudge.java
+++ b/moves/src/main/java/org/skylarkbend/moves/rollout/RolloutJudge.java
@@ -147,20 +147,28 @@
 
     /** Returns what to do now. */
     public RolloutDecision decide(RolloutFleet fleet, long nowMilliseconds) {
+        return decideWithoutFleet(nowMilliseconds)
+                .orElseGet(
+                        () ->
+                                mRollout.phase() == RolloutPhase.TRIAL
+                                        ? trial(fleet, nowMilliseconds)
+                                        : shift(fleet, nowMilliseconds));
+    }
+
+    /**
+     * Returns the rollback of a version that is worse, the one decision that needs no endpoints.
+     */
+    public Optional<RolloutDecision> decideWithoutFleet(long nowMilliseconds) {
         endWindow(nowMilliseconds);
         updateRate(nowMilliseconds);
         if (mHeard) {
             mHeard = false;
             mHeardMilliseconds = nowMilliseconds;
         }
-        Optional<String> rollbackReason =
-                evidence().flatMap(evidence -> evidence.rollbackReason().stream()).findFirst();
-        if (rollbackReason.isPresent()) {
-            return rollback(rollbackReason.get());
-        }
-        return mRollout.phase() == RolloutPhase.TRIAL
-                ? trial(fleet, nowMilliseconds)
-                : shift(fleet, nowMilliseconds);
+        return evidence()
+                .flatMap(evidence -> evidence.rollbackReason().stream())
+                .findFirst()
+                .map(this::rollback);
     }
 
     /** Returns the strongest evidence against the version over all routes, for the log. */
