Ignore a list of endpoints that was asked for before control came back

A gateway that had not heard from control for 1.6 s asked the platform for the endpoints. If control came back before the response, the late list replaced the newer one of control, without the endpoints that were loading weights, and stayed in force until control sent its next difference. That difference was computed for a list other than the one in force.

Cause: the task put each response of the platform in force, and kept the list that differences apply to apart from it.

EndpointLists now decides which list is in force. A direct read is outdated once control has been reached or a later read has ended. Differences apply to the list of control on the present connection only, and that list is in force again as soon as control is reached. A closed connection forgets it, since the next one begins with the whole list; a difference with a number that fits by chance is no longer applied to the list of another leader.

Before: DirectListTest fails (the lists in force were control's, the outdated one, control's). After: DirectListTest, EndpointListsTest and the other tests of the link pass, 16 of 16.

Ruled out: another result of the next difference. It was applied to control's own list before as well, so that only the time until then was affected.

--- a/gateway/src/main/java/org/skylarkbend/gateway/link/SiteLinkTask.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/link/SiteLinkTask.java
@@ -5,7 +5,6 @@
 import io.vertx.core.VerticleBase;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import java.util.Set;
 import org.skylarkbend.base.MillisecondClock;
 import org.skylarkbend.base.Result;
 import org.skylarkbend.base.StructuredLog;
@@ -13,7 +12,6 @@
 import org.skylarkbend.catalog.CatalogReader;
 import org.skylarkbend.catalog.Endpoint;
 import org.skylarkbend.catalog.EndpointSource;
-import org.skylarkbend.catalog.Endpoints;
 import org.skylarkbend.catalog.SiteCodec;
 import org.skylarkbend.catalog.SiteMessage;
 import org.skylarkbend.catalog.SiteMessage.CallSplits;
@@ -63,11 +61,10 @@
     private final MillisecondClock mClock;
     private final LimitCodec mLimitCodec = new LimitCodec();
     private final SiteCodec mSiteCodec = new SiteCodec();
+    private final EndpointLists mEndpointLists = new EndpointLists();
     private volatile Context mContext;
     private FrameDialer<FeedMessage> mDialer;
     private FrameConnection<FeedMessage> mConnection;
-    private Endpoints mListedEndpoints = Endpoints.none();
-    private long mEndpointListNumber;
     private long mConfirmedMilliseconds;
     private boolean mControlReachable;
     private boolean mStopped;
@@ -186,6 +183,7 @@
             mControlReachable = true;
             LOG.info("link.control.reached");
         }
+        mEndpointLists.controlReached().ifPresent(mListener::endpointsChanged);
     }
 
     /**
@@ -230,7 +228,7 @@
         if (message instanceof ControlVms vms) {
             handle(new SiteLinkMessage.ControlVmsListed(vms.addresses()));
         } else if (message instanceof EndpointsListed listed) {
-            endpointsListed(listed.number(), listed.endpoints());
+            mListener.endpointsChanged(mEndpointLists.listed(listed));
         } else if (message instanceof EndpointsChanged changed) {
             endpointsChanged(changed);
         } else if (message instanceof CallSplits splits) {
@@ -242,28 +240,27 @@
         }
     }
 
-    private void endpointsListed(long number, Endpoints endpoints) {
-        mEndpointListNumber = number;
-        mListedEndpoints = endpoints;
-        mListener.endpointsChanged(endpoints);
-    }
-
     /**
      * Applies a change of the list of endpoints. If the list before it is not known here, the
      * connection is closed, because a new connection begins with the whole list.
      */
     private void endpointsChanged(EndpointsChanged changed) {
-        if (changed.number() == mEndpointListNumber + 1) {
-            endpointsListed(changed.number(), mListedEndpoints.after(changed.difference()));
-        } else {
-            LOG.warn(
-                    "link.endpoints.gap",
-                    "known_number",
-                    mEndpointListNumber,
-                    "received_number",
-                    changed.number());
-            apply(new SiteLinkEffect.Close("a change of the list of endpoints was missed"));
-        }
+        long knownNumber = mEndpointLists.number();
+        mEndpointLists
+                .changed(changed)
+                .ifPresentOrElse(
+                        mListener::endpointsChanged,
+                        () -> changeMissed(knownNumber, changed.number()));
+    }
+
+    private void changeMissed(long knownNumber, long receivedNumber) {
+        LOG.warn(
+                "link.endpoints.gap",
+                "known_number",
+                knownNumber,
+                "received_number",
+                receivedNumber);
+        apply(new SiteLinkEffect.Close("a change of the list of endpoints was missed"));
     }
 
     private static void logMalformed(SliceMessage message, String detail) {
@@ -279,17 +276,20 @@
             mControlReachable = false;
             LOG.warn("link.control.lost", "silent_milliseconds", silentMilliseconds);
         }
+        long read = mEndpointLists.directReadStarted();
         mEndpoints
                 .list()
                 .onSuccess(
                         result ->
                                 result.match(
-                                        this::listed,
+                                        endpoints -> listed(read, endpoints),
                                         error -> LOG.warn("link.list", "detail", error.detail())));
     }
 
-    private void listed(List<Endpoint> endpoints) {
-        mListener.endpointsChanged(new Endpoints(endpoints, Set.of()));
+    private void listed(long read, List<Endpoint> endpoints) {
+        mEndpointLists
+                .readDirectly(read, endpoints)
+                .ifPresentOrElse(mListener::endpointsChanged, () -> LOG.info("link.list.outdated"));
     }
 
     private void dial(SiteLinkEffect.Dial dial) {
@@ -315,6 +315,7 @@
         connection.onClose(
                 () -> {
                     mConnection = null;
+                    mEndpointLists.disconnected();
                     handle(new SiteLinkMessage.Disconnected());
                 });
         handle(new SiteLinkMessage.Connected());
