Let a member that is about to end stand for election last

What callers saw: if the leader was lost while another control VM was being stopped, the one being stopped could be elected. It ended as soon as it knew that it was needed or removed, so that changes and confirmations waited for a second election.

Cause: elections did not ask whether the member leaves.

A member that leaves now waits for the maximum election timeout longer than the others, and gives up a pre-vote that it has begun. It still stands if nobody else is elected by then, since it may be the only one with the newest entries. A candidate goes on: its votes are cast, and a new election would take as long.

Before: LeavingMemberTest 2 of 3 fail. After: 3 of 3 and MembershipChangesTest 16 of 16 pass.

Ruled out: a leader that leaves names its successor. Leases rely on members not voting earlier than the election timeout after they heard from a leader.

--- a/agreement/src/main/java/org/skylarkbend/agreement/Departure.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/Departure.java
@@ -17,9 +17,9 @@
         mMembershipChanges = membershipChanges;
     }
 
-    /** Begins to leave. From now on the member does not announce itself. */
+    /** Begins to leave. From now on the member does not announce itself and stands last. */
     void begin() {
-        mState.mIsLeaving = true;
+        mState.beginToLeave();
     }
 
     /** Asks the leader for the removal of this member, or decides about it as the leader. */
--- a/agreement/src/main/java/org/skylarkbend/agreement/MemberState.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/MemberState.java
@@ -110,6 +110,7 @@
         long minMilliseconds = mOptions.electionMinMilliseconds() / FIRST_PRE_VOTE_DIVISOR;
         mElectionDeadlineMilliseconds =
                 nowMilliseconds + minMilliseconds + mRandomBelow.applyAsLong(2 * minMilliseconds);
+        letOthersStandFirstIfLeaving();
     }
 
     /** Starts a new election timeout with a random duration. */
@@ -120,6 +121,24 @@
                 nowMilliseconds
                         + mOptions.electionMinMilliseconds()
                         + mRandomBelow.applyAsLong(rangeMilliseconds);
+        letOthersStandFirstIfLeaving();
+    }
+
+    /** Begins to leave. The member stands last from now on, since it would not lead for long. */
+    void beginToLeave() {
+        if (!mIsLeaving) {
+            mIsLeaving = true;
+            letOthersStandFirst();
+        }
+        if (mRole == MemberRole.PRE_CANDIDATE) {
+            mRole = MemberRole.FOLLOWER;
+        }
+    }
+
+    private void letOthersStandFirstIfLeaving() {
+        if (mIsLeaving) {
+            letOthersStandFirst();
+        }
     }
 
     /** Extends the election timeout, so that a member that cannot lead stands last. */
