Leave out requests behind a refused body in every strict server

Each task that creates such a server had to wrap its own request handler, and one that forgot would pass on requests whose response is cut. RequestDecoder creates the server and now takes the handler.

--- a/control/src/main/java/org/skylarkbend/control/operator/OperatorTask.java
+++ b/control/src/main/java/org/skylarkbend/control/operator/OperatorTask.java
@@ -97,8 +97,7 @@
                         .setIdleTimeoutUnit(TimeUnit.MILLISECONDS);
         RequestDecoder.Limits limits =
                 RequestDecoder.Limits.ofIdleMilliseconds(mParts.idleMilliseconds());
-        mServer = RequestDecoder.createServer(vertx, options, connection -> limits);
-        mServer.requestHandler(RefusedBody.leavingOut(this::handle));
+        mServer = RequestDecoder.createServer(vertx, options, connection -> limits, this::handle);
         mServer.invalidRequestHandler(this::handleInvalid);
         return mServer.listen(mParts.port(), mParts.settings().self().host());
     }
--- a/gateway/src/main/java/org/skylarkbend/gateway/front/GatewayTask.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/front/GatewayTask.java
@@ -176,8 +176,8 @@
         mStoreProbe = new StoreProbe(vertx, mSelector, mClock);
         vertx.setPeriodic(PROBE_INTERVAL_MILLISECONDS, id -> check(probes));
         scheduleWorkReport();
-        mServer = RequestDecoder.createServer(vertx, serverOptions(), this::connected);
-        mServer.requestHandler(RefusedBody.leavingOut(this::receive));
+        mServer =
+                RequestDecoder.createServer(vertx, serverOptions(), this::connected, this::receive);
         return mServer.listen(mSettings.callers().port(), mSettings.callers().host());
     }
 
--- a/router/src/main/java/org/skylarkbend/router/front/HttpFrontTask.java
+++ b/router/src/main/java/org/skylarkbend/router/front/HttpFrontTask.java
@@ -110,9 +110,8 @@
                         .setHandle100ContinueAutomatically(true)
                         .setMaxInitialLineLength(bounds.maxHeaderBytes())
                         .setMaxHeaderSize(bounds.maxHeaderBytes());
-        mServer = RequestDecoder.createServer(vertx, options, this::connected);
+        mServer = RequestDecoder.createServer(vertx, options, this::connected, this::handleRequest);
         mServer.invalidRequestHandler(this::refuseInvalid);
-        mServer.requestHandler(this::handleRequest);
         return mServer.listen(mSettings.http().port(), mSettings.http().host());
     }
 
--- a/wire/src/main/java/org/skylarkbend/wire/RefusedBody.java
+++ b/wire/src/main/java/org/skylarkbend/wire/RefusedBody.java
@@ -49,7 +49,7 @@
      * Returns a handler of requests that leaves out those on a connection which is about to be
      * closed: a response to them could be cut.
      */
-    public static Handler<HttpServerRequest> leavingOut(Handler<HttpServerRequest> handler) {
+    static Handler<HttpServerRequest> leavingOut(Handler<HttpServerRequest> handler) {
         return request -> {
             if (channel(request.connection()).hasAttr(CLOSING)) {
                 LOG.info("request.left_out", "peer", request.remoteAddress());
--- a/wire/src/main/java/org/skylarkbend/wire/RequestDecoder.java
+++ b/wire/src/main/java/org/skylarkbend/wire/RequestDecoder.java
@@ -11,10 +11,12 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.vertx.core.Handler;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.impl.VertxHttpRequestDecoder;
 import io.vertx.core.net.impl.ConnectionBase;
 import java.util.List;
@@ -89,16 +91,21 @@
     }
 
     /**
-     * Creates a server whose connections use this decoder. The connection handler of the server is
-     * taken.
+     * Creates a server whose connections use this decoder, and which leaves out requests behind a
+     * refused body. The connection handler and the request handler of the server are taken.
      *
      * @param vertx runs the server
      * @param options options of the server
      * @param limits returns the limits on a connection that a peer has opened
+     * @param handler receives the requests
      */
     public static HttpServer createServer(
-            Vertx vertx, HttpServerOptions options, Function<HttpConnection, Limits> limits) {
+            Vertx vertx,
+            HttpServerOptions options,
+            Function<HttpConnection, Limits> limits,
+            Handler<HttpServerRequest> handler) {
         return vertx.createHttpServer(options)
+                .requestHandler(RefusedBody.leavingOut(handler))
                 .connectionHandler(
                         connection ->
                                 replaceDecoder(
--- a/wire/src/test/java/org/skylarkbend/wire/RequestDecoderTest.java
+++ b/wire/src/test/java/org/skylarkbend/wire/RequestDecoderTest.java
@@ -248,8 +248,7 @@
                                     mConnected.tryComplete(mVertx.getOrCreateContext());
                                     connection.closeHandler(ignored -> mClosed.incrementAndGet());
                                     return limits;
-                                })
-                        .requestHandler(
+                                },
                                 request -> {
                                     mServed.incrementAndGet();
                                     serve.accept(request);
