Keep room for two successors in a group that tolerates three losses

What operators would see: of seven control VMs three are lost at once, and a fourth one ends whose successor has run for the whole catch-up time. That is no more than is tolerated, but no leader was found again.

Cause: a log had seven voters at most, which is the number that three losses need. A successor had no vote before its predecessor was removed; groups of five have room for two.

New voters are now taken in up to two above the intended number, or seven if that is more. Groups that tolerate one or two losses, or are given no number, are as before. The group still grows only while all voters respond, so that the quorum of five of eight or nine is there when it begins to count.

Evidence: MemberReplacements now also replaces three and seven VMs, with one and three losses.

Ruled out: a rule for three VMs.

--- a/agreement/src/main/java/org/skylarkbend/agreement/Membership.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/Membership.java
@@ -13,7 +13,7 @@
  * @param voters the members, in ascending order
  */
 public record Membership(List<MemberId> voters) {
-    /** The maximum number of voters. */
+    /** The maximum number of voters that a log is meant to keep. */
     public static final int MAX_VOTERS = 7;
 
     /** Copies and sorts the voters. */
--- a/agreement/src/main/java/org/skylarkbend/agreement/MembershipChanges.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/MembershipChanges.java
@@ -162,7 +162,7 @@
      */
     private Optional<MemberChange> withNewMember(List<MemberId> ready, long nowMilliseconds) {
         Membership membership = mState.mLog.membership();
-        if (membership.voters().size() >= Membership.MAX_VOTERS) {
+        if (membership.voters().size() >= mRules.maxVoters()) {
             return Optional.empty();
         }
         boolean allRespond =
--- a/agreement/src/main/java/org/skylarkbend/agreement/MembershipRules.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/MembershipRules.java
@@ -25,6 +25,9 @@
     /** The number of losses that the maximum number of voters tolerates. */
     public static final int MAX_TOLERATED_LOSSES = (Membership.MAX_VOTERS - 1) / 2;
 
+    /** The number of successors that are taken in before the voters that they replace are out. */
+    private static final int MAX_SUCCESSORS = 2;
+
     /** Copies the set, and limits the losses to those that a log can tolerate. */
     public MembershipRules {
         initialVms = Set.copyOf(initialVms);
@@ -61,4 +64,12 @@
     int intendedVoters(int voters) {
         return 2 * toleratedLosses(voters) + 1;
     }
+
+    /**
+     * Returns the number of voters up to which new ones are taken in. There is always room for
+     * successors, so that a voter which ends after its successor has started is no further loss.
+     */
+    int maxVoters() {
+        return Math.max(Membership.MAX_VOTERS, 2 * toleratedLosses + 1 + MAX_SUCCESSORS);
+    }
 }
--- a/agreement/src/test/java/org/skylarkbend/agreement/ClusterSimulation.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/ClusterSimulation.java
@@ -50,6 +50,7 @@
     private final boolean mMayJoin;
     private final MemberDisk.Factory mNewDisk;
     private final Set<ObjectName> mInitialVms;
+    private final int mToleratedLosses;
 
     /** An action scheduled for a point in simulated time. */
     private record Event(long atMilliseconds, long sequence, Runnable work) {}
@@ -60,7 +61,7 @@
     /** Returns a simulation with three or five members fixed by the settings. */
     static ClusterSimulation fixedMembers(long seed) {
         return new ClusterSimulation(
-                seed, false, random -> random.nextInt(4) == 0 ? 5 : 3, SimulatedDisk::new);
+                seed, false, 0, random -> random.nextInt(4) == 0 ? 5 : 3, SimulatedDisk::new);
     }
 
     /**
@@ -68,21 +69,33 @@
      * ones.
      */
     static ClusterSimulation joiningMembers(long seed) {
-        return new ClusterSimulation(seed, true, random -> 5, SimulatedDisk::new);
+        return joiningMembers(seed, 2 * TOLERATED_LOSSES + 1, TOLERATED_LOSSES);
+    }
+
+    /**
+     * Returns a simulation with members that join through three seeds and remove unresponsive ones.
+     *
+     * @param toleratedLosses the losses that the members are told to tolerate; 0 for none
+     */
+    static ClusterSimulation joiningMembers(long seed, int count, int toleratedLosses) {
+        return new ClusterSimulation(
+                seed, true, toleratedLosses, random -> count, SimulatedDisk::new);
     }
 
     /** Returns a simulation with members fixed by the settings, on these disks. */
     static ClusterSimulation fixedMembers(long seed, int count, MemberDisk.Factory newDisk) {
-        return new ClusterSimulation(seed, false, random -> count, newDisk);
+        return new ClusterSimulation(seed, false, 0, random -> count, newDisk);
     }
 
     private ClusterSimulation(
             long seed,
             boolean mayJoin,
+            int toleratedLosses,
             ToIntFunction<SplittableRandom> memberCount,
             MemberDisk.Factory newDisk) {
         mNewDisk = newDisk;
         mMayJoin = mayJoin;
+        mToleratedLosses = toleratedLosses;
         mRandom = new SplittableRandom(seed);
         mOptions =
                 new AgreementOptions(
@@ -230,7 +243,7 @@
     MembershipRules rules() {
         return mMayJoin
                 ? MembershipRules.open(
-                        mInitialVms, TOLERATED_LOSSES, REMOVE_UNRESPONSIVE_MILLISECONDS)
+                        mInitialVms, mToleratedLosses, REMOVE_UNRESPONSIVE_MILLISECONDS)
                 : MembershipRules.fixed(vms());
     }
 
--- a/agreement/src/test/java/org/skylarkbend/agreement/LeaderOfGroup.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/LeaderOfGroup.java
@@ -51,6 +51,11 @@
         return new LeaderOfGroup(0, count, new int[0]);
     }
 
+    /** Elects the leader of a group whose voters are as many as these losses need. */
+    static LeaderOfGroup tolerating(int losses) {
+        return new LeaderOfGroup(losses, 2 * losses + 1, new int[0]);
+    }
+
     /**
      * Elects the leader.
      *
--- a/agreement/src/test/java/org/skylarkbend/agreement/MemberReplacements.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/MemberReplacements.java
@@ -33,8 +33,6 @@
     private static final long MAX_NOTICE_MILLISECONDS = 1_000;
 
     private static final long CHECK_MILLISECONDS = 50;
-    private static final int VMS = 5;
-    private static final int TOLERATED_LOSSES = 2;
     private static final int MAX_PLANNED = 2;
     private static final int STEPS = 30;
 
@@ -44,8 +42,9 @@
     private final List<Place> mPlaces = new ArrayList<>();
     private final List<Long> mUnnoticedUntilMilliseconds = new ArrayList<>();
     private final StringBuilder mHistory = new StringBuilder();
+    private final int mToleratedLosses;
     private final boolean mStopsWithNotice;
-    private int mLastVm = VMS;
+    private int mLastVm;
     private long mAcknowledgedIndex;
     private long mAcknowledgedAtMilliseconds;
 
@@ -62,17 +61,20 @@
     }
 
     /**
-     * Prepares a group of five.
+     * Prepares a group that has to tolerate as many losses as its number of VMs bears.
      *
+     * @param simulation the VMs, which have not started
      * @param stopsWithNotice true if VMs that leave as planned tell the others before; they are
      *     never lost then
      */
-    MemberReplacements(long seed, boolean stopsWithNotice) {
+    MemberReplacements(ClusterSimulation simulation, boolean stopsWithNotice) {
         mStopsWithNotice = stopsWithNotice;
-        mSimulation = ClusterSimulation.joiningMembers(seed);
+        mSimulation = simulation;
+        mLastVm = simulation.vms().size();
+        mToleratedLosses = (mLastVm - 1) / 2;
         mRandom = mSimulation.random();
         mChecks = mSimulation.startWithoutFaults();
-        IntStream.rangeClosed(1, VMS)
+        IntStream.rangeClosed(1, mLastVm)
                 .mapToObj(i -> mSimulation.member(ObjectName.of("vm-" + i)))
                 .forEach(member -> mPlaces.add(new Place(member)));
         mAcknowledgedAtMilliseconds = mSimulation.nowMilliseconds();
@@ -107,7 +109,7 @@
             return;
         }
         Place place = mRandom.nextInt(3) == 0 ? placeOfLeader() : anyPlace();
-        if (place.mIsWithoutVm || !isLost(place) && lostVms() >= TOLERATED_LOSSES) {
+        if (place.mIsWithoutVm || !isLost(place) && lostVms() >= mToleratedLosses) {
             return;
         }
         lose(place);
@@ -179,7 +181,7 @@
 
     private void leaveWhenAllowed(Place place, SimulatedMember successor) {
         boolean countsAsLoss = !mStopsWithNotice && !isLost(place);
-        if (lostVms() + (countsAsLoss ? 1 : 0) > TOLERATED_LOSSES) {
+        if (lostVms() + (countsAsLoss ? 1 : 0) > mToleratedLosses) {
             mSimulation.after(CHECK_MILLISECONDS, () -> leaveWhenAllowed(place, successor));
             return;
         }
--- a/agreement/src/test/java/org/skylarkbend/agreement/MembershipChangesTest.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/MembershipChangesTest.java
@@ -60,6 +60,17 @@
         assertThat(group.decider().role()).as("%s", group.voters()).isEqualTo(MemberRole.LEADER);
     }
 
+    /** Guards against a VM that ends as planned beside three losses and is a fourth one. */
+    @Test
+    public void aGroupThatToleratesThreeLossesTakesInTwoSuccessorsBeforeTheOthersEnd() {
+        LeaderOfGroup group = LeaderOfGroup.tolerating(3);
+        group.join(8);
+        group.join(9);
+        group.join(10);
+        group.runFor(ELECTION_MILLISECONDS);
+        assertThat(group.voterCounts()).containsExactly(8, 9);
+    }
+
     @Test
     public void aNewMemberIsTakenInAtOnceWhileAllOthersRespond() {
         LeaderOfGroup group = new LeaderOfGroup(5);
