Compute the ready learners once in each tick

The leader asked for the members that are ready to join once for the next change and once more for the question whether a voter may be removed. Both now use the same list. No change of behaviour: MembershipChangesTest, LeavingMemberTest and MemberReplacementTest give the same results.

--- a/agreement/src/main/java/org/skylarkbend/agreement/MembershipChanges.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/MembershipChanges.java
@@ -59,7 +59,7 @@
             return Optional.empty();
         }
         List<MemberId> ready = readyLearners(nowMilliseconds);
-        return withoutAbsent(nowMilliseconds)
+        return withoutAbsent(ready, nowMilliseconds)
                 .or(() -> withNewMember(ready, nowMilliseconds))
                 .or(() -> withoutReplaced(ready, nowMilliseconds))
                 .filter(
@@ -91,9 +91,12 @@
      * quorum, and each commit is still on one disk more than may be lost.
      */
     boolean mayRemove(long nowMilliseconds) {
+        return mayRemove(readyLearners(nowMilliseconds));
+    }
+
+    private boolean mayRemove(List<MemberId> ready) {
         boolean canTakePlace =
-                readyLearners(nowMilliseconds).stream()
-                        .anyMatch(learner -> memberOnSameVm(learner).isEmpty());
+                ready.stream().anyMatch(learner -> memberOnSameVm(learner).isEmpty());
         int voters = mState.mLog.membership().voters().size();
         int leastVoters = mRules.intendedVoters(voters) + (canTakePlace ? 0 : 1);
         return mRules.removeUnresponsiveAfterMilliseconds().isPresent() && voters >= leastVoters;
@@ -103,8 +106,8 @@
      * Returns the membership without an unresponsive voter, or else without one that is about to
      * end. A removed member that had only paused becomes a learner and then a voter again.
      */
-    private Optional<MemberChange> withoutAbsent(long nowMilliseconds) {
-        if (!mayRemove(nowMilliseconds)) {
+    private Optional<MemberChange> withoutAbsent(List<MemberId> ready, long nowMilliseconds) {
+        if (!mayRemove(ready)) {
             return Optional.empty();
         }
         Membership membership = mState.mLog.membership();
