--- a/standin/src/test/java/org/skylarkbend/standin/pressure/PressureTaskTest.java
+++ b/standin/src/test/java/org/skylarkbend/standin/pressure/PressureTaskTest.java
@@ -3,9 +3,11 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerRequest;
+import java.lang.ref.Cleaner;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.testng.annotations.AfterMethod;
@@ -17,9 +19,6 @@
     private static final long LIMIT_SECONDS = 60;
     private static final int LONG_BYTES = 10_000;
 
-    /** Time in which collected clients begin their shutdown. */
-    private static final long COLLECTION_MILLISECONDS = 500;
-
     /** Less than the 30 s that Vert.x gives the connections of a collected client. */
     private static final long SHUTDOWN_SECONDS = 15;
 
@@ -93,8 +92,8 @@
         Vertx callers = Vertx.vertx();
         await(callers.deployVerticle(task));
         await(task.completion());
-        System.gc();
-        Thread.sleep(COLLECTION_MILLISECONDS);
+        collectGarbage();
+        collectGarbage();
         long beganNanoseconds = System.nanoTime();
         await(callers.close());
         assertThat(TimeUnit.NANOSECONDS.toSeconds(System.nanoTime() - beganNanoseconds))
@@ -102,6 +101,14 @@
                 .isLessThan(SHUTDOWN_SECONDS);
     }
 
+    /** Returns after the cleanup of an object that nothing refers to. */
+    private static void collectGarbage() throws Exception {
+        Promise<Void> cleaned = Promise.promise();
+        Cleaner.create().register(new Object(), cleaned::complete);
+        System.gc();
+        await(cleaned.future());
+    }
+
     private static <T> T await(Future<T> future) throws Exception {
         return future.toCompletionStage()
                 .toCompletableFuture()
