List groups without a number of losses as known red

What operators would see: on a site whose losses count by data centre, control VMs are replaced one after another while one is lost now and then, and no leader is found again.

Cause, not mended: without a number of losses the group bears what its present voters do. Successors make it larger, it then has to keep that size, and the members that are gone count.

Evidence: MemberReplacements with the rule for no number.

Ruled out: removing silent members below the present size. A data centre that is only down would then shrink the group, and commits would be on fewer disks than the site may lose.

--- a/agreement/src/test/java/org/skylarkbend/agreement/MemberReplacementTest.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/MemberReplacementTest.java
@@ -29,6 +29,17 @@
         replaceInARow(SIMULATIONS_OF_OTHER_SIZES, toleratedLosses, stopsWithNotice);
     }
 
+    /** Guards against members that are gone and count, where losses count by data centre. */
+    @Test
+    public void aGroupThatIsGivenNoNumberOfLossesAlwaysFindsALeaderAgain() {
+        SeededRuns.forEachSeed(
+                FIRST_SEED,
+                SIMULATIONS_OF_OTHER_SIZES,
+                seed ->
+                        new MemberReplacements(ClusterSimulation.joiningMembers(seed, 3, 0), false)
+                                .run());
+    }
+
     @DataProvider
     private Object[][] otherSizes() {
         return new Object[][] {{1, false}, {1, true}, {3, false}, {3, true}};
