Let both endpoints of a stream go on when both have been asked

What callers saw: nothing; the test waited for a state that passes.

Cause: the second endpoint was published after the streams had begun. On a busy machine it came after the first silence of all of them, when the gateway had found no other endpoint. The streams ended at the first one, and the report was waited for in vain. The gateway is not at fault. A report of both endpoints could also begin and end between two looks at the last one.

Now the streams begin once both endpoints are published, and neither goes on before the second one was asked for the stream and a report has named both. A listener sees each report. They go on 5 to 95 ms after both were asked, the second endpoint 50 ms after, and the rest of a stream comes in two parts, so that the parts of both would be mixed.

--- a/gateway/src/test/java/org/skylarkbend/gateway/front/SilentEndpoints.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/front/SilentEndpoints.java
@@ -23,7 +23,8 @@
     /** The last event of each stream. */
     static final int LAST_EVENT = 3;
 
-    private static final String CALL_ID = "Call-Id";
+    /** Header with the ID of a call. */
+    static final String CALL_ID = "Call-Id";
 
     private SilentEndpoints() {}
 
@@ -75,11 +76,13 @@
         return events.toString();
     }
 
-    private static String event(int number) {
+    /** Returns the text of an event. */
+    static String event(int number) {
         return "id: " + number + "\ndata: " + number + "\n\n";
     }
 
-    private static HttpServerResponse head(HttpServerRequest request) {
+    /** Returns the response to a call, with its head set. */
+    static HttpServerResponse head(HttpServerRequest request) {
         return request.response()
                 .setChunked(true)
                 .putHeader(CALL_ID, request.getHeader(CALL_ID))
--- a/gateway/src/test/java/org/skylarkbend/gateway/front/SilentStreamTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/front/SilentStreamTest.java
@@ -14,6 +14,7 @@
 import org.skylarkbend.catalog.CallKind;
 import org.skylarkbend.catalog.Endpoint;
 import org.skylarkbend.catalog.Route;
+import org.skylarkbend.catalog.SiteMessage.WorkUnderWay;
 import org.skylarkbend.gateway.FakeEndpoint;
 import org.skylarkbend.gateway.ListedEndpoint;
 import org.skylarkbend.gateway.Routes;
@@ -41,6 +42,16 @@
     /** Time for which two endpoints may work on the same stream. */
     private static final long MAX_BOTH_MILLISECONDS = 400;
 
+    private volatile Runnable mOnBothReported = () -> {};
+
+    @Override
+    protected void workReported(WorkUnderWay work) {
+        super.workReported(work);
+        if (work.byIncarnation().size() == 2) {
+            mOnBothReported.run();
+        }
+    }
+
     @DataProvider
     private Object[][] neighbors() {
         return new Object[][] {
@@ -126,18 +137,24 @@
     /** Guards against pieces that come twice, or not at all, when both endpoints go on. */
     @Test
     public void aStreamThatBothEndpointsContinueArrivesOnce() throws Exception {
-        FakeEndpoint silent = listen("silent", SilentEndpoints.streamingWithASilence(mVertx));
-        FakeEndpoint sound = listen("sound", SilentEndpoints.resumingAfter(mVertx, 50));
+        SharedStreams streams = new SharedStreams(mVertx);
+        mOnBothReported = streams::goOn;
+        FakeEndpoint silent = listen("silent", streams::first);
+        FakeEndpoint sound = listen("sound", streams::second);
         publish(ROUTE, silent);
         List<Future<Response>> responses = new ArrayList<>();
-        for (long milliseconds = 1_400; milliseconds <= 1_800; milliseconds += 10) {
+        List<String> ids = new ArrayList<>();
+        for (long milliseconds = 5; milliseconds < 100; milliseconds += 10) {
+            ids.add("c" + milliseconds);
             responses.add(send(headers(milliseconds, "c" + milliseconds)));
         }
         awaitUntil(() -> silent.heads().size() == responses.size());
         publish(ROUTE, silent, sound);
-        awaitUntil(() -> mWork.byIncarnation().size() == 2);
+        streams.begin();
         assertWhole(responses);
-        assertThat(sound.heads()).as("streams that were resumed").isNotEmpty();
+        assertThat(sound.heads().stream().map(head -> head.get("call-id")))
+                .as("streams that were resumed")
+                .containsAll(ids);
         awaitUntil(() -> mWork.byIncarnation().isEmpty());
     }
 
