--- a/gateway/src/main/java/org/skylarkbend/gateway/call/GatewayCall.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/GatewayCall.java
@@ -5,7 +5,6 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.skylarkbend.base.ErrorKind;
-import org.skylarkbend.catalog.Customer;
 import org.skylarkbend.catalog.Endpoint;
 import org.skylarkbend.exchange.ResponseStart;
 import org.skylarkbend.gateway.endpoints.EngineChoice;
@@ -36,10 +35,10 @@
     private final HandOver mHandOver;
     private final StreamTiming mTiming;
     private final SilenceTimer mSilenceTimer;
+    private final RateReservation mReservation;
     private Optional<EngineChoice> mLastChoice = Optional.empty();
     private Optional<Run> mAnswer = Optional.empty();
     private Optional<String> mLastEventId = Optional.empty();
-    private OptionalLong mReservation = OptionalLong.empty();
     private long mTimeoutTimer = -1;
     private boolean mStreaming;
     private boolean mEnded;
@@ -82,6 +81,7 @@
                         mLog,
                         choice -> start(choice, false),
                         boundary.around(run -> goOnWith(run, "the time for both has passed")));
+        mReservation = new RateReservation(call, resources);
         mTiming = new StreamTiming(call.arrivedMilliseconds());
         mSilenceTimer =
                 new SilenceTimer(
@@ -101,16 +101,7 @@
         mTimeoutTimer =
                 mResources.vertx().setTimer(waitMilliseconds, id -> mBoundary.run(this::timedOut));
         mResources.retries().recordCall(mCall.service());
-        String customer = mCall.customer().map(Customer::name).orElse("");
-        if (mResources.gate().isLimited(customer)) {
-            long number = mResources.gate().reserve(customer, mCall.units(), this, now());
-            mReservation = OptionalLong.of(number);
-            if (mEnded) {
-                mResources.gate().cancel(number, now());
-            }
-        } else {
-            admitted();
-        }
+        mReservation.request(this);
     }
 
     @Override
@@ -480,7 +471,7 @@
                 mSilenceTimer::cancel,
                 this::releaseRequestBodyIfUnneeded,
                 this::discardUnlessSending,
-                () -> mReservation.ifPresent(number -> mResources.gate().cancel(number, now())),
+                mReservation::cancel,
                 mOnEnd,
                 () -> mRuns.callEnded(outcome, status, mLastChoice, mTiming));
     }
