Let a stream go back to the endpoint that was stopped for its silence

What callers saw: a resumable stream of a sound endpoint that was silent for 1.75 s or longer was cut if the other endpoint then refused, failed or was mute, although the first one was ready to go on.

Cause: two endpoints may work on a stream for 400 ms at most, so the silent attempt is stopped 250 ms after the other endpoint was asked. The endpoint then counted as tried for good. When the other one ended, none was left; when it was mute, the stream stayed there until its deadline.

An endpoint that was stopped for silence has shown no fault. If no endpoint is left that was not tried, it is asked again for the events after the last one that the caller has. The return is an attempt of the route and a retry of the budget like any other, and the time for both endpoints is the same.

The endpoint of the tests now resumes a stream as the header asks; it began each one anew, which no test had noticed since none went back.

Ruled out: taking both retries before the hand-over, which leaves streams of an endpoint that hangs where they are as soon as the budget is half empty; stopping the successor when the way back cannot be paid, which loses them to every successor that needs 250 ms to its first event.

--- a/gateway/src/main/java/org/skylarkbend/gateway/call/AttemptHistory.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/AttemptHistory.java
@@ -10,6 +10,7 @@
 final class AttemptHistory {
     private final Route mRoute;
     private final Set<String> mTriedIncarnations = new HashSet<>();
+    private final Set<String> mSilentIncarnations = new HashSet<>();
     private int mRunning;
     private int mSent;
     private int mConnectFailures;
@@ -22,6 +23,7 @@
     /** Records the start of an attempt. */
     void started(Endpoint endpoint) {
         mTriedIncarnations.add(endpoint.incarnation());
+        mSilentIncarnations.remove(endpoint.incarnation());
         mRunning++;
     }
 
@@ -50,6 +52,19 @@
         mayHaveRunAt(attempt);
     }
 
+    /**
+     * Records that an attempt was stopped because its endpoint was silent. The endpoint may be
+     * sound, so the call may go back to it if no other one is left.
+     */
+    void stoppedForSilence(Endpoint endpoint) {
+        mSilentIncarnations.add(endpoint.incarnation());
+    }
+
+    /** Returns whether the last attempt at an endpoint was stopped for its silence. */
+    boolean wasStoppedForSilence(Endpoint endpoint) {
+        return mSilentIncarnations.contains(endpoint.incarnation());
+    }
+
     /** Records that an endpoint may have run the call. */
     void mayHaveRunAt(Attempt attempt) {
         mMayHaveRun |= attempt.isSent();
@@ -75,6 +90,13 @@
         return new PriorAttempts(mTriedIncarnations, mSent + mRunning + 1 >= mRoute.maxAttempts());
     }
 
+    /** Returns what matters for the choice among the endpoints that were stopped for silence. */
+    PriorAttempts priorExceptSilent() {
+        Set<String> excluded = new HashSet<>(mTriedIncarnations);
+        excluded.removeAll(mSilentIncarnations);
+        return new PriorAttempts(excluded, prior().isLast());
+    }
+
     /** Returns whether the route allows no attempt besides the current ones. */
     boolean isLastAttempt() {
         return mSent + mRunning >= mRoute.maxAttempts();
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/Runs.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/Runs.java
@@ -38,9 +38,14 @@
         mBoundary = boundary;
     }
 
-    /** Selects the endpoint of the next attempt. */
+    /**
+     * Selects the endpoint of the next attempt: one that was not tried, or else one that was
+     * stopped for its silence.
+     */
     Optional<EngineChoice> choose() {
-        return mResources.choose(mCall, mHistory.prior());
+        return mResources
+                .choose(mCall, mHistory.prior())
+                .or(() -> mResources.choose(mCall, mHistory.priorExceptSilent()));
     }
 
     /**
@@ -60,7 +65,8 @@
         ReceivedResponse received =
                 new ReceivedResponse(
                         mResources.responses(), mBoundary.around(() -> onGivenUp.accept(attempt)));
-        Run run = new Run(attempt, choice, received, isPaid, now());
+        boolean isReturn = mHistory.wasStoppedForSilence(choice.endpoint());
+        Run run = new Run(attempt, choice, received, isPaid, isReturn, now());
         mHistory.started(choice.endpoint());
         mResources.outcomes().sent(choice.endpoint());
         mResources.selector().sent(choice.endpoint(), attempt.tokensToRead(), now());
@@ -139,6 +145,7 @@
     private void stopped(Run run) {
         if (run.isSilent()) {
             failed(run, AttemptOutcome.SILENT, "the endpoint was silent");
+            mHistory.stoppedForSilence(run.endpoint());
         } else {
             mHistory.stopped(run.attempt());
             remove(run);
--- a/gateway/src/test/java/org/skylarkbend/gateway/front/SilentEndpoints.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/front/SilentEndpoints.java
@@ -33,11 +33,18 @@
         return Long.toString(milliseconds);
     }
 
-    /** Returns a behavior that sends an event, is silent as the call says, and sends the rest. */
+    /**
+     * Returns a behavior that sends an event, is silent as the call says, and sends the rest. A
+     * stream that is resumed begins with the silence.
+     */
     static Consumer<HttpServerRequest> streamingWithASilence(Vertx vertx) {
         return request -> {
             HttpServerResponse response = head(request);
-            response.write(event(1));
+            if (request.getHeader("Last-Event-Id") == null) {
+                response.write(event(1));
+            } else {
+                response.writeHead();
+            }
             long milliseconds = Long.parseLong(request.getHeader(SILENCE_HEADER));
             vertx.setTimer(milliseconds, id -> endWith(response, events(2)));
         };
