--- a/gateway/src/main/java/org/skylarkbend/gateway/call/GatewayCall.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/GatewayCall.java
@@ -5,7 +5,6 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.skylarkbend.base.ErrorKind;
-import org.skylarkbend.catalog.Customer;
 import org.skylarkbend.catalog.Endpoint;
 import org.skylarkbend.exchange.ResponseStart;
 import org.skylarkbend.gateway.endpoints.EngineChoice;
@@ -36,10 +35,10 @@
     private final HandOver mHandOver;
     private final StreamTiming mTiming;
     private final SilenceTimer mSilenceTimer;
+    private final RateReservation mReservation;
     private Optional<EngineChoice> mLastChoice = Optional.empty();
     private Optional<Run> mAnswer = Optional.empty();
     private Optional<String> mLastEventId = Optional.empty();
-    private OptionalLong mReservation = OptionalLong.empty();
     private long mTimeoutTimer = -1;
     private boolean mStreaming;
     private boolean mEnded;
@@ -81,7 +80,8 @@
                         mRuns,
                         mLog,
                         choice -> start(choice, false),
-                        boundary.around(run -> goOnWith(run, "the time for both has passed")));
+                        boundary.around(this::timeForBothPassed));
+        mReservation = new RateReservation(call, resources);
         mTiming = new StreamTiming(call.arrivedMilliseconds());
         mSilenceTimer =
                 new SilenceTimer(
@@ -101,16 +101,7 @@
         mTimeoutTimer =
                 mResources.vertx().setTimer(waitMilliseconds, id -> mBoundary.run(this::timedOut));
         mResources.retries().recordCall(mCall.service());
-        String customer = mCall.customer().map(Customer::name).orElse("");
-        if (mResources.gate().isLimited(customer)) {
-            long number = mResources.gate().reserve(customer, mCall.units(), this, now());
-            mReservation = OptionalLong.of(number);
-            if (mEnded) {
-                mResources.gate().cancel(number, now());
-            }
-        } else {
-            admitted();
-        }
+        mReservation.request(this);
     }
 
     @Override
@@ -315,6 +306,15 @@
         }
     }
 
+    /** Decides between two endpoints of a stream, neither of which has sent the next event. */
+    private void timeForBothPassed(Run successor) {
+        if (successor.isReturn() && successor.head() == null) {
+            stop(successor, AttemptOutcome.SILENT, "it did not accept the stream again");
+        } else {
+            goOnWith(successor, "the time for both has passed");
+        }
+    }
+
     /** Stops reading the stream until the caller has read more of it. */
     private void waitForCaller(Run run) {
         run.pause();
@@ -480,7 +480,7 @@
                 mSilenceTimer::cancel,
                 this::releaseRequestBodyIfUnneeded,
                 this::discardUnlessSending,
-                () -> mReservation.ifPresent(number -> mResources.gate().cancel(number, now())),
+                mReservation::cancel,
                 mOnEnd,
                 () -> mRuns.callEnded(outcome, status, mLastChoice, mTiming));
     }
--- a/gateway/src/test/java/org/skylarkbend/gateway/front/SilentEndpoints.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/front/SilentEndpoints.java
@@ -23,7 +23,8 @@
     /** The last event of each stream. */
     static final int LAST_EVENT = 3;
 
-    private static final String CALL_ID = "Call-Id";
+    /** Header with the ID of a call. */
+    static final String CALL_ID = "Call-Id";
 
     private SilentEndpoints() {}
 
@@ -32,11 +33,18 @@
         return Long.toString(milliseconds);
     }
 
-    /** Returns a behavior that sends an event, is silent as the call says, and sends the rest. */
+    /**
+     * Returns a behavior that sends an event, is silent as the call says, and sends the rest. A
+     * stream that is resumed begins with the silence.
+     */
     static Consumer<HttpServerRequest> streamingWithASilence(Vertx vertx) {
         return request -> {
             HttpServerResponse response = head(request);
-            response.write(event(1));
+            if (request.getHeader("Last-Event-Id") == null) {
+                response.write(event(1));
+            } else {
+                response.writeHead();
+            }
             long milliseconds = Long.parseLong(request.getHeader(SILENCE_HEADER));
             vertx.setTimer(milliseconds, id -> endWith(response, events(2)));
         };
@@ -75,11 +83,13 @@
         return events.toString();
     }
 
-    private static String event(int number) {
+    /** Returns the text of an event. */
+    static String event(int number) {
         return "id: " + number + "\ndata: " + number + "\n\n";
     }
 
-    private static HttpServerResponse head(HttpServerRequest request) {
+    /** Returns the response to a call, with its head set. */
+    static HttpServerResponse head(HttpServerRequest request) {
         return request.response()
                 .setChunked(true)
                 .putHeader(CALL_ID, request.getHeader(CALL_ID))
