Let tokens of gateways lapse that no owner confirms, and reclaim them

What callers saw: calls of a customer were refused with 429 below its limit, until the next change of the leader, after gateways had gone for good with the tokens of the customer. Three of them held the whole burst.

Cause: an owner counted what a gateway held until a later incarnation of the same VM registered.

Change: the free tokens of a gateway lapse at the gateway, before any other decision, 8 s after the newest confirmed report was sent. Grants on their way lapse with them. An owner that has recalled tokens, or has begun its term, and gets no report for 14 s stops counting those of the gateway. The bucket fills up at the rate; tokens that a gateway returns after that are not added to it. Steady clocks do not count suspensions, so the gateway also compares them with the time of day. Policies whose calls use reserved tokens later (the router program) are unchanged.

Evidence: GoneGatewaysTest.theTokensOfGatewaysThatAreGoneDoNotKeepACustomerFromItsLimit failed before and passes.

A gateway that freezes within one decision for longer than 14 s still sends the calls of that decision.

--- a/gateway/src/main/java/org/skylarkbend/gateway/front/GatewayTask.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/front/GatewayTask.java
@@ -49,6 +49,7 @@
 import org.skylarkbend.limits.LimitMessage;
 import org.skylarkbend.limits.LimitPolicy;
 import org.skylarkbend.limits.LimitShareDecider;
+import org.skylarkbend.limits.SuspensionDetector;
 import org.skylarkbend.quarantine.QuarantineNotice;
 import org.skylarkbend.wire.HeldBytes;
 import org.skylarkbend.wire.RefusedBody;
@@ -146,7 +147,9 @@
                 new TokenGate(
                         new LimitShareDecider(LimitPolicy.forGateways(), now()),
                         mLimitOwner,
-                        this::wakeGateAt);
+                        this::wakeGateAt,
+                        new SuspensionDetector(MillisecondClock.wall(), now())
+                                ::suspendedMilliseconds);
         mIntake = new BodyIntake(vertx, mMemory, mClock);
         EndpointProbes probes = new EndpointProbes(vertx, mSelector, mClock, probeListener());
         mResources =
--- a/gateway/src/main/java/org/skylarkbend/gateway/limits/TokenGate.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/limits/TokenGate.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
+import java.util.function.LongUnaryOperator;
 import java.util.stream.Collectors;
 import org.skylarkbend.base.ObjectName;
 import org.skylarkbend.limits.CustomerLimit;
@@ -46,21 +47,40 @@
     private final LimitShareInbox mInbox;
     private final Consumer<LimitMessage> mLimitOwner;
     private final LongConsumer mWakeAt;
+    private final LongUnaryOperator mSuspendedMilliseconds;
     private final Map<Long, PendingCall> mPendingCalls = new HashMap<>();
     private Set<ObjectName> mLimitedCustomers = Set.of();
     private long mLastNumber;
 
     /**
-     * Creates a gate without tokens.
+     * Creates a gate without tokens, with a clock that also counts suspensions of the VM.
      *
      * @param decider decides on the tokens of this gateway
      * @param owner sends a message to the limit owner
      * @param wakeAt requests a call of {@link #wake} at a time
      */
     public TokenGate(LimitShareDecider decider, Consumer<LimitMessage> owner, LongConsumer wakeAt) {
+        this(decider, owner, wakeAt, nowMilliseconds -> 0);
+    }
+
+    /**
+     * Creates a gate without tokens.
+     *
+     * @param decider decides on the tokens of this gateway
+     * @param owner sends a message to the limit owner
+     * @param wakeAt requests a call of {@link #wake} at a time
+     * @param suspendedMilliseconds returns, at a time, for how long the VM was suspended since the
+     *     last call without the clock counting it
+     */
+    public TokenGate(
+            LimitShareDecider decider,
+            Consumer<LimitMessage> owner,
+            LongConsumer wakeAt,
+            LongUnaryOperator suspendedMilliseconds) {
         mInbox = new LimitShareInbox(decider, this::apply);
         mLimitOwner = owner;
         mWakeAt = wakeAt;
+        mSuspendedMilliseconds = suspendedMilliseconds;
     }
 
     /** Applies the limits of a new catalog. */
@@ -110,6 +130,10 @@
     }
 
     private void handle(LimitShareMessage message, long nowMilliseconds) {
+        long suspendedMilliseconds = mSuspendedMilliseconds.applyAsLong(nowMilliseconds);
+        if (suspendedMilliseconds > 0) {
+            mInbox.handle(new LimitShareMessage.Suspended(suspendedMilliseconds), nowMilliseconds);
+        }
         mInbox.handle(message, nowMilliseconds);
     }
 
--- a/limits/src/main/java/org/skylarkbend/limits/LimitOwnerDecider.java
+++ b/limits/src/main/java/org/skylarkbend/limits/LimitOwnerDecider.java
@@ -39,7 +39,9 @@
  *   <li>The potential never exceeds the burst: a bucket is filled only up to the burst less all
  *       holdings. A router that has not reported in this term counts with the maximum that one
  *       router may hold, and all of them with the maximum that is granted in advance of calls; a
- *       router that died counts until endpoints have stopped its work.
+ *       router that died counts until endpoints have stopped its work. Under a policy by which
+ *       tokens lapse, a router that stays silent counts until it has given up its tokens, and the
+ *       tokens that it gives up do not return to the bucket.
  *   <li>It grows at the rate and no faster: a new owner starts with an empty bucket and fills it
  *       from its election on. A replaced owner grants nothing more, because a grant is sent only
  *       after a quorum round begun after the decision has confirmed the term.
@@ -47,7 +49,7 @@
  * </ul>
  *
  * <p>The use within a window is therefore at most the potential at its beginning plus what is
- * filled in during it. Clocks matter only through the speed of the owner's clock.
+ * filled in during it. Clocks matter only through the speed of the owner's clock and for lapses.
  */
 public final class LimitOwnerDecider {
     private static final long MIN_RECALL_INTERVAL_MILLISECONDS = 100;
@@ -102,7 +104,7 @@
         mPolicy = policy;
         mTerm = term;
         mOwnerlessMilliseconds = ownerlessMilliseconds;
-        registry.routers().forEach(router -> mRouters.put(router, new RouterHoldings()));
+        registry.routers().forEach(router -> addRouter(router, nowMilliseconds));
         registry.routers().forEach(router -> expireOlderIncarnations(router, nowMilliseconds));
     }
 
@@ -110,10 +112,11 @@
     public List<LimitOwnerEffect> decide(LimitOwnerMessage message, long nowMilliseconds) {
         mEffects = new ArrayList<>();
         removeExpired(nowMilliseconds);
+        reclaimSilent(nowMilliseconds);
         if (message instanceof RouterConnected connected) {
             registerOrAnnounceTerm(connected.router());
         } else if (message instanceof RouterRegistered registered) {
-            mRouters.putIfAbsent(registered.router(), new RouterHoldings());
+            addRouter(registered.router(), nowMilliseconds);
             expireOlderIncarnations(registered.router(), nowMilliseconds);
             registerOrAnnounceTerm(registered.router());
         } else if (message instanceof VmRemoved removed) {
@@ -131,6 +134,10 @@
         return mEffects;
     }
 
+    private void addRouter(RouterIdentity router, long nowMilliseconds) {
+        mRouters.computeIfAbsent(router, added -> new RouterHoldings()).await(nowMilliseconds);
+    }
+
     private void registerOrAnnounceTerm(RouterIdentity router) {
         RouterHoldings holdings = mRouters.get(router);
         if (holdings == null) {
@@ -159,6 +166,10 @@
         holdings.markAlive();
         boolean newest = holdings.isNewest(report);
         fillBeforeChange(holdings, report.entries(), nowMilliseconds);
+        if (holdings.isReclaimed()) {
+            holdings.all().forEach((customer, holding) -> addHeld(customer, holding.heldTokens()));
+        }
+        holdings.reported();
         holdings.markKnown();
         report.entries()
                 .forEach(entry -> applyEntry(router, holdings, entry, newest, nowMilliseconds));
@@ -179,11 +190,12 @@
 
     /**
      * Fills the buckets named by the report before the holdings change. The first report of an
-     * incarnation lowers the tokens that count as held of every customer, so it fills all buckets.
+     * incarnation, or the first after a silence, changes the tokens that count as held of every
+     * customer, so it fills all buckets.
      */
     private void fillBeforeChange(
             RouterHoldings holdings, List<ReportEntry> entries, long nowMilliseconds) {
-        if (!holdings.isKnown()) {
+        if (!holdings.isKnown() || holdings.isReclaimed()) {
             mBuckets.values().forEach(bucket -> fill(bucket, nowMilliseconds));
         }
         for (ReportEntry entry : entries) {
@@ -208,6 +220,7 @@
 
     private long heldByKnownRouters(ObjectName customer) {
         return mRouters.values().stream()
+                .filter(holdings -> !holdings.isReclaimed())
                 .map(holdings -> holdings.all().get(customer))
                 .filter(Objects::nonNull)
                 .mapToLong(RouterHoldings.Holding::heldTokens)
@@ -349,6 +362,7 @@
                             && !router.equals(requester)
                             && sinceRecallMilliseconds > MIN_RECALL_INTERVAL_MILLISECONDS) {
                         mRecalledAtMilliseconds.put(router, nowMilliseconds);
+                        holdings.await(nowMilliseconds);
                         long grantedTokens = holdings.of(customer).grantedTokens();
                         outbox(router).add(new GrantEntry(customer, grantedTokens, true));
                     }
@@ -357,7 +371,9 @@
 
     private void fill(CustomerBucket bucket, long nowMilliseconds) {
         long unreportedRouters =
-                mRouters.values().stream().filter(holdings -> !holdings.isKnown()).count();
+                mRouters.values().stream()
+                        .filter(holdings -> !holdings.isKnown() && !holdings.isReclaimed())
+                        .count();
         bucket.fill(nowMilliseconds, mPolicy.unreportedTokens(bucket.limit(), unreportedRouters));
     }
 
@@ -405,24 +421,55 @@
             mBuckets.values().forEach(bucket -> fill(bucket, nowMilliseconds));
         }
         for (RouterIdentity router : expired) {
-            mRouters.remove(router).all().forEach(this::releaseHolding);
-            mBuckets.values().forEach(bucket -> bucket.requests().remove(router));
+            RouterHoldings holdings = mRouters.remove(router);
+            if (!holdings.isReclaimed()) {
+                release(holdings);
+            }
+            removeRequests(router);
             mRecalledAtMilliseconds.remove(router);
             mEffects.add(new Unregister(router));
         }
     }
 
     /**
-     * Removes the holding of an expired incarnation. Its tokens are lost; they only free capacity
-     * for the bucket to fill again.
+     * Stops counting the tokens of routers that have not answered a recall, or have not reported in
+     * this term, for so long that they have given them up.
+     */
+    private void reclaimSilent(long nowMilliseconds) {
+        if (!mPolicy.tokensLapse()) {
+            return;
+        }
+        long sinceMilliseconds = nowMilliseconds - mPolicy.reclaimMilliseconds();
+        mRouters.forEach(
+                (router, holdings) -> {
+                    if (holdings.isAwaitedSince(sinceMilliseconds) && !holdings.isReclaimed()) {
+                        mBuckets.values().forEach(bucket -> fill(bucket, nowMilliseconds));
+                        release(holdings);
+                        holdings.reclaim();
+                        removeRequests(router);
+                    }
+                });
+    }
+
+    /**
+     * Removes the holdings of an incarnation that can no longer use them. Its tokens are lost; they
+     * only free capacity for the bucket to fill again.
      */
-    private void releaseHolding(ObjectName customer, RouterHoldings.Holding holding) {
+    private void release(RouterHoldings holdings) {
+        holdings.all().forEach((customer, holding) -> addHeld(customer, -holding.heldTokens()));
+    }
+
+    private void addHeld(ObjectName customer, long tokens) {
         CustomerBucket bucket = mBuckets.get(customer);
         if (bucket != null) {
-            bucket.addHeldTokens(-holding.heldTokens());
+            bucket.addHeldTokens(tokens);
         }
     }
 
+    private void removeRequests(RouterIdentity router) {
+        mBuckets.values().forEach(bucket -> bucket.requests().remove(router));
+    }
+
     private void flush() {
         mOutbox.forEach(
                 (router, entries) -> {
--- a/limits/src/main/java/org/skylarkbend/limits/LimitPolicy.java
+++ b/limits/src/main/java/org/skylarkbend/limits/LimitPolicy.java
@@ -18,6 +18,8 @@
  *     holding at most the burst divided by this
  * @param ownerlessWaitMilliseconds the maximum time for which a call waits for tokens while no
  *     owner responds
+ * @param lapseMilliseconds the time without a confirmed report after which a router gives up its
+ *     free tokens; 0 if they never lapse, which is necessary where calls use reserved tokens later
  */
 public record LimitPolicy(
         long holderDivisor,
@@ -30,7 +32,14 @@
         long endpointStopMilliseconds,
         long initialFillMilliseconds,
         long unreportedDivisor,
-        long ownerlessWaitMilliseconds) {
+        long ownerlessWaitMilliseconds,
+        long lapseMilliseconds) {
+    /** Largest jump of the time of day, by which a router may underestimate a suspension. */
+    private static final long MAX_CLOCK_JUMP_MILLISECONDS = 5_000;
+
+    /** Time within which a call that a router is admitting reaches its endpoint. */
+    private static final long ADMISSION_MILLISECONDS = 1_000;
+
     /**
      * Minimum time between the loss of a leader and the next election; see {@code
      * AgreementOptions#lowLatency}.
@@ -39,6 +48,34 @@
 
     private static final long MILLISECONDS_PER_SECOND = 1_000;
 
+    /** Creates a policy under which tokens never lapse. */
+    public LimitPolicy(
+            long holderDivisor,
+            long prefetchMilliseconds,
+            long reserveDivisor,
+            long reportMilliseconds,
+            long idleReportMilliseconds,
+            long waitMilliseconds,
+            int maxWaitingCalls,
+            long endpointStopMilliseconds,
+            long initialFillMilliseconds,
+            long unreportedDivisor,
+            long ownerlessWaitMilliseconds) {
+        this(
+                holderDivisor,
+                prefetchMilliseconds,
+                reserveDivisor,
+                reportMilliseconds,
+                idleReportMilliseconds,
+                waitMilliseconds,
+                maxWaitingCalls,
+                endpointStopMilliseconds,
+                initialFillMilliseconds,
+                unreportedDivisor,
+                ownerlessWaitMilliseconds,
+                0);
+    }
+
     /**
      * Returns the policy of the router and control programs. A call waits up to a second while no
      * owner responds, which is the time of an election and of its first grants.
@@ -55,11 +92,26 @@
      * not be counted again.
      *
      * <p>The many gateways of a large site hold few tokens each, so that those which are down when
-     * the owner changes do not count with the maximum each.
+     * the owner changes do not count with the maximum each. Free tokens lapse after eight idle
+     * report intervals without a confirmed report.
      */
     public static LimitPolicy forGateways() {
         return new LimitPolicy(
-                3, 1_000, 64, 30, 1_000, 100, 256, 0, MIN_LEADERLESS_MILLISECONDS, 4, 400);
+                3, 1_000, 64, 30, 1_000, 100, 256, 0, MIN_LEADERLESS_MILLISECONDS, 4, 400, 8_000);
+    }
+
+    /** Returns whether a router gives up free tokens that no owner has confirmed for a time. */
+    boolean tokensLapse() {
+        return lapseMilliseconds > 0;
+    }
+
+    /**
+     * Returns the time without a report after which an owner no longer counts the tokens of a
+     * router. The router has given them up by then, even if it was suspended and the time of day
+     * was set back meanwhile.
+     */
+    long reclaimMilliseconds() {
+        return lapseMilliseconds + MAX_CLOCK_JUMP_MILLISECONDS + ADMISSION_MILLISECONDS;
     }
 
     /** Returns the initial level of the bucket of a new owner. */
--- a/limits/src/main/java/org/skylarkbend/limits/LimitShareDecider.java
+++ b/limits/src/main/java/org/skylarkbend/limits/LimitShareDecider.java
@@ -24,13 +24,16 @@
 import org.skylarkbend.limits.LimitShareMessage.Reserve;
 import org.skylarkbend.limits.LimitShareMessage.ShutDown;
 import org.skylarkbend.limits.LimitShareMessage.Spend;
+import org.skylarkbend.limits.LimitShareMessage.Suspended;
 
 /**
  * Decides in a router which calls receive tokens.
  *
- * <p>A router spends only tokens that it holds. No decision compares a lease with the clock, so a
- * process that was frozen and resumes later cannot spend tokens that were granted to another router
- * in the meantime. Time only paces reports and bounds how long calls wait.
+ * <p>A router spends only tokens that it holds. Under a policy by which tokens lapse, it gives up
+ * its free tokens before it decides on anything else, once the newest confirmed report was sent too
+ * long ago. A process that was frozen or cut off therefore cannot spend tokens that the owner has
+ * stopped counting, as long as its time includes suspensions of the VM (see {@link
+ * LimitShareMessage.Suspended}).
  */
 public final class LimitShareDecider {
     static final long DEMAND_RETENTION_MILLISECONDS = 10_000;
@@ -44,6 +47,7 @@
     private record Reservation(ShareLedger ledger, long tokens) {}
 
     private final LimitPolicy mPolicy;
+    private final OwnerContact mContact;
     private final Map<ObjectName, ShareLedger> mLedgers = new LinkedHashMap<>();
     private final Set<ShareLedger> mQueued = new LinkedHashSet<>();
     private final Map<Long, Reservation> mReservations = new HashMap<>();
@@ -57,16 +61,22 @@
     private long mLastReportMilliseconds;
     private boolean mReportSoon = true;
     private boolean mShuttingDown;
+    private long mSuspendedMilliseconds;
 
     /** Creates a router that holds no tokens. */
     public LimitShareDecider(LimitPolicy policy, long nowMilliseconds) {
         mPolicy = policy;
+        mContact = new OwnerContact(policy.lapseMilliseconds(), nowMilliseconds);
         mLastReportMilliseconds = nowMilliseconds - policy.reportMilliseconds();
     }
 
     /** Processes a message and returns the effects to execute. */
     public List<LimitShareEffect> decide(LimitShareMessage message, long nowMilliseconds) {
         mEffects = new ArrayList<>();
+        if (message instanceof Suspended suspended) {
+            mSuspendedMilliseconds += suspended.milliseconds();
+        }
+        checkContact(nowMilliseconds);
         if (message instanceof Reserve reserve) {
             reserve(reserve, nowMilliseconds);
         } else if (message instanceof Spend spend) {
@@ -99,6 +109,15 @@
         return ledger == null ? 0 : ledger.heldTokens();
     }
 
+    /** Gives up all free tokens if the contact to the owner is lost. */
+    private void checkContact(long nowMilliseconds) {
+        if (mContact.isLost(nowMilliseconds + mSuspendedMilliseconds)) {
+            mLedgers.values().stream()
+                    .filter(ShareLedger::lapse)
+                    .forEach(ledger -> ledger.markDirty(mSequence + 1));
+        }
+    }
+
     private void reserve(Reserve reserve, long nowMilliseconds) {
         CustomerLimit limit = mLimits.get(reserve.customer());
         if (limit == null || reserve.tokens() > mPolicy.maxHeldTokens(limit)) {
@@ -172,16 +191,22 @@
                 mJoinedMilliseconds = nowMilliseconds;
             }
             mConfirmedSequence = Math.max(mConfirmedSequence, grants.reportSequence());
-            grants.entries().forEach(this::granted);
+            boolean isRecent =
+                    mContact.confirmed(
+                            grants.reportSequence(), nowMilliseconds + mSuspendedMilliseconds);
+            grants.entries().forEach(entry -> granted(entry, isRecent));
         }
     }
 
-    private void granted(GrantEntry entry) {
+    private void granted(GrantEntry entry, boolean isRecent) {
         ShareLedger ledger = mLedgers.get(entry.customer());
         if (ledger == null) {
             return;
         }
-        ledger.granted(entry.grantedTokens());
+        if (ledger.granted(entry.grantedTokens(), isRecent)) {
+            ledger.markDirty(mSequence + 1);
+            mReportSoon = true;
+        }
         admitWaiting(ledger);
         boolean returnsTokens =
                 entry.recalled() && ledger.waiting().isEmpty() && ledger.freeTokens() > 0;
@@ -256,6 +281,7 @@
             }
         }
         mSequence++;
+        mContact.sent(mSequence, nowMilliseconds + mSuspendedMilliseconds);
         mEffects.add(new SendToOwner(new Report(mTerm, mSequence, !mJoined, entries)));
     }
 
--- a/limits/src/main/java/org/skylarkbend/limits/LimitShareMessage.java
+++ b/limits/src/main/java/org/skylarkbend/limits/LimitShareMessage.java
@@ -35,6 +35,9 @@
         }
     }
 
+    /** The VM was suspended for a time that the clock of the router did not count. */
+    record Suspended(long milliseconds) implements LimitShareMessage {}
+
     /** The router is shutting down and returns all tokens that no call needs. */
     record ShutDown() implements LimitShareMessage {}
 
--- a/limits/src/main/java/org/skylarkbend/limits/RouterHoldings.java
+++ b/limits/src/main/java/org/skylarkbend/limits/RouterHoldings.java
@@ -17,6 +17,7 @@
         private long mUsedTokens;
         private long mReturnedTokens;
         private long mGrantSentMilliseconds;
+        private long mReclaimedTokens;
 
         /** Returns the maximum number of tokens that the incarnation can still spend. */
         long heldTokens() {
@@ -48,14 +49,22 @@
 
         /**
          * Updates the totals from a report and returns the tokens newly returned since the previous
-         * one.
+         * one, less those that were reclaimed before.
          */
         long update(LimitMessage.ReportEntry entry) {
             long newlyReturnedTokens = Math.max(0, entry.returnedTokens() - mReturnedTokens);
             mBaseTokens = entry.baseTokens();
-            mUsedTokens = Math.max(mUsedTokens, entry.usedTokens());
+            long newlyUsedTokens = Math.max(0, entry.usedTokens() - mUsedTokens);
+            mUsedTokens += newlyUsedTokens;
             mReturnedTokens += newlyReturnedTokens;
-            return newlyReturnedTokens;
+            long reclaimedTokens = Math.min(mReclaimedTokens, newlyReturnedTokens);
+            mReclaimedTokens = Math.max(0, mReclaimedTokens - reclaimedTokens - newlyUsedTokens);
+            return newlyReturnedTokens - reclaimedTokens;
+        }
+
+        /** Records that the bucket fills in place of the held tokens, so they must not return. */
+        private void reclaim() {
+            mReclaimedTokens = heldTokens();
         }
     }
 
@@ -64,6 +73,8 @@
     private boolean mEnded;
     private long mLastSequence;
     private long mExpiresAtMilliseconds = Long.MAX_VALUE;
+    private long mAwaitedSinceMilliseconds = Long.MAX_VALUE;
+    private boolean mReclaimed;
 
     /** Returns whether the incarnation has reported everything that it holds in this term. */
     boolean isKnown() {
@@ -85,6 +96,33 @@
         return newest;
     }
 
+    /** Records that the owner waits for a report, unless it waits for one already. */
+    void await(long nowMilliseconds) {
+        mAwaitedSinceMilliseconds = Math.min(mAwaitedSinceMilliseconds, nowMilliseconds);
+    }
+
+    /** Returns whether the owner has waited for a report since the given time or longer. */
+    boolean isAwaitedSince(long atMilliseconds) {
+        return mAwaitedSinceMilliseconds <= atMilliseconds;
+    }
+
+    /** Stops counting the tokens of the incarnation until it reports again. */
+    void reclaim() {
+        mReclaimed = true;
+        mHoldings.values().forEach(Holding::reclaim);
+    }
+
+    /** Returns whether the tokens of the incarnation do not count at present. */
+    boolean isReclaimed() {
+        return mReclaimed;
+    }
+
+    /** Records that a report has arrived. */
+    void reported() {
+        mAwaitedSinceMilliseconds = Long.MAX_VALUE;
+        mReclaimed = false;
+    }
+
     /** Records that the incarnation has certainly ended. It is removed at the given time. */
     void end(long expiresAtMilliseconds) {
         mEnded = true;
--- a/limits/src/main/java/org/skylarkbend/limits/ShareLedger.java
+++ b/limits/src/main/java/org/skylarkbend/limits/ShareLedger.java
@@ -29,6 +29,7 @@
     private double mDemandTokensPerMillisecond;
     private long mReportedUsedTokens;
     private long mDirtySequence;
+    private boolean mVoidsGrants;
 
     ShareLedger(CustomerLimit limit) {
         mLimit = limit;
@@ -81,14 +82,38 @@
         mUsedTokens = 0;
         mReportedUsedTokens = 0;
         mReturnedTokens = 0;
+        mVoidsGrants = false;
+    }
+
+    /**
+     * Gives up the free tokens and the grants that are still on their way. Returns whether anything
+     * was given up.
+     */
+    boolean lapse() {
+        boolean changed = freeTokens() > 0;
+        mReturnedTokens += Math.max(0, freeTokens());
+        mVoidsGrants = true;
+        return changed;
     }
 
     /**
      * Updates the total of grants. A total that is lower than the current one is stale and changes
-     * nothing.
+     * nothing. After a lapse, grants are given up at once, up to the first total in a response to a
+     * recent report: the owner may have stopped counting what it granted before.
+     *
+     * @param totalTokens the total of all grants since the router joined the term
+     * @param isRecent true if the total responds to a report that was sent recently
+     * @return whether grants were given up
      */
-    void granted(long totalTokens) {
-        mGrantedTokens = Math.max(mGrantedTokens, totalTokens);
+    boolean granted(long totalTokens, boolean isRecent) {
+        long newTokens = Math.max(0, totalTokens - mGrantedTokens);
+        mGrantedTokens += newTokens;
+        if (!mVoidsGrants) {
+            return false;
+        }
+        mReturnedTokens += newTokens;
+        mVoidsGrants = !isRecent;
+        return newTokens > 0;
     }
 
     void markDirty(long nextSequence) {
