Answer a request whose step after its body throws

A request got no answer, and its body stayed in the memory for bodies, if an exception came from the step that takes the complete body before the call has a boundary of its own, such as the timer of the queue for calls before the first catalog.

Cause: the reading had ended when it handed the body over, so the refusal after the exception was left out as a second one.

The reading now knows while it hands the body over, and refuses it if that throws. A refusal that throws is not repeated.

Before: BodyIntakeTest fails, no answer within 10 s. After: it passes, as do FailingStepTest, IdleBodyTest, RefusedBodyTest, RequestFramingTest and PlannedStopTest.

--- a/gateway/src/main/java/org/skylarkbend/gateway/front/BodyIntake.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/front/BodyIntake.java
@@ -45,7 +45,8 @@
 
     /**
      * Receives a complete body, or the reason why there is none. Neither is called if the
-     * connection is lost first.
+     * connection is lost first. If {@code complete} throws, the body is released and {@code
+     * refused} is called.
      */
     interface Listener {
         /** Called with the complete body, which the listener must release. */
@@ -80,7 +81,7 @@
             Listener listener) {
         Reading reading = new Reading(request, limits, untilMilliseconds, listener);
         mReadings.add(reading);
-        CallBoundary boundary = new CallBoundary(id, () -> reading.refuse(stepFailed()));
+        CallBoundary boundary = new CallBoundary(id, reading::fail);
         request.handler(boundary.around(reading::append)::accept);
         request.endHandler(ignored -> boundary.run(reading::complete));
         request.exceptionHandler(e -> boundary.run(reading::stop));
@@ -164,6 +165,7 @@
         private boolean mHasArrived = true;
         private boolean mSeemsLate;
         private boolean mEnded;
+        private boolean mCompleting;
 
         Reading(
                 HttpServerRequest request,
@@ -205,7 +207,18 @@
 
         void complete() {
             if (end()) {
+                mCompleting = true;
                 mListener.complete(mBody);
+                mCompleting = false;
+            }
+        }
+
+        /** Refuses the body after an exception, also after one of the listener that got it. */
+        void fail() {
+            if (end() || mCompleting) {
+                mCompleting = false;
+                mBody.release();
+                mListener.refused(stepFailed());
             }
         }
 
