--- a/control/src/main/java/org/skylarkbend/control/quarantine/QuarantineTask.java
+++ b/control/src/main/java/org/skylarkbend/control/quarantine/QuarantineTask.java
@@ -45,7 +45,6 @@
     private final MillisecondClock mWall;
     private final Consumer<QuarantineNotice> mOnNotice;
     private final CrashAnalysis mAnalysis = new CrashAnalysis();
-    private final UndecidedLog mUndecidedLog = new UndecidedLog(UndecidedLog::write);
     private final Map<PartCombination, Long> mInForceSinceMilliseconds = new HashMap<>();
     private final Set<PartCombination> mProposed = new HashSet<>();
     private Context mContext;
@@ -175,7 +174,6 @@
             mAnalysis
                     .verdicts(mState, nowMilliseconds)
                     .forEach(combination -> propose(new Imposed(combination)));
-            mUndecidedLog.decided(mAnalysis.undecided(mState, nowMilliseconds), nowMilliseconds);
             mState.inForce().stream()
                     .filter(combination -> remainingMilliseconds(combination, nowMilliseconds) == 0)
                     .forEach(combination -> propose(new Lifted(combination)));
--- a/quarantine/src/main/java/org/skylarkbend/quarantine/CrashAnalysis.java
+++ b/quarantine/src/main/java/org/skylarkbend/quarantine/CrashAnalysis.java
@@ -5,7 +5,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.skylarkbend.quarantine.Suspect.Wait;
@@ -144,7 +143,11 @@
             return Set.of();
         }
         Set<PartCombination> verdicts = new HashSet<>();
-        List<Suspect> candidates = candidates(state.inForce(), nowMilliseconds);
+        List<Suspect> candidates =
+                Candidates.of(
+                        suspects(state.inForce(), nowMilliseconds - SETTLE_MILLISECONDS),
+                        state.inForce(),
+                        this::wasServedBefore);
         candidates.stream()
                 .filter(suspect -> suspect.isAsSuspiciousAs(candidates.get(0)))
                 .filter(suspect -> isProved(suspect, candidates, nowMilliseconds))
@@ -156,37 +159,6 @@
         return verdicts;
     }
 
-    /** Returns the most suspicious parts and why they are not quarantined, if there are any. */
-    public Optional<Undecided> undecided(QuarantineState state, long nowMilliseconds) {
-        removeOld(nowMilliseconds);
-        Set<PartCombination> inForce = state.inForce();
-        List<Suspect> candidates = candidates(inForce, nowMilliseconds);
-        if (candidates.isEmpty()) {
-            return suspects(inForce, nowMilliseconds - SETTLE_MILLISECONDS).stream()
-                    .filter(suspect -> !suspect.isIn(inForce))
-                    .findFirst()
-                    .map(top -> undecided(top, Undecided.Reason.TWO_CALLS_EXPLAIN_IT));
-        }
-        Suspect top = candidates.get(0);
-        return doubt(top, candidates, nowMilliseconds).map(reason -> undecided(top, reason));
-    }
-
-    private Undecided undecided(Suspect suspect, Undecided.Reason reason) {
-        return new Undecided(
-                suspect.parts(),
-                suspect.waits().stream().map(Wait::callId).collect(Collectors.toSet()),
-                suspect.crashes(),
-                answersSince(suspect.parts(), suspect.firstMilliseconds()),
-                reason);
-    }
-
-    private List<Suspect> candidates(Set<PartCombination> inForce, long nowMilliseconds) {
-        return Candidates.of(
-                suspects(inForce, nowMilliseconds - SETTLE_MILLISECONDS),
-                inForce,
-                this::wasServedBefore);
-    }
-
     /** Returns the number of recent crashes at which a call with the combination waited. */
     public long crashesWith(PartCombination combination) {
         return mCrashes.values().stream().filter(crash -> crash.hasCallWith(combination)).count();
@@ -197,37 +169,18 @@
     }
 
     private boolean isProved(Suspect suspect, List<Suspect> others, long nowMilliseconds) {
-        return doubt(suspect, others, nowMilliseconds).isEmpty();
-    }
-
-    /** Returns what speaks against a verdict on a suspect now. */
-    private Optional<Undecided.Reason> doubt(
-            Suspect suspect, List<Suspect> others, long nowMilliseconds) {
         if (!isReported(suspect.firstMilliseconds(), nowMilliseconds)) {
-            return Optional.of(Undecided.Reason.REPORTS_ARE_DUE);
-        }
-        if (suspect.crashes() < CRASHES) {
-            return Optional.of(Undecided.Reason.ONE_CRASH);
+            return false;
         }
         long answers = answersSince(suspect.parts(), suspect.firstMilliseconds());
-        boolean isServedBefore = suspect.hasPart(this::wasServedBefore);
-        if (isServedBefore || others.stream().anyMatch(suspect::competesWith)) {
-            boolean isProved =
-                    suspect.crashes() >= CRASHES_IF_DOUBTFUL
-                            && answersSince(suspect.parts(), suspect.lastMilliseconds())
-                                    >= ANSWERS_IF_DOUBTFUL;
-            return isProved
-                    ? Optional.empty()
-                    : Optional.of(
-                            isServedBefore
-                                    ? Undecided.Reason.ANSWERED_BEFORE
-                                    : Undecided.Reason.OTHERS_ARE_AS_SUSPICIOUS);
+        if (suspect.hasPart(this::wasServedBefore)
+                || others.stream().anyMatch(suspect::competesWith)) {
+            return suspect.crashes() >= CRASHES_IF_DOUBTFUL
+                    && answersSince(suspect.parts(), suspect.lastMilliseconds())
+                            >= ANSWERS_IF_DOUBTFUL;
         }
-        boolean isProved =
-                answers >= ANSWERS
-                        || suspect.crashes() >= CRASHES_IF_DOUBTFUL
-                                && answers >= ANSWERS_IF_CERTAIN;
-        return isProved ? Optional.empty() : Optional.of(Undecided.Reason.FEW_ANSWERS);
+        return suspect.crashes() >= CRASHES && answers >= ANSWERS
+                || suspect.crashes() >= CRASHES_IF_DOUBTFUL && answers >= ANSWERS_IF_CERTAIN;
     }
 
     /** Returns whether an engine crashed under a combination after its quarantine was lifted. */
--- a/quarantine/src/test/java/org/skylarkbend/quarantine/CrashAnalysisTest.java
+++ b/quarantine/src/test/java/org/skylarkbend/quarantine/CrashAnalysisTest.java
@@ -219,23 +219,6 @@
         assertThat(verdicts(1_100)).containsExactly(combination(TOPIC, first));
     }
 
-    /** Guards against suspects about which nothing is known until they are quarantined. */
-    @Test
-    public void aSuspectWithoutAVerdictIsToldWithItsCallsAndTheReason() {
-        assertThat(mAnalysis.undecided(mState, 0)).isEmpty();
-        crash("e1", 0, call("c1", COMMON, DEADLY));
-        add(new CrashEvidence(List.of(), Map.of(COMMON, 0L), totalAnswers()), 10);
-        assertReason(200, Undecided.Reason.REPORTS_ARE_DUE);
-        assertReason(400, Undecided.Reason.ONE_CRASH);
-        crash("e2", 500, call("c2", COMMON, DEADLY));
-        add(new CrashEvidence(List.of(), Map.of(COMMON, 0L), totalAnswers()), 510);
-        assertReason(700, Undecided.Reason.FEW_ANSWERS);
-        assertThat(mAnalysis.undecided(mState, 700).orElseThrow().calls())
-                .containsExactlyInAnyOrder("c1", "c2");
-        answered(750, COMMON);
-        assertThat(mAnalysis.undecided(mState, 800)).as("a verdict").isEmpty();
-    }
-
     @Test
     public void partsThatOnlyOccurTogetherAreQuarantinedTogether() {
         crash("e1", 0, call("c1", COMMON, TOPIC, DEADLY));
@@ -428,12 +411,6 @@
         return new SuspectCall(id, List.of(parts));
     }
 
-    private void assertReason(long atMilliseconds, Undecided.Reason reason) {
-        Undecided undecided = mAnalysis.undecided(mState, atMilliseconds).orElseThrow();
-        assertThat(undecided.parts()).isEqualTo(combination(DEADLY));
-        assertThat(undecided.reason()).isEqualTo(reason);
-    }
-
     /** Returns a call of the topic that is not repeated. */
     private static SuspectCall sound(String id) {
         return call(id, COMMON, TOPIC, part("call-" + id));
