--- a/gateway/src/main/java/org/skylarkbend/gateway/crashes/CrashGuard.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/crashes/CrashGuard.java
@@ -28,9 +28,6 @@
     /** Interval of reports while a crash is recent, as reports may be lost. */
     private static final long REPORT_MILLISECONDS = 500;
 
-    /** Time that control needs for its verdict on a call that waited at a crash. */
-    private static final long VERDICT_MILLISECONDS = 1_000;
-
     private final CrashRecorder mRecorder = new CrashRecorder();
     private final ServedParts mServed = new ServedParts();
     private final Consumer<CrashEvidence> mLeader;
@@ -84,33 +81,10 @@
             return OptionalLong.empty();
         }
         List<PromptPart> parts = callParts.get();
-        OptionalLong quarantined =
-                mUntilMilliseconds.entrySet().stream()
-                        .filter(one -> one.getKey().isIn(parts))
-                        .mapToLong(one -> Math.max(1, one.getValue() - nowMilliseconds))
-                        .max();
-        return quarantined.isEmpty() && sharesSuspectedPart(parts) && broke(parts, nowMilliseconds)
-                ? OptionalLong.of(VERDICT_MILLISECONDS)
-                : quarantined;
-    }
-
-    /**
-     * Returns whether a call shares a part with a quarantined one that may be the cause alone, as
-     * it was not answered since. A crash under the call decides against that part or the call, so
-     * it is not sent on before the verdict.
-     */
-    private boolean sharesSuspectedPart(List<PromptPart> parts) {
-        return mUntilMilliseconds.keySet().stream()
-                .flatMap(combination -> combination.parts().stream())
-                .filter(mNotice.watched()::contains)
-                .anyMatch(parts::contains);
-    }
-
-    private boolean broke(List<PromptPart> parts, long nowMilliseconds) {
-        return parts.stream()
-                .filter(PromptPart::isOfOneCall)
-                .anyMatch(
-                        part -> mRecorder.brokeSince(part, nowMilliseconds - VERDICT_MILLISECONDS));
+        return mUntilMilliseconds.entrySet().stream()
+                .filter(quarantined -> quarantined.getKey().isIn(parts))
+                .mapToLong(quarantined -> Math.max(1, quarantined.getValue() - nowMilliseconds))
+                .max();
     }
 
     /**
--- a/gateway/src/main/java/org/skylarkbend/gateway/crashes/CrashRecorder.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/crashes/CrashRecorder.java
@@ -116,14 +116,6 @@
         return true;
     }
 
-    /** Returns whether connections of waiting calls with a part broke after a time. */
-    public boolean brokeSince(PromptPart part, long sinceMilliseconds) {
-        return Stream.concat(mUnconfirmed.values().stream(), mCrashes.values().stream())
-                .filter(found -> found.mAtMilliseconds > sinceMilliseconds)
-                .flatMap(found -> found.mCalls.values().stream())
-                .anyMatch(call -> call.parts().contains(part));
-    }
-
     /** Returns whether any endpoint crashed in the last seconds. */
     public boolean hasCrashes(long nowMilliseconds) {
         removeOld(nowMilliseconds);
--- a/gateway/src/test/java/org/skylarkbend/gateway/crashes/CrashGuardTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/crashes/CrashGuardTest.java
@@ -80,31 +80,6 @@
         assertThat(mGuard.quarantinedMilliseconds(() -> List.of(PART), 60_000)).hasValue(1);
     }
 
-    /** Guards against a second engine that a call crashes before control has judged the first. */
-    @Test
-    public void aCallThatWaitedAtACrashAndSharesASuspectedPartIsHeldBackForTheVerdict() {
-        PromptPart digest = new PromptPart("m", "call-1");
-        PromptPart quarantined = new PromptPart("m", "call-2");
-        PartCombination suspected = PartCombination.of(List.of(PART, quarantined));
-        SuspectCall call = new SuspectCall("c", List.of(PART, digest));
-        Map<PartCombination, Long> inForce = Map.of(suspected, 90_000L);
-        mGuard.noticeReceived(new QuarantineNotice(Set.of(PART), inForce), 0);
-        assertThat(mGuard.quarantinedMilliseconds(call::parts, 100)).as("not sent yet").isEmpty();
-        mGuard.connectionBroke(ENGINE, call, 100);
-        assertThat(mGuard.quarantinedMilliseconds(call::parts, 110)).isPresent();
-        assertThat(mGuard.quarantinedMilliseconds(() -> List.of(OTHER, digest), 110))
-                .as("nothing in common with what is quarantined")
-                .isEmpty();
-        assertThat(mGuard.quarantinedMilliseconds(call::parts, 1_200))
-                .as("control has had the time")
-                .isEmpty();
-        mGuard.connectionBroke(ENGINE, call, 1_300);
-        mGuard.noticeReceived(new QuarantineNotice(Set.of(), inForce), 1_310);
-        assertThat(mGuard.quarantinedMilliseconds(call::parts, 1_320))
-                .as("the part was answered")
-                .isEmpty();
-    }
-
     private void crash(long atMilliseconds) {
         mGuard.connectionBroke(ENGINE, CALL, atMilliseconds);
         mGuard.refusedConnection(ENGINE, atMilliseconds);
