--- a/quarantine/src/main/java/org/skylarkbend/quarantine/CrashAnalysis.java
+++ b/quarantine/src/main/java/org/skylarkbend/quarantine/CrashAnalysis.java
@@ -205,7 +205,7 @@
     /**
      * Returns the suspects, the most suspicious first, with those in quarantine. A crash that a
      * quarantine explains counts only against the parts of that quarantine, one of which may be the
-     * cause alone, and against parts that explain more.
+     * cause alone.
      */
     private List<Suspect> suspects(Set<PartCombination> inForce, long untilMilliseconds) {
         Map<String, Crash> crashes = new HashMap<>(mCrashes);
