--- a/gateway/src/main/java/org/skylarkbend/gateway/call/CallFingerprint.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/CallFingerprint.java
@@ -17,6 +17,9 @@
  * to the task that serves the calls.
  */
 final class CallFingerprint {
+    private static final String CONTENT_PREFIX = "call-";
+    private static final String REPETITION_PREFIX = "caller-";
+
     /** Length of a digest of 128 bits, which no two calls share by chance. */
     private static final int DIGEST_CHARS = 32;
 
@@ -55,11 +58,8 @@
             List<PromptPart> own = new ArrayList<>();
             mCall.prompt().flatMap(Prompt::ownPart).ifPresent(own::add);
             String content = content();
-            own.add(new PromptPart(subject(), PromptPart.CONTENT_PREFIX + digest(content)));
-            own.add(
-                    new PromptPart(
-                            subject(),
-                            PromptPart.REPETITION_PREFIX + digest(content + customer())));
+            own.add(new PromptPart(subject(), CONTENT_PREFIX + digest(content)));
+            own.add(new PromptPart(subject(), REPETITION_PREFIX + digest(content + customer())));
             mOwn = List.copyOf(own);
         }
         return mOwn;
--- a/quarantine/src/main/java/org/skylarkbend/quarantine/CrashAnalysis.java
+++ b/quarantine/src/main/java/org/skylarkbend/quarantine/CrashAnalysis.java
@@ -1,13 +1,13 @@
 package org.skylarkbend.quarantine;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.stream.Collectors;
-import org.skylarkbend.quarantine.Suspect.Wait;
 
 /**
  * Finds the parts of prompts that crash engines, from the reports of all gateways.
@@ -43,6 +43,9 @@
     /** Answers that are enough if one suspect waited at so many crashes as for doubtful ones. */
     static final int ANSWERS_IF_CERTAIN = 1;
 
+    /** Crashes that are at most this far apart count as one. */
+    private static final long SAME_TIME_MILLISECONDS = 50;
+
     /**
      * Time that all gateways need to report which calls waited at a crash. Before it, a part that
      * calls at several gateways share seems to have waited more often than the one call that did.
@@ -70,15 +73,55 @@
             mAtMilliseconds = atMilliseconds;
         }
 
-        List<List<PromptPart>> partsOfCalls() {
-            return mCalls.values().stream().map(SuspectCall::parts).toList();
-        }
-
         boolean hasCallWith(PartCombination combination) {
             return mCalls.values().stream().anyMatch(call -> combination.isIn(call.parts()));
         }
     }
 
+    /** A call that waited at an endpoint when it crashed. */
+    private record Wait(String incarnation, String callId, long atMilliseconds) {}
+
+    /** Parts that waited at the same crashes in the same calls, and may be the cause of them. */
+    private record Suspect(PartCombination parts, Set<Wait> waits, int crashes) {
+        private static final Comparator<Suspect> MOST_SUSPICIOUS_FIRST =
+                Comparator.comparingInt(Suspect::crashes)
+                        .thenComparingInt(suspect -> suspect.waits().size())
+                        .reversed()
+                        .thenComparing(Suspect::parts);
+
+        boolean isAsSuspiciousAs(Suspect other) {
+            return crashes == other.crashes && waits.size() == other.waits.size();
+        }
+
+        /** Returns whether both are as suspicious, and because of some of the same crashes. */
+        boolean competesWith(Suspect other) {
+            return !equals(other)
+                    && isAsSuspiciousAs(other)
+                    && waits.stream()
+                            .map(Wait::incarnation)
+                            .anyMatch(
+                                    crashed ->
+                                            other.waits.stream()
+                                                    .map(Wait::incarnation)
+                                                    .anyMatch(crashed::equals));
+        }
+
+        /** Returns whether the other one waited at as many crashes, but in fewer calls. */
+        boolean isMoreGeneralThan(Suspect other) {
+            return crashes == other.crashes
+                    && waits.size() > other.waits.size()
+                    && waits.containsAll(other.waits);
+        }
+
+        long firstMilliseconds() {
+            return waits.stream().mapToLong(Wait::atMilliseconds).min().orElse(0);
+        }
+
+        long lastMilliseconds() {
+            return waits.stream().mapToLong(Wait::atMilliseconds).max().orElse(0);
+        }
+    }
+
     private long mClearedMilliseconds = Long.MIN_VALUE / 2;
     private final Map<String, Crash> mCrashes = new HashMap<>();
     private final Map<PromptPart, Long> mServedMilliseconds = new HashMap<>();
@@ -130,7 +173,6 @@
     public Set<PromptPart> watched(QuarantineState state, long nowMilliseconds) {
         removeOld(nowMilliseconds);
         return suspects(state.inForce(), nowMilliseconds).stream()
-                .filter(suspect -> !suspect.isIn(state.inForce()))
                 .flatMap(suspect -> suspect.parts().parts().stream())
                 .limit(MAX_WATCHED)
                 .collect(Collectors.toSet());
@@ -143,15 +185,21 @@
             return Set.of();
         }
         Set<PartCombination> verdicts = new HashSet<>();
-        List<Suspect> candidates =
-                Candidates.of(
-                        suspects(state.inForce(), nowMilliseconds - SETTLE_MILLISECONDS),
-                        state.inForce(),
-                        this::wasServedBefore);
-        candidates.stream()
-                .filter(suspect -> suspect.isAsSuspiciousAs(candidates.get(0)))
-                .filter(suspect -> isProved(suspect, candidates, nowMilliseconds))
-                .forEach(suspect -> verdicts.add(suspect.parts()));
+        List<Suspect> suspects =
+                narrowed(
+                                suspects(state.inForce(), nowMilliseconds - SETTLE_MILLISECONDS),
+                                state.inForce())
+                        .stream()
+                        .map(this::withoutPartsServedBefore)
+                        .toList();
+        if (!suspects.isEmpty()) {
+            List<Suspect> candidates = candidates(suspects);
+            Suspect top = candidates.get(0);
+            candidates.stream()
+                    .filter(suspect -> suspect.isAsSuspiciousAs(top))
+                    .filter(suspect -> isProved(suspect, candidates, nowMilliseconds))
+                    .forEach(suspect -> verdicts.add(suspect.parts()));
+        }
         state.combinations().keySet().stream()
                 .filter(combination -> !state.inForce().contains(combination))
                 .filter(combination -> crashedAgain(combination, nowMilliseconds))
@@ -164,8 +212,26 @@
         return mCrashes.values().stream().filter(crash -> crash.hasCallWith(combination)).count();
     }
 
-    private boolean wasServedBefore(PromptPart part) {
-        return mServedMilliseconds.containsKey(part);
+    /**
+     * Returns the suspects of which the first is to be judged, the most suspicious first. If that
+     * one was answered before the crashes, calls that account for some of them go first, as long as
+     * there are any.
+     */
+    private List<Suspect> candidates(List<Suspect> suspects) {
+        Suspect top = suspects.get(0);
+        if (!wasServedBefore(top)) {
+            return suspects;
+        }
+        List<Suspect> within =
+                suspects.stream()
+                        .filter(one -> one.crashes() >= CRASHES && !wasServedBefore(one))
+                        .filter(one -> top.waits().containsAll(one.waits()))
+                        .toList();
+        return within.isEmpty() ? suspects : within;
+    }
+
+    private boolean wasServedBefore(Suspect suspect) {
+        return suspect.parts().parts().stream().anyMatch(mServedMilliseconds::containsKey);
     }
 
     private boolean isProved(Suspect suspect, List<Suspect> others, long nowMilliseconds) {
@@ -173,8 +239,7 @@
             return false;
         }
         long answers = answersSince(suspect.parts(), suspect.firstMilliseconds());
-        if (suspect.hasPart(this::wasServedBefore)
-                || others.stream().anyMatch(suspect::competesWith)) {
+        if (wasServedBefore(suspect) || others.stream().anyMatch(suspect::competesWith)) {
             return suspect.crashes() >= CRASHES_IF_DOUBTFUL
                     && answersSince(suspect.parts(), suspect.lastMilliseconds())
                             >= ANSWERS_IF_DOUBTFUL;
@@ -203,42 +268,110 @@
     }
 
     /**
-     * Returns the suspects, the most suspicious first, with those in quarantine. A crash that a
-     * quarantine explains counts only against the parts of that quarantine, one of which may be the
-     * cause alone.
+     * Leaves out the parts that were served before the crashes, if there are others: those are more
+     * likely to be the cause.
+     */
+    private Suspect withoutPartsServedBefore(Suspect suspect) {
+        List<PromptPart> neverServed =
+                suspect.parts().parts().stream()
+                        .filter(part -> !mServedMilliseconds.containsKey(part))
+                        .toList();
+        return neverServed.isEmpty()
+                ? suspect
+                : new Suspect(PartCombination.of(neverServed), suspect.waits(), suspect.crashes());
+    }
+
+    /**
+     * Returns the suspects, the most suspicious first. A crash that a quarantine explains counts
+     * only against the parts of that quarantine, one of which may be the cause alone.
      */
     private List<Suspect> suspects(Set<PartCombination> inForce, long untilMilliseconds) {
-        Map<String, Crash> crashes = new HashMap<>(mCrashes);
-        crashes.values().removeIf(crash -> crash.mAtMilliseconds > untilMilliseconds);
         Map<PromptPart, Set<Wait>> waits = new HashMap<>();
-        crashes.forEach((incarnation, crash) -> addWaits(incarnation, crash, waits));
-        Explanations explanations = new Explanations(inForce);
-        crashes.forEach(
-                (incarnation, crash) -> explanations.add(incarnation, crash.partsOfCalls()));
-        Map<Set<Wait>, List<PromptPart>> partsByWaits = new HashMap<>();
-        waits.forEach(
-                (part, own) -> {
-                    Set<Wait> counted = explanations.unexplained(part, own);
-                    if (!counted.isEmpty()) {
-                        partsByWaits.computeIfAbsent(counted, k -> new ArrayList<>()).add(part);
+        mCrashes.forEach(
+                (incarnation, crash) -> {
+                    if (crash.mAtMilliseconds <= untilMilliseconds) {
+                        addWaits(incarnation, crash, inForce, waits);
                     }
                 });
+        Map<Set<Wait>, List<PromptPart>> partsByWaits = new HashMap<>();
+        waits.forEach(
+                (part, own) -> partsByWaits.computeIfAbsent(own, k -> new ArrayList<>()).add(part));
         List<Suspect> suspects = new ArrayList<>();
         partsByWaits.forEach(
-                (own, parts) -> suspects.add(new Suspect(PartCombination.of(parts), own)));
+                (own, parts) -> {
+                    if (inForce.stream().noneMatch(combination -> combination.isIn(parts))) {
+                        suspects.add(
+                                new Suspect(PartCombination.of(parts), own, separateCrashes(own)));
+                    }
+                });
         suspects.sort(Suspect.MOST_SUSPICIOUS_FIRST);
         return suspects;
     }
 
-    private void addWaits(String incarnation, Crash crash, Map<PromptPart, Set<Wait>> waits) {
+    /**
+     * Returns the suspects with the most suspicious one narrowed to a single call, if one call
+     * waited at as many crashes as all calls with the suspected parts. The crashes then do not tell
+     * whether the parts or that call are the cause, and other calls with the parts will.
+     */
+    private static List<Suspect> narrowed(List<Suspect> suspects, Set<PartCombination> inForce) {
+        if (suspects.isEmpty()) {
+            return suspects;
+        }
+        Suspect top = suspects.get(0);
+        List<Suspect> within = suspects.stream().filter(top::isMoreGeneralThan).toList();
+        List<Suspect> narrowest =
+                within.stream()
+                        .filter(one -> within.stream().noneMatch(one::isMoreGeneralThan))
+                        .toList();
+        if (narrowest.size() != 1) {
+            return suspects;
+        }
+        Suspect call = narrowest.get(0);
+        List<PromptPart> parts = new ArrayList<>(call.parts().parts());
+        suspects.stream()
+                .filter(suspect -> suspect.isMoreGeneralThan(call))
+                .forEach(suspect -> parts.addAll(suspect.parts().parts()));
+        List<Suspect> others =
+                suspects.stream()
+                        .filter(other -> !other.equals(call) && !other.isMoreGeneralThan(call))
+                        .toList();
+        List<Suspect> narrowed = new ArrayList<>();
+        PartCombination combination = PartCombination.of(parts);
+        if (inForce.stream().noneMatch(quarantined -> quarantined.isIn(combination.parts()))) {
+            narrowed.add(new Suspect(combination, call.waits(), call.crashes()));
+        }
+        narrowed.addAll(others);
+        return narrowed;
+    }
+
+    private void addWaits(
+            String incarnation,
+            Crash crash,
+            Set<PartCombination> inForce,
+            Map<PromptPart, Set<Wait>> waits) {
+        List<PartCombination> explanations = inForce.stream().filter(crash::hasCallWith).toList();
+        Set<PromptPart> explaining =
+                explanations.stream()
+                        .filter(explanation -> isSimplest(explanation, explanations))
+                        .flatMap(explanation -> explanation.parts().stream())
+                        .collect(Collectors.toSet());
         for (SuspectCall call : crash.mCalls.values()) {
             Wait wait = new Wait(incarnation, call.id(), crash.mAtMilliseconds);
-            call.parts().stream()
-                    .filter(part -> isUnservedSince(part, crash.mAtMilliseconds))
-                    .forEach(part -> waits.computeIfAbsent(part, k -> new HashSet<>()).add(wait));
+            for (PromptPart part : call.parts()) {
+                boolean mayBeCause = explaining.isEmpty() || explaining.contains(part);
+                if (mayBeCause && isUnservedSince(part, crash.mAtMilliseconds)) {
+                    waits.computeIfAbsent(part, key -> new HashSet<>()).add(wait);
+                }
+            }
         }
     }
 
+    private static boolean isSimplest(
+            PartCombination explanation, List<PartCombination> explanations) {
+        return explanations.stream()
+                .noneMatch(other -> !other.equals(explanation) && other.isIn(explanation.parts()));
+    }
+
     private boolean isUnservedSince(PartCombination combination, long crashMilliseconds) {
         return combination.parts().stream()
                 .anyMatch(part -> isUnservedSince(part, crashMilliseconds));
@@ -255,6 +388,18 @@
         return !wasServedSince && !wasLiftedSince;
     }
 
+    private static int separateCrashes(Set<Wait> waits) {
+        List<Long> times =
+                waits.stream().map(Wait::atMilliseconds).sorted(Comparator.naturalOrder()).toList();
+        int separate = 0;
+        long lastMilliseconds = Long.MIN_VALUE / 2;
+        for (long atMilliseconds : times) {
+            separate += atMilliseconds - lastMilliseconds > SAME_TIME_MILLISECONDS ? 1 : 0;
+            lastMilliseconds = atMilliseconds;
+        }
+        return separate;
+    }
+
     private void removeOld(long nowMilliseconds) {
         long oldestMilliseconds = nowMilliseconds - MEMORY_MILLISECONDS;
         mCrashes.values().removeIf(crash -> crash.mAtMilliseconds < oldestMilliseconds);
--- a/quarantine/src/main/java/org/skylarkbend/quarantine/PartCombination.java
+++ b/quarantine/src/main/java/org/skylarkbend/quarantine/PartCombination.java
@@ -34,11 +34,6 @@
         return promptParts.containsAll(parts);
     }
 
-    /** Returns whether it contains all parts of another combination, and more. */
-    public boolean isNarrowerThan(PartCombination other) {
-        return !equals(other) && other.isIn(parts);
-    }
-
     /** Returns the IDs of the parts, for logs. */
     public String ids() {
         return String.join("+", parts.stream().map(PromptPart::id).toList());
--- a/quarantine/src/main/java/org/skylarkbend/quarantine/PromptPart.java
+++ b/quarantine/src/main/java/org/skylarkbend/quarantine/PromptPart.java
@@ -14,17 +14,6 @@
     private static final Comparator<PromptPart> ORDER =
             Comparator.comparing(PromptPart::model).thenComparing(PromptPart::id);
 
-    /** Begin of the IDs of digests of the content of a call. */
-    public static final String CONTENT_PREFIX = "call-";
-
-    /** Begin of the IDs of digests of the content of a call and its customer. */
-    public static final String REPETITION_PREFIX = "caller-";
-
-    /** Returns whether only the repetitions of one call share the part. */
-    public boolean isOfOneCall() {
-        return id.startsWith(CONTENT_PREFIX) || id.startsWith(REPETITION_PREFIX);
-    }
-
     @Override
     public int compareTo(PromptPart other) {
         return ORDER.compare(this, other);
