Go back to a silent endpoint only when no attempt is under way

A return beside a successor that was still open had two outcomes, both wrong. A former endpoint that needed more than 250 ms to the head of its response was stopped again, while the successor went on: two engines had the stream for longer than 400 ms. Shown by a test in which the returned attempt was stopped after 253 ms and the mute successor was open 400 ms after the return. Stopping the successor instead would lose streams to an endpoint that hangs.

A stream now goes back only after its successor has ended.

--- a/gateway/src/main/java/org/skylarkbend/gateway/call/GatewayCall.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/GatewayCall.java
@@ -80,7 +80,7 @@
                         mRuns,
                         mLog,
                         choice -> start(choice, false),
-                        boundary.around(this::timeForBothPassed));
+                        boundary.around(run -> goOnWith(run, "the time for both has passed")));
         mReservation = new RateReservation(call, resources);
         mTiming = new StreamTiming(call.arrivedMilliseconds());
         mSilenceTimer =
@@ -187,7 +187,7 @@
             refuseQuarantined();
             return;
         }
-        Optional<EngineChoice> chosen = mRuns.choose();
+        Optional<EngineChoice> chosen = mRuns.chooseAlsoSilent();
         if (chosen.isEmpty()) {
             ErrorKind kind =
                     mHistory.mayHaveRun() ? ErrorKind.ENDPOINT_FAILED : ErrorKind.NO_ENDPOINT;
@@ -306,15 +306,6 @@
         }
     }
 
-    /** Decides between two endpoints of a stream, neither of which has sent the next event. */
-    private void timeForBothPassed(Run successor) {
-        if (successor.isReturn() && successor.head() == null) {
-            stop(successor, AttemptOutcome.SILENT, "it did not accept the stream again");
-        } else {
-            goOnWith(successor, "the time for both has passed");
-        }
-    }
-
     /** Stops reading the stream until the caller has read more of it. */
     private void waitForCaller(Run run) {
         run.pause();
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/Run.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/Run.java
@@ -13,7 +13,6 @@
     private final Attempt mAttempt;
     private final EngineChoice mChoice;
     private final ReceivedResponse mReceived;
-    private final boolean mIsReturn;
     private final long mStartedMilliseconds;
     private long mFirstEventMilliseconds = NONE_MILLISECONDS;
     private ResponseHead mHead;
@@ -29,7 +28,6 @@
      * @param choice the choice of its endpoint
      * @param received what has arrived of the response
      * @param isPaid false if a retry is still to be taken from the budget when the call is sent
-     * @param isReturn true if an earlier attempt at the endpoint was stopped for its silence
      * @param nowMilliseconds current time
      */
     Run(
@@ -37,13 +35,11 @@
             EngineChoice choice,
             ReceivedResponse received,
             boolean isPaid,
-            boolean isReturn,
             long nowMilliseconds) {
         mAttempt = attempt;
         mChoice = choice;
         mReceived = received;
         mPaid = isPaid;
-        mIsReturn = isReturn;
         mStartedMilliseconds = nowMilliseconds;
     }
 
@@ -63,11 +59,6 @@
         return mReceived;
     }
 
-    /** Returns whether the call went back to the endpoint after a silence. */
-    boolean isReturn() {
-        return mIsReturn;
-    }
-
     /** Returns the head of the response, once it has arrived. */
     ResponseHead head() {
         return mHead;
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/Runs.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/Runs.java
@@ -38,14 +38,17 @@
         mBoundary = boundary;
     }
 
+    /** Selects an endpoint that was not tried. */
+    Optional<EngineChoice> choose() {
+        return mResources.choose(mCall, mHistory.prior());
+    }
+
     /**
-     * Selects the endpoint of the next attempt: one that was not tried, or else one that was
-     * stopped for its silence.
+     * Selects the endpoint of the next attempt of a call that none is under way for: one that was
+     * not tried, or else one that was stopped for its silence.
      */
-    Optional<EngineChoice> choose() {
-        return mResources
-                .choose(mCall, mHistory.prior())
-                .or(() -> mResources.choose(mCall, mHistory.priorExceptSilent()));
+    Optional<EngineChoice> chooseAlsoSilent() {
+        return choose().or(() -> mResources.choose(mCall, mHistory.priorExceptSilent()));
     }
 
     /**
@@ -65,8 +68,7 @@
         ReceivedResponse received =
                 new ReceivedResponse(
                         mResources.responses(), mBoundary.around(() -> onGivenUp.accept(attempt)));
-        boolean isReturn = mHistory.wasStoppedForSilence(choice.endpoint());
-        Run run = new Run(attempt, choice, received, isPaid, isReturn, now());
+        Run run = new Run(attempt, choice, received, isPaid, now());
         mHistory.started(choice.endpoint());
         mResources.outcomes().sent(choice.endpoint());
         mResources.selector().sent(choice.endpoint(), attempt.tokensToRead(), now());
