--- a/limits/src/test/java/org/skylarkbend/limits/TokenLapseTest.java
+++ b/limits/src/test/java/org/skylarkbend/limits/TokenLapseTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.ArrayList;
 import java.util.List;
 import org.skylarkbend.base.ObjectName;
 import org.skylarkbend.limits.LimitMessage.GrantEntry;
@@ -105,6 +106,59 @@
         assertThat(mGateway.heldTokens(CUSTOMER)).isEqualTo(GRANTED_TOKENS);
     }
 
+    /** Guards against a refusal below the limit because the first grant is given up. */
+    @Test
+    public void longAfterControlIsBackACallIsServedWithTheFirstGrant() {
+        mNowMilliseconds += POLICY.lapseMilliseconds();
+        decide(new Wake());
+        for (int i = 0; i < 60; i++) {
+            confirmWithoutGrants(mLastReport);
+            mNowMilliseconds += STEP_MILLISECONDS;
+            decide(new Wake());
+        }
+        confirmWithoutGrants(mLastReport);
+        mNowMilliseconds += POLICY.reportMilliseconds();
+        long callId = ++mLastCall;
+        List<LimitShareEffect> effects = new ArrayList<>(decide(new Reserve(callId, CUSTOMER, 1)));
+        effects.addAll(decide(new OwnerMessageReceived(grants(mLastReport, 2 * GRANTED_TOKENS))));
+        assertThat(effects).contains(new Admit(callId));
+    }
+
+    /** Guards against a refusal below the limit by an owner that takes 60 ms to respond. */
+    @Test
+    public void longAfterControlIsBackACallIsServedByAnOwnerThatRespondsWithinItsWait() {
+        mNowMilliseconds += POLICY.lapseMilliseconds();
+        decide(new Wake());
+        for (int i = 0; i < 60; i++) {
+            confirmWithoutGrants(mLastReport);
+            mNowMilliseconds += STEP_MILLISECONDS;
+            decide(new Wake());
+        }
+        confirmWithoutGrants(mLastReport);
+        mNowMilliseconds += POLICY.reportMilliseconds();
+        long callId = ++mLastCall;
+        boolean isAdmitted = decide(new Reserve(callId, CUSTOMER, 1)).contains(new Admit(callId));
+        for (int round = 2; round <= 3; round++) {
+            Report report = mLastReport;
+            mNowMilliseconds += 50;
+            decide(new Wake());
+            mNowMilliseconds += 10;
+            isAdmitted |=
+                    decide(new OwnerMessageReceived(grants(report, round * GRANTED_TOKENS)))
+                            .contains(new Admit(callId));
+        }
+        assertThat(isAdmitted).isTrue();
+    }
+
+    private void confirmWithoutGrants(Report report) {
+        decide(new OwnerMessageReceived(new Grants(TERM, report.sequence(), List.of())));
+    }
+
+    private static Grants grants(Report report, long grantedTokens) {
+        GrantEntry entry = new GrantEntry(CUSTOMER, grantedTokens, false);
+        return new Grants(TERM, report.sequence(), List.of(entry));
+    }
+
     private void confirm(Report report, long grantedTokens) {
         GrantEntry entry = new GrantEntry(CUSTOMER, grantedTokens, false);
         decide(new OwnerMessageReceived(new Grants(TERM, report.sequence(), List.of(entry))));
--- a/quarantine/src/test/java/org/skylarkbend/quarantine/CrashAnalysisTest.java
+++ b/quarantine/src/test/java/org/skylarkbend/quarantine/CrashAnalysisTest.java
@@ -286,6 +286,52 @@
         assertThat(mAnalysis.watched(mState, 100_000)).as("after a while").isEmpty();
     }
 
+    /** Guards against a part that crashes engine after engine because its calls wait in pairs. */
+    @Test
+    public void aPartIsQuarantinedAfterFourCrashesThoughItsRepeatedCallsWaitedInPairs() {
+        SuspectCall a = call("a", COMMON, DEADLY, part("call-a"));
+        SuspectCall b = call("b", COMMON, DEADLY, part("call-b"));
+        SuspectCall c = call("c", COMMON, DEADLY, part("call-c"));
+        SuspectCall d = call("d", COMMON, DEADLY, part("call-d"));
+        crash("e1", 0, a, b);
+        crash("e2", 200, a, b);
+        crash("e3", 400, c, d);
+        crash("e4", 600, c, d);
+        answered(700, COMMON);
+        assertThat(verdicts(REPORTED)).containsExactly(combination(DEADLY));
+    }
+
+    /** Guards against a part that goes on since two more calls waited beside each other. */
+    @Test
+    public void aPartIsQuarantinedIfTwoMoreOfItsCallsWaitedAtOneCrashAfterAQuarantine() {
+        crash("e1", 0, call("a", COMMON, DEADLY, part("call-a")));
+        crash("e2", 200, call("a", COMMON, DEADLY, part("call-a")));
+        answered(300, COMMON);
+        impose(combination(DEADLY, part("call-a")));
+        crash(
+                "e3",
+                400,
+                call("b", COMMON, DEADLY, part("call-b")),
+                call("c", COMMON, DEADLY, part("call-c")));
+        answered(700, COMMON);
+        assertThat(verdicts(REPORTED)).containsExactly(combination(DEADLY));
+    }
+
+    /** Guards against a part that crashes all engines of a site before it is refused. */
+    @Test
+    public void aPartIsQuarantinedBeforeTwoPairsOfItsCallsHaveCrashedSevenEngines() {
+        SuspectCall a = call("a", COMMON, DEADLY, part("call-a"));
+        SuspectCall b = call("b", COMMON, DEADLY, part("call-b"));
+        SuspectCall c = call("c", COMMON, DEADLY, part("call-c"));
+        SuspectCall d = call("d", COMMON, DEADLY, part("call-d"));
+        for (int i = 0; i < 7; i++) {
+            boolean isFirstPair = i % 4 < 2;
+            crash("e" + i, 200 * i, isFirstPair ? a : c, isFirstPair ? b : d);
+        }
+        answered(1_400, COMMON);
+        assertThat(verdicts(1_400 + REPORTED)).containsExactly(combination(DEADLY));
+    }
+
     private void crash(String incarnation, long atMilliseconds, SuspectCall... calls) {
         EndpointCrash crash = new EndpointCrash(incarnation, 0, List.of(calls));
         add(new CrashEvidence(List.of(crash), Map.of(), totalAnswers()), atMilliseconds);
