Announce a waiting change of the endpoints though the next read fails

Cause: the guard against announcements after the end of a leadership asked whether the last read of the list had succeeded. A change that was read less than 50 ms after an announcement was then dropped if the next read failed, until a read succeeded again. It now asks whether the list was read in this leadership.

Before: the new test of EndpointsTaskTest fails, no second announcement in 30 s. After: the five tests of the class pass.

--- a/control/src/main/java/org/skylarkbend/control/site/EndpointsTask.java
+++ b/control/src/main/java/org/skylarkbend/control/site/EndpointsTask.java
@@ -66,6 +66,7 @@
     private long mLastNotifiedMilliseconds = Long.MIN_VALUE / 2;
     private boolean mNotifyScheduled;
     private boolean mListKnown;
+    private boolean mListReadAsLeader;
     private boolean mListInFlight;
 
     /**
@@ -132,6 +133,7 @@
         mLeadership = leadership;
         if (!continues) {
             mListKnown = false;
+            mListReadAsLeader = false;
             mLastNotified = Optional.empty();
             decide(leadership.leads() ? new CommandTaken(leadership.term()) : new CommandLost());
             list();
@@ -188,6 +190,7 @@
                 engines.add(new Engine(endpoint.incarnation(), endpoint.weights()));
             }
         }
+        mListReadAsLeader = true;
         decide(new EnginesListed(engines));
         notifyGateways();
     }
@@ -215,7 +218,7 @@
     }
 
     private void notifyGatewaysNow() {
-        if (!mListKnown) {
+        if (!mListReadAsLeader) {
             return;
         }
         List<Endpoint> known = mEndpoints.values().stream().map(this::withReportedWeights).toList();
--- a/control/src/test/java/org/skylarkbend/control/site/EndpointsTaskTest.java
+++ b/control/src/test/java/org/skylarkbend/control/site/EndpointsTaskTest.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BooleanSupplier;
+import org.skylarkbend.base.ErrorKind;
 import org.skylarkbend.base.MillisecondClock;
 import org.skylarkbend.base.Result;
 import org.skylarkbend.catalog.Endpoint;
@@ -41,6 +42,10 @@
     private static final long WAIT_LIMIT_SECONDS = 30;
     private static final long POLL_MILLISECONDS = 10;
     private static final int TICKS = 3;
+
+    /** Longer than two reads of the list take. */
+    private static final long READS_MILLISECONDS = 1_200;
+
     private static final Endpoint ENGINE =
             new Endpoint("e", "desk", "127.0.0.1", 1, "z", "v1", 6, false, 1, Map.of("m", 1L));
 
@@ -159,6 +164,24 @@
                 .allMatch(mAnnounced.get(0).whole()::equals);
     }
 
+    /** Guards against a change that is not announced because the next read of the list fails. */
+    @Test
+    public void aChangeThatWaitsForItsAnnouncementIsAnnouncedThoughTheNextReadFails()
+            throws Exception {
+        EndpointsTask task = start();
+        task.post(leaderOf(1));
+        awaitUntil(() -> mAnnounced.size() == 1);
+        mNowMilliseconds.addAndGet(-READS_MILLISECONDS);
+        mSource.set(() -> Future.succeededFuture(Result.success(List.of())));
+        awaitLists(1);
+        mSource.set(
+                () ->
+                        Future.succeededFuture(
+                                Result.failure(ErrorKind.ENDPOINT_FAILED, "unavailable")));
+        awaitUntil(() -> mAnnounced.size() == 2);
+        assertThat(mAnnounced.get(1).whole().endpoints()).isEmpty();
+    }
+
     /** Guards against gateways that get a list that was asked for in a former leadership. */
     @Test
     public void aListThatWasAskedForInAFormerLeadershipIsNotAnnounced() throws Exception {
