Close connections whose peer has no room for what was sent

What operators would see: a connection that was closed because its peer reads nothing, or because too much waits for it, kept its descriptor, went on reading, and held what was unsent until the peer read again or was gone.

Cause: NetSocket.close of Vert.x first waits until all that was written is flushed. FrameConnection told its owner that it was closed, but the socket stayed open for as long as the buffers of the peer were full.

One second after close the socket is now closed without that wait. What is sent just before a close still arrives if the peer reads.

Before: the new test, with a small receive buffer, fails in every run (no close at the peer in 30 s). After: HostilePeerTest, FrameConnectionTest and TlsConnectionTest pass.

--- a/wire/src/main/java/org/skylarkbend/wire/FrameConnection.java
+++ b/wire/src/main/java/org/skylarkbend/wire/FrameConnection.java
@@ -2,6 +2,7 @@
 
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.internal.net.NetSocketInternal;
 import io.vertx.core.net.NetSocket;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
@@ -27,6 +28,9 @@
     /** The size of the parts in which large frames are given to the socket. */
     private static final int PART_BYTES = 64 * 1024;
 
+    /** Time in which a peer may take what was sent before the connection was closed. */
+    private static final long FLUSH_MILLISECONDS = 1_000;
+
     private final Vertx mVertx;
     private final NetSocket mSocket;
     private final MessageCodec<M> mCodec;
@@ -122,10 +126,18 @@
 
     /** Closes the connection and runs the close handler. */
     public void close() {
-        mSocket.close();
+        if (!mClosed) {
+            mSocket.close();
+            mVertx.setTimer(FLUSH_MILLISECONDS, id -> abort());
+        }
         handleClosed();
     }
 
+    /** Closes the socket without the wait of {@link NetSocket#close} for what is still unsent. */
+    private void abort() {
+        ((NetSocketInternal) mSocket).channelHandlerContext().close();
+    }
+
     /** Returns the address of the peer. */
     public String remoteAddress() {
         return String.valueOf(mSocket.remoteAddress());
--- a/wire/src/test/java/org/skylarkbend/wire/HostilePeerTest.java
+++ b/wire/src/test/java/org/skylarkbend/wire/HostilePeerTest.java
@@ -11,6 +11,9 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetSocket;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
@@ -35,6 +38,7 @@
     private static final long SILENCE_MILLISECONDS = 400;
     private static final long AMPLE_MILLISECONDS = 60_000;
     private static final long DRIP_MILLISECONDS = 20;
+    private static final int SMALL_BUFFER_BYTES = 4_096;
     private static final byte[] HEARTBEAT = FrameAssembler.frameOf(new byte[0]);
 
     private Vertx mVertx;
@@ -148,6 +152,30 @@
         awaitUntil(mVertx, () -> mClosed.get() == 1 && ended.get() == 1);
     }
 
+    /** Guards against a connection that stays open until its peer reads what was sent before. */
+    @Test
+    public void aPeerWithoutRoomForWhatWasSentIsClosedAlthoughItSends() throws Exception {
+        int port = listen(SILENCE_MILLISECONDS);
+        try (Socket peer = new Socket()) {
+            peer.setReceiveBufferSize(SMALL_BUFFER_BYTES);
+            peer.connect(new InetSocketAddress(HOST, port));
+            FrameConnection<String> connection = await(mAccepted.future());
+            byte[] frame = new byte[32 * 1024 * 1024];
+            mContext.runOnContext(ignored -> connection.sendFrame(frame));
+            awaitUntil(mVertx, () -> mClosed.get() == 1);
+            awaitUntil(mVertx, () -> !isOpen(peer));
+        }
+    }
+
+    private static boolean isOpen(Socket peer) {
+        try {
+            peer.getOutputStream().write(HEARTBEAT);
+            return true;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
     private int listen(long silenceMilliseconds) throws Exception {
         WireOptions options =
                 new WireOptions(
