Remove second constructors and copies that the limits and calls gained

LimitPolicy had a second constructor that repeated eleven components to set the twelfth to 0, and TokenGate one that only tests and a benchmark called. Both are gone; their callers say what they mean. The error of a request that an exception ended was made in BodyIntake and in GatewayTask, in the same words: GatewayTask now uses the former. TokenLapseTest and PressureTaskTest repeated their setup; it is a method each. Behavior and assertions are unchanged.

--- a/gateway/src/main/java/org/skylarkbend/gateway/front/BodyIntake.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/front/BodyIntake.java
@@ -142,7 +142,8 @@
         return new SkylarkError(ErrorKind.OVERLOADED, "there is no memory for the request body");
     }
 
-    private static SkylarkError stepFailed() {
+    /** Returns the error of a request that an exception ended before it was sent on. */
+    static SkylarkError stepFailed() {
         return new SkylarkError(ErrorKind.INTERNAL_NOT_RUN, "a step of the request failed");
     }
 
--- a/gateway/src/main/java/org/skylarkbend/gateway/front/GatewayTask.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/front/GatewayTask.java
@@ -18,7 +18,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.skylarkbend.base.ByteBudget;
-import org.skylarkbend.base.ErrorKind;
 import org.skylarkbend.base.MillisecondClock;
 import org.skylarkbend.base.SkylarkError;
 import org.skylarkbend.base.StructuredLog;
@@ -350,7 +349,7 @@
     }
 
     private void receive(HttpServerRequest request) {
-        new CallBoundary(id(request), () -> refuseBody(request, stepFailed()))
+        new CallBoundary(id(request), () -> refuseBody(request, BodyIntake.stepFailed()))
                 .run(() -> readBody(request));
     }
 
@@ -388,11 +387,7 @@
     /** Ends a request that has become no call because a step of it failed. */
     private void failed(Arrival arrival) {
         arrival.body().release();
-        refuse(arrival.request(), stepFailed());
-    }
-
-    private static SkylarkError stepFailed() {
-        return new SkylarkError(ErrorKind.INTERNAL_NOT_RUN, "a step of the request failed");
+        refuse(arrival.request(), BodyIntake.stepFailed());
     }
 
     /** Refuses a request whose body has not arrived completely. */
--- a/gateway/src/main/java/org/skylarkbend/gateway/limits/TokenGate.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/limits/TokenGate.java
@@ -52,17 +52,6 @@
     private Set<ObjectName> mLimitedCustomers = Set.of();
     private long mLastNumber;
 
-    /**
-     * Creates a gate without tokens, with a clock that also counts suspensions of the VM.
-     *
-     * @param decider decides on the tokens of this gateway
-     * @param owner sends a message to the limit owner
-     * @param wakeAt requests a call of {@link #wake} at a time
-     */
-    public TokenGate(LimitShareDecider decider, Consumer<LimitMessage> owner, LongConsumer wakeAt) {
-        this(decider, owner, wakeAt, nowMilliseconds -> 0);
-    }
-
     /**
      * Creates a gate without tokens.
      *
--- a/gateway/src/test/java/org/skylarkbend/gateway/limits/GateSchedule.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/limits/GateSchedule.java
@@ -90,7 +90,8 @@
                 new TokenGate(
                         new LimitShareDecider(POLICY, mNowMilliseconds),
                         message -> send(() -> received(message)),
-                        at -> mWakeAtMilliseconds = Math.max(mNowMilliseconds + 1, at));
+                        at -> mWakeAtMilliseconds = Math.max(mNowMilliseconds + 1, at),
+                        nowMilliseconds -> 0);
     }
 
     /** Runs the schedule. Returns what was wrong, if anything was. */
--- a/gateway/src/test/java/org/skylarkbend/gateway/limits/TokenGateTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/limits/TokenGateTest.java
@@ -196,7 +196,7 @@
      */
     private void startTerm(LimitRegistry registry) {
         mShares = new LimitShareDecider(POLICY, mNowMilliseconds);
-        mGate = new TokenGate(mShares, mToOwner::add, at -> {});
+        mGate = new TokenGate(mShares, mToOwner::add, at -> {}, nowMilliseconds -> 0);
         mOwnerLost = false;
         mOwnerlessMilliseconds = 0;
         mToOwner.clear();
--- a/limits/src/main/java/org/skylarkbend/limits/LimitPolicy.java
+++ b/limits/src/main/java/org/skylarkbend/limits/LimitPolicy.java
@@ -48,40 +48,12 @@
 
     private static final long MILLISECONDS_PER_SECOND = 1_000;
 
-    /** Creates a policy under which tokens never lapse. */
-    public LimitPolicy(
-            long holderDivisor,
-            long prefetchMilliseconds,
-            long reserveDivisor,
-            long reportMilliseconds,
-            long idleReportMilliseconds,
-            long waitMilliseconds,
-            int maxWaitingCalls,
-            long endpointStopMilliseconds,
-            long initialFillMilliseconds,
-            long unreportedDivisor,
-            long ownerlessWaitMilliseconds) {
-        this(
-                holderDivisor,
-                prefetchMilliseconds,
-                reserveDivisor,
-                reportMilliseconds,
-                idleReportMilliseconds,
-                waitMilliseconds,
-                maxWaitingCalls,
-                endpointStopMilliseconds,
-                initialFillMilliseconds,
-                unreportedDivisor,
-                ownerlessWaitMilliseconds,
-                0);
-    }
-
     /**
      * Returns the policy of the router and control programs. A call waits up to a second while no
      * owner responds, which is the time of an election and of its first grants.
      */
     public static LimitPolicy standard() {
-        return new LimitPolicy(4, 200, 64, 20, 1_000, 300, 256, 30_000, 0, 1, 1_000);
+        return new LimitPolicy(4, 200, 64, 20, 1_000, 300, 256, 30_000, 0, 1, 1_000, 0);
     }
 
     /**
--- a/limits/src/test/java/org/skylarkbend/limits/LimitSimulation.java
+++ b/limits/src/test/java/org/skylarkbend/limits/LimitSimulation.java
@@ -85,7 +85,8 @@
                         500,
                         initialFillMilliseconds,
                         unreportedDivisor,
-                        300);
+                        300,
+                        0);
     }
 
     /**
--- a/limits/src/test/java/org/skylarkbend/limits/TokenLapseTest.java
+++ b/limits/src/test/java/org/skylarkbend/limits/TokenLapseTest.java
@@ -109,15 +109,7 @@
     /** Guards against a refusal below the limit because the first grant is given up. */
     @Test
     public void longAfterControlIsBackACallIsServedWithTheFirstGrant() {
-        mNowMilliseconds += POLICY.lapseMilliseconds();
-        decide(new Wake());
-        for (int i = 0; i < 60; i++) {
-            confirmWithoutGrants(mLastReport);
-            mNowMilliseconds += STEP_MILLISECONDS;
-            decide(new Wake());
-        }
-        confirmWithoutGrants(mLastReport);
-        mNowMilliseconds += POLICY.reportMilliseconds();
+        lapseAndBeConfirmedForLong();
         long callId = ++mLastCall;
         List<LimitShareEffect> effects = new ArrayList<>(decide(new Reserve(callId, CUSTOMER, 1)));
         effects.addAll(decide(new OwnerMessageReceived(grants(mLastReport, 2 * GRANTED_TOKENS))));
@@ -127,15 +119,7 @@
     /** Guards against a refusal below the limit by an owner that takes 60 ms to respond. */
     @Test
     public void longAfterControlIsBackACallIsServedByAnOwnerThatRespondsWithinItsWait() {
-        mNowMilliseconds += POLICY.lapseMilliseconds();
-        decide(new Wake());
-        for (int i = 0; i < 60; i++) {
-            confirmWithoutGrants(mLastReport);
-            mNowMilliseconds += STEP_MILLISECONDS;
-            decide(new Wake());
-        }
-        confirmWithoutGrants(mLastReport);
-        mNowMilliseconds += POLICY.reportMilliseconds();
+        lapseAndBeConfirmedForLong();
         long callId = ++mLastCall;
         boolean isAdmitted = decide(new Reserve(callId, CUSTOMER, 1)).contains(new Admit(callId));
         for (int round = 2; round <= 3; round++) {
@@ -150,6 +134,19 @@
         assertThat(isAdmitted).isTrue();
     }
 
+    /** Loses the contact to the owner, and has it again for long. */
+    private void lapseAndBeConfirmedForLong() {
+        mNowMilliseconds += POLICY.lapseMilliseconds();
+        decide(new Wake());
+        for (int i = 0; i < 60; i++) {
+            confirmWithoutGrants(mLastReport);
+            mNowMilliseconds += STEP_MILLISECONDS;
+            decide(new Wake());
+        }
+        confirmWithoutGrants(mLastReport);
+        mNowMilliseconds += POLICY.reportMilliseconds();
+    }
+
     private void confirmWithoutGrants(Report report) {
         decide(new OwnerMessageReceived(new Grants(TERM, report.sequence(), List.of())));
     }
--- a/standin/src/test/java/org/skylarkbend/standin/pressure/PressureTaskTest.java
+++ b/standin/src/test/java/org/skylarkbend/standin/pressure/PressureTaskTest.java
@@ -51,18 +51,7 @@
 
     @Test
     public void servedAndRefusedRequestsAreCountedForEachKindOfCaller() throws Exception {
-        PressureTask task =
-                new PressureTask(
-                        new PressurePlan(
-                                "http://127.0.0.1:" + mServer.actualPort() + "/x",
-                                Map.of("Host", "site.example"),
-                                "Id",
-                                2,
-                                2,
-                                LONG_BYTES,
-                                1,
-                                5,
-                                3));
+        PressureTask task = task(2, 1, 3);
         await(mVertx.deployVerticle(task));
         PressureReport report = await(task.completion());
         assertThat(report.served("small")).isPositive();
@@ -77,18 +66,7 @@
     /** Guards against idle connections that are shut down with a client that nothing refers to. */
     @Test
     public void aGarbageCollectionDoesNotEndTheIdleConnections() throws Exception {
-        PressureTask task =
-                new PressureTask(
-                        new PressurePlan(
-                                "http://127.0.0.1:" + mServer.actualPort() + "/x",
-                                Map.of("Host", "site.example"),
-                                "Id",
-                                0,
-                                0,
-                                LONG_BYTES,
-                                0,
-                                5,
-                                1));
+        PressureTask task = task(0, 0, 1);
         Vertx callers = Vertx.vertx();
         await(callers.deployVerticle(task));
         await(task.completion());
@@ -101,6 +79,21 @@
                 .isLessThan(SHUTDOWN_SECONDS);
     }
 
+    /** Returns a task with five idle connections. */
+    private PressureTask task(int callersOfEachSize, int slowReaders, int seconds) {
+        return new PressureTask(
+                new PressurePlan(
+                        "http://127.0.0.1:" + mServer.actualPort() + "/x",
+                        Map.of("Host", "site.example"),
+                        "Id",
+                        callersOfEachSize,
+                        callersOfEachSize,
+                        LONG_BYTES,
+                        slowReaders,
+                        5,
+                        seconds));
+    }
+
     /** Returns after the cleanup of an object that nothing refers to. */
     private static void collectGarbage() throws Exception {
         Promise<Void> cleaned = Promise.promise();
