Reach endpoints through other gateways where the own links fail

Cause: a gateway had one way to an endpoint.

A gateway now connects through another one, which control names, and keeps all decisions about its calls.

--- a/catalog/src/main/java/org/skylarkbend/catalog/SiteCodec.java
+++ b/catalog/src/main/java/org/skylarkbend/catalog/SiteCodec.java
@@ -9,6 +9,8 @@
 import org.skylarkbend.catalog.SiteMessage.ControlVms;
 import org.skylarkbend.catalog.SiteMessage.EndpointsChanged;
 import org.skylarkbend.catalog.SiteMessage.EndpointsListed;
+import org.skylarkbend.catalog.SiteMessage.RelayOffered;
+import org.skylarkbend.catalog.SiteMessage.RelaysListed;
 import org.skylarkbend.catalog.SiteMessage.WeightsNamed;
 import org.skylarkbend.catalog.SiteMessage.WorkUnderWay;
 import org.skylarkbend.wire.MessageCodec;
@@ -20,12 +22,17 @@
     /** Name of the slice for {@link WorkUnderWay} messages between gateways and control. */
     public static final String WORK_SLICE = "work";
 
+    /** Name of the slice for {@link RelayOffered} messages of gateways to control. */
+    public static final String RELAY_SLICE = "relays";
+
     private static final int CONTROL_VMS = 1;
     private static final int ENDPOINTS_LISTED = 2;
     private static final int WEIGHTS_NAMED = 3;
     private static final int WORK_UNDER_WAY = 4;
     private static final int ENDPOINTS_CHANGED = 5;
     private static final int CALL_SPLITS = 6;
+    private static final int RELAY_OFFERED = 7;
+    private static final int RELAYS_LISTED = 8;
 
     @Override
     public byte[] encode(SiteMessage message) {
@@ -61,9 +68,23 @@
                     .number(work.nextInMilliseconds())
                     .toBytes();
         }
-        MessageWriter writer = new MessageWriter(WEIGHTS_NAMED);
-        writeVersions(writer, ((WeightsNamed) message).versions());
-        return writer.toBytes();
+        if (message instanceof WeightsNamed named) {
+            MessageWriter writer = new MessageWriter(WEIGHTS_NAMED);
+            writeVersions(writer, named.versions());
+            return writer.toBytes();
+        }
+        return encodeRelays(message);
+    }
+
+    private static byte[] encodeRelays(SiteMessage message) {
+        if (message instanceof RelayOffered offered) {
+            MessageWriter writer = new MessageWriter(RELAY_OFFERED);
+            writeRelay(writer, offered.relay());
+            return writer.flag(offered.isOpen()).toBytes();
+        }
+        return new MessageWriter(RELAYS_LISTED)
+                .list(((RelaysListed) message).relays(), SiteCodec::writeRelay)
+                .toBytes();
     }
 
     @Override
@@ -128,6 +149,14 @@
         writeVersions(writer, endpoint.weights());
     }
 
+    private static void writeRelay(MessageWriter writer, Relay relay) {
+        writer.text(relay.host()).number(relay.port()).text(relay.dataCentre());
+    }
+
+    private static Relay readRelay(MessageReader reader) {
+        return new Relay(reader.text(), (int) reader.number(), reader.text());
+    }
+
     private static SiteMessage read(MessageReader reader) {
         int type = reader.type();
         return switch (type) {
@@ -147,6 +176,8 @@
                                     Set.copyOf(reader.list(MessageReader::text))));
             case CALL_SPLITS -> new CallSplits(reader.list(SiteCodec::readSplit));
             case WEIGHTS_NAMED -> new WeightsNamed(readVersions(reader));
+            case RELAY_OFFERED -> new RelayOffered(readRelay(reader), reader.flag());
+            case RELAYS_LISTED -> new RelaysListed(reader.list(SiteCodec::readRelay));
             case WORK_UNDER_WAY -> new WorkUnderWay(readWork(reader), reader.number());
             default -> MessageReader.unknownType(type);
         };
--- a/catalog/src/main/java/org/skylarkbend/catalog/SiteMessage.java
+++ b/catalog/src/main/java/org/skylarkbend/catalog/SiteMessage.java
@@ -62,4 +62,20 @@
             byIncarnation = Map.copyOf(byIncarnation);
         }
     }
+
+    /**
+     * Offer of a gateway to open connections to endpoints for other gateways.
+     *
+     * @param relay the gateway
+     * @param isOpen false if it cannot do so at present
+     */
+    record RelayOffered(Relay relay, boolean isOpen) implements SiteMessage {}
+
+    /** Gateways that open connections to endpoints for others. */
+    record RelaysListed(List<Relay> relays) implements SiteMessage {
+        /** Creates the message with a copy of the list. */
+        public RelaysListed {
+            relays = List.copyOf(relays);
+        }
+    }
 }
--- /dev/null
+++ b/control/src/main/java/org/skylarkbend/control/relays/RelayTask.java
@@ -0,0 +1,97 @@
+package org.skylarkbend.control.relays;
+
+import io.vertx.core.Context;
+import io.vertx.core.Future;
+import io.vertx.core.VerticleBase;
+import java.util.List;
+import java.util.function.Consumer;
+import org.skylarkbend.base.MillisecondClock;
+import org.skylarkbend.base.StructuredLog;
+import org.skylarkbend.catalog.Relay;
+import org.skylarkbend.catalog.SiteCodec;
+import org.skylarkbend.catalog.SiteMessage;
+import org.skylarkbend.catalog.SiteMessage.RelayOffered;
+import org.skylarkbend.catalog.SiteMessage.RelaysListed;
+import org.skylarkbend.control.log.Leadership;
+import org.skylarkbend.limits.RouterIdentity;
+
+/**
+ * Collects the offers of gateways while this member leads, and announces the list of those that
+ * open connections for others when it changes.
+ */
+public final class RelayTask extends VerticleBase {
+    private static final StructuredLog LOG = StructuredLog.of(RelayTask.class);
+
+    /** Shortest time between two announcements. Gateways that are cut off wait for the next. */
+    private static final long ANNOUNCE_MILLISECONDS = 250;
+
+    private final RelayDecider mDecider;
+    private final MillisecondClock mClock;
+    private final Consumer<RelaysListed> mAnnounce;
+    private final SiteCodec mCodec = new SiteCodec();
+    private Context mContext;
+    private boolean mLeads;
+
+    /**
+     * Creates a task that announces nothing until this member becomes the leader.
+     *
+     * @param decider collects the offers
+     * @param clock monotonic clock
+     * @param announce sends a list to all present and future gateways
+     */
+    public RelayTask(
+            RelayDecider decider, MillisecondClock clock, Consumer<RelaysListed> announce) {
+        mDecider = decider;
+        mClock = clock;
+        mAnnounce = announce;
+    }
+
+    @Override
+    public Future<?> start() {
+        mContext = context;
+        vertx.setPeriodic(ANNOUNCE_MILLISECONDS, id -> announceChange());
+        return Future.succeededFuture();
+    }
+
+    /** Notifies the task of a change of the leadership. */
+    public void post(Leadership leadership) {
+        mContext.runOnContext(
+                ignored -> {
+                    mLeads = leadership.leads();
+                    mDecider.clear();
+                });
+    }
+
+    /** Passes a message from a gateway to the task. */
+    public void postMessage(RouterIdentity gateway, byte[] payload) {
+        mContext.runOnContext(
+                ignored ->
+                        mCodec.decode(payload)
+                                .match(
+                                        message -> received(gateway, message),
+                                        error ->
+                                                LOG.warn(
+                                                        "relays.garbled",
+                                                        "vm",
+                                                        gateway.vm(),
+                                                        "detail",
+                                                        error.detail())));
+    }
+
+    private void received(RouterIdentity gateway, SiteMessage message) {
+        if (mLeads && message instanceof RelayOffered offer) {
+            mDecider.offered(gateway, offer, mClock.nowMilliseconds());
+        }
+    }
+
+    private void announceChange() {
+        if (mLeads) {
+            mDecider.changedRelays(mClock.nowMilliseconds()).ifPresent(this::announce);
+        }
+    }
+
+    private void announce(List<Relay> relays) {
+        LOG.info("relays.announced", "relays", relays.size());
+        mAnnounce.accept(new RelaysListed(relays));
+    }
+}
--- /dev/null
+++ b/control/src/main/java/org/skylarkbend/control/relays/package-info.java
@@ -0,0 +1,2 @@
+/** Tells each gateway which others open connections to endpoints for it. */
+package org.skylarkbend.control.relays;
--- a/control/src/main/java/org/skylarkbend/control/site/SiteControlProcess.java
+++ b/control/src/main/java/org/skylarkbend/control/site/SiteControlProcess.java
@@ -32,6 +32,7 @@
 import org.skylarkbend.catalog.SiteMessage.ControlVms;
 import org.skylarkbend.catalog.SiteMessage.EndpointsChanged;
 import org.skylarkbend.catalog.SiteMessage.EndpointsListed;
+import org.skylarkbend.catalog.SiteMessage.RelaysListed;
 import org.skylarkbend.catalog.SiteMessage.WeightsNamed;
 import org.skylarkbend.control.AgreementControlLog;
 import org.skylarkbend.control.AppliedState;
@@ -53,6 +54,8 @@
 import org.skylarkbend.control.log.ControlStateMachine;
 import org.skylarkbend.control.log.Leadership;
 import org.skylarkbend.control.quarantine.QuarantineTask;
+import org.skylarkbend.control.relays.RelayDecider;
+import org.skylarkbend.control.relays.RelayTask;
 import org.skylarkbend.control.rollout.RolloutTask;
 import org.skylarkbend.control.work.WorkDecider;
 import org.skylarkbend.control.work.WorkTask;
@@ -94,6 +97,7 @@
     private final WorkTask mWork;
     private final RolloutTask mRollouts;
     private final QuarantineTask mQuarantine;
+    private final RelayTask mRelays;
     private final ControlLog mLog = new AgreementControlLog(() -> this.mAgreement);
     private Context mOperatorContext;
     private AgreementTask mAgreement;
@@ -130,6 +134,8 @@
                         parts.clock().monotonic(),
                         this::sendWork,
                         mRollouts::postWork);
+        mRelays =
+                new RelayTask(new RelayDecider(), parts.clock().monotonic(), this::announceRelays);
         mEndpoints =
                 new EndpointsTask(
                         parts.endpoints(),
@@ -189,6 +195,7 @@
                 .eventually(() -> mParts.vertx().undeploy(mWork.deploymentID()))
                 .eventually(() -> mParts.vertx().undeploy(mRollouts.deploymentID()))
                 .eventually(() -> mParts.vertx().undeploy(mQuarantine.deploymentID()))
+                .eventually(() -> mParts.vertx().undeploy(mRelays.deploymentID()))
                 .eventually(() -> mParts.vertx().undeploy(mLimits.deploymentID()))
                 .eventually(() -> mParts.vertx().undeploy(mAgreement.deploymentID()));
     }
@@ -201,6 +208,7 @@
                         Set.of(
                                 LimitCodec.SLICE,
                                 SiteCodec.WORK_SLICE,
+                                SiteCodec.RELAY_SLICE,
                                 RolloutCodec.SLICE,
                                 QuarantineCodec.SLICE));
         return new FeedTask(
@@ -248,6 +256,7 @@
                 .compose(id -> mParts.vertx().deployVerticle(mQuarantine))
                 .compose(id -> mParts.vertx().deployVerticle(mEndpoints))
                 .compose(id -> mParts.vertx().deployVerticle(mWork))
+                .compose(id -> mParts.vertx().deployVerticle(mRelays))
                 .compose(id -> mParts.vertx().deployVerticle(mFeed))
                 .compose(id -> mParts.vertx().deployVerticle(mAgreement))
                 .onSuccess(
@@ -332,6 +341,8 @@
         RouterIdentity gateway = new RouterIdentity(forward.vm(), forward.incarnation());
         if (forward.slice().equals(SiteCodec.WORK_SLICE)) {
             mWork.postMessage(gateway, forward.payload());
+        } else if (forward.slice().equals(SiteCodec.RELAY_SLICE)) {
+            mRelays.postMessage(gateway, forward.payload());
         } else if (forward.slice().equals(RolloutCodec.SLICE)) {
             mRollouts.postOutcomes(forward.payload());
         } else if (forward.slice().equals(QuarantineCodec.SLICE)) {
@@ -356,6 +367,11 @@
                                 QuarantineCodec.SLICE, QuarantineCodec.encodeNotice(notice))));
     }
 
+    private void announceRelays(RelaysListed relays) {
+        SliceMessage message = sliceMessage(relays);
+        mFeed.post(new LeaderMessageChanged(message, message));
+    }
+
     private void send(RouterIdentity gateway, SliceMessage message) {
         mFeed.post(new MessageForRouter(gateway.vm(), gateway.incarnation(), message));
     }
@@ -401,6 +417,7 @@
         mWork.post(leadership);
         mRollouts.post(leadership);
         mQuarantine.post(leadership);
+        mRelays.post(leadership);
         // Last, as the others would drop the list that it begins with.
         mEndpoints.post(leadership);
     }
--- a/exchange/src/main/java/org/skylarkbend/exchange/ConnectionPool.java
+++ b/exchange/src/main/java/org/skylarkbend/exchange/ConnectionPool.java
@@ -3,38 +3,39 @@
 import com.codahale.metrics.Counter;
 import io.vertx.core.Vertx;
 import io.vertx.core.internal.net.NetSocketInternal;
-import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetSocket;
 import io.vertx.core.net.SocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.skylarkbend.base.MillisecondClock;
 
 /** The connections to one endpoint, and the exchanges that wait for one of them. */
 final class ConnectionPool {
     private final Vertx mVertx;
-    private final NetClient mClient;
+    private final EndpointDialer mDialer;
     private final SocketAddress mEndpoint;
     private final ExchangeOptions mOptions;
     private final MillisecondClock mClock;
     private final Counter mStrayReceptions;
     private final Consumer<SocketAddress> mOnEmpty;
+    private final Set<EndpointConnection> mOpen = new HashSet<>();
     private final Deque<EndpointConnection> mFree = new ArrayDeque<>();
     private final Map<Exchange, Long> mWaitingTimers = new LinkedHashMap<>();
     private int mConnecting;
-    private int mOpen;
 
     /**
      * Creates a pool without connections.
      *
      * @param vertx sets the timers
-     * @param client opens the connections
+     * @param dialer opens the connections
      * @param endpoint address of the endpoint
      * @param options bounds of the connections
      * @param clock monotonic clock
@@ -43,14 +44,14 @@
      */
     ConnectionPool(
             Vertx vertx,
-            NetClient client,
+            EndpointDialer dialer,
             SocketAddress endpoint,
             ExchangeOptions options,
             MillisecondClock clock,
             Counter strayReceptions,
             Consumer<SocketAddress> onEmpty) {
         mVertx = vertx;
-        mClient = client;
+        mDialer = dialer;
         mEndpoint = endpoint;
         mOptions = options;
         mClock = clock;
@@ -90,25 +91,35 @@
         }
     }
 
+    /** Closes all connections as soon as they are free. */
+    void retire() {
+        List.copyOf(mOpen).forEach(EndpointConnection::retire);
+        for (EndpointConnection connection : List.copyOf(mFree)) {
+            mFree.remove(connection);
+            connection.close();
+        }
+    }
+
     private void connectIfNeeded() {
         while (mConnecting < mWaitingTimers.size()
-                && mOpen + mConnecting < mOptions.maxConnectionsPerEndpoint()) {
+                && mOpen.size() + mConnecting < mOptions.maxConnectionsPerEndpoint()) {
             mConnecting++;
-            mClient.connect(mEndpoint).onSuccess(this::connected).onFailure(this::notConnected);
+            mDialer.dial(mEndpoint).onSuccess(this::connected).onFailure(this::notConnected);
         }
     }
 
     private void connected(NetSocket socket) {
         mConnecting--;
-        mOpen++;
-        free(
+        EndpointConnection connection =
                 new EndpointConnection(
                         (NetSocketInternal) socket,
                         mOptions,
                         mClock,
                         mStrayReceptions,
                         this::free,
-                        this::closed));
+                        this::closed);
+        mOpen.add(connection);
+        free(connection);
     }
 
     /** Fails the first waiting exchange, unless a connection is being opened for each of them. */
@@ -153,14 +164,14 @@
     }
 
     private void closed(EndpointConnection connection) {
-        mOpen--;
+        mOpen.remove(connection);
         mFree.remove(connection);
         connectIfNeeded();
         removeIfEmpty();
     }
 
     private void removeIfEmpty() {
-        if (mOpen + mConnecting == 0 && mWaitingTimers.isEmpty()) {
+        if (mOpen.size() + mConnecting == 0 && mWaitingTimers.isEmpty()) {
             mOnEmpty.accept(mEndpoint);
         }
     }
--- a/exchange/src/main/java/org/skylarkbend/exchange/EndpointClient.java
+++ b/exchange/src/main/java/org/skylarkbend/exchange/EndpointClient.java
@@ -2,12 +2,11 @@
 
 import com.codahale.metrics.Counter;
 import io.vertx.core.Vertx;
-import io.vertx.core.net.NetClient;
-import io.vertx.core.net.NetClientOptions;
 import io.vertx.core.net.SocketAddress;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.skylarkbend.base.MillisecondClock;
 
 /**
@@ -18,7 +17,7 @@
     private static final long EXPIRY_INTERVAL_MILLISECONDS = 500;
 
     private final Vertx mVertx;
-    private final NetClient mClient;
+    private final EndpointDialer mDialer;
     private final ExchangeOptions mOptions;
     private final MillisecondClock mClock;
     private final Counter mStrayReceptions;
@@ -27,22 +26,23 @@
     /**
      * Creates a client without connections.
      *
-     * @param vertx runs its connections
+     * @param vertx sets the timers
+     * @param dialer opens the connections
      * @param options bounds of the connections
      * @param clock monotonic clock
      * @param strayReceptions counts receptions of bytes that belong to no response
      */
     public EndpointClient(
-            Vertx vertx, ExchangeOptions options, MillisecondClock clock, Counter strayReceptions) {
+            Vertx vertx,
+            EndpointDialer dialer,
+            ExchangeOptions options,
+            MillisecondClock clock,
+            Counter strayReceptions) {
         mVertx = vertx;
+        mDialer = dialer;
         mOptions = options;
         mClock = clock;
         mStrayReceptions = strayReceptions;
-        mClient =
-                vertx.createNetClient(
-                        new NetClientOptions()
-                                .setTcpNoDelay(true)
-                                .setConnectTimeout((int) options.connectTimeoutMilliseconds()));
         vertx.setPeriodic(EXPIRY_INTERVAL_MILLISECONDS, id -> closeExpired());
     }
 
@@ -51,9 +51,17 @@
         mPools.computeIfAbsent(exchange.request().endpoint(), this::newPool).submit(exchange);
     }
 
+    /**
+     * Uses the open connections to an endpoint for no further exchange. Exchanges in progress go
+     * on.
+     */
+    public void retireConnections(SocketAddress endpoint) {
+        Optional.ofNullable(mPools.get(endpoint)).ifPresent(ConnectionPool::retire);
+    }
+
     private ConnectionPool newPool(SocketAddress endpoint) {
         return new ConnectionPool(
-                mVertx, mClient, endpoint, mOptions, mClock, mStrayReceptions, mPools::remove);
+                mVertx, mDialer, endpoint, mOptions, mClock, mStrayReceptions, mPools::remove);
     }
 
     private void closeExpired() {
--- a/exchange/src/main/java/org/skylarkbend/exchange/EndpointConnection.java
+++ b/exchange/src/main/java/org/skylarkbend/exchange/EndpointConnection.java
@@ -124,6 +124,11 @@
         mSocket.channelHandlerContext().close();
     }
 
+    /** Lets the connection serve no further exchange. */
+    void retire() {
+        mReusable = false;
+    }
+
     /** Starts or stops reading from the connection. */
     void setReading(boolean reading) {
         channel().config().setAutoRead(reading);
--- a/exchange/src/test/java/org/skylarkbend/exchange/ConnectionPoolTest.java
+++ b/exchange/src/test/java/org/skylarkbend/exchange/ConnectionPoolTest.java
@@ -5,10 +5,8 @@
 import io.vertx.core.Promise;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
-import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetSocket;
 import io.vertx.core.net.SocketAddress;
-import java.lang.reflect.Proxy;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -103,20 +101,16 @@
     public void aFailedConnectionLeavesAnExchangeWhoseConnectionIsStillBeingOpened()
             throws Exception {
         List<Promise<NetSocket>> connecting = new ArrayList<>();
-        NetClient sockets =
-                (NetClient)
-                        Proxy.newProxyInstance(
-                                NetClient.class.getClassLoader(),
-                                new Class<?>[] {NetClient.class},
-                                (proxy, method, arguments) -> {
-                                    Promise<NetSocket> promise = Promise.promise();
-                                    connecting.add(promise);
-                                    return promise.future();
-                                });
+        EndpointDialer dialer =
+                endpoint -> {
+                    Promise<NetSocket> promise = Promise.promise();
+                    connecting.add(promise);
+                    return promise.future();
+                };
         ConnectionPool pool =
                 new ConnectionPool(
                         mVertx,
-                        sockets,
+                        dialer,
                         SocketAddress.inetSocketAddress(1, HOST),
                         new ExchangeOptions(4, 10_000, KEEP_ALIVE_MILLISECONDS, 1_024),
                         mNowMilliseconds::get,
@@ -238,4 +232,28 @@
                 .allMatch(request -> request.head().toLowerCase().contains("connection: close"));
         awaitUntil(() -> server.openConnections() == 0);
     }
+
+    /** Guards against exchanges on connections that may hang. */
+    @Test
+    public void retiredConnectionsServeNoFurtherExchange() throws Exception {
+        RawServer server = holdingServer();
+        int port = listen(server);
+        EndpointClient client = client(4);
+        RecordedExchange first = start(client, port, "/first");
+        RecordedExchange second = start(client, port, "/second");
+        awaitUntil(() -> mHeld.size() == 2);
+        mHeld.get("/first").write(OK);
+        await(first.end());
+        onContext(
+                () -> {
+                    client.retireConnections(SocketAddress.inetSocketAddress(port, HOST));
+                    return client;
+                });
+        mHeld.get("/second").write(OK);
+        assertThat(await(second.end()).isComplete()).isTrue();
+        awaitUntil(() -> server.openConnections() == 0);
+        start(client, port, "/third");
+        awaitUntil(() -> mHeld.containsKey("/third"));
+        assertThat(server.connections()).isEqualTo(3);
+    }
 }
--- a/exchange/src/test/java/org/skylarkbend/exchange/ExchangeFixture.java
+++ b/exchange/src/test/java/org/skylarkbend/exchange/ExchangeFixture.java
@@ -59,6 +59,7 @@
                 () ->
                         new EndpointClient(
                                 mVertx,
+                                EndpointDialer.direct(mVertx, connectTimeoutMilliseconds),
                                 new ExchangeOptions(
                                         maxConnections,
                                         connectTimeoutMilliseconds,
--- a/gateway/src/main/java/org/skylarkbend/gateway/GatewayProcess.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/GatewayProcess.java
@@ -8,7 +8,10 @@
 import org.skylarkbend.base.MillisecondClock;
 import org.skylarkbend.catalog.CatalogReader;
 import org.skylarkbend.catalog.EndpointSource;
+import org.skylarkbend.catalog.SiteMessage.RelayOffered;
 import org.skylarkbend.catalog.SiteMessage.WorkUnderWay;
+import org.skylarkbend.exchange.EndpointDialer;
+import org.skylarkbend.gateway.front.EndpointAccess;
 import org.skylarkbend.gateway.front.GatewayReports;
 import org.skylarkbend.gateway.front.GatewayTask;
 import org.skylarkbend.gateway.front.StatusTask;
@@ -63,9 +66,13 @@
                                 metrics),
                         metrics,
                         clock,
+                        EndpointDialer.direct(vertx, EndpointAccess.CONNECT_TIMEOUT_MILLISECONDS),
                         this::sendToLimitOwner,
                         new GatewayReports(
-                                this::sendWork, this::sendOutcomes, this::sendCrashEvidence),
+                                this::sendWork,
+                                this::sendOutcomes,
+                                this::sendCrashEvidence,
+                                this::sendRelayOffer),
                         mStatus::postReady);
         RouterHello hello =
                 new RouterHello(
@@ -97,6 +104,10 @@
         mLink.sendCrashEvidence(evidence);
     }
 
+    private void sendRelayOffer(RelayOffered offer) {
+        mLink.sendRelayOffer(offer);
+    }
+
     /** Starts the tasks. The connection to control starts last, after its listeners. */
     public Future<Void> start() {
         return mVertx.deployVerticle(mStatus)
--- a/gateway/src/main/java/org/skylarkbend/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/GatewaySettings.java
@@ -10,6 +10,7 @@
  * @param vm name of the VM that the gateway runs on
  * @param dataCentre data centre of the VM
  * @param callers address to listen on for callers
+ * @param relay address to listen on for other gateways
  * @param ready address of the readiness check
  * @param readyPath path of the readiness check
  * @param metricsPort port of the metrics page, on the host of {@code callers}
@@ -23,6 +24,7 @@
         ObjectName vm,
         ObjectName dataCentre,
         ListenAddress callers,
+        ListenAddress relay,
         ListenAddress ready,
         String readyPath,
         int metricsPort,
--- a/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EndpointProbes.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EndpointProbes.java
@@ -1,11 +1,10 @@
 package org.skylarkbend.gateway.endpoints;
 
-import io.vertx.core.Vertx;
-import io.vertx.core.net.NetClient;
-import io.vertx.core.net.NetClientOptions;
-import io.vertx.core.net.NetSocket;
+import io.vertx.core.Future;
+import io.vertx.core.net.SocketAddress;
 import java.util.HashSet;
 import java.util.Set;
+import java.util.function.Function;
 import org.skylarkbend.base.MillisecondClock;
 import org.skylarkbend.base.StructuredLog;
 import org.skylarkbend.catalog.Endpoint;
@@ -17,12 +16,11 @@
  */
 public final class EndpointProbes {
     private static final StructuredLog LOG = StructuredLog.of(EndpointProbes.class);
-    private static final int CONNECT_TIMEOUT_MILLISECONDS = 300;
 
     private final EndpointSelector mSelector;
     private final MillisecondClock mClock;
     private final Listener mListener;
-    private final NetClient mClient;
+    private final Function<SocketAddress, Future<Boolean>> mCheck;
     private final Set<String> mProbingIncarnations = new HashSet<>();
     private final Set<String> mLostIncarnations = new HashSet<>();
 
@@ -33,24 +31,28 @@
 
         /** Called when an endpoint has accepted no connection. */
         void lost(Endpoint endpoint);
+
+        /** Called when an endpoint accepts connections, but older ones may hang. */
+        void connectionsHang(Endpoint endpoint);
     }
 
     /**
      * Creates the prober. It opens no connection until {@link #probe} is called.
      *
-     * @param vertx opens the connections
+     * @param check opens and closes a connection; the result is false if older ones may hang
      * @param selector tracks which endpoints are silent
      * @param clock monotonic clock
      * @param listener receives the results
      */
     public EndpointProbes(
-            Vertx vertx, EndpointSelector selector, MillisecondClock clock, Listener listener) {
+            Function<SocketAddress, Future<Boolean>> check,
+            EndpointSelector selector,
+            MillisecondClock clock,
+            Listener listener) {
+        mCheck = check;
         mSelector = selector;
         mClock = clock;
         mListener = listener;
-        mClient =
-                vertx.createNetClient(
-                        new NetClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MILLISECONDS));
     }
 
     /** Opens a connection to each silent endpoint that is not being probed already. */
@@ -61,20 +63,22 @@
     /** Opens a connection to an endpoint unless it is being probed already. */
     public void probe(Endpoint endpoint) {
         if (mProbingIncarnations.add(endpoint.incarnation())) {
-            mClient.connect(endpoint.port(), endpoint.host())
-                    .onSuccess(socket -> reached(endpoint, socket))
+            mCheck.apply(SocketAddress.inetSocketAddress(endpoint.port(), endpoint.host()))
+                    .onSuccess(areConnectionsSound -> reached(endpoint, areConnectionsSound))
                     .onFailure(e -> lost(endpoint));
         }
     }
 
-    private void reached(Endpoint endpoint, NetSocket socket) {
-        socket.close();
+    private void reached(Endpoint endpoint, boolean areConnectionsSound) {
         mProbingIncarnations.remove(endpoint.incarnation());
         mSelector.responded(endpoint, mClock.nowMilliseconds());
         mListener.reached(endpoint);
         if (mLostIncarnations.remove(endpoint.incarnation())) {
             LOG.info("endpoint.regained", "endpoint", endpoint.incarnation());
         }
+        if (!areConnectionsSound) {
+            mListener.connectionsHang(endpoint);
+        }
     }
 
     private void lost(Endpoint endpoint) {
--- a/gateway/src/main/java/org/skylarkbend/gateway/endpoints/StoreProbe.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/endpoints/StoreProbe.java
@@ -1,13 +1,12 @@
 package org.skylarkbend.gateway.endpoints;
 
-import io.vertx.core.Vertx;
-import io.vertx.core.net.NetClient;
-import io.vertx.core.net.NetClientOptions;
 import io.vertx.core.net.NetSocket;
+import io.vertx.core.net.SocketAddress;
 import java.util.Optional;
 import org.skylarkbend.base.MillisecondClock;
 import org.skylarkbend.base.StructuredLog;
 import org.skylarkbend.catalog.Service.Store;
+import org.skylarkbend.exchange.EndpointDialer;
 
 /**
  * Keeps a connection open to the store of cached prompt parts and reports to the endpoint selector
@@ -24,23 +23,26 @@
     static final long CHECK_INTERVAL_MILLISECONDS = 2_000;
 
     private static final StructuredLog LOG = StructuredLog.of(StoreProbe.class);
-    private static final int CONNECT_TIMEOUT_MILLISECONDS = 300;
 
     private final EndpointSelector mSelector;
     private final MillisecondClock mClock;
-    private final NetClient mClient;
+    private final EndpointDialer mDialer;
     private Optional<Store> mStore = Optional.empty();
     private Optional<NetSocket> mSocket = Optional.empty();
     private long mReachedMilliseconds;
     private boolean mConnecting;
 
-    /** Creates a probe without a store that reads the given monotonic clock. */
-    public StoreProbe(Vertx vertx, EndpointSelector selector, MillisecondClock clock) {
+    /**
+     * Creates a probe without a store.
+     *
+     * @param dialer opens the connections
+     * @param selector knows whether the store is reachable
+     * @param clock monotonic clock
+     */
+    public StoreProbe(EndpointDialer dialer, EndpointSelector selector, MillisecondClock clock) {
+        mDialer = dialer;
         mSelector = selector;
         mClock = clock;
-        mClient =
-                vertx.createNetClient(
-                        new NetClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MILLISECONDS));
     }
 
     /** Switches to the store of a new catalog. */
@@ -62,7 +64,7 @@
         }
         Store store = mStore.get();
         mConnecting = true;
-        mClient.connect(store.port(), store.host())
+        mDialer.dial(SocketAddress.inetSocketAddress(store.port(), store.host()))
                 .onComplete(
                         attempt -> {
                             mConnecting = false;
--- a/gateway/src/main/java/org/skylarkbend/gateway/front/Drain.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/front/Drain.java
@@ -4,6 +4,7 @@
 import io.vertx.core.Vertx;
 import java.util.List;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import org.skylarkbend.base.StructuredLog;
 import org.skylarkbend.gateway.DrainSchedule;
 import org.skylarkbend.gateway.call.GuardedCall;
@@ -18,6 +19,7 @@
 
     private final Vertx mVertx;
     private final Set<GuardedCall> mCalls;
+    private final BooleanSupplier mIsIdle;
     private final CallerConnections mConnections;
     private final Promise<Void> mDrained;
     private final long mCheckTimer;
@@ -29,6 +31,7 @@
      * @param vertx sets the timers
      * @param schedule when it refuses calls and ends
      * @param calls the calls in progress, now and later
+     * @param isIdle returns whether neither calls nor other gateways are being served
      * @param connections the connections of callers
      * @param drained completed at the end
      */
@@ -36,10 +39,12 @@
             Vertx vertx,
             DrainSchedule schedule,
             Set<GuardedCall> calls,
+            BooleanSupplier isIdle,
             CallerConnections connections,
             Promise<Void> drained) {
         mVertx = vertx;
         mCalls = calls;
+        mIsIdle = isIdle;
         mConnections = connections;
         mDrained = drained;
         LOG.info("gateway.draining", "calls", calls.size());
@@ -59,7 +64,7 @@
     }
 
     private void endIfIdle() {
-        if (mRefusing && mCalls.isEmpty() && mConnections.areIdle()) {
+        if (mRefusing && mIsIdle.getAsBoolean()) {
             end(0);
         }
     }
--- a/gateway/src/main/java/org/skylarkbend/gateway/front/GatewayReports.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/front/GatewayReports.java
@@ -1,6 +1,7 @@
 package org.skylarkbend.gateway.front;
 
 import java.util.function.Consumer;
+import org.skylarkbend.catalog.SiteMessage.RelayOffered;
 import org.skylarkbend.catalog.SiteMessage.WorkUnderWay;
 import org.skylarkbend.moves.rollout.RolloutOutcomes;
 import org.skylarkbend.quarantine.CrashEvidence;
@@ -11,8 +12,10 @@
  * @param onWork receives the work in flight at endpoints
  * @param onOutcomes receives the outcomes of calls during a rollout
  * @param onCrashes receives the evidence about crashes of engines
+ * @param onRelayOffer receives the offers to open connections for other gateways
  */
 public record GatewayReports(
         Consumer<WorkUnderWay> onWork,
         Consumer<RolloutOutcomes> onOutcomes,
-        Consumer<CrashEvidence> onCrashes) {}
+        Consumer<CrashEvidence> onCrashes,
+        Consumer<RelayOffered> onRelayOffer) {}
--- a/gateway/src/main/java/org/skylarkbend/gateway/front/GatewayTask.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/front/GatewayTask.java
@@ -25,11 +25,11 @@
 import org.skylarkbend.catalog.Catalog;
 import org.skylarkbend.catalog.Endpoint;
 import org.skylarkbend.catalog.Endpoints;
+import org.skylarkbend.catalog.Relay;
 import org.skylarkbend.catalog.SiteLimits;
 import org.skylarkbend.catalog.SiteMessage.WorkUnderWay;
 import org.skylarkbend.catalog.VersionSplit;
-import org.skylarkbend.exchange.EndpointClient;
-import org.skylarkbend.exchange.ExchangeOptions;
+import org.skylarkbend.exchange.EndpointDialer;
 import org.skylarkbend.gateway.DrainSchedule;
 import org.skylarkbend.gateway.GatewaySettings;
 import org.skylarkbend.gateway.call.CallBoundary;
@@ -41,7 +41,6 @@
 import org.skylarkbend.gateway.crashes.CrashGuard;
 import org.skylarkbend.gateway.endpoints.EndpointProbes;
 import org.skylarkbend.gateway.endpoints.EndpointSelector;
-import org.skylarkbend.gateway.endpoints.StoreProbe;
 import org.skylarkbend.gateway.limits.TokenGate;
 import org.skylarkbend.gateway.link.SiteListener;
 import org.skylarkbend.gateway.outcomes.OutcomeRecorder;
@@ -64,22 +63,16 @@
      */
     private static final int IDLE_TIMEOUT_SECONDS = 120;
 
-    /** Maximum number of connections of a gateway to an endpoint. */
-    private static final int MAX_CONNECTIONS_PER_ENDPOINT = 64;
-
-    /** Endpoints that announce no keep-alive timeout close idle connections after some seconds. */
-    private static final long KEEP_ALIVE_MILLISECONDS = 4_000;
-
-    private static final long CONNECT_TIMEOUT_MILLISECONDS = 250;
     private static final int MAX_REQUEST_LINE_BYTES = 8 * 1024;
-    private static final int MAX_RESPONSE_HEAD_BYTES = 8 * 1024;
-    private static final long PROBE_INTERVAL_MILLISECONDS = 250;
+    private static final long CHECK_INTERVAL_MILLISECONDS = 250;
 
     private final GatewaySettings mSettings;
     private final ByteBudget mMemory;
     private final MetricRegistry mMetrics;
     private final MillisecondClock mClock;
+    private final EndpointDialer mDialer;
     private final Consumer<LimitMessage> mLimitOwner;
+    private final GatewayReports mReports;
     private final Consumer<Boolean> mOnReadyChange;
     private final CallHeadReader mHeadReader;
     private final Admissions mAdmissions;
@@ -93,7 +86,7 @@
     private CallResources mResources;
     private TokenGate mGate;
     private BodyIntake mIntake;
-    private StoreProbe mStoreProbe;
+    private EndpointAccess mEndpoints;
     private HttpServer mServer;
     private long mGateTimer = -1;
     private StartupQueue mStartupQueue;
@@ -108,6 +101,7 @@
      * @param memory memory for the bodies of requests and responses
      * @param metrics registry of the call metrics
      * @param clock monotonic clock
+     * @param dialer opens connections of this VM to endpoints
      * @param limitOwner sends a message to the limit owner
      * @param reports receives the periodic reports, on the context of the task
      * @param onReady receives changes of readiness, on the context of the task
@@ -117,6 +111,7 @@
             ByteBudget memory,
             MetricRegistry metrics,
             MillisecondClock clock,
+            EndpointDialer dialer,
             Consumer<LimitMessage> limitOwner,
             GatewayReports reports,
             Consumer<Boolean> onReady) {
@@ -124,6 +119,8 @@
         mMemory = memory;
         mMetrics = metrics;
         mClock = clock;
+        mDialer = dialer;
+        mReports = reports;
         mLimitOwner = limitOwner;
         mOnReadyChange = onReady;
         mHeadReader = new CallHeadReader(settings.headers());
@@ -150,19 +147,11 @@
                         new SuspensionDetector(MillisecondClock.wall(), now())
                                 ::suspendedMilliseconds);
         mIntake = new BodyIntake(vertx, mMemory, mClock);
-        EndpointProbes probes = new EndpointProbes(vertx, mSelector, mClock, probeListener());
+        mEndpoints = endpointAccess();
         mResources =
                 new CallResources(
                         vertx,
-                        new EndpointClient(
-                                vertx,
-                                new ExchangeOptions(
-                                        MAX_CONNECTIONS_PER_ENDPOINT,
-                                        CONNECT_TIMEOUT_MILLISECONDS,
-                                        KEEP_ALIVE_MILLISECONDS,
-                                        MAX_RESPONSE_HEAD_BYTES),
-                                mClock,
-                                mMetrics.counter("gateway_stray_receptions")),
+                        mEndpoints.client(),
                         mSettings.headers(),
                         mSelector,
                         mGate,
@@ -171,22 +160,38 @@
                                 mSettings.budgets().retryBudgetCapacity()),
                         mOutcomes,
                         mCrashes,
-                        probes,
+                        mEndpoints.probes(),
                         new ResponseMemory(mMemory),
                         mMetrics,
                         mClock);
-        mStoreProbe = new StoreProbe(vertx, mSelector, mClock);
-        vertx.setPeriodic(PROBE_INTERVAL_MILLISECONDS, id -> check(probes));
+        vertx.setPeriodic(CHECK_INTERVAL_MILLISECONDS, id -> check());
         scheduleWorkReport();
         mServer =
                 RequestDecoder.createServer(vertx, serverOptions(), this::connected, this::receive);
-        return mServer.listen(mSettings.callers().port(), mSettings.callers().host());
+        return mEndpoints
+                .listen()
+                .compose(
+                        ignored ->
+                                mServer.listen(
+                                        mSettings.callers().port(), mSettings.callers().host()));
+    }
+
+    private EndpointAccess endpointAccess() {
+        return new EndpointAccess(
+                vertx,
+                mSettings,
+                mDialer,
+                mSelector,
+                mClock,
+                mMetrics,
+                mReports.onRelayOffer(),
+                endpointListener());
     }
 
-    private void check(EndpointProbes probes) {
-        probes.probe();
-        mStoreProbe.connect();
+    private void check() {
+        mEndpoints.check();
         mIntake.endLate();
+        updateReadiness();
     }
 
     private void scheduleWorkReport() {
@@ -221,7 +226,7 @@
         mContext.runOnContext(
                 ignored -> {
                     mAdmissions.catalogChanged(catalog);
-                    mStoreProbe.changeStore(catalog.store());
+                    mEndpoints.storeChanged(catalog.store());
                     mGate.updateLimits(
                             SiteLimits.of(catalog, mSettings.budgets().limitSlack()), now());
                     LOG.info(
@@ -241,6 +246,7 @@
         mContext.runOnContext(
                 ignored -> {
                     mSelector.replace(endpoints, now());
+                    mEndpoints.endpointsChanged(endpoints);
                     updateReadiness();
                 });
     }
@@ -277,6 +283,11 @@
                 });
     }
 
+    @Override
+    public void relaysListed(List<Relay> relays) {
+        mContext.runOnContext(ignored -> mEndpoints.relaysListed(relays));
+    }
+
     @Override
     public void limitMessageReceived(LimitMessage message) {
         mContext.runOnContext(
@@ -297,13 +308,26 @@
         mContext.runOnContext(
                 ignored -> {
                     mGate.shutDown(now());
-                    mDrain = Optional.of(new Drain(vertx, schedule, mCalls, mConnections, drained));
+                    mEndpoints.leave();
+                    mDrain =
+                            Optional.of(
+                                    new Drain(
+                                            vertx,
+                                            schedule,
+                                            mCalls,
+                                            this::isServingNobody,
+                                            mConnections,
+                                            drained));
                     updateReadiness();
                 });
         return drained.future();
     }
 
-    private EndpointProbes.Listener probeListener() {
+    private boolean isServingNobody() {
+        return mCalls.isEmpty() && mConnections.areIdle() && mEndpoints.servesNoGateway();
+    }
+
+    private EndpointProbes.Listener endpointListener() {
         return new EndpointProbes.Listener() {
             @Override
             public void reached(Endpoint endpoint) {
@@ -313,6 +337,11 @@
             @Override
             public void lost(Endpoint endpoint) {
                 mCrashes.refusedConnection(endpoint, now());
+                connectionsHang(endpoint);
+            }
+
+            @Override
+            public void connectionsHang(Endpoint endpoint) {
                 List.copyOf(mCalls).forEach(call -> call.endpointLost(endpoint));
             }
         };
@@ -326,7 +355,7 @@
         if (isFullyInitialized()) {
             mStartupQueue.releaseAll();
         }
-        boolean ready = isFullyInitialized() && !mDrain.isPresent();
+        boolean ready = isFullyInitialized() && !mDrain.isPresent() && !mEndpoints.areAllLost();
         if (ready != mReady) {
             mReady = ready;
             LOG.info("gateway.ready", "ready", ready);
@@ -438,15 +467,8 @@
         started.start();
     }
 
-    /** A request that has arrived completely; it began to arrive at the given time. */
-    private record Arrival(
-            HttpServerRequest request,
-            HeldBytes body,
-            long milliseconds,
-            Admissions.Decision decision) {}
-
     private HttpCallerResponse responseTo(HttpServerRequest request) {
-        return new HttpCallerResponse(request, () -> mDrain.isPresent());
+        return new HttpCallerResponse(request, () -> mDrain.isPresent() || mEndpoints.areAllLost());
     }
 
     private void refuse(HttpServerRequest request, SkylarkError error) {
--- a/gateway/src/main/java/org/skylarkbend/gateway/link/SiteLinkTask.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/link/SiteLinkTask.java
@@ -18,6 +18,8 @@
 import org.skylarkbend.catalog.SiteMessage.ControlVms;
 import org.skylarkbend.catalog.SiteMessage.EndpointsChanged;
 import org.skylarkbend.catalog.SiteMessage.EndpointsListed;
+import org.skylarkbend.catalog.SiteMessage.RelayOffered;
+import org.skylarkbend.catalog.SiteMessage.RelaysListed;
 import org.skylarkbend.catalog.SiteMessage.WeightsNamed;
 import org.skylarkbend.catalog.SiteMessage.WorkUnderWay;
 import org.skylarkbend.limits.LimitCodec;
@@ -141,6 +143,15 @@
         post(new SiteLinkMessage.SliceToSend(slice));
     }
 
+    /**
+     * Sends the offer of this gateway to open connections for others to control. The message is
+     * lost if no connection is open.
+     */
+    public void sendRelayOffer(RelayOffered offer) {
+        SliceMessage slice = new SliceMessage(SiteCodec.RELAY_SLICE, mSiteCodec.encode(offer));
+        post(new SiteLinkMessage.SliceToSend(slice));
+    }
+
     /** Replaces the seeds after a change of the settings. May be called from any thread. */
     public void postSeeds(List<String> hosts) {
         post(new SiteLinkMessage.SeedsChanged(hosts));
@@ -237,6 +248,8 @@
             mListener.weightsNamed(named.versions());
         } else if (message instanceof WorkUnderWay work) {
             mListener.otherWorkChanged(work);
+        } else if (message instanceof RelaysListed listed) {
+            mListener.relaysListed(listed.relays());
         }
     }
 
--- a/gateway/src/test/java/org/skylarkbend/gateway/call/AttemptTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/call/AttemptTest.java
@@ -14,6 +14,7 @@
 import org.skylarkbend.catalog.CallKind;
 import org.skylarkbend.catalog.Endpoint;
 import org.skylarkbend.exchange.EndpointClient;
+import org.skylarkbend.exchange.EndpointDialer;
 import org.skylarkbend.exchange.ExchangeOptions;
 import org.skylarkbend.exchange.ResponseStart;
 import org.skylarkbend.gateway.FakeEndpoint;
@@ -73,6 +74,7 @@
         EndpointClient client =
                 new EndpointClient(
                         mVertx,
+                        EndpointDialer.direct(mVertx, 10_000),
                         new ExchangeOptions(1, 10_000, 5_000, 1_024),
                         () -> 0,
                         new Counter());
--- a/gateway/src/test/java/org/skylarkbend/gateway/endpoints/StoreProbeTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/endpoints/StoreProbeTest.java
@@ -21,6 +21,7 @@
 import org.skylarkbend.catalog.Endpoint;
 import org.skylarkbend.catalog.Endpoints;
 import org.skylarkbend.catalog.Service.Store;
+import org.skylarkbend.exchange.EndpointDialer;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -45,7 +46,9 @@
         mVertx = Vertx.vertx();
         mTask = mVertx.getOrCreateContext();
         mSelector = new EndpointSelector(() -> 0.5, PAUSE_MILLISECONDS);
-        mProbe = new StoreProbe(mVertx, mSelector, mNowMilliseconds::get);
+        mProbe =
+                new StoreProbe(
+                        EndpointDialer.direct(mVertx, 300), mSelector, mNowMilliseconds::get);
         onTask(
                 () -> {
                     Endpoint engine =
--- a/gateway/src/test/java/org/skylarkbend/gateway/front/GatewayFixture.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/front/GatewayFixture.java
@@ -34,7 +34,9 @@
 import org.skylarkbend.catalog.Route;
 import org.skylarkbend.catalog.Service;
 import org.skylarkbend.catalog.SiteLimits;
+import org.skylarkbend.catalog.SiteMessage.RelayOffered;
 import org.skylarkbend.catalog.SiteMessage.WorkUnderWay;
+import org.skylarkbend.exchange.EndpointDialer;
 import org.skylarkbend.gateway.FakeEndpoint;
 import org.skylarkbend.gateway.GatewaySettings;
 import org.skylarkbend.limits.LimitMessage;
@@ -72,11 +74,19 @@
                         new PoolOptions().setHttp1MaxSize(MAX_CALLER_CONNECTIONS));
         mPort = LoopbackPorts.next();
         mMetrics = createMetrics();
+        mGateway = gateway(mPort, LoopbackPorts.next(), dialer(), mMetrics);
+        await(mVertx.deployVerticle(new ContextCapture()));
+    }
+
+    /** Returns a gateway that is not deployed. */
+    protected GatewayTask gateway(
+            int port, int relayPort, EndpointDialer dialer, MetricRegistry metrics) {
         GatewaySettings settings =
                 new GatewaySettings(
                         ObjectName.of("front-1"),
                         ObjectName.of("z"),
-                        new GatewaySettings.ListenAddress("127.0.0.1", mPort),
+                        new GatewaySettings.ListenAddress("127.0.0.1", port),
+                        new GatewaySettings.ListenAddress("127.0.0.1", relayPort),
                         new GatewaySettings.ListenAddress("127.0.0.1", 1),
                         "/ready",
                         1,
@@ -86,16 +96,16 @@
                         new GatewaySettings.Budgets(
                                 1, retryBudgetCapacity(), SiteLimits.Slack.none(), 60_000),
                         5_000);
-        mGateway =
-                new GatewayTask(
-                        settings,
-                        new ByteBudget("gateway_held", memoryBytes(), mMetrics),
-                        mMetrics,
-                        clock(),
-                        message -> {},
-                        new GatewayReports(this::workReported, outcomes -> {}, crashes -> {}),
-                        ready -> {});
-        await(mVertx.deployVerticle(new ContextCapture()));
+        return new GatewayTask(
+                settings,
+                new ByteBudget("gateway_held", memoryBytes(), metrics),
+                metrics,
+                clock(),
+                dialer,
+                message -> {},
+                new GatewayReports(
+                        this::workReported, outcomes -> {}, crashes -> {}, this::relayOffered),
+                this::readinessChanged);
     }
 
     /** Deploys the gateway and keeps its context. */
@@ -127,6 +137,17 @@
         return CallerLimits.defaults();
     }
 
+    /** Returns what opens connections of the gateway to endpoints. */
+    protected EndpointDialer dialer() {
+        return EndpointDialer.direct(mVertx, EndpointAccess.CONNECT_TIMEOUT_MILLISECONDS);
+    }
+
+    /** Receives the offers of gateways to open connections for others. */
+    protected void relayOffered(RelayOffered offer) {}
+
+    /** Receives the readiness of gateways. */
+    protected void readinessChanged(boolean ready) {}
+
     /** Receives the work in flight that the gateway reports. */
     protected void workReported(WorkUnderWay work) {
         mWork = work;
@@ -162,6 +183,14 @@
 
     /** Publishes a catalog and endpoints, and waits until the gateway has taken them over. */
     protected void publish(Route route, Endpoint... endpoints) throws Exception {
+        publishTo(mGateway, route, endpoints);
+        Promise<Void> takenOver = Promise.promise();
+        mGatewayContext.runOnContext(ignored -> takenOver.complete());
+        await(takenOver.future());
+    }
+
+    /** Publishes a catalog and endpoints to a gateway. */
+    protected void publishTo(GatewayTask gateway, Route route, Endpoint... endpoints) {
         Customer customer =
                 new Customer(
                         "one",
@@ -171,18 +200,15 @@
                         0,
                         0,
                         1);
-        mGateway.catalogChanged(
+        gateway.catalogChanged(
                 new Catalog(
                         1,
                         List.of(route),
                         Map.of("desk", new Service("desk", 10, Optional.empty(), Optional.empty())),
                         List.of(customer),
                         callerLimits()));
-        mGateway.endpointsChanged(new Endpoints(List.of(endpoints), Set.of()));
-        mGateway.limitMessageReceived(new LimitMessage.TermBegan(1));
-        Promise<Void> takenOver = Promise.promise();
-        mGatewayContext.runOnContext(ignored -> takenOver.complete());
-        await(takenOver.future());
+        gateway.endpointsChanged(new Endpoints(List.of(endpoints), Set.of()));
+        gateway.limitMessageReceived(new LimitMessage.TermBegan(1));
     }
 
     /** Runs an action on the event loop of the gateway. */
--- a/gateway/src/test/java/org/skylarkbend/gateway/link/IdleSiteListener.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/link/IdleSiteListener.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import org.skylarkbend.catalog.Catalog;
 import org.skylarkbend.catalog.Endpoints;
+import org.skylarkbend.catalog.Relay;
 import org.skylarkbend.catalog.SiteMessage.WorkUnderWay;
 import org.skylarkbend.catalog.VersionSplit;
 import org.skylarkbend.limits.LimitMessage;
@@ -17,6 +18,9 @@
     @Override
     public void endpointsChanged(Endpoints endpoints) {}
 
+    @Override
+    public void relaysListed(List<Relay> relays) {}
+
     @Override
     public void splitsChanged(List<VersionSplit> splits) {}
 
--- a/router/src/main/java/org/skylarkbend/router/forward/ForwardTask.java
+++ b/router/src/main/java/org/skylarkbend/router/forward/ForwardTask.java
@@ -17,6 +17,7 @@
 import org.skylarkbend.base.SkylarkError;
 import org.skylarkbend.base.telemetry.Tracing;
 import org.skylarkbend.exchange.EndpointClient;
+import org.skylarkbend.exchange.EndpointDialer;
 import org.skylarkbend.exchange.ExchangeOptions;
 import org.skylarkbend.forwarding.AdmissionDecider;
 import org.skylarkbend.forwarding.AdmissionEffect;
@@ -133,6 +134,7 @@
         RouterBounds bounds = mSettings.bounds();
         return new EndpointClient(
                 vertx,
+                EndpointDialer.direct(vertx, bounds.connectTimeoutMilliseconds()),
                 new ExchangeOptions(
                         MAX_CONNECTIONS_PER_ENDPOINT,
                         bounds.connectTimeoutMilliseconds(),
