Divide the slots of brittle endpoints between the gateways

Cause: a gateway knows the calls of the others as of the last sum, so that several of them fill the same slots.

--- a/catalog/src/main/java/org/skylarkbend/catalog/SiteCodec.java
+++ b/catalog/src/main/java/org/skylarkbend/catalog/SiteCodec.java
@@ -82,8 +82,10 @@
             writeRelay(writer, offered.relay());
             return writer.flag(offered.isOpen()).toBytes();
         }
+        RelaysListed listed = (RelaysListed) message;
         return new MessageWriter(RELAYS_LISTED)
-                .list(((RelaysListed) message).relays(), SiteCodec::writeRelay)
+                .list(listed.relays(), SiteCodec::writeRelay)
+                .number(listed.gateways())
                 .toBytes();
     }
 
@@ -177,7 +179,8 @@
             case CALL_SPLITS -> new CallSplits(reader.list(SiteCodec::readSplit));
             case WEIGHTS_NAMED -> new WeightsNamed(readVersions(reader));
             case RELAY_OFFERED -> new RelayOffered(readRelay(reader), reader.flag());
-            case RELAYS_LISTED -> new RelaysListed(reader.list(SiteCodec::readRelay));
+            case RELAYS_LISTED ->
+                    new RelaysListed(reader.list(SiteCodec::readRelay), (int) reader.number());
             case WORK_UNDER_WAY -> new WorkUnderWay(readWork(reader), reader.number());
             default -> MessageReader.unknownType(type);
         };
--- a/catalog/src/main/java/org/skylarkbend/catalog/SiteMessage.java
+++ b/catalog/src/main/java/org/skylarkbend/catalog/SiteMessage.java
@@ -71,8 +71,13 @@
      */
     record RelayOffered(Relay relay, boolean isOpen) implements SiteMessage {}
 
-    /** Gateways that open connections to endpoints for others. */
-    record RelaysListed(List<Relay> relays) implements SiteMessage {
+    /**
+     * Gateways of the site.
+     *
+     * @param relays those that open connections to endpoints for others
+     * @param gateways number of all
+     */
+    record RelaysListed(List<Relay> relays, int gateways) implements SiteMessage {
         /** Creates the message with a copy of the list. */
         public RelaysListed {
             relays = List.copyOf(relays);
--- a/catalog/src/test/java/org/skylarkbend/catalog/SiteCodecTest.java
+++ b/catalog/src/test/java/org/skylarkbend/catalog/SiteCodecTest.java
@@ -30,7 +30,7 @@
             new SiteMessage.WorkUnderWay(Map.of("i-1@5", new EndpointWork(9_190, 3)), 480),
             new SiteMessage.RelayOffered(new Relay("10.1.0.1", 7_602, "a"), true),
             new SiteMessage.RelaysListed(
-                    List.of(new Relay("10.1.0.1", 7_602, "a"), new Relay("10.1.0.2", 1, "b")))
+                    List.of(new Relay("10.1.0.1", 7_602, "a"), new Relay("10.1.0.2", 1, "b")), 5)
         };
     }
 
--- a/control/src/main/java/org/skylarkbend/control/relays/RelayDecider.java
+++ b/control/src/main/java/org/skylarkbend/control/relays/RelayDecider.java
@@ -8,6 +8,7 @@
 import org.skylarkbend.base.ObjectName;
 import org.skylarkbend.catalog.Relay;
 import org.skylarkbend.catalog.SiteMessage.RelayOffered;
+import org.skylarkbend.catalog.SiteMessage.RelaysListed;
 import org.skylarkbend.limits.RouterIdentity;
 
 /** Collects the offers of gateways to open connections to endpoints. Confined to one task. */
@@ -19,7 +20,7 @@
             Comparator.comparing(Relay::host).thenComparing(Relay::port);
 
     private final Map<ObjectName, Offer> mOffers = new LinkedHashMap<>();
-    private List<Relay> mListed = List.of();
+    private RelaysListed mListed = new RelaysListed(List.of(), 0);
 
     /** The latest offer of a VM and its time of arrival. */
     private record Offer(long incarnation, RelayOffered message, long atMilliseconds) {}
@@ -35,11 +36,11 @@
     /** Drops all offers. */
     public void clear() {
         mOffers.clear();
-        mListed = List.of();
+        mListed = new RelaysListed(List.of(), 0);
     }
 
-    /** Returns the gateways that open connections for others, if they have changed. */
-    public Optional<List<Relay>> changedRelays(long nowMilliseconds) {
+    /** Returns the gateways and those that open connections for others, if they have changed. */
+    public Optional<RelaysListed> changedRelays(long nowMilliseconds) {
         mOffers.values()
                 .removeIf(
                         offer ->
@@ -52,10 +53,11 @@
                         .map(RelayOffered::relay)
                         .sorted(ORDER)
                         .toList();
-        if (relays.equals(mListed)) {
+        RelaysListed listed = new RelaysListed(relays, mOffers.size());
+        if (listed.equals(mListed)) {
             return Optional.empty();
         }
-        mListed = relays;
-        return Optional.of(relays);
+        mListed = listed;
+        return Optional.of(listed);
     }
 }
--- a/control/src/main/java/org/skylarkbend/control/relays/RelayTask.java
+++ b/control/src/main/java/org/skylarkbend/control/relays/RelayTask.java
@@ -3,11 +3,9 @@
 import io.vertx.core.Context;
 import io.vertx.core.Future;
 import io.vertx.core.VerticleBase;
-import java.util.List;
 import java.util.function.Consumer;
 import org.skylarkbend.base.MillisecondClock;
 import org.skylarkbend.base.StructuredLog;
-import org.skylarkbend.catalog.Relay;
 import org.skylarkbend.catalog.SiteCodec;
 import org.skylarkbend.catalog.SiteMessage;
 import org.skylarkbend.catalog.SiteMessage.RelayOffered;
@@ -90,8 +88,13 @@
         }
     }
 
-    private void announce(List<Relay> relays) {
-        LOG.info("relays.announced", "relays", relays.size());
-        mAnnounce.accept(new RelaysListed(relays));
+    private void announce(RelaysListed listed) {
+        LOG.info(
+                "relays.announced",
+                "relays",
+                listed.relays().size(),
+                "gateways",
+                listed.gateways());
+        mAnnounce.accept(listed);
     }
 }
--- a/control/src/test/java/org/skylarkbend/control/relays/RelayDeciderTest.java
+++ b/control/src/test/java/org/skylarkbend/control/relays/RelayDeciderTest.java
@@ -6,6 +6,7 @@
 import org.skylarkbend.base.ObjectName;
 import org.skylarkbend.catalog.Relay;
 import org.skylarkbend.catalog.SiteMessage.RelayOffered;
+import org.skylarkbend.catalog.SiteMessage.RelaysListed;
 import org.skylarkbend.limits.RouterIdentity;
 import org.testng.annotations.Test;
 
@@ -23,10 +24,10 @@
         mDecider.clear();
         mDecider.offered(TWO, new RelayOffered(B, true), 0);
         mDecider.offered(ONE, new RelayOffered(A, true), 0);
-        assertThat(mDecider.changedRelays(0)).contains(List.of(A, B));
+        assertThat(mDecider.changedRelays(0)).contains(new RelaysListed(List.of(A, B), 2));
         assertThat(mDecider.changedRelays(1)).isEmpty();
         mDecider.offered(ONE, new RelayOffered(A, false), 2);
-        assertThat(mDecider.changedRelays(2)).contains(List.of(B));
+        assertThat(mDecider.changedRelays(2)).contains(new RelaysListed(List.of(B), 2));
     }
 
     @Test
@@ -36,7 +37,7 @@
         mDecider.changedRelays(0);
         assertThat(mDecider.changedRelays(RelayDecider.OFFER_VALID_MILLISECONDS)).isEmpty();
         assertThat(mDecider.changedRelays(RelayDecider.OFFER_VALID_MILLISECONDS + 1))
-                .contains(List.of());
+                .contains(new RelaysListed(List.of(), 0));
     }
 
     /** Guards against the late offer of a process that has ended. */
--- a/gateway/src/main/java/org/skylarkbend/gateway/HeaderNames.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/HeaderNames.java
@@ -14,6 +14,7 @@
  * @param customer name of the customer that made the call
  * @param load load of the endpoint: running calls, waiting calls, slots
  * @param leaving set on the responses of an endpoint that is shutting down
+ * @param brittle set on the responses of an endpoint that falls over if it has to refuse many calls
  * @param lastEventId ID of the last event received, after which a stream resumes
  * @param engine headers of calls to engines
  * @param reserved lower-case names of headers that callers may not set
@@ -27,6 +28,7 @@
         String customer,
         String load,
         String leaving,
+        String brittle,
         String lastEventId,
         Engine engine,
         Set<String> reserved) {
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/EndpointReports.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/EndpointReports.java
@@ -1,5 +1,6 @@
 package org.skylarkbend.gateway.call;
 
+import java.util.OptionalLong;
 import org.skylarkbend.base.ErrorKind;
 import org.skylarkbend.catalog.Endpoint;
 import org.skylarkbend.exchange.ResponseStart;
@@ -27,6 +28,13 @@
         if (head.header(mResources.names().leaving()) != null) {
             mResources.selector().leaving(endpoint);
         }
+        mResources
+                .selector()
+                .brittleServices()
+                .said(
+                        endpoint.service(),
+                        refusalsBorne(head.header(mResources.names().brittle())),
+                        now());
         if (head.status() == ErrorKind.OVERLOADED.httpStatus()) {
             RetryAfterHeader.parseMilliseconds(head.header(RetryAfterHeader.NAME))
                     .ifPresent(
@@ -35,6 +43,14 @@
         }
     }
 
+    /** An endpoint that says it is brittle, but not how many refusals it bears, bears one. */
+    private static OptionalLong refusalsBorne(String header) {
+        if (header == null) {
+            return OptionalLong.empty();
+        }
+        return OptionalLong.of(header.matches("\\d{1,9}") ? Long.parseLong(header) : 1);
+    }
+
     /** Records the load that an endpoint names in the headers of a response. */
     void loadReceived(Endpoint endpoint, ResponseStart head) {
         LoadHeader.parse(head.header(mResources.names().load()))
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/GatewayCall.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/GatewayCall.java
@@ -36,6 +36,7 @@
     private final StreamTiming mTiming;
     private final SilenceTimer mSilenceTimer;
     private final RateReservation mReservation;
+    private final RoomWait mRoomWait;
     private Optional<EngineChoice> mLastChoice = Optional.empty();
     private Optional<Run> mAnswer = Optional.empty();
     private Optional<String> mLastEventId = Optional.empty();
@@ -82,6 +83,7 @@
                         choice -> start(choice, false),
                         boundary.around(run -> goOnWith(run, "the time for both has passed")));
         mReservation = new RateReservation(call, resources);
+        mRoomWait = new RoomWait(call, resources, boundary.around(this::sendToNextEndpoint));
         mTiming = new StreamTiming(call.arrivedMilliseconds());
         mSilenceTimer =
                 new SilenceTimer(
@@ -188,6 +190,9 @@
             return;
         }
         Optional<EngineChoice> chosen = mRuns.chooseAlsoSilent();
+        if (chosen.isEmpty() && mRoomWait.begin()) {
+            return;
+        }
         if (chosen.isEmpty()) {
             ErrorKind kind =
                     mHistory.mayHaveRun() ? ErrorKind.ENDPOINT_FAILED : ErrorKind.NO_ENDPOINT;
@@ -469,6 +474,7 @@
                 mRuns::stopAll,
                 () -> mResources.vertx().cancelTimer(mTimeoutTimer),
                 mSilenceTimer::cancel,
+                mRoomWait::cancel,
                 this::releaseRequestBodyIfUnneeded,
                 this::discardUnlessSending,
                 mReservation::cancel,
--- a/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EndpointSelector.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EndpointSelector.java
@@ -72,10 +72,8 @@
      */
     private final Set<EndpointLoad> mActive = new LinkedHashSet<>();
 
-    /** The order in which engines load weights, by service and model. */
-    private final Map<String, Map<String, Map<EndpointLoad, Integer>>> mWeightsLoadOrders =
-            new HashMap<>();
-
+    private final WeightsLoadOrders mWeightsLoadOrders;
+    private final BrittleServices mBrittle;
     private final VersionSplits mSplits = new VersionSplits();
     private Set<String> mLoadingWeights = Set.of();
     private ReachedStore mStore = ReachedStore.none();
@@ -92,6 +90,8 @@
     public EndpointSelector(DoubleSupplier random, long oldWeightsGraceMilliseconds) {
         mRandom = random;
         mWeightsCost = new WeightsCost(oldWeightsGraceMilliseconds);
+        mWeightsLoadOrders = new WeightsLoadOrders(mWeightsCost);
+        mBrittle = new BrittleServices(random);
     }
 
     /** Returns whether the list of endpoints was ever received. */
@@ -162,6 +162,7 @@
                         load.otherWorkChanged(
                                 work.getOrDefault(incarnation, EndpointWork.none()),
                                 nowMilliseconds));
+        mBrittle.sumReceived(mLoads, nowMilliseconds);
     }
 
     /** Selects an endpoint for a call without a prompt. */
@@ -188,7 +189,9 @@
         List<EndpointLoad> candidates = candidates(service, priorAttempts, nowMilliseconds);
         Optional<Home> home =
                 key.isEmpty() ? Optional.empty() : homeOf(candidates, prompt, scope + key);
-        Map<EndpointLoad, Integer> weightsLoadOrder = weightsLoadOrder(service, prompt.model());
+        Map<EndpointLoad, Integer> weightsLoadOrder =
+                mWeightsLoadOrders.of(
+                        service, mByService.getOrDefault(service, List.of()), prompt.model());
         return cheapest(
                         candidates,
                         priorAttempts,
@@ -209,17 +212,6 @@
                 .map(load -> toChoice(load, candidates, prompt, home, nowMilliseconds));
     }
 
-    /** Returns the order in which engines load newer weights, which is kept until they change. */
-    private Map<EndpointLoad, Integer> weightsLoadOrder(String service, String model) {
-        return mWeightsLoadOrders
-                .computeIfAbsent(service, name -> new HashMap<>())
-                .computeIfAbsent(
-                        model,
-                        name ->
-                                mWeightsCost.weightsLoadOrder(
-                                        mByService.getOrDefault(service, List.of()), model));
-    }
-
     private static boolean isHome(EndpointLoad load, Optional<Home> home) {
         return home.isPresent() && home.get().engine() == load;
     }
@@ -274,7 +266,12 @@
 
     /** Records a successful response of an endpoint. */
     public void succeeded(Endpoint endpoint) {
-        loadOf(endpoint).ifPresent(EndpointLoad::succeeded);
+        loadOf(endpoint)
+                .ifPresent(
+                        load -> {
+                            load.succeeded();
+                            mBrittle.answered(load);
+                        });
     }
 
     /** Records that an endpoint failed a call or could not be reached. */
@@ -284,7 +281,12 @@
 
     /** Records that an endpoint refused a call without running it. */
     public void refused(Endpoint endpoint, long nowMilliseconds) {
-        loadOf(endpoint).ifPresent(load -> load.refused(nowMilliseconds));
+        loadOf(endpoint)
+                .ifPresent(
+                        load -> {
+                            load.refused(nowMilliseconds);
+                            mBrittle.refused(load, nowMilliseconds);
+                        });
     }
 
     /** Records that an endpoint said that it is shutting down. It gets no new calls. */
@@ -313,6 +315,11 @@
                         });
     }
 
+    /** Returns the services whose endpoints fall over if they have to refuse many calls. */
+    public BrittleServices brittleServices() {
+        return mBrittle;
+    }
+
     /** Returns whether an endpoint is listed and accepts new calls, as far as it has said. */
     public boolean acceptsCalls(Endpoint endpoint, long nowMilliseconds) {
         return loadOf(endpoint)
@@ -349,6 +356,7 @@
         List<EndpointLoad> accepting =
                 mByService.getOrDefault(service, List.of()).stream()
                         .filter(load -> load.acceptsCalls(nowMilliseconds))
+                        .filter(load -> mBrittle.hasRoom(load, nowMilliseconds))
                         .toList();
         return mSplits.candidates(service, accepting, priorAttempts, mRandom);
     }
--- a/gateway/src/main/java/org/skylarkbend/gateway/front/GatewayTask.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/front/GatewayTask.java
@@ -7,7 +7,6 @@
 import io.vertx.core.VerticleBase;
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpServer;
-import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
 import java.util.HashSet;
 import java.util.List;
@@ -15,18 +14,16 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.skylarkbend.base.ByteBudget;
 import org.skylarkbend.base.MillisecondClock;
 import org.skylarkbend.base.SkylarkError;
 import org.skylarkbend.base.StructuredLog;
-import org.skylarkbend.catalog.CallerLimits;
 import org.skylarkbend.catalog.Catalog;
 import org.skylarkbend.catalog.Endpoint;
 import org.skylarkbend.catalog.Endpoints;
-import org.skylarkbend.catalog.Relay;
 import org.skylarkbend.catalog.SiteLimits;
+import org.skylarkbend.catalog.SiteMessage.RelaysListed;
 import org.skylarkbend.catalog.SiteMessage.WorkUnderWay;
 import org.skylarkbend.catalog.VersionSplit;
 import org.skylarkbend.exchange.EndpointDialer;
@@ -57,13 +54,6 @@
 public final class GatewayTask extends VerticleBase implements SiteListener {
     private static final StructuredLog LOG = StructuredLog.of(GatewayTask.class);
 
-    /**
-     * Idle timeout of the server. Callers may keep connections open as long as the catalog allows,
-     * so the server closes them late.
-     */
-    private static final int IDLE_TIMEOUT_SECONDS = 120;
-
-    private static final int MAX_REQUEST_LINE_BYTES = 8 * 1024;
     private static final long CHECK_INTERVAL_MILLISECONDS = 250;
 
     private final GatewaySettings mSettings;
@@ -167,7 +157,8 @@
         vertx.setPeriodic(CHECK_INTERVAL_MILLISECONDS, id -> check());
         scheduleWorkReport();
         mServer =
-                RequestDecoder.createServer(vertx, serverOptions(), this::connected, this::receive);
+                RequestDecoder.createServer(
+                        vertx, CallerServer.options(), this::connected, this::receive);
         return mEndpoints
                 .listen()
                 .compose(
@@ -205,17 +196,6 @@
                 });
     }
 
-    private static HttpServerOptions serverOptions() {
-        return new HttpServerOptions()
-                .setTcpNoDelay(true)
-                .setHandle100ContinueAutomatically(true)
-                .setHttp2ClearTextEnabled(false)
-                .setMaxHeaderSize(CallerLimits.defaults().headerBytes())
-                .setMaxInitialLineLength(MAX_REQUEST_LINE_BYTES)
-                .setIdleTimeout(IDLE_TIMEOUT_SECONDS)
-                .setIdleTimeoutUnit(TimeUnit.SECONDS);
-    }
-
     @Override
     public Future<?> stop() {
         return mServer.close();
@@ -284,8 +264,12 @@
     }
 
     @Override
-    public void relaysListed(List<Relay> relays) {
-        mContext.runOnContext(ignored -> mEndpoints.relaysListed(relays));
+    public void relaysListed(RelaysListed listed) {
+        mContext.runOnContext(
+                ignored -> {
+                    mEndpoints.relaysListed(listed.relays());
+                    mSelector.brittleServices().gatewaysCounted(listed.gateways());
+                });
     }
 
     @Override
@@ -373,7 +357,7 @@
         mConnections.opened(connection);
         return new RequestDecoder.Limits(
                 () -> mAdmissions.callerLimits().headerMilliseconds(),
-                () -> TimeUnit.SECONDS.toMillis(IDLE_TIMEOUT_SECONDS),
+                () -> CallerServer.IDLE_TIMEOUT_MILLISECONDS,
                 () -> mConnections.isServing(connection));
     }
 
--- a/gateway/src/main/java/org/skylarkbend/gateway/link/SiteLinkTask.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/link/SiteLinkTask.java
@@ -249,7 +249,7 @@
         } else if (message instanceof WorkUnderWay work) {
             mListener.otherWorkChanged(work);
         } else if (message instanceof RelaysListed listed) {
-            mListener.relaysListed(listed.relays());
+            mListener.relaysListed(listed);
         }
     }
 
--- a/gateway/src/main/java/org/skylarkbend/gateway/link/SiteListener.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/link/SiteListener.java
@@ -4,7 +4,7 @@
 import java.util.Map;
 import org.skylarkbend.catalog.Catalog;
 import org.skylarkbend.catalog.Endpoints;
-import org.skylarkbend.catalog.Relay;
+import org.skylarkbend.catalog.SiteMessage.RelaysListed;
 import org.skylarkbend.catalog.SiteMessage.WorkUnderWay;
 import org.skylarkbend.catalog.VersionSplit;
 import org.skylarkbend.limits.LimitMessage;
@@ -30,8 +30,8 @@
     /** Called when the watched or quarantined parts of prompts have changed. */
     void quarantineChanged(QuarantineNotice notice);
 
-    /** Called when the gateways that open connections for others have changed. */
-    void relaysListed(List<Relay> relays);
+    /** Called when the gateways, or those that open connections for others, have changed. */
+    void relaysListed(RelaysListed listed);
 
     /** Called when a message of the limit owner has arrived. */
     void limitMessageReceived(LimitMessage message);
--- a/gateway/src/test/java/org/skylarkbend/gateway/FakeEndpoint.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/FakeEndpoint.java
@@ -23,6 +23,7 @@
                     "Customer",
                     "Load",
                     "Leaving",
+                    "Brittle",
                     "Last-Event-Id",
                     new HeaderNames.Engine(
                             "Model",
--- a/gateway/src/test/java/org/skylarkbend/gateway/front/CallHeadFuzzTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/front/CallHeadFuzzTest.java
@@ -68,6 +68,7 @@
                 "customer",
                 "load",
                 "leaving",
+                "brittle",
                 "last-event-id",
                 new HeaderNames.Engine(
                         "model",
--- a/gateway/src/test/java/org/skylarkbend/gateway/front/CutOffGatewayTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/front/CutOffGatewayTest.java
@@ -17,6 +17,7 @@
 import org.skylarkbend.catalog.Relay;
 import org.skylarkbend.catalog.Route;
 import org.skylarkbend.catalog.SiteMessage.RelayOffered;
+import org.skylarkbend.catalog.SiteMessage.RelaysListed;
 import org.skylarkbend.exchange.EndpointDialer;
 import org.skylarkbend.gateway.FakeEndpoint;
 import org.skylarkbend.gateway.ListedEndpoint;
@@ -90,7 +91,7 @@
             throws Exception {
         List<FakeEndpoint> endpoints = listenToThree();
         publishToBoth(route, endpoints);
-        mGateway.relaysListed(List.of(mHelperRelay));
+        mGateway.relaysListed(new RelaysListed(List.of(mHelperRelay), 2));
         serveAll();
         runOnGateway(() -> mLink.cut(cut));
         callFor(STABLE_MILLISECONDS);
@@ -106,7 +107,7 @@
     @Test
     public void aGatewayUsesItsOwnLinksAgainWhenTheyAreBack() throws Exception {
         publishToBoth(ROUTE, listenToThree());
-        mGateway.relaysListed(List.of(mHelperRelay));
+        mGateway.relaysListed(new RelaysListed(List.of(mHelperRelay), 2));
         runOnGateway(() -> mLink.cut(Cut.HANGING));
         callFor(STABLE_MILLISECONDS);
         mLink.heal();
@@ -122,7 +123,7 @@
     @Test
     public void aGatewayThatIsCutOffWithdrawsItsOffer() throws Exception {
         publishToBoth(ROUTE, listenToThree());
-        mGateway.relaysListed(List.of(mHelperRelay));
+        mGateway.relaysListed(new RelaysListed(List.of(mHelperRelay), 2));
         runOnGateway(() -> mLink.cut(Cut.REFUSING));
         callFor(STABLE_MILLISECONDS);
         awaitUntil(() -> mOffers.stream().anyMatch(offer -> !offer.isOpen()));
@@ -133,7 +134,7 @@
     @Test
     public void aGatewayWithoutAnyWayIsNotReady() throws Exception {
         publishToBoth(ROUTE, listenToThree());
-        mGateway.relaysListed(List.of(mHelperRelay));
+        mGateway.relaysListed(new RelaysListed(List.of(mHelperRelay), 2));
         runOnGateway(() -> mLink.cut(Cut.REFUSING));
         callFor(STABLE_MILLISECONDS);
         await(mVertx.undeploy(mHelper.deploymentID()));
@@ -223,7 +224,7 @@
         await(unlisted.listen(mVertx));
         publish(ROUTE, unlisted);
         publishTo(mHelper, ROUTE);
-        mGateway.relaysListed(List.of(mHelperRelay));
+        mGateway.relaysListed(new RelaysListed(List.of(mHelperRelay), 2));
         runOnGateway(() -> mLink.cut(Cut.REFUSING));
         assertThat(call().status()).isEqualTo(503);
         assertThat(unlisted.heads()).isEmpty();
@@ -251,7 +252,7 @@
         Endpoint endpoint = ListedEndpoint.of("raw", await(server.listen()));
         publish(ONCE, endpoint);
         publishTo(mHelper, ONCE, endpoint);
-        mGateway.relaysListed(List.of(mHelperRelay));
+        mGateway.relaysListed(new RelaysListed(List.of(mHelperRelay), 2));
         runOnGateway(() -> mLink.cut(Cut.REFUSING));
         return endpoint;
     }
--- a/gateway/src/test/java/org/skylarkbend/gateway/link/IdleSiteListener.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/link/IdleSiteListener.java
@@ -4,7 +4,7 @@
 import java.util.Map;
 import org.skylarkbend.catalog.Catalog;
 import org.skylarkbend.catalog.Endpoints;
-import org.skylarkbend.catalog.Relay;
+import org.skylarkbend.catalog.SiteMessage.RelaysListed;
 import org.skylarkbend.catalog.SiteMessage.WorkUnderWay;
 import org.skylarkbend.catalog.VersionSplit;
 import org.skylarkbend.limits.LimitMessage;
@@ -19,7 +19,7 @@
     public void endpointsChanged(Endpoints endpoints) {}
 
     @Override
-    public void relaysListed(List<Relay> relays) {}
+    public void relaysListed(RelaysListed listed) {}
 
     @Override
     public void splitsChanged(List<VersionSplit> splits) {}
