Ask for the total of the grants after tokens have lapsed

Long after control was back, the first call of a customer was refused below its limit: the first grant to each customer was given up, also where none had been on its way (two known red tests).

Cause: a gateway whose tokens lapsed gives up what was granted before, but could not tell it from later grants until one came. It now asks for the total in each report until it has it, and the owner responds with it. What is granted in the same response counts, as the owner counted it on a recent report.

--- a/limits/src/main/java/org/skylarkbend/limits/LimitCodec.java
+++ b/limits/src/main/java/org/skylarkbend/limits/LimitCodec.java
@@ -73,7 +73,8 @@
                 .number(entry.grantedTokens())
                 .number(entry.firstWaitingTokens())
                 .number(entry.pendingTokens())
-                .number(entry.prefetchTokens());
+                .number(entry.prefetchTokens())
+                .flag(entry.asksForTotal());
     }
 
     private static ReportEntry readReportEntry(MessageReader reader) {
@@ -85,7 +86,8 @@
                 reader.number(),
                 reader.number(),
                 reader.number(),
-                reader.number());
+                reader.number(),
+                reader.flag());
     }
 
     private static void writeGrantEntry(MessageWriter writer, GrantEntry entry) {
--- a/limits/src/main/java/org/skylarkbend/limits/LimitMessage.java
+++ b/limits/src/main/java/org/skylarkbend/limits/LimitMessage.java
@@ -55,6 +55,8 @@
      * @param firstWaitingTokens the tokens missing for the first waiting call; 0 if no call waits
      * @param pendingTokens the tokens missing for all waiting calls
      * @param prefetchTokens the tokens requested in advance of calls
+     * @param asksForTotal true if the owner must respond with the total of its grants, so that the
+     *     router can tell later grants from those that were on their way when its tokens lapsed
      */
     record ReportEntry(
             ObjectName customer,
@@ -64,7 +66,8 @@
             long grantedTokens,
             long firstWaitingTokens,
             long pendingTokens,
-            long prefetchTokens) {}
+            long prefetchTokens,
+            boolean asksForTotal) {}
 
     /**
      * Grants to a router for one customer.
--- a/limits/src/main/java/org/skylarkbend/limits/LimitOwnerDecider.java
+++ b/limits/src/main/java/org/skylarkbend/limits/LimitOwnerDecider.java
@@ -242,7 +242,7 @@
         }
         bucket.addHeldTokens(holding.heldTokens() - beforeTokens);
         bucket.addReturnedTokens(newlyReturnedTokens);
-        if (newest && holding.lacksGrants(entry, nowMilliseconds)) {
+        if (newest && (entry.asksForTotal() || holding.lacksGrants(entry, nowMilliseconds))) {
             holding.grantsRepeated(nowMilliseconds);
             outbox(router).add(new GrantEntry(entry.customer(), holding.grantedTokens(), false));
         }
--- a/limits/src/main/java/org/skylarkbend/limits/ShareLedger.java
+++ b/limits/src/main/java/org/skylarkbend/limits/ShareLedger.java
@@ -86,11 +86,11 @@
     }
 
     /**
-     * Gives up the free tokens and the grants that are still on their way. Returns whether anything
-     * was given up.
+     * Gives up the free tokens and the grants that are still on their way. Returns whether this is
+     * to be reported.
      */
     boolean lapse() {
-        boolean changed = freeTokens() > 0;
+        boolean changed = freeTokens() > 0 || !mVoidsGrants;
         mReturnedTokens += Math.max(0, freeTokens());
         mVoidsGrants = true;
         return changed;
@@ -121,7 +121,7 @@
     }
 
     boolean isDirty(long confirmedSequence) {
-        return mDirtySequence > confirmedSequence || !mWaiting.isEmpty();
+        return mDirtySequence > confirmedSequence || !mWaiting.isEmpty() || mVoidsGrants;
     }
 
     /** Returns whether the use since the last report is large enough to report it soon. */
@@ -173,6 +173,7 @@
                 mGrantedTokens,
                 Math.max(0, firstWaitingTokens),
                 pendingTokens,
-                prefetchTokens);
+                prefetchTokens,
+                mVoidsGrants);
     }
 }
