Remove voters that are gone where the number of losses is not known

Cause: it intended as many voters as it had, dead ones among them. It now also removes a voter that is silent for twice the usual time, down to three voters.

--- a/agreement/src/main/java/org/skylarkbend/agreement/MembershipChanges.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/MembershipChanges.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.TreeMap;
 import org.skylarkbend.agreement.ChangeReason.Joined;
 import org.skylarkbend.agreement.ChangeReason.Leaving;
@@ -107,11 +108,12 @@
      * end. A removed member that had only paused becomes a learner and then a voter again.
      */
     private Optional<MemberChange> withoutAbsent(List<MemberId> ready, long nowMilliseconds) {
-        if (!mayRemove(ready)) {
+        Membership membership = mState.mLog.membership();
+        OptionalLong timeout = removalTimeoutMilliseconds(ready);
+        if (timeout.isEmpty()) {
             return Optional.empty();
         }
-        Membership membership = mState.mLog.membership();
-        long timeoutMilliseconds = mRules.removeUnresponsiveAfterMilliseconds().getAsLong();
+        long timeoutMilliseconds = timeout.getAsLong();
         return membership.voters().stream()
                 .filter(
                         voter ->
@@ -132,6 +134,17 @@
                                         .map(voter -> removal(voter, new Leaving())));
     }
 
+    /**
+     * Returns the silence after which a voter is removed, if one may be removed. A group that is
+     * not told how many losses it has to bear also removes voters that are silent for long.
+     */
+    private OptionalLong removalTimeoutMilliseconds(List<MemberId> ready) {
+        if (mayRemove(ready)) {
+            return mRules.removeUnresponsiveAfterMilliseconds();
+        }
+        return mRules.removeGoneAfterMilliseconds(mState.mLog.membership().voters().size());
+    }
+
     private MemberChange removal(MemberId member, ChangeReason reason) {
         return new MemberChange(member, mState.mLog.membership().without(member), reason);
     }
--- a/agreement/src/main/java/org/skylarkbend/agreement/MembershipRules.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/MembershipRules.java
@@ -25,6 +25,12 @@
     /** The number of losses that the maximum number of voters tolerates. */
     public static final int MAX_TOLERATED_LOSSES = (Membership.MAX_VOTERS - 1) / 2;
 
+    /** The number of voters that tolerates one loss. */
+    private static final int MIN_VOTERS = 3;
+
+    /** The silences after which a voter is taken for gone where the losses are not known. */
+    private static final long GONE_FACTOR = 2;
+
     /** The number of successors that are taken in before the voters that they replace are out. */
     private static final int MAX_SUCCESSORS = 2;
 
@@ -65,6 +71,23 @@
         return 2 * toleratedLosses(voters) + 1;
     }
 
+    /**
+     * Returns the time after which a silent voter is taken for gone, in a group that does not know
+     * how many losses it has to bear: its present number of voters may include successors and the
+     * members that they replaced. Such a group keeps the least number of voters that bears a loss.
+     *
+     * @param voters the present number of voters
+     */
+    OptionalLong removeGoneAfterMilliseconds(int voters) {
+        boolean mayRemove =
+                toleratedLosses == 0
+                        && voters > MIN_VOTERS
+                        && removeUnresponsiveAfterMilliseconds.isPresent();
+        return mayRemove
+                ? OptionalLong.of(GONE_FACTOR * removeUnresponsiveAfterMilliseconds.getAsLong())
+                : OptionalLong.empty();
+    }
+
     /**
      * Returns the number of voters up to which new ones are taken in. There is always room for
      * successors, so that a voter which ends after its successor has started is no further loss.
