Read responses of fakes in the turn in which they arrive

Cause: the caller of the fakes adds the handler of the body from the test's thread, after the request was sent; a body that arrives before it is lost.

--- a/standin/src/test/java/org/skylarkbend/standin/FakeCaller.java
+++ b/standin/src/test/java/org/skylarkbend/standin/FakeCaller.java
@@ -1,8 +1,10 @@
 package org.skylarkbend.standin;
 
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
 import java.util.Map;
@@ -43,22 +45,29 @@
                         .setURI(path);
         headers.forEach(options::putHeader);
         return mClient.request(options)
-                .compose(request -> request.send(Buffer.buffer(body)))
                 .compose(
-                        response ->
-                                response.body()
-                                        .map(
-                                                bytes ->
-                                                        new FakeResponse(
-                                                                response.statusCode(),
-                                                                bytes.toString(),
-                                                                headersOf(response))))
+                        request ->
+                                request.send(Buffer.buffer(body)).compose(FakeCaller::toResponse))
                 .toCompletionStage()
                 .toCompletableFuture()
                 .get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
     }
 
-    private static Map<String, String> headersOf(io.vertx.core.http.HttpClientResponse response) {
+    /**
+     * Reads the body, from the turn of the event loop in which the response arrives: what arrives
+     * before it has a handler is lost.
+     */
+    private static Future<FakeResponse> toResponse(HttpClientResponse response) {
+        return response.body()
+                .map(
+                        bytes ->
+                                new FakeResponse(
+                                        response.statusCode(),
+                                        bytes.toString(),
+                                        headersOf(response)));
+    }
+
+    private static Map<String, String> headersOf(HttpClientResponse response) {
         Map<String, String> headers = new java.util.HashMap<>();
         response.headers().forEach((name, value) -> headers.put(name.toLowerCase(), value));
         return Map.copyOf(headers);
