Read the list of endpoints where control has none to send

A gateway that started, or reconnected, while the leader could not read the platform's list stayed unready, or kept its old list, for as long as control confirmed: it read the list itself only while control was silent.

The list is now also read if control has sent none on this connection, and a confirmation outdates such a read only if it comes with a list. DirectListTest has the case; it fails before (timeout of 30 s).

--- a/gateway/src/main/java/org/skylarkbend/gateway/link/EndpointLists.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/link/EndpointLists.java
@@ -42,12 +42,19 @@
         return mOfControl.map(EndpointsListed::number).orElse(0L);
     }
 
+    /** Returns whether control has sent its list on the present connection. */
+    boolean isOfControlKnown() {
+        return mOfControl.isPresent();
+    }
+
     /**
      * Notes that control has been reached. Returns its list if another one was in force. A list
-     * that is being read directly is outdated.
+     * that is being read directly is outdated then.
      */
     Optional<Endpoints> controlReached() {
-        mLastOutdatedRead = mLastRead;
+        if (isOfControlKnown()) {
+            mLastOutdatedRead = mLastRead;
+        }
         return mOfControl.filter(known -> mIsDirectInForce).map(this::ofControlInForce);
     }
 
--- a/gateway/src/main/java/org/skylarkbend/gateway/link/SiteLinkTask.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/link/SiteLinkTask.java
@@ -38,7 +38,8 @@
 /**
  * Owns the connection to control and forwards the catalog, endpoints and limits to the gateway.
  *
- * <p>While control is unreachable, it reads the platform's list of endpoints directly.
+ * <p>While control is unreachable or has no list of endpoints, it reads the platform's list
+ * directly.
  */
 public final class SiteLinkTask extends VerticleBase {
     private static final StructuredLog LOG = StructuredLog.of(SiteLinkTask.class);
@@ -282,10 +283,11 @@
 
     private void listDirectly() {
         long silentMilliseconds = mClock.nowMilliseconds() - mConfirmedMilliseconds;
-        if (silentMilliseconds < DIRECT_LIST_INTERVAL_MILLISECONDS || mStopped) {
+        boolean isSilent = silentMilliseconds >= DIRECT_LIST_INTERVAL_MILLISECONDS;
+        if (mStopped || !isSilent && mEndpointLists.isOfControlKnown()) {
             return;
         }
-        if (mControlReachable) {
+        if (mControlReachable && isSilent) {
             mControlReachable = false;
             LOG.warn("link.control.lost", "silent_milliseconds", silentMilliseconds);
         }
--- a/gateway/src/test/java/org/skylarkbend/gateway/link/DirectListTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/link/DirectListTest.java
@@ -46,15 +46,21 @@
     private static final Endpoints NEXT_OF_CONTROL = new Endpoints(List.of(NEWER), Set.of());
 
     private final List<Endpoints> mInForce = new CopyOnWriteArrayList<>();
-    private final Promise<Result<List<Endpoint>>> mDirectList = Promise.promise();
-    private final Promise<Void> mAsked = Promise.promise();
+    private Promise<Result<List<Endpoint>>> mDirectList;
+    private Promise<Void> mAsked;
     private volatile FrameConnection<FeedMessage> mConnection;
     private volatile boolean mConfirms;
+    private volatile boolean mHasNoList;
     private Vertx mControl;
     private Vertx mVertx;
 
     @BeforeMethod
     public void start() throws Exception {
+        mInForce.clear();
+        mDirectList = Promise.promise();
+        mAsked = Promise.promise();
+        mConfirms = false;
+        mHasNoList = false;
         mControl = Vertx.vertx();
         mVertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
         FrameListener<FeedMessage> control =
@@ -100,6 +106,16 @@
         assertThat(mInForce).containsOnly(OF_CONTROL, NEXT_OF_CONTROL);
     }
 
+    /** Guards against a gateway that starts under a leader which cannot read the list itself. */
+    @Test
+    public void aGatewayThatControlConfirmsButSendsNoListReadsItItself() throws Exception {
+        mHasNoList = true;
+        mConfirms = true;
+        mDirectList.complete(Result.success(List.of(FORMER)));
+        awaitUntil(mVertx, () -> !mInForce.isEmpty());
+        assertThat(mInForce).containsOnly(new Endpoints(List.of(FORMER), Set.of()));
+    }
+
     private Future<Result<List<Endpoint>>> listDirectly() {
         mAsked.tryComplete();
         return mDirectList.future();
@@ -110,7 +126,7 @@
         connection.onMessage(
                 message -> {
                     if (message instanceof RouterHeartbeat heartbeat && mConfirms) {
-                        if (mConnection != connection) {
+                        if (mConnection != connection && !mHasNoList) {
                             mConnection = connection;
                             connection.send(slice(new EndpointsListed(1, OF_CONTROL)));
                         }
