Share the inbox of the leader's tasks; plainer comments

Work reports and relay offers are decoded and dropped alike while another member leads: LeaderInbox serves both tasks. ControlFleetTest has the new field of a report of tokens.

--- a/agreement/src/main/java/org/skylarkbend/agreement/MembershipChanges.java
+++ b/agreement/src/main/java/org/skylarkbend/agreement/MembershipChanges.java
@@ -135,8 +135,8 @@
     }
 
     /**
-     * Returns the silence after which a voter is removed, if one may be removed. A group that is
-     * not told how many losses it has to bear also removes voters that are silent for long.
+     * Returns the silence after which a voter is removed, if one may be removed. A group without a
+     * known number of tolerated losses also removes voters after a longer silence.
      */
     private OptionalLong removalTimeoutMilliseconds(List<MemberId> ready) {
         if (mayRemove(ready)) {
--- a/control/src/main/java/org/skylarkbend/control/relays/RelayTask.java
+++ b/control/src/main/java/org/skylarkbend/control/relays/RelayTask.java
@@ -1,6 +1,5 @@
 package org.skylarkbend.control.relays;
 
-import io.vertx.core.Context;
 import io.vertx.core.Future;
 import io.vertx.core.VerticleBase;
 import java.util.function.Consumer;
@@ -10,6 +9,7 @@
 import org.skylarkbend.catalog.SiteMessage;
 import org.skylarkbend.catalog.SiteMessage.RelayOffered;
 import org.skylarkbend.catalog.SiteMessage.RelaysListed;
+import org.skylarkbend.control.feed.LeaderInbox;
 import org.skylarkbend.control.log.Leadership;
 import org.skylarkbend.limits.RouterIdentity;
 
@@ -26,9 +26,7 @@
     private final RelayDecider mDecider;
     private final MillisecondClock mClock;
     private final Consumer<RelaysListed> mAnnounce;
-    private final SiteCodec mCodec = new SiteCodec();
-    private Context mContext;
-    private boolean mLeads;
+    private LeaderInbox mInbox;
 
     /**
      * Creates a task that announces nothing until this member becomes the leader.
@@ -46,44 +44,29 @@
 
     @Override
     public Future<?> start() {
-        mContext = context;
+        mInbox = new LeaderInbox(context, SiteCodec.RELAY_SLICE, mDecider::clear, this::received);
         vertx.setPeriodic(ANNOUNCE_MILLISECONDS, id -> announceChange());
         return Future.succeededFuture();
     }
 
     /** Notifies the task of a change of the leadership. */
     public void post(Leadership leadership) {
-        mContext.runOnContext(
-                ignored -> {
-                    mLeads = leadership.leads();
-                    mDecider.clear();
-                });
+        mInbox.post(leadership);
     }
 
     /** Passes a message from a gateway to the task. */
     public void postMessage(RouterIdentity gateway, byte[] payload) {
-        mContext.runOnContext(
-                ignored ->
-                        mCodec.decode(payload)
-                                .match(
-                                        message -> received(gateway, message),
-                                        error ->
-                                                LOG.warn(
-                                                        "relays.garbled",
-                                                        "vm",
-                                                        gateway.vm(),
-                                                        "detail",
-                                                        error.detail())));
+        mInbox.postMessage(gateway, payload);
     }
 
     private void received(RouterIdentity gateway, SiteMessage message) {
-        if (mLeads && message instanceof RelayOffered offer) {
+        if (message instanceof RelayOffered offer) {
             mDecider.offered(gateway, offer, mClock.nowMilliseconds());
         }
     }
 
     private void announceChange() {
-        if (mLeads) {
+        if (mInbox.leads()) {
             mDecider.changedRelays(mClock.nowMilliseconds()).ifPresent(this::announce);
         }
     }
--- a/control/src/main/java/org/skylarkbend/control/work/WorkTask.java
+++ b/control/src/main/java/org/skylarkbend/control/work/WorkTask.java
@@ -1,17 +1,16 @@
 package org.skylarkbend.control.work;
 
-import io.vertx.core.Context;
 import io.vertx.core.Future;
 import io.vertx.core.VerticleBase;
 import java.util.Map;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import org.skylarkbend.base.MillisecondClock;
-import org.skylarkbend.base.StructuredLog;
 import org.skylarkbend.catalog.EndpointWork;
 import org.skylarkbend.catalog.SiteCodec;
 import org.skylarkbend.catalog.SiteMessage;
 import org.skylarkbend.catalog.SiteMessage.WorkUnderWay;
+import org.skylarkbend.control.feed.LeaderInbox;
 import org.skylarkbend.control.log.Leadership;
 import org.skylarkbend.limits.RouterIdentity;
 
@@ -20,8 +19,6 @@
  * of all others.
  */
 public final class WorkTask extends VerticleBase {
-    private static final StructuredLog LOG = StructuredLog.of(WorkTask.class);
-
     /** The broadcast interval without gateways. */
     private static final long BROADCAST_INTERVAL_MILLISECONDS = 100;
 
@@ -37,8 +34,7 @@
     private final Consumer<Map<String, EndpointWork>> mOnTotal;
     private final SiteCodec mCodec = new SiteCodec();
     private Map<RouterIdentity, Map<String, EndpointWork>> mLastBroadcast = Map.of();
-    private Context mContext;
-    private boolean mLeads;
+    private LeaderInbox mInbox;
 
     /**
      * Creates a task that sends nothing until this member becomes the leader.
@@ -61,38 +57,23 @@
 
     @Override
     public Future<?> start() {
-        mContext = context;
+        mInbox = new LeaderInbox(context, SiteCodec.WORK_SLICE, mDecider::clear, this::update);
         scheduleBroadcast(BROADCAST_INTERVAL_MILLISECONDS);
         return Future.succeededFuture();
     }
 
     /** Notifies the task of a leadership change. */
     public void post(Leadership leadership) {
-        mContext.runOnContext(
-                ignored -> {
-                    mLeads = leadership.leads();
-                    mDecider.clear();
-                });
+        mInbox.post(leadership);
     }
 
     /** Passes a message from a gateway to the task. */
     public void postMessage(RouterIdentity gateway, byte[] payload) {
-        mContext.runOnContext(
-                ignored ->
-                        mCodec.decode(payload)
-                                .match(
-                                        message -> update(gateway, message),
-                                        error ->
-                                                LOG.warn(
-                                                        "work.garbled",
-                                                        "vm",
-                                                        gateway.vm(),
-                                                        "detail",
-                                                        error.detail())));
+        mInbox.postMessage(gateway, payload);
     }
 
     private void update(RouterIdentity gateway, SiteMessage message) {
-        if (mLeads && message instanceof WorkUnderWay work) {
+        if (message instanceof WorkUnderWay work) {
             mDecider.update(gateway, work.byIncarnation(), mClock.nowMilliseconds());
         }
     }
@@ -103,7 +84,7 @@
 
     private void broadcast() {
         Map<RouterIdentity, Map<String, EndpointWork>> workByGateway = Map.of();
-        if (mLeads) {
+        if (mInbox.leads()) {
             mOnTotal.accept(Map.copyOf(mDecider.totalWork(mClock.nowMilliseconds())));
             workByGateway = mDecider.workOfOthers(mClock.nowMilliseconds());
         }
--- a/control/src/test/java/org/skylarkbend/control/ControlFleetTest.java
+++ b/control/src/test/java/org/skylarkbend/control/ControlFleetTest.java
@@ -326,7 +326,7 @@
 
     private static LimitMessage.Report limitReport(long term, long sequence) {
         LimitMessage.ReportEntry wanted =
-                new LimitMessage.ReportEntry(ObjectName.of("mairie"), 0, 0, 0, 0, 1, 1, 0);
+                new LimitMessage.ReportEntry(ObjectName.of("mairie"), 0, 0, 0, 0, 1, 1, 0, false);
         return new LimitMessage.Report(term, sequence, true, List.of(wanted));
     }
 
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/EndpointReports.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/EndpointReports.java
@@ -43,7 +43,7 @@
         }
     }
 
-    /** An endpoint that says it is brittle, but not how many refusals it bears, bears one. */
+    /** Parses the number of refusals that an endpoint bears; 1 if the header holds no number. */
     private static OptionalLong refusalsBorne(String header) {
         if (header == null) {
             return OptionalLong.empty();
--- a/gateway/src/main/java/org/skylarkbend/gateway/endpoints/BrittleServices.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/endpoints/BrittleServices.java
@@ -25,7 +25,7 @@
 
     private static final int MAX_DOUBLINGS = 3;
 
-    /** Time after which the sum of the work of others says nothing any more. */
+    /** Age at which the sum of the work of others is out of date. */
     private static final long SUM_VALID_MILLISECONDS = 1_500;
 
     private static final StructuredLog LOG = StructuredLog.of(BrittleServices.class);
@@ -36,10 +36,10 @@
     private int mGateways = 1;
     private long mSumMilliseconds = Long.MIN_VALUE / 2;
 
-    /** What an endpoint has said of its service, and until when that holds. */
+    /** State of a brittle service, and the time at which it expires. */
     private record Brittle(long refusalsBorne, long untilMilliseconds) {}
 
-    /** What this gateway may add at an endpoint. */
+    /** Room for calls of this gateway at an endpoint. */
     private static final class Room {
         private OptionalLong mMostCalls = OptionalLong.empty();
         private int mRefusals;
@@ -61,7 +61,7 @@
     }
 
     /**
-     * Records what a response of an endpoint says of its service.
+     * Records the state of a service that a response of one of its endpoints reports.
      *
      * @param service the service
      * @param refusalsBorne the calls that each of its endpoints may refuse in a second without
--- a/gateway/src/main/java/org/skylarkbend/gateway/front/EndpointAccess.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/front/EndpointAccess.java
@@ -110,7 +110,7 @@
         return mReach.listen();
     }
 
-    /** Checks what is silent, lost or due. Called periodically. */
+    /** Checks endpoints that are silent or lost, and the store. Called periodically. */
     void check() {
         mProbes.probe();
         mReach.checkPeriodically();
--- a/gateway/src/main/java/org/skylarkbend/gateway/relay/RelayClient.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/relay/RelayClient.java
@@ -26,7 +26,7 @@
     private final long mTimeoutMilliseconds;
     private final RelayCodec mCodec = new RelayCodec();
 
-    /** What a relay responds. */
+    /** Response of a relay. */
     sealed interface Response {
         /** The connection to the endpoint, to be used like one of the gateway's own. */
         record Connected(NetSocket socket) implements Response {}
--- a/gateway/src/main/java/org/skylarkbend/gateway/relay/RelayMessage.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/relay/RelayMessage.java
@@ -6,8 +6,8 @@
     record Open(String host, int port) implements RelayMessage {}
 
     /**
-     * The relay is connected to the endpoint. What the asking gateway sends from now on goes to the
-     * endpoint as it is; what the endpoint sends follows in blocks, see {@link TunnelDecoder}.
+     * The relay is connected to the endpoint. From now on, bytes of the asking gateway are passed
+     * on unchanged, and bytes of the endpoint in blocks; see {@link TunnelDecoder}.
      */
     record Opened() implements RelayMessage {}
 
@@ -18,7 +18,7 @@
     enum Reason {
         /** The endpoint accepted no connection of the relay. */
         ENDPOINT_UNREACHABLE,
-        /** The relay cannot say whether the endpoint accepts connections. */
+        /** The relay does not know whether the endpoint accepts connections. */
         RELAY_UNSUITABLE
     }
 }
--- a/gateway/src/main/java/org/skylarkbend/gateway/relay/RelayingDialer.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/relay/RelayingDialer.java
@@ -47,7 +47,7 @@
      */
     record Dialed(NetSocket socket, Optional<Relay> relay, boolean isDirectWayHanging) {}
 
-    /** Receives what is learned about the ways to endpoints. */
+    /** Receives changes of the ways to endpoints. */
     interface Listener {
         /** Called when only a relay reaches an endpoint that the gateway itself reached before. */
         void directWayLost(SocketAddress endpoint, Relay relay, String cause, boolean isHanging);
@@ -67,7 +67,7 @@
      * @param relays opens connections through other gateways
      * @param paths decides on the order of the ways
      * @param clock monotonic clock
-     * @param listener receives what is learned
+     * @param listener receives the changes
      */
     RelayingDialer(
             Vertx vertx,
--- a/gateway/src/main/java/org/skylarkbend/gateway/relay/TunnelDecoder.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/relay/TunnelDecoder.java
@@ -8,7 +8,7 @@
 import java.util.List;
 
 /**
- * Decodes what an endpoint sends through a relay: blocks of a 4-byte length and as many bytes. A
+ * Decodes the bytes of an endpoint behind a relay: blocks of a 4-byte length and as many bytes. A
  * block of length 0 is the end of the endpoint's connection. Without it the end of the connection
  * is a failure, because the relay may have ended while the endpoint was sending.
  */
