--- a/control/src/main/java/org/skylarkbend/control/limits/LimitOwnerTask.java
+++ b/control/src/main/java/org/skylarkbend/control/limits/LimitOwnerTask.java
@@ -222,6 +222,8 @@
             propose(new Register(register.router()));
         } else if (effect instanceof LimitOwnerEffect.Unregister unregister) {
             propose(new Unregister(unregister.router()));
+        } else if (effect instanceof LimitOwnerEffect.Reclaimed reclaimed) {
+            LOG.warn("control.limits.reclaimed", "vm", reclaimed.router().vm());
         } else if (effect instanceof WakeAt wake) {
             scheduleWake(wake.atMilliseconds());
         }
--- a/gateway/src/main/java/org/skylarkbend/gateway/limits/TokenGate.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/limits/TokenGate.java
@@ -9,6 +9,7 @@
 import java.util.function.LongUnaryOperator;
 import java.util.stream.Collectors;
 import org.skylarkbend.base.ObjectName;
+import org.skylarkbend.base.StructuredLog;
 import org.skylarkbend.limits.CustomerLimit;
 import org.skylarkbend.limits.LimitMessage;
 import org.skylarkbend.limits.LimitShareDecider;
@@ -23,6 +24,8 @@
  * serves the calls.
  */
 public final class TokenGate {
+    private static final StructuredLog LOG = StructuredLog.of(TokenGate.class);
+
     /**
      * Receives the decision on a call. Exactly one method is called, once, possibly before {@link
      * #reserve} returns, unless the call is cancelled first.
@@ -135,6 +138,8 @@
             refuse(refuse.callId(), TOO_LARGE_RETRY_MILLISECONDS);
         } else if (effect instanceof LimitShareEffect.SendToOwner send) {
             mLimitOwner.accept(send.message());
+        } else if (effect instanceof LimitShareEffect.Lapsed lapsed) {
+            LOG.warn("limits.tokens.lapsed", "tokens", lapsed.tokens());
         } else if (effect instanceof LimitShareEffect.WakeAt wake) {
             mWakeAt.accept(wake.atMilliseconds());
         }
--- a/limits/src/main/java/org/skylarkbend/limits/LimitOwnerDecider.java
+++ b/limits/src/main/java/org/skylarkbend/limits/LimitOwnerDecider.java
@@ -446,6 +446,7 @@
                         mBuckets.values().forEach(bucket -> fill(bucket, nowMilliseconds));
                         release(holdings);
                         holdings.reclaim();
+                        mEffects.add(new LimitOwnerEffect.Reclaimed(router));
                         removeRequests(router);
                     }
                 });
--- a/limits/src/main/java/org/skylarkbend/limits/LimitOwnerEffect.java
+++ b/limits/src/main/java/org/skylarkbend/limits/LimitOwnerEffect.java
@@ -23,6 +23,9 @@
     /** Proposes to the log to unregister an incarnation. */
     record Unregister(RouterIdentity router) implements LimitOwnerEffect {}
 
+    /** Reports that the tokens of a silent router count no longer. */
+    record Reclaimed(RouterIdentity router) implements LimitOwnerEffect {}
+
     /** Schedules a {@code Wake} message. */
     record WakeAt(long atMilliseconds) implements LimitOwnerEffect {}
 }
--- a/limits/src/main/java/org/skylarkbend/limits/LimitShareDecider.java
+++ b/limits/src/main/java/org/skylarkbend/limits/LimitShareDecider.java
@@ -112,9 +112,14 @@
     /** Gives up all free tokens if the contact to the owner is lost. */
     private void checkContact(long nowMilliseconds) {
         if (mContact.isLost(nowMilliseconds + mSuspendedMilliseconds)) {
+            long freeTokens =
+                    mLedgers.values().stream().mapToLong(l -> Math.max(0, l.freeTokens())).sum();
             mLedgers.values().stream()
                     .filter(ShareLedger::lapse)
                     .forEach(ledger -> ledger.markDirty(mSequence + 1));
+            if (freeTokens > 0) {
+                mEffects.add(new LimitShareEffect.Lapsed(freeTokens));
+            }
         }
     }
 
--- a/limits/src/main/java/org/skylarkbend/limits/LimitShareEffect.java
+++ b/limits/src/main/java/org/skylarkbend/limits/LimitShareEffect.java
@@ -22,6 +22,14 @@
     /** Sends a message to the owner over any available connection. It may be lost. */
     record SendToOwner(LimitMessage message) implements LimitShareEffect {}
 
+    /**
+     * Reports that the free tokens of all customers were given up, because the owner has confirmed
+     * no report for too long.
+     *
+     * @param tokens the number of tokens
+     */
+    record Lapsed(long tokens) implements LimitShareEffect {}
+
     /** Schedules a {@code Wake} message. */
     record WakeAt(long atMilliseconds) implements LimitShareEffect {}
 }
--- a/limits/src/test/java/org/skylarkbend/limits/TokenLapseTest.java
+++ b/limits/src/test/java/org/skylarkbend/limits/TokenLapseTest.java
@@ -57,6 +57,15 @@
         assertThat(mGateway.heldTokens(CUSTOMER)).isZero();
     }
 
+    /** Guards against a lapse that operators cannot see, or see again with each message. */
+    @Test
+    public void aLapseIsReportedOnce() {
+        mNowMilliseconds += POLICY.lapseMilliseconds();
+        assertThat(decide(new Wake())).contains(new LimitShareEffect.Lapsed(GRANTED_TOKENS));
+        assertThat(decide(new Wake()))
+                .noneMatch(effect -> effect instanceof LimitShareEffect.Lapsed);
+    }
+
     @Test
     public void aGatewayThatIsCutOffForLessThanTheLapseServesFromItsTokens() {
         mNowMilliseconds += POLICY.lapseMilliseconds() - STEP_MILLISECONDS;
