Show cut off gateways, brittle services and lapsed tokens in stories

On-call engineers who ask why a call was refused see the lines beside it that its own gateway wrote about its links, the service and its tokens. CallStoryTest has a refusal at a gateway that was cut off.

--- a/explain/src/main/java/org/skylarkbend/explain/BeliefTopic.java
+++ b/explain/src/main/java/org/skylarkbend/explain/BeliefTopic.java
@@ -38,6 +38,12 @@
     QUARANTINE_NOTICE(BeliefTopic::ofCallProcess, "quarantine.notice"),
     /** Whether an endpoint can be reached, as any gateway knows it. */
     ENDPOINT(BeliefTopic::ofCallEndpoint, "endpoint.lost", "endpoint.regained", "endpoint.crashed"),
+    /** Whether a gateway reaches the endpoints by itself. */
+    REACH(BeliefTopic::ofCallProcess, "gateway.cut_off", "gateway.reconnected"),
+    /** Whether the endpoints of a service fall over if they refuse many calls. */
+    BRITTLE_SERVICE(BeliefTopic::ofCallService, "service.brittle", "service.sound"),
+    /** Tokens that a gateway gave up without control. */
+    LAPSED_TOKENS(BeliefTopic::ofCallProcess, "limits.tokens.lapsed"),
     /** Whether an endpoint wants calls. */
     ENDPOINT_WISH(BeliefTopic::ofCallEndpoint, "endpoint.leaving", "endpoint.paused"),
     /** Orders to an engine. */
--- a/explain/src/test/java/org/skylarkbend/explain/CallStoryTest.java
+++ b/explain/src/test/java/org/skylarkbend/explain/CallStoryTest.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import org.testng.annotations.Test;
 
 /** Explains calls from lines in the form that the processes write. */
@@ -85,6 +86,24 @@
                 .satisfies(stale -> assertThat(stale.believed()).contains("loss of control"));
     }
 
+    /** Guards against a refusal whose cause at its own gateway stays unseen. */
+    @Test
+    public void aStoryShowsThatTheGatewayWasCutOffFromTheEndpointsAndOthersWereNot() {
+        CallStory story =
+                Stories.of(
+                        ID,
+                        "9.0 front-1 event=gateway.cut_off relayed=0",
+                        "9.1 front-2 event=gateway.cut_off relayed=0",
+                        ended(10.0, "no_endpoint", 503, "tried=0"));
+        assertThat(
+                        Stream.concat(
+                                        story.surroundings().before().stream(),
+                                        story.surroundings().during().stream())
+                                .filter(belief -> belief.topic() == BeliefTopic.REACH)
+                                .map(Belief::process))
+                .containsExactly("front-1");
+    }
+
     @Test
     public void aQuarantinedPromptNamesTheQuarantineOfItsPartsAndNoOther() {
         Verdict verdict =
