Keep relays that are about to end as the last resort

Class: what works is given up before what replaces it is there. A gateway now says that it is about to end, is asked last, and serves others until it has ended. CutOffGatewayTest and EndpointPathsTest have the case.

--- a/catalog/src/main/java/org/skylarkbend/catalog/SiteCodec.java
+++ b/catalog/src/main/java/org/skylarkbend/catalog/SiteCodec.java
@@ -152,11 +152,14 @@
     }
 
     private static void writeRelay(MessageWriter writer, Relay relay) {
-        writer.text(relay.host()).number(relay.port()).text(relay.dataCentre());
+        writer.text(relay.host())
+                .number(relay.port())
+                .text(relay.dataCentre())
+                .flag(relay.leaving());
     }
 
     private static Relay readRelay(MessageReader reader) {
-        return new Relay(reader.text(), (int) reader.number(), reader.text());
+        return new Relay(reader.text(), (int) reader.number(), reader.text(), reader.flag());
     }
 
     private static SiteMessage read(MessageReader reader) {
--- a/catalog/src/test/java/org/skylarkbend/catalog/SiteCodecTest.java
+++ b/catalog/src/test/java/org/skylarkbend/catalog/SiteCodecTest.java
@@ -28,9 +28,12 @@
             new SiteMessage.CallSplits(List.of(new VersionSplit("desk", "v2", 0.25, Set.of("v1")))),
             new SiteMessage.WeightsNamed(Map.of("m", 2L, "n", 1L)),
             new SiteMessage.WorkUnderWay(Map.of("i-1@5", new EndpointWork(9_190, 3)), 480),
-            new SiteMessage.RelayOffered(new Relay("10.1.0.1", 7_602, "a"), true),
+            new SiteMessage.RelayOffered(new Relay("10.1.0.1", 7_602, "a", false), true),
             new SiteMessage.RelaysListed(
-                    List.of(new Relay("10.1.0.1", 7_602, "a"), new Relay("10.1.0.2", 1, "b")), 5)
+                    List.of(
+                            new Relay("10.1.0.1", 7_602, "a", false),
+                            new Relay("10.1.0.2", 1, "b", false)),
+                    5)
         };
     }
 
--- a/control/src/test/java/org/skylarkbend/control/relays/RelayDeciderTest.java
+++ b/control/src/test/java/org/skylarkbend/control/relays/RelayDeciderTest.java
@@ -14,8 +14,8 @@
 public class RelayDeciderTest {
     private static final RouterIdentity ONE = new RouterIdentity(ObjectName.of("vm-1"), 5);
     private static final RouterIdentity TWO = new RouterIdentity(ObjectName.of("vm-2"), 5);
-    private static final Relay A = new Relay("10.0.0.1", 7, "a");
-    private static final Relay B = new Relay("10.0.0.2", 7, "b");
+    private static final Relay A = new Relay("10.0.0.1", 7, "a", false);
+    private static final Relay B = new Relay("10.0.0.2", 7, "b", false);
 
     private final RelayDecider mDecider = new RelayDecider();
 
--- a/gateway/src/main/java/org/skylarkbend/gateway/front/EndpointAccess.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/front/EndpointAccess.java
@@ -69,7 +69,8 @@
                         new Relay(
                                 settings.relay().host(),
                                 settings.relay().port(),
-                                settings.dataCentre().value()),
+                                settings.dataCentre().value(),
+                                false),
                         dialer,
                         CONNECT_TIMEOUT_MILLISECONDS,
                         clock,
@@ -133,7 +134,7 @@
         mReach.relaysListed(relays);
     }
 
-    /** Serves no further requests of other gateways, because this one is about to end. */
+    /** Tells other gateways that this one is about to end. */
     void leave() {
         mReach.leave();
     }
--- a/gateway/src/main/java/org/skylarkbend/gateway/relay/EndpointPaths.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/relay/EndpointPaths.java
@@ -217,12 +217,16 @@
         return due;
     }
 
-    /** The last useful relay comes first, then those in this data centre. */
+    /**
+     * Relays that are about to end come last. Of the others the last useful one comes first, then
+     * those in this data centre.
+     */
     private List<Relay> relays(int count, long nowMilliseconds) {
         List<Relay> suitable = new ArrayList<>(mRelays);
         suitable.removeIf(relay -> !isSuitable(relay, nowMilliseconds));
         suitable.sort(
-                Comparator.comparing((Relay relay) -> !mLastUseful.equals(Optional.of(relay)))
+                Comparator.comparing(Relay::leaving)
+                        .thenComparing(relay -> !mLastUseful.equals(Optional.of(relay)))
                         .thenComparing(relay -> !relay.dataCentre().equals(mDataCentre)));
         return List.copyOf(suitable.subList(0, Math.min(count, suitable.size())));
     }
--- a/gateway/src/main/java/org/skylarkbend/gateway/relay/EndpointReach.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/relay/EndpointReach.java
@@ -42,20 +42,19 @@
      */
     private static final long HANGING_MILLISECONDS = 2_000;
 
-    private final Relay mSelf;
     private final MillisecondClock mClock;
     private final EndpointPaths mPaths;
     private final RelayingDialer mDialer;
     private final RelayServer mServer;
     private final Consumer<RelayOffered> mOnOffer;
     private final Consumer<SocketAddress> mOnConnectionsOutdated;
+    private Relay mSelf;
     private List<Relay> mRelays = List.of();
     private Set<SocketAddress> mEndpoints = Set.of();
     private Optional<SocketAddress> mStore = Optional.empty();
     private boolean mListening;
     private boolean mCutOff;
     private long mCutOffMilliseconds;
-    private boolean mLeaving;
     private long mOfferedMilliseconds = Long.MIN_VALUE / 2;
 
     /**
@@ -135,7 +134,7 @@
      */
     public void relaysListed(List<Relay> relays) {
         boolean isOneGone = !relays.containsAll(mRelays);
-        mRelays = relays.stream().filter(relay -> !relay.equals(mSelf)).toList();
+        mRelays = relays.stream().filter(relay -> !relay.isSameAddress(mSelf)).toList();
         mPaths.relaysListed(mRelays);
         LOG.info("relays.listed", "relays", mRelays.size());
         if (isOneGone) {
@@ -193,16 +192,15 @@
         return mServer.isIdle();
     }
 
-    /** Serves no further requests of other gateways, because this one is about to end. */
+    /** Tells other gateways that this one is about to end. Until then it is their last resort. */
     public void leave() {
-        mLeaving = true;
-        mServer.leave();
+        mSelf = new Relay(mSelf.host(), mSelf.port(), mSelf.dataCentre(), true);
         offer();
     }
 
     private void offer() {
         mOfferedMilliseconds = mClock.nowMilliseconds();
-        mOnOffer.accept(new RelayOffered(mSelf, mListening && !mCutOff && !mLeaving));
+        mOnOffer.accept(new RelayOffered(mSelf, mListening && !mCutOff));
     }
 
     private void update() {
--- a/gateway/src/main/java/org/skylarkbend/gateway/relay/RelayServer.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/relay/RelayServer.java
@@ -43,7 +43,6 @@
     private final RelayCodec mCodec = new RelayCodec();
     private final Set<Tunnel> mTunnels = new HashSet<>();
     private NetServer mServer;
-    private boolean mLeaving;
 
     /**
      * Creates a server that does not listen.
@@ -71,11 +70,6 @@
         return mServer.listen(port, host);
     }
 
-    /** Refuses new connections; those that are open are served on. */
-    void leave() {
-        mLeaving = true;
-    }
-
     /** Returns whether no connection is served. */
     boolean isIdle() {
         return mTunnels.isEmpty();
@@ -139,8 +133,7 @@
 
         private void open(SocketAddress endpoint) {
             boolean isSuitable =
-                    !mLeaving
-                            && mTunnels.size() <= MAX_CONNECTIONS
+                    mTunnels.size() <= MAX_CONNECTIONS
                             && mPaths.isListed(endpoint)
                             && !mPaths.isCutOff()
                             && !mPaths.isRelayed(endpoint);
--- a/gateway/src/test/java/org/skylarkbend/gateway/front/CutOffGatewayTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/front/CutOffGatewayTest.java
@@ -19,6 +19,7 @@
 import org.skylarkbend.catalog.SiteMessage.RelayOffered;
 import org.skylarkbend.catalog.SiteMessage.RelaysListed;
 import org.skylarkbend.exchange.EndpointDialer;
+import org.skylarkbend.gateway.DrainSchedule;
 import org.skylarkbend.gateway.FakeEndpoint;
 import org.skylarkbend.gateway.ListedEndpoint;
 import org.skylarkbend.gateway.Routes;
@@ -74,7 +75,7 @@
                         EndpointDialer.direct(mVertx, EndpointAccess.CONNECT_TIMEOUT_MILLISECONDS),
                         new MetricRegistry());
         await(mVertx.deployVerticle(mHelper));
-        mHelperRelay = new Relay("127.0.0.1", relayPort, "z");
+        mHelperRelay = new Relay("127.0.0.1", relayPort, "z", false);
     }
 
     @DataProvider
@@ -119,6 +120,20 @@
         serveAll();
     }
 
+    /**
+     * Guards against callers without a way while the gateways that have one are stopped in turn.
+     */
+    @Test
+    public void aGatewayThatIsAboutToEndStillServesOthers() throws Exception {
+        publishToBoth(ROUTE, listenToThree());
+        mGateway.relaysListed(new RelaysListed(List.of(mHelperRelay), 2));
+        runOnGateway(() -> mLink.cut(Cut.RESETTING));
+        mHelper.drain(new DrainSchedule(10_000, 20_000));
+        awaitUntil(() -> mOffers.stream().anyMatch(offer -> offer.relay().leaving()));
+        callFor(STABLE_MILLISECONDS);
+        serveAll();
+    }
+
     /** Guards against a gateway that is offered to others although it is cut off itself. */
     @Test
     public void aGatewayThatIsCutOffWithdrawsItsOffer() throws Exception {
--- a/gateway/src/test/java/org/skylarkbend/gateway/relay/CutOffScheduleTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/relay/CutOffScheduleTest.java
@@ -60,7 +60,7 @@
         private boolean mCut;
 
         Gateway(int number, long seed) {
-            mRelay = new Relay("10.0.0." + number, 7, "dc-" + number % 3);
+            mRelay = new Relay("10.0.0." + number, 7, "dc-" + number % 3, false);
             mPaths = new EndpointPaths(mRelay.dataCentre(), new Random(seed + number));
         }
     }
--- a/gateway/src/test/java/org/skylarkbend/gateway/relay/EndpointPathsTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/relay/EndpointPathsTest.java
@@ -15,8 +15,8 @@
     private static final SocketAddress A = SocketAddress.inetSocketAddress(1, "10.0.0.1");
     private static final SocketAddress B = SocketAddress.inetSocketAddress(1, "10.0.0.2");
     private static final SocketAddress C = SocketAddress.inetSocketAddress(1, "10.0.0.3");
-    private static final Relay NEAR = new Relay("10.1.0.1", 7, "here");
-    private static final Relay FAR = new Relay("10.2.0.1", 7, "there");
+    private static final Relay NEAR = new Relay("10.1.0.1", 7, "here", false);
+    private static final Relay FAR = new Relay("10.2.0.1", 7, "there", false);
 
     private EndpointPaths mPaths;
 
@@ -106,6 +106,17 @@
                 .containsExactly(FAR, NEAR);
     }
 
+    /** Guards against gateways without a relay while the last ones are stopped one by one. */
+    @Test
+    public void aRelayThatIsAboutToEndIsAskedLast() {
+        Relay leaving = new Relay(NEAR.host(), NEAR.port(), NEAR.dataCentre(), true);
+        mPaths.reachedBy(leaving, A, 0);
+        mPaths.relaysListed(List.of(leaving, FAR));
+        assertThat(mPaths.waysTo(A, 1).relays()).containsExactly(FAR, leaving);
+        mPaths.relaysListed(List.of(leaving));
+        assertThat(mPaths.waysTo(A, 1).relays()).containsExactly(leaving);
+    }
+
     @Test
     public void aRelayThatDoesNotRespondIsLeftOutForAWhile() {
         mPaths.unsuitable(NEAR, 0);
