--- a/gateway/src/main/java/org/skylarkbend/gateway/call/EndpointReports.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/EndpointReports.java
@@ -31,7 +31,7 @@
         mResources
                 .selector()
                 .brittleServices()
-                .said(
+                .reported(
                         endpoint.service(),
                         refusalsBorne(head.header(mResources.names().brittle())),
                         now());
--- a/gateway/src/main/java/org/skylarkbend/gateway/endpoints/BrittleServices.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/endpoints/BrittleServices.java
@@ -15,7 +15,7 @@
  */
 public final class BrittleServices {
     /** Time for which a service counts as brittle after an endpoint has said so. */
-    static final long SAID_MILLISECONDS = 5_000;
+    static final long REPORT_VALID_MILLISECONDS = 5_000;
 
     /**
      * Time to which the refusals that an endpoint bears apply. Between two refusals in a row a
@@ -68,7 +68,7 @@
      *     falling over; empty if the service is sound
      * @param nowMilliseconds current time
      */
-    public void said(String service, OptionalLong refusalsBorne, long nowMilliseconds) {
+    public void reported(String service, OptionalLong refusalsBorne, long nowMilliseconds) {
         if (refusalsBorne.isEmpty()) {
             if (mBrittle.remove(service) != null) {
                 LOG.info("service.sound", "service", service);
@@ -87,7 +87,8 @@
         }
         mBrittle.put(
                 service,
-                new Brittle(refusalsBorne.getAsLong(), nowMilliseconds + SAID_MILLISECONDS));
+                new Brittle(
+                        refusalsBorne.getAsLong(), nowMilliseconds + REPORT_VALID_MILLISECONDS));
     }
 
     /** Returns whether the endpoints of a service are brittle. */
--- a/gateway/src/main/java/org/skylarkbend/gateway/front/EndpointAccess.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/front/EndpointAccess.java
@@ -141,7 +141,7 @@
 
     /** Returns whether no endpoint can be reached by any way, as far as is known. */
     boolean areAllLost() {
-        return mReach.isStranded();
+        return mReach.hasNoWay();
     }
 
     /** Returns whether no other gateway is being served. */
--- a/gateway/src/main/java/org/skylarkbend/gateway/relay/EndpointReach.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/relay/EndpointReach.java
@@ -34,7 +34,7 @@
      * Time after which a gateway that finds no way sends its callers elsewhere. Until then the
      * endpoints may be what fails.
      */
-    private static final long STRANDED_MILLISECONDS = 1_000;
+    private static final long NO_WAY_MILLISECONDS = 1_000;
 
     /**
      * Time after the loss of the own way to an endpoint in which silent calls there are taken for
@@ -180,10 +180,10 @@
     }
 
     /** Returns whether the gateway has found no way to any endpoint for some time. */
-    public boolean isStranded() {
+    public boolean hasNoWay() {
         long nowMilliseconds = mClock.nowMilliseconds();
         return mCutOff
-                && nowMilliseconds - mCutOffMilliseconds >= STRANDED_MILLISECONDS
+                && nowMilliseconds - mCutOffMilliseconds >= NO_WAY_MILLISECONDS
                 && mPaths.areRelaysUseless(nowMilliseconds);
     }
 
--- a/gateway/src/test/java/org/skylarkbend/gateway/endpoints/BrittleScheduleTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/endpoints/BrittleScheduleTest.java
@@ -264,7 +264,8 @@
         private void say(EndpointSelector gateway) {
             if (mHeeding) {
                 gateway.brittleServices()
-                        .said(SERVICE, OptionalLong.of(mSite.refusalsBorne()), mNowMilliseconds);
+                        .reported(
+                                SERVICE, OptionalLong.of(mSite.refusalsBorne()), mNowMilliseconds);
             }
         }
     }
