Read no clock while a response is written

A response asked whether the gateway has any way to endpoints, which read the clock; an exception there left the caller without an answer, since nothing answers it behind the response itself.

Cause: a computation in the path that must not fail. The state is now computed by the periodic check. Beside it, an exception of what opens a connection left its place in the pool taken for good, so that later calls of that endpoint waited for a connection in vain; it now counts as a failed connection.

--- a/exchange/src/main/java/org/skylarkbend/exchange/ConnectionPool.java
+++ b/exchange/src/main/java/org/skylarkbend/exchange/ConnectionPool.java
@@ -1,6 +1,7 @@
 package org.skylarkbend.exchange;
 
 import com.codahale.metrics.Counter;
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.internal.net.NetSocketInternal;
 import io.vertx.core.net.NetSocket;
@@ -104,7 +105,16 @@
         while (mConnecting < mWaitingTimers.size()
                 && mOpen.size() + mConnecting < mOptions.maxConnectionsPerEndpoint()) {
             mConnecting++;
-            mDialer.dial(mEndpoint).onSuccess(this::connected).onFailure(this::notConnected);
+            dial().onSuccess(this::connected).onFailure(this::notConnected);
+        }
+    }
+
+    /** An exception of the dialer is a failed connection, so that its place becomes free. */
+    private Future<NetSocket> dial() {
+        try {
+            return mDialer.dial(mEndpoint);
+        } catch (RuntimeException e) {
+            return Future.failedFuture(e);
         }
     }
 
--- a/gateway/src/main/java/org/skylarkbend/gateway/relay/EndpointReach.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/relay/EndpointReach.java
@@ -55,6 +55,7 @@
     private boolean mListening;
     private boolean mCutOff;
     private long mCutOffMilliseconds;
+    private boolean mHasNoWay;
     private long mOfferedMilliseconds = Long.MIN_VALUE / 2;
 
     /**
@@ -174,17 +175,20 @@
                                 mDialer.check(endpoint)
                                         .onSuccess(dialed -> dialed.socket().close()));
         update();
+        mHasNoWay =
+                mCutOff
+                        && nowMilliseconds - mCutOffMilliseconds >= NO_WAY_MILLISECONDS
+                        && mPaths.areRelaysUseless(nowMilliseconds);
         if (nowMilliseconds - mOfferedMilliseconds >= OFFER_MILLISECONDS) {
             offer();
         }
     }
 
-    /** Returns whether the gateway has found no way to any endpoint for some time. */
+    /**
+     * Returns whether the gateway had found no way to any endpoint for some time when it checked.
+     */
     public boolean hasNoWay() {
-        long nowMilliseconds = mClock.nowMilliseconds();
-        return mCutOff
-                && nowMilliseconds - mCutOffMilliseconds >= NO_WAY_MILLISECONDS
-                && mPaths.areRelaysUseless(nowMilliseconds);
+        return mHasNoWay;
     }
 
     /** Returns whether no other gateway is being served. */
