Dial relays with the dialer of endpoints

RelayClient set up its own client with the options of EndpointDialer.direct, and Dialed had a component that nobody read. No change of behaviour: formatter, linter, the relay tests of CutOffGatewayTest and RelayCodecTest pass (16).

--- a/gateway/src/main/java/org/skylarkbend/gateway/relay/RelayClient.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/relay/RelayClient.java
@@ -5,14 +5,13 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.internal.net.NetSocketInternal;
-import io.vertx.core.net.NetClient;
-import io.vertx.core.net.NetClientOptions;
 import io.vertx.core.net.NetSocket;
 import io.vertx.core.net.SocketAddress;
 import java.util.List;
 import org.skylarkbend.base.ErrorKind;
 import org.skylarkbend.base.Result;
 import org.skylarkbend.catalog.Relay;
+import org.skylarkbend.exchange.EndpointDialer;
 import org.skylarkbend.gateway.relay.RelayMessage.NotOpened;
 import org.skylarkbend.gateway.relay.RelayMessage.Open;
 import org.skylarkbend.gateway.relay.RelayMessage.Opened;
@@ -22,7 +21,7 @@
 /** Opens connections to endpoints through other gateways. */
 final class RelayClient {
     private final Vertx mVertx;
-    private final NetClient mClient;
+    private final EndpointDialer mDialer;
     private final long mTimeoutMilliseconds;
     private final RelayCodec mCodec = new RelayCodec();
 
@@ -39,16 +38,12 @@
     RelayClient(Vertx vertx, long timeoutMilliseconds) {
         mVertx = vertx;
         mTimeoutMilliseconds = timeoutMilliseconds;
-        mClient =
-                vertx.createNetClient(
-                        new NetClientOptions()
-                                .setTcpNoDelay(true)
-                                .setConnectTimeout((int) timeoutMilliseconds));
+        mDialer = EndpointDialer.direct(vertx, timeoutMilliseconds);
     }
 
     /** Asks a relay for a connection. The future fails if the relay does not respond in time. */
     Future<Response> open(Relay relay, SocketAddress endpoint) {
-        return mClient.connect(relay.port(), relay.host())
+        return mDialer.dial(SocketAddress.inetSocketAddress(relay.port(), relay.host()))
                 .compose(socket -> open(socket, endpoint));
     }
 
--- a/gateway/src/main/java/org/skylarkbend/gateway/relay/RelayingDialer.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/relay/RelayingDialer.java
@@ -41,11 +41,10 @@
      * Connection to an endpoint.
      *
      * @param socket the connection
-     * @param relay the relay that it goes through; empty for a connection of the gateway itself
      * @param isDirectWayHanging true if the gateway's own way neither opened nor was refused, so
      *     that open connections may hang as well
      */
-    record Dialed(NetSocket socket, Optional<Relay> relay, boolean isDirectWayHanging) {}
+    record Dialed(NetSocket socket, boolean isDirectWayHanging) {}
 
     /** Receives changes of the ways to endpoints. */
     interface Listener {
@@ -191,9 +190,7 @@
             opened.relay().ifPresent(this::reachedBy);
             mResult.complete(
                     new Dialed(
-                            opened.socket(),
-                            opened.relay(),
-                            opened.relay().isPresent() && isDirectWayHanging()));
+                            opened.socket(), opened.relay().isPresent() && isDirectWayHanging()));
         }
 
         private void reachedBy(Relay relay) {
