Evacuate data centres, and spare endpoints that have just started

Operators can order that the endpoints of a data centre get no calls, and take the order back.

The list of endpoints says how long an endpoint is still cold, and the catalog what it bears meanwhile from all gateways. Each gateway sends its part of half of that at random moments. Endpoints that were unreachable, or whose data centre was evacuated, count as cold before the list says so.

--- a/catalog/src/main/java/org/skylarkbend/catalog/Endpoint.java
+++ b/catalog/src/main/java/org/skylarkbend/catalog/Endpoint.java
@@ -15,6 +15,8 @@
  * @param leaving true if it is about to stop
  * @param startedEpochMilliseconds start time; 0 if unknown
  * @param weights versions of the loaded weights, by model
+ * @param coldMilliseconds time for which it still bears few calls, when it was listed; between
+ *     control and gateways {@link SiteMessage.ColdEndpoints} transfers it
  */
 public record Endpoint(
         String id,
@@ -26,7 +28,34 @@
         int slots,
         boolean leaving,
         long startedEpochMilliseconds,
-        Map<String, Long> weights) {
+        Map<String, Long> weights,
+        long coldMilliseconds) {
+    /** Creates an endpoint that bears all calls. */
+    public Endpoint(
+            String id,
+            String service,
+            String host,
+            int port,
+            String zone,
+            String softwareVersion,
+            int slots,
+            boolean leaving,
+            long startedEpochMilliseconds,
+            Map<String, Long> weights) {
+        this(
+                id,
+                service,
+                host,
+                port,
+                zone,
+                softwareVersion,
+                slots,
+                leaving,
+                startedEpochMilliseconds,
+                weights,
+                0);
+    }
+
     /** Creates an endpoint with a copy of {@code weights}. */
     public Endpoint {
         weights = Map.copyOf(weights);
@@ -49,7 +78,8 @@
                 slots,
                 leaving,
                 startedEpochMilliseconds,
-                versions);
+                versions,
+                coldMilliseconds);
     }
 
     /** Returns the address as {@code host:port}. */
--- a/catalog/src/main/java/org/skylarkbend/catalog/Endpoints.java
+++ b/catalog/src/main/java/org/skylarkbend/catalog/Endpoints.java
@@ -41,6 +41,17 @@
         return new Endpoints(List.of(), Set.of());
     }
 
+    /** Returns the endpoints that bear few calls because they have just started. */
+    public SiteMessage.ColdEndpoints cold() {
+        Map<String, Long> milliseconds = new LinkedHashMap<>();
+        for (Endpoint endpoint : endpoints) {
+            if (endpoint.coldMilliseconds() > 0) {
+                milliseconds.put(endpoint.incarnation(), endpoint.coldMilliseconds());
+            }
+        }
+        return new SiteMessage.ColdEndpoints(milliseconds);
+    }
+
     /** Returns the difference that turns this list into another one. */
     public Difference differenceTo(Endpoints newer) {
         Map<String, Endpoint> known = byIncarnation();
--- a/catalog/src/main/java/org/skylarkbend/catalog/SiteCodec.java
+++ b/catalog/src/main/java/org/skylarkbend/catalog/SiteCodec.java
@@ -6,7 +6,9 @@
 import java.util.Set;
 import org.skylarkbend.base.Result;
 import org.skylarkbend.catalog.SiteMessage.CallSplits;
+import org.skylarkbend.catalog.SiteMessage.ColdEndpoints;
 import org.skylarkbend.catalog.SiteMessage.ControlVms;
+import org.skylarkbend.catalog.SiteMessage.DataCentresEvacuated;
 import org.skylarkbend.catalog.SiteMessage.EndpointsChanged;
 import org.skylarkbend.catalog.SiteMessage.EndpointsListed;
 import org.skylarkbend.catalog.SiteMessage.RelayOffered;
@@ -33,6 +35,8 @@
     private static final int CALL_SPLITS = 6;
     private static final int RELAY_OFFERED = 7;
     private static final int RELAYS_LISTED = 8;
+    private static final int COLD_ENDPOINTS = 9;
+    private static final int DATA_CENTRES_EVACUATED = 10;
 
     @Override
     public byte[] encode(SiteMessage message) {
@@ -73,10 +77,21 @@
             writeVersions(writer, named.versions());
             return writer.toBytes();
         }
-        return encodeRelays(message);
+        return encodeState(message);
     }
 
-    private static byte[] encodeRelays(SiteMessage message) {
+    /** Encodes the messages about the state of endpoints and gateways. */
+    private static byte[] encodeState(SiteMessage message) {
+        if (message instanceof ColdEndpoints cold) {
+            MessageWriter writer = new MessageWriter(COLD_ENDPOINTS);
+            writeNumbers(writer, cold.milliseconds());
+            return writer.toBytes();
+        }
+        if (message instanceof DataCentresEvacuated evacuated) {
+            return new MessageWriter(DATA_CENTRES_EVACUATED)
+                    .list(List.copyOf(evacuated.dataCentres()), MessageWriter::text)
+                    .toBytes();
+        }
         if (message instanceof RelayOffered offered) {
             MessageWriter writer = new MessageWriter(RELAY_OFFERED);
             writeRelay(writer, offered.relay());
@@ -96,16 +111,24 @@
 
     /** Writes the versions of weights by model. */
     public static void writeVersions(MessageWriter writer, Map<String, Long> versions) {
-        writer.list(
-                List.copyOf(versions.entrySet()),
-                (item, entry) -> item.text(entry.getKey()).number(entry.getValue()));
+        writeNumbers(writer, versions);
     }
 
     /** Reads the versions of weights by model. */
     public static Map<String, Long> readVersions(MessageReader reader) {
-        Map<String, Long> versions = new HashMap<>();
-        reader.list(item -> versions.put(item.text(), item.number()) == null);
-        return versions;
+        return readNumbers(reader);
+    }
+
+    private static void writeNumbers(MessageWriter writer, Map<String, Long> numbers) {
+        writer.list(
+                List.copyOf(numbers.entrySet()),
+                (item, entry) -> item.text(entry.getKey()).number(entry.getValue()));
+    }
+
+    private static Map<String, Long> readNumbers(MessageReader reader) {
+        Map<String, Long> numbers = new HashMap<>();
+        reader.list(item -> numbers.put(item.text(), item.number()) == null);
+        return numbers;
     }
 
     private static void writeWork(MessageWriter writer, Map.Entry<String, EndpointWork> endpoint) {
@@ -184,6 +207,9 @@
             case RELAY_OFFERED -> new RelayOffered(readRelay(reader), reader.flag());
             case RELAYS_LISTED ->
                     new RelaysListed(reader.list(SiteCodec::readRelay), (int) reader.number());
+            case COLD_ENDPOINTS -> new ColdEndpoints(readNumbers(reader));
+            case DATA_CENTRES_EVACUATED ->
+                    new DataCentresEvacuated(Set.copyOf(reader.list(MessageReader::text)));
             case WORK_UNDER_WAY -> new WorkUnderWay(readWork(reader), reader.number());
             default -> MessageReader.unknownType(type);
         };
--- a/catalog/src/main/java/org/skylarkbend/catalog/SiteMessage.java
+++ b/catalog/src/main/java/org/skylarkbend/catalog/SiteMessage.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /** Message between control and the gateways of a site. */
 public sealed interface SiteMessage {
@@ -83,4 +84,28 @@
             relays = List.copyOf(relays);
         }
     }
+
+    /**
+     * Endpoints that bear few calls because they have just started. Its name sorts before that of
+     * the list of endpoints, so that a gateway knows it before it uses them.
+     *
+     * @param milliseconds time for which they still do, by incarnation
+     */
+    record ColdEndpoints(Map<String, Long> milliseconds) implements SiteMessage {
+        /** Creates the message with a copy of the map. */
+        public ColdEndpoints {
+            milliseconds = Map.copyOf(milliseconds);
+        }
+    }
+
+    /**
+     * Data centres whose endpoints get no calls. Its name sorts before that of the list of
+     * endpoints, so that a gateway that connects knows it first.
+     */
+    record DataCentresEvacuated(Set<String> dataCentres) implements SiteMessage {
+        /** Creates the message with a copy of the set. */
+        public DataCentresEvacuated {
+            dataCentres = Set.copyOf(dataCentres);
+        }
+    }
 }
--- a/catalog/src/test/java/org/skylarkbend/catalog/SiteCodecFuzzTest.java
+++ b/catalog/src/test/java/org/skylarkbend/catalog/SiteCodecFuzzTest.java
@@ -34,6 +34,8 @@
                 new Endpoint("i-1", "desk", "10.0.0.1", 80, "a", "v1", 6, true, 5, Map.of("m", 3L));
         return List.of(
                 new SiteMessage.ControlVms(List.of("10.0.0.1", "10.0.0.2")),
+                new SiteMessage.ColdEndpoints(Map.of("i-1@5", 2_500L)),
+                new SiteMessage.DataCentresEvacuated(Set.of("nord", "sud")),
                 new SiteMessage.EndpointsListed(
                         8, new Endpoints(List.of(endpoint), Set.of(endpoint.incarnation()))),
                 new SiteMessage.EndpointsChanged(
--- a/control/src/main/java/org/skylarkbend/control/log/ControlStateMachine.java
+++ b/control/src/main/java/org/skylarkbend/control/log/ControlStateMachine.java
@@ -37,11 +37,11 @@
         return encodeResult(ControlEntry.fromBytes(command).flatMap(this::applyEntry));
     }
 
-    /** Returns the encoded states of all slices. */
+    /** Returns the encoded states of all slices but those that are still initial. */
     public byte[] snapshot() {
-        return new MessageWriter(SNAPSHOT)
-                .list(List.copyOf(mSlices.values()), ControlStateMachine::writeSlice)
-                .toBytes();
+        List<ReplicatedSlice> slices =
+                mSlices.values().stream().filter(slice -> !slice.isInitial()).toList();
+        return new MessageWriter(SNAPSHOT).list(slices, ControlStateMachine::writeSlice).toBytes();
     }
 
     /**
@@ -52,7 +52,15 @@
     public void restore(byte[] snapshot) {
         Result<List<SliceState>> states =
                 MessageReader.decode(snapshot, ControlStateMachine::readSlices);
-        states.match(list -> list.forEach(this::restoreSlice), ControlStateMachine::failRestore);
+        states.match(this::restoreSlices, ControlStateMachine::failRestore);
+    }
+
+    private void restoreSlices(List<SliceState> states) {
+        states.forEach(this::restoreSlice);
+        List<String> restored = states.stream().map(SliceState::name).toList();
+        mSlices.values().stream()
+                .filter(slice -> !restored.contains(slice.name()))
+                .forEach(ReplicatedSlice::reset);
     }
 
     /** Decodes the result of {@link #apply}. */
--- a/control/src/main/java/org/skylarkbend/control/log/ReplicatedSlice.java
+++ b/control/src/main/java/org/skylarkbend/control/log/ReplicatedSlice.java
@@ -18,4 +18,15 @@
 
     /** Replaces the state of the slice; fails if the snapshot cannot be decoded. */
     Result<Void> restore(byte[] snapshot);
+
+    /**
+     * Returns whether the state is still the one before any message, and may be left out of
+     * snapshots. A slice that returns true must also implement {@link #reset}.
+     */
+    default boolean isInitial() {
+        return false;
+    }
+
+    /** Returns to the state before any message, because a snapshot does not contain the slice. */
+    default void reset() {}
 }
--- a/control/src/main/java/org/skylarkbend/control/site/SiteControlParts.java
+++ b/control/src/main/java/org/skylarkbend/control/site/SiteControlParts.java
@@ -16,6 +16,7 @@
  *
  * @param vertx the Vert.x instance that runs the tasks
  * @param self the address of this VM, which is also its name
+ * @param dataCentres the data centres of the site; empty if they are not known
  * @param seeds the addresses of some control VMs
  * @param bootstrapsLog true if the seeds bootstrap a new log together if none of them has one
  * @param ports the listen ports, the same on all control VMs
@@ -32,6 +33,7 @@
 public record SiteControlParts(
         Vertx vertx,
         ObjectName self,
+        Set<String> dataCentres,
         Set<ObjectName> seeds,
         boolean bootstrapsLog,
         Ports ports,
@@ -91,8 +93,9 @@
     public record EngineOrderOptions(
             long takeoverMilliseconds, long oldWeightsMilliseconds, boolean enginesCheckFencing) {}
 
-    /** Copies the set. */
+    /** Copies the sets. */
     public SiteControlParts {
+        dataCentres = Set.copyOf(dataCentres);
         seeds = Set.copyOf(seeds);
     }
 }
--- a/control/src/main/java/org/skylarkbend/control/site/SiteControlProcess.java
+++ b/control/src/main/java/org/skylarkbend/control/site/SiteControlProcess.java
@@ -29,7 +29,9 @@
 import org.skylarkbend.catalog.SiteCodec;
 import org.skylarkbend.catalog.SiteLimits;
 import org.skylarkbend.catalog.SiteMessage;
+import org.skylarkbend.catalog.SiteMessage.ColdEndpoints;
 import org.skylarkbend.catalog.SiteMessage.ControlVms;
+import org.skylarkbend.catalog.SiteMessage.DataCentresEvacuated;
 import org.skylarkbend.catalog.SiteMessage.EndpointsChanged;
 import org.skylarkbend.catalog.SiteMessage.EndpointsListed;
 import org.skylarkbend.catalog.SiteMessage.RelaysListed;
@@ -104,12 +106,13 @@
     private volatile boolean mStarted;
     private long mTermAtStart;
     private long mEndpointListNumber;
+    private ColdEndpoints mCold = new ColdEndpoints(Map.of());
 
     /** Creates the tasks without starting them. */
     public SiteControlProcess(SiteControlParts parts) {
         mParts = parts;
         MillisecondClock wall = MillisecondClock.wall();
-        mOperators = new SiteOperatorService(mLog, parts.reader(), wall);
+        mOperators = new SiteOperatorService(mLog, parts.reader(), wall, parts.dataCentres());
         mLimits =
                 new LimitOwnerTask(
                         mLog,
@@ -236,7 +239,8 @@
                                 new OrdersSlice(this::orderAnnounced),
                                 RolloutTask.slice(this::rolloutsChanged),
                                 QuarantineTask.slice(mQuarantine::post),
-                                new LimitRegistrySlice(this::limitsChanged)));
+                                new LimitRegistrySlice(this::limitsChanged),
+                                new EvacuationsSlice(this::evacuationsChanged)));
         mAgreement =
                 new AgreementTask(
                         mParts.self(),
@@ -311,6 +315,12 @@
         broadcast(new WeightsNamed(versions));
     }
 
+    private void evacuationsChanged(Set<String> dataCentres) {
+        LOG.info("site.evacuations", "data_centres", dataCentres);
+        mOperatorContext.runOnContext(ignored -> mOperators.evacuationsChanged(dataCentres));
+        broadcast(new DataCentresEvacuated(dataCentres));
+    }
+
     private void rolloutsChanged(RolloutState state) {
         mOperatorContext.runOnContext(ignored -> mOperators.rolloutsChanged(state));
         mRollouts.post(state);
@@ -384,6 +394,7 @@
     private void endpointsChanged(Optional<Endpoints> previous, Endpoints endpoints) {
         mEndpointListNumber++;
         mRollouts.post(endpoints);
+        announceCold(previous.isEmpty(), endpoints);
         SliceMessage whole = sliceMessage(new EndpointsListed(mEndpointListNumber, endpoints));
         SliceMessage update =
                 previous.map(earlier -> earlier.differenceTo(endpoints))
@@ -393,6 +404,16 @@
         mFeed.post(new LeaderMessageChanged(whole, update));
     }
 
+    /** Tells gateways the cold endpoints of a list before they get the list. */
+    private void announceCold(boolean isFirstAsLeader, Endpoints endpoints) {
+        ColdEndpoints cold = endpoints.cold();
+        if (isFirstAsLeader || !cold.equals(mCold)) {
+            mCold = cold;
+            SliceMessage message = sliceMessage(cold);
+            mFeed.post(new LeaderMessageChanged(message, message));
+        }
+    }
+
     /**
      * Sends a retained message to all present and future gateways. It replaces the previous message
      * of the same type.
--- a/control/src/main/java/org/skylarkbend/control/site/SiteOperatorService.java
+++ b/control/src/main/java/org/skylarkbend/control/site/SiteOperatorService.java
@@ -3,6 +3,7 @@
 import io.vertx.core.Future;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.skylarkbend.base.ErrorKind;
 import org.skylarkbend.base.MillisecondClock;
 import org.skylarkbend.base.ObjectName;
@@ -31,13 +32,24 @@
     private final ControlLog mLog;
     private final CatalogReader mReader;
     private final MillisecondClock mWall;
+    private final Set<String> mDataCentres;
     private NumberedDocument mDocument = NumberedDocument.none();
     private Map<String, Long> mWeights = Map.of();
+    private Set<String> mEvacuated = Set.of();
     private RolloutState mRollouts = RolloutState.empty();
     private Leadership mLeadership = Leadership.unknown();
 
-    /** Creates a service without a known leader, document or weights. */
-    public SiteOperatorService(ControlLog log, CatalogReader reader, MillisecondClock wall) {
+    /**
+     * Creates a service without a known leader, document or weights.
+     *
+     * @param log the replicated log
+     * @param reader parses the documents of operators
+     * @param wall the clock for the timestamps of log entries
+     * @param dataCentres the data centres of the site; empty if they are not known
+     */
+    public SiteOperatorService(
+            ControlLog log, CatalogReader reader, MillisecondClock wall, Set<String> dataCentres) {
+        mDataCentres = Set.copyOf(dataCentres);
         mLog = log;
         mReader = reader;
         mWall = wall;
@@ -63,6 +75,11 @@
         mRollouts = state;
     }
 
+    /** Notifies the service of the evacuated data centres. */
+    public void evacuationsChanged(Set<String> dataCentres) {
+        mEvacuated = dataCentres;
+    }
+
     /** Returns the VM of the leader, or empty if it is unknown or this VM. */
     public Optional<ObjectName> leaderElsewhere() {
         return mLeadership.leads() ? Optional.empty() : mLeadership.leader();
@@ -135,6 +152,38 @@
                                                                                 + service))));
     }
 
+    /**
+     * Orders that the endpoints of a data centre get no more calls, and returns its name once the
+     * order is committed. Fails with {@code SET_INVALID} if the site has no such data centre. An
+     * order that is repeated changes nothing.
+     */
+    public Future<Result<String>> evacuate(String dataCentre) {
+        return proposeEvacuation(dataCentre, EvacuationsSlice.encodeEvacuated(dataCentre));
+    }
+
+    /** Withdraws the order to evacuate a data centre, on the same terms as {@link #evacuate}. */
+    public Future<Result<String>> withdrawEvacuation(String dataCentre) {
+        return proposeEvacuation(dataCentre, EvacuationsSlice.encodeWithdrawn(dataCentre));
+    }
+
+    /** Returns the evacuated data centres; fails with {@code NO_LEADER} if that is uncertain. */
+    public Future<Result<Set<String>>> evacuated() {
+        return requireLeadership().map(result -> result.map(index -> mEvacuated));
+    }
+
+    private Future<Result<String>> proposeEvacuation(String dataCentre, byte[] change) {
+        if (!mDataCentres.isEmpty() && !mDataCentres.contains(dataCentre)) {
+            return Future.succeededFuture(
+                    Result.failure(
+                            ErrorKind.SET_INVALID,
+                            "unknown data centre " + dataCentre + ", known are " + mDataCentres));
+        }
+        return mLeadership.leads()
+                ? propose(EvacuationsSlice.NAME, change)
+                        .map(result -> result.map(applied -> dataCentre))
+                : requireLeadership().map(result -> result.map(index -> dataCentre));
+    }
+
     private Result<RolloutMessage.Ordered> checked(RolloutMessage.Ordered order) {
         return documentInForce()
                 .flatMap(document -> mReader.read(document.bytes()))
--- a/control/src/test/java/org/skylarkbend/control/site/SiteControlProcessTest.java
+++ b/control/src/test/java/org/skylarkbend/control/site/SiteControlProcessTest.java
@@ -87,6 +87,28 @@
         assertThat(current()).isEqualTo("7");
     }
 
+    @Test
+    public void anEvacuationIsKeptOverTheLossOfTheLeaderAndARestartOfAllUntilItIsWithdrawn()
+            throws Exception {
+        for (int i = 1; i <= 5; i++) {
+            start(vm(i), true);
+        }
+        String first = eventually(operators -> operators.evacuate("nord"));
+        String repeated = eventually(operators -> operators.evacuate("nord"));
+        assertThat(List.of(first, repeated)).containsOnly("nord");
+        stopLeader();
+        assertThat(evacuated()).containsExactly("nord");
+        for (ObjectName vm : List.copyOf(mRunning.keySet())) {
+            stop(vm);
+        }
+        for (int i = 1; i <= 5; i++) {
+            start(vm(i), false);
+        }
+        assertThat(evacuated()).containsExactly("nord");
+        eventually(operators -> operators.withdrawEvacuation("nord"));
+        assertThat(evacuated()).isEmpty();
+    }
+
     @Test
     public void aVmThatStartsEmptyLaterThanTheOthersBeginsNoGroupOfItsOwn() throws Exception {
         for (int i = 1; i <= 3; i++) {
@@ -198,6 +220,18 @@
         mRunning.put(vm, new Running(process, operators));
     }
 
+    private Set<String> evacuated() throws Exception {
+        return eventually(SiteOperatorService::evacuated);
+    }
+
+    private void stopLeader() throws Exception {
+        for (ObjectName vm : List.copyOf(mRunning.keySet())) {
+            if (request(mRunning.get(vm), SiteOperatorService::evacuated).isSuccess()) {
+                stop(vm);
+            }
+        }
+    }
+
     private void stop(ObjectName vm) throws Exception {
         await(mRunning.remove(vm).process().stop());
     }
@@ -206,6 +240,7 @@
         return new SiteControlParts(
                 mVertx,
                 vm,
+                Set.of("nord", "sud"),
                 SEEDS,
                 bootstrapsLog,
                 mPorts,
--- a/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EndpointSelector.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EndpointSelector.java
@@ -9,13 +9,13 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.DoubleSupplier;
-import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
 import org.skylarkbend.base.StructuredLog;
 import org.skylarkbend.catalog.Endpoint;
 import org.skylarkbend.catalog.EndpointWork;
 import org.skylarkbend.catalog.Endpoints;
 import org.skylarkbend.catalog.VersionSplit;
+import org.skylarkbend.gateway.endpoints.PromptHomes.Home;
 
 /**
  * Tracks the endpoints of all services and selects one for each call.
@@ -74,8 +74,10 @@
 
     private final WeightsLoadOrders mWeightsLoadOrders;
     private final BrittleServices mBrittle;
+    private final ColdEndpoints mCold;
+    private Set<String> mEvacuated = Set.of();
     private final VersionSplits mSplits = new VersionSplits();
-    private Set<String> mLoadingWeights = Set.of();
+    private final PromptHomes mHomes = new PromptHomes();
     private ReachedStore mStore = ReachedStore.none();
     private boolean mInitialized;
     private long mUpdatedMilliseconds;
@@ -92,6 +94,7 @@
         mWeightsCost = new WeightsCost(oldWeightsGraceMilliseconds);
         mWeightsLoadOrders = new WeightsLoadOrders(mWeightsCost);
         mBrittle = new BrittleServices(random);
+        mCold = new ColdEndpoints(random);
     }
 
     /** Returns whether the list of endpoints was ever received. */
@@ -108,13 +111,14 @@
     public void replace(Endpoints endpoints, long nowMilliseconds) {
         mInitialized = true;
         mUpdatedMilliseconds = nowMilliseconds;
-        mLoadingWeights = endpoints.loading();
+        mHomes.loadingChanged(endpoints.loading());
         Map<String, EndpointLoad> present = new HashMap<>();
         mByService.clear();
         for (Endpoint endpoint : endpoints.endpoints()) {
             EndpointLoad load =
                     mLoads.getOrDefault(endpoint.incarnation(), new EndpointLoad(endpoint));
             load.update(endpoint);
+            mCold.listed(endpoint, nowMilliseconds);
             present.put(endpoint.incarnation(), load);
             if (!endpoint.leaving()) {
                 mByService.computeIfAbsent(endpoint.service(), name -> new ArrayList<>()).add(load);
@@ -123,6 +127,7 @@
         mLoads.clear();
         mLoads.putAll(present);
         mActive.retainAll(present.values());
+        mCold.retainAll(present.keySet());
         mWeightsLoadOrders.clear();
     }
 
@@ -185,10 +190,8 @@
             String scope,
             PriorAttempts priorAttempts,
             long nowMilliseconds) {
-        String key = prompt.sharedKey();
         List<EndpointLoad> candidates = candidates(service, priorAttempts, nowMilliseconds);
-        Optional<Home> home =
-                key.isEmpty() ? Optional.empty() : homeOf(candidates, prompt, scope + key);
+        Optional<Home> home = mHomes.homeOf(candidates, prompt, scope);
         Map<EndpointLoad, Integer> weightsLoadOrder =
                 mWeightsLoadOrders.of(
                         service, mByService.getOrDefault(service, List.of()), prompt.model());
@@ -196,7 +199,7 @@
                         candidates,
                         priorAttempts,
                         load -> {
-                            if (!serves(load, prompt.model())) {
+                            if (!PromptHomes.serves(load, prompt.model())) {
                                 return Double.POSITIVE_INFINITY;
                             }
                             boolean isHome = isHome(load, home);
@@ -222,6 +225,7 @@
                 .ifPresent(
                         load -> {
                             load.callStarted(promptTokens, nowMilliseconds);
+                            mCold.sent(endpoint, nowMilliseconds);
                             mActive.add(load);
                         });
     }
@@ -238,7 +242,14 @@
 
     /** Records that an endpoint sent data or accepted a connection. */
     public void responded(Endpoint endpoint, long nowMilliseconds) {
-        loadOf(endpoint).ifPresent(load -> load.responded(nowMilliseconds));
+        loadOf(endpoint)
+                .ifPresent(
+                        load -> {
+                            if (load.isUnreachable()) {
+                                mCold.mayBeCold(endpoint, nowMilliseconds);
+                            }
+                            load.responded(nowMilliseconds);
+                        });
     }
 
     /**
@@ -264,6 +275,26 @@
         return silent;
     }
 
+    /**
+     * Replaces the data centres whose endpoints get no calls. Those of a data centre that was
+     * evacuated before may have become cold meanwhile.
+     */
+    public void evacuated(Set<String> dataCentres, long nowMilliseconds) {
+        Set<String> before = mEvacuated;
+        mEvacuated = Set.copyOf(dataCentres);
+        for (EndpointLoad load : mLoads.values()) {
+            String dataCentre = load.endpoint().zone();
+            if (before.contains(dataCentre) && !mEvacuated.contains(dataCentre)) {
+                mCold.mayBeCold(load.endpoint(), nowMilliseconds);
+            }
+        }
+    }
+
+    /** Returns the endpoints that bear few calls because they have just started. */
+    public ColdEndpoints coldEndpoints() {
+        return mCold;
+    }
+
     /** Records a successful response of an endpoint. */
     public void succeeded(Endpoint endpoint) {
         loadOf(endpoint)
@@ -315,6 +346,12 @@
                         });
     }
 
+    /** Sets the number of gateways between which the room at endpoints is divided. */
+    public void gatewaysCounted(int gateways) {
+        mBrittle.gatewaysCounted(gateways);
+        mCold.gatewaysCounted(gateways);
+    }
+
     /** Returns the services whose endpoints fall over if they have to refuse many calls. */
     public BrittleServices brittleServices() {
         return mBrittle;
@@ -323,7 +360,7 @@
     /** Returns whether an endpoint is listed and accepts new calls, as far as it has said. */
     public boolean acceptsCalls(Endpoint endpoint, long nowMilliseconds) {
         return loadOf(endpoint)
-                .filter(load -> !load.isLeaving() && load.acceptsCalls(nowMilliseconds))
+                .filter(load -> !load.isLeaving() && acceptsCalls(load, nowMilliseconds))
                 .isPresent();
     }
 
@@ -347,6 +384,10 @@
         loadOf(endpoint).ifPresent(load -> load.loadReported(running, waiting, nowMilliseconds));
     }
 
+    private boolean acceptsCalls(EndpointLoad load, long nowMilliseconds) {
+        return load.acceptsCalls(nowMilliseconds) && !mEvacuated.contains(load.endpoint().zone());
+    }
+
     private Optional<EndpointLoad> loadOf(Endpoint endpoint) {
         return Optional.ofNullable(mLoads.get(endpoint.incarnation()));
     }
@@ -355,8 +396,9 @@
             String service, PriorAttempts priorAttempts, long nowMilliseconds) {
         List<EndpointLoad> accepting =
                 mByService.getOrDefault(service, List.of()).stream()
-                        .filter(load -> load.acceptsCalls(nowMilliseconds))
+                        .filter(load -> acceptsCalls(load, nowMilliseconds))
                         .filter(load -> mBrittle.hasRoom(load, nowMilliseconds))
+                        .filter(load -> mCold.hasRoom(load.endpoint(), nowMilliseconds))
                         .toList();
         return mSplits.candidates(service, accepting, priorAttempts, mRandom);
     }
@@ -405,7 +447,7 @@
         Optional<String> source =
                 isTooSmallToFetch || store.isPresent()
                         ? store
-                        : sourceOf(load, candidates, version, prompt, home);
+                        : mHomes.sourceOf(load, candidates, version, prompt, home);
         double missRatio = isHome(load, home) ? HOME_MISS_RATIO : 1;
         long ownTokens = prompt.promptTokens() - prompt.sharedTokens();
         return new EngineChoice(
@@ -418,83 +460,11 @@
                 isHome(load, home));
     }
 
-    private Optional<String> sourceOf(
-            EndpointLoad load,
-            List<EndpointLoad> candidates,
-            Long version,
-            Prompt prompt,
-            Optional<Home> home) {
-        if (home.isEmpty()) {
-            return Optional.empty();
-        }
-        String model = prompt.model();
-        return bestScored(
-                        candidates,
-                        model,
-                        home.get().keyHash(),
-                        other ->
-                                other != load
-                                        && version.equals(other.endpoint().weights().get(model)))
-                .map(other -> other.endpoint().address());
-    }
-
-    /**
-     * The home engine of a prompt, which all gateways determine alike.
-     *
-     * @param keyHash the hash of the prompt's shared parts
-     * @param engine the engine with the highest rendezvous score for it
-     */
-    private record Home(long keyHash, EndpointLoad engine) {}
-
-    private Optional<Home> homeOf(List<EndpointLoad> candidates, Prompt prompt, String key) {
-        long keyHash = key.hashCode() * 31L;
-        return bestScored(candidates, prompt.model(), keyHash, load -> true)
-                .map(engine -> new Home(keyHash, engine));
-    }
-
-    /**
-     * Returns the engine with the highest rendezvous score for a key among those that match.
-     * Engines that load weights or are unreachable are left out, so that all gateways use the same
-     * substitute meanwhile.
-     */
-    private Optional<EndpointLoad> bestScored(
-            List<EndpointLoad> candidates,
-            String model,
-            long keyHash,
-            Predicate<EndpointLoad> matches) {
-        EndpointLoad best = null;
-        long bestScore = Long.MIN_VALUE;
-        for (EndpointLoad load : candidates) {
-            long score = mix(keyHash + load.incarnation().hashCode());
-            if (score > bestScore
-                    && serves(load, model)
-                    && !load.isUnreachable()
-                    && !mLoadingWeights.contains(load.incarnation())
-                    && matches.test(load)) {
-                best = load;
-                bestScore = score;
-            }
-        }
-        return Optional.ofNullable(best);
-    }
-
-    private static boolean serves(EndpointLoad load, String model) {
-        Map<String, Long> weights = load.endpoint().weights();
-        return weights.isEmpty() || model.isEmpty() || weights.containsKey(model);
-    }
-
     private double lastResortCost(EndpointLoad load, long nowMilliseconds) {
         boolean isLast =
                 load.isBackingOff(nowMilliseconds)
                         || load.isUnreachable()
-                        || mLoadingWeights.contains(load.incarnation());
+                        || mHomes.isLoadingWeights(load);
         return isLast ? LAST_RESORT_COST : 0;
     }
-
-    /** The finalizer of SplitMix64. */
-    private static long mix(long value) {
-        long mixed = (value ^ (value >>> 30)) * 0xBF58476D1CE4E5B9L;
-        mixed = (mixed ^ (mixed >>> 27)) * 0x94D049BB133111EBL;
-        return mixed ^ (mixed >>> 31);
-    }
 }
--- a/gateway/src/main/java/org/skylarkbend/gateway/front/GatewayTask.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/front/GatewayTask.java
@@ -23,6 +23,7 @@
 import org.skylarkbend.catalog.Endpoint;
 import org.skylarkbend.catalog.Endpoints;
 import org.skylarkbend.catalog.SiteLimits;
+import org.skylarkbend.catalog.SiteMessage.ColdEndpoints;
 import org.skylarkbend.catalog.SiteMessage.RelaysListed;
 import org.skylarkbend.catalog.SiteMessage.WorkUnderWay;
 import org.skylarkbend.catalog.VersionSplit;
@@ -207,6 +208,7 @@
                 ignored -> {
                     mAdmissions.catalogChanged(catalog);
                     mEndpoints.storeChanged(catalog.store());
+                    mSelector.coldEndpoints().servicesChanged(catalog.services());
                     mGate.updateLimits(
                             SiteLimits.of(catalog, mSettings.budgets().limitSlack()), now());
                     LOG.info(
@@ -231,6 +233,21 @@
                 });
     }
 
+    @Override
+    public void coldEndpointsChanged(ColdEndpoints cold) {
+        mContext.runOnContext(
+                ignored -> mSelector.coldEndpoints().reported(cold.milliseconds(), now()));
+    }
+
+    @Override
+    public void evacuationsChanged(Set<String> dataCentres) {
+        mContext.runOnContext(
+                ignored -> {
+                    LOG.info("evacuations.in_force", "data_centres", dataCentres);
+                    mSelector.evacuated(dataCentres, now());
+                });
+    }
+
     @Override
     public void splitsChanged(List<VersionSplit> splits) {
         mContext.runOnContext(
@@ -268,7 +285,7 @@
         mContext.runOnContext(
                 ignored -> {
                     mEndpoints.relaysListed(listed.relays());
-                    mSelector.brittleServices().gatewaysCounted(listed.gateways());
+                    mSelector.gatewaysCounted(listed.gateways());
                 });
     }
 
--- a/gateway/src/main/java/org/skylarkbend/gateway/link/SiteLinkTask.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/link/SiteLinkTask.java
@@ -15,7 +15,9 @@
 import org.skylarkbend.catalog.SiteCodec;
 import org.skylarkbend.catalog.SiteMessage;
 import org.skylarkbend.catalog.SiteMessage.CallSplits;
+import org.skylarkbend.catalog.SiteMessage.ColdEndpoints;
 import org.skylarkbend.catalog.SiteMessage.ControlVms;
+import org.skylarkbend.catalog.SiteMessage.DataCentresEvacuated;
 import org.skylarkbend.catalog.SiteMessage.EndpointsChanged;
 import org.skylarkbend.catalog.SiteMessage.EndpointsListed;
 import org.skylarkbend.catalog.SiteMessage.RelayOffered;
@@ -249,6 +251,10 @@
             mListener.weightsNamed(named.versions());
         } else if (message instanceof WorkUnderWay work) {
             mListener.otherWorkChanged(work);
+        } else if (message instanceof ColdEndpoints cold) {
+            mListener.coldEndpointsChanged(cold);
+        } else if (message instanceof DataCentresEvacuated evacuated) {
+            mListener.evacuationsChanged(evacuated.dataCentres());
         } else if (message instanceof RelaysListed listed) {
             mListener.relaysListed(listed);
         }
--- a/gateway/src/main/java/org/skylarkbend/gateway/link/SiteListener.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/link/SiteListener.java
@@ -2,8 +2,10 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.skylarkbend.catalog.Catalog;
 import org.skylarkbend.catalog.Endpoints;
+import org.skylarkbend.catalog.SiteMessage.ColdEndpoints;
 import org.skylarkbend.catalog.SiteMessage.RelaysListed;
 import org.skylarkbend.catalog.SiteMessage.WorkUnderWay;
 import org.skylarkbend.catalog.VersionSplit;
@@ -18,6 +20,12 @@
     /** Called when the list of endpoints was received. */
     void endpointsChanged(Endpoints endpoints);
 
+    /** Called with the endpoints that bear few calls because they have just started. */
+    void coldEndpointsChanged(ColdEndpoints cold);
+
+    /** Called when the data centres whose endpoints get no calls have changed. */
+    void evacuationsChanged(Set<String> dataCentres);
+
     /** Called when the division of calls between versions has changed. */
     void splitsChanged(List<VersionSplit> splits);
 
--- a/gateway/src/test/java/org/skylarkbend/gateway/link/IdleSiteListener.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/link/IdleSiteListener.java
@@ -2,8 +2,10 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.skylarkbend.catalog.Catalog;
 import org.skylarkbend.catalog.Endpoints;
+import org.skylarkbend.catalog.SiteMessage.ColdEndpoints;
 import org.skylarkbend.catalog.SiteMessage.RelaysListed;
 import org.skylarkbend.catalog.SiteMessage.WorkUnderWay;
 import org.skylarkbend.catalog.VersionSplit;
@@ -18,6 +20,12 @@
     @Override
     public void endpointsChanged(Endpoints endpoints) {}
 
+    @Override
+    public void coldEndpointsChanged(ColdEndpoints cold) {}
+
+    @Override
+    public void evacuationsChanged(Set<String> dataCentres) {}
+
     @Override
     public void relaysListed(RelaysListed listed) {}
 
