Bound the memory of incomplete requests, and give up stalled ones

Callers that are not under our control ended a gateway with requests of legal size: a head of 16,000 bytes in short lines takes 25 to 60 times as much heap, and only bodies were counted.

Heads take memory before they are decoded, and until the response is sent. When the memory of heads or bodies is used up, incomplete requests that make no progress are given up, the oldest first. Connections beyond caller_connections (2,000) close the one that has been idle for longest. Requests are closed past Vert.x, which would wait for their ends.

--- a/base/src/main/java/org/skylarkbend/base/ByteBudget.java
+++ b/base/src/main/java/org/skylarkbend/base/ByteBudget.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
+import java.util.function.LongConsumer;
 
 /**
  * Account of the bytes that a task holds over all its requests, connections and peers, with a
@@ -22,6 +23,8 @@
     private final Counter mUsed;
     private final Counter mRefused;
     private Runnable mOnRelease = () -> {};
+    private LongConsumer mReclaim = bytes -> {};
+    private boolean mReclaiming;
     private long mUsedBytes;
     private boolean mFull;
 
@@ -44,8 +47,17 @@
         mOnRelease = handler;
     }
 
+    /**
+     * Sets what is asked to release a number of bytes when they are missing. It may release fewer
+     * or none.
+     */
+    public void onFull(LongConsumer reclaim) {
+        mReclaim = reclaim;
+    }
+
     /** Takes bytes if the limit allows it, and returns whether it does. */
     public boolean tryTake(long bytes) {
+        reclaimMissing(bytes);
         if (mUsedBytes + bytes > mLimitBytes) {
             mRefused.inc(bytes);
             reportFull(bytes);
@@ -77,6 +89,18 @@
         return mLimitBytes;
     }
 
+    private void reclaimMissing(long wantedBytes) {
+        long missingBytes = mUsedBytes + wantedBytes - mLimitBytes;
+        if (missingBytes > 0 && !mReclaiming && wantedBytes <= mLimitBytes) {
+            mReclaiming = true;
+            try {
+                mReclaim.accept(missingBytes);
+            } finally {
+                mReclaiming = false;
+            }
+        }
+    }
+
     private void reportFull(long wantedBytes) {
         if (!mFull) {
             mFull = true;
--- a/control/src/main/java/org/skylarkbend/control/site/SiteControlParts.java
+++ b/control/src/main/java/org/skylarkbend/control/site/SiteControlParts.java
@@ -16,8 +16,7 @@
  *
  * @param vertx the Vert.x instance that runs the tasks
  * @param self the address of this VM, which is also its name
- * @param dataCentres the data centres of the site; empty if they are not known
- * @param seeds the addresses of some control VMs
+ * @param site what the settings say about the site
  * @param bootstrapsLog true if the seeds bootstrap a new log together if none of them has one
  * @param ports the listen ports, the same on all control VMs
  * @param dataFolder the folder on persistent storage
@@ -33,8 +32,7 @@
 public record SiteControlParts(
         Vertx vertx,
         ObjectName self,
-        Set<String> dataCentres,
-        Set<ObjectName> seeds,
+        Site site,
         boolean bootstrapsLog,
         Ports ports,
         Path dataFolder,
@@ -93,9 +91,22 @@
     public record EngineOrderOptions(
             long takeoverMilliseconds, long oldWeightsMilliseconds, boolean enginesCheckFencing) {}
 
-    /** Copies the sets. */
-    public SiteControlParts {
-        dataCentres = Set.copyOf(dataCentres);
-        seeds = Set.copyOf(seeds);
+    /**
+     * What the settings say about the site.
+     *
+     * @param seeds the addresses of some control VMs
+     * @param dataCentres the data centres; empty if they are not known
+     */
+    public record Site(Set<ObjectName> seeds, Set<String> dataCentres) {
+        /** Copies the sets. */
+        public Site {
+            seeds = Set.copyOf(seeds);
+            dataCentres = Set.copyOf(dataCentres);
+        }
+    }
+
+    /** Returns the addresses of some control VMs. */
+    Set<ObjectName> seeds() {
+        return site.seeds();
     }
 }
--- a/control/src/main/java/org/skylarkbend/control/site/SiteControlProcess.java
+++ b/control/src/main/java/org/skylarkbend/control/site/SiteControlProcess.java
@@ -112,7 +112,8 @@
     public SiteControlProcess(SiteControlParts parts) {
         mParts = parts;
         MillisecondClock wall = MillisecondClock.wall();
-        mOperators = new SiteOperatorService(mLog, parts.reader(), wall, parts.dataCentres());
+        mOperators =
+                new SiteOperatorService(mLog, parts.reader(), wall, parts.site().dataCentres());
         mLimits =
                 new LimitOwnerTask(
                         mLog,
--- a/control/src/test/java/org/skylarkbend/control/site/SiteControlProcessTest.java
+++ b/control/src/test/java/org/skylarkbend/control/site/SiteControlProcessTest.java
@@ -240,8 +240,7 @@
         return new SiteControlParts(
                 mVertx,
                 vm,
-                Set.of("nord", "sud"),
-                SEEDS,
+                new SiteControlParts.Site(SEEDS, Set.of("nord", "sud")),
                 bootstrapsLog,
                 mPorts,
                 mFolder.resolve(vm.value()),
--- a/gateway/src/main/java/org/skylarkbend/gateway/GatewayProcess.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/GatewayProcess.java
@@ -34,6 +34,12 @@
      */
     private static final int HEAP_PARTS_OF_BODIES = 3;
 
+    /**
+     * The heads of requests may take this part of the heap. A head of 16 KiB takes up to 850 KB if
+     * its lines are short, and the usual one 10 KB.
+     */
+    private static final int HEAP_PARTS_OF_HEADS = 8;
+
     private final Vertx mVertx;
     private final GatewaySettings mSettings;
     private final GatewayTask mGateway;
@@ -60,6 +66,10 @@
         mGateway =
                 new GatewayTask(
                         settings,
+                        new ByteBudget(
+                                "gateway_heads",
+                                Runtime.getRuntime().maxMemory() / HEAP_PARTS_OF_HEADS,
+                                metrics),
                         new ByteBudget(
                                 "gateway_held",
                                 Runtime.getRuntime().maxMemory() / HEAP_PARTS_OF_BODIES,
--- a/gateway/src/main/java/org/skylarkbend/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/GatewaySettings.java
@@ -43,12 +43,14 @@
      * @param limitSlack amount by which customers may exceed their rate limits
      * @param oldWeightsGraceMilliseconds time for which new calls may still use old weights after
      *     newer ones were announced
+     * @param callerConnections number of connections of callers beyond which idle ones are closed
      */
     public record Budgets(
             double retriesPerCall,
             double retryBudgetCapacity,
             SiteLimits.Slack limitSlack,
-            long oldWeightsGraceMilliseconds) {}
+            long oldWeightsGraceMilliseconds,
+            int callerConnections) {}
 
     /** Address to listen on. */
     public record ListenAddress(String host, int port) {}
--- a/gateway/src/main/java/org/skylarkbend/gateway/front/BodyIntake.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/front/BodyIntake.java
@@ -15,6 +15,7 @@
 import org.skylarkbend.catalog.CallerLimits;
 import org.skylarkbend.gateway.call.CallBoundary;
 import org.skylarkbend.wire.HeldBytes;
+import org.skylarkbend.wire.RefusedBody;
 
 /**
  * Reads the bodies of requests within the memory for all of them.
@@ -33,11 +34,21 @@
      */
     private static final long MAX_CHECK_MILLISECONDS = 500;
 
+    /** Time without a byte after which a body counts as stalled if memory is needed. */
+    private static final long STALLED_MILLISECONDS = 400;
+
+    /** Age from which a body also counts as stalled if little of it has arrived. */
+    private static final long SLOW_MILLISECONDS = 1_000;
+
+    /** A body that arrives more slowly takes a minute and more for the usual maximum size. */
+    private static final long MIN_BYTES_PER_MILLISECOND = 64;
+
     /** Bodies up to this size are read before larger ones that wait. */
     private static final long SMALL_BYTES = 64 * 1024;
 
     private final Vertx mVertx;
     private final ByteBudget mBudget;
+    private final CallerMemory mMemory;
     private final MillisecondClock mClock;
     private final Deque<Reading> mWaiting = new ArrayDeque<>();
     private final Set<Reading> mReadings = new HashSet<>();
@@ -56,7 +67,16 @@
         void refused(SkylarkError error);
     }
 
-    BodyIntake(Vertx vertx, ByteBudget budget, MillisecondClock clock) {
+    /**
+     * Creates an intake without requests.
+     *
+     * @param vertx sets the timers
+     * @param budget memory for the bodies
+     * @param memory ends stalled requests if there is no memory left
+     * @param clock monotonic clock
+     */
+    BodyIntake(Vertx vertx, ByteBudget budget, CallerMemory memory, MillisecondClock clock) {
+        mMemory = memory;
         mVertx = vertx;
         mBudget = budget;
         mClock = clock;
@@ -81,6 +101,7 @@
             Listener listener) {
         Reading reading = new Reading(request, limits, untilMilliseconds, listener);
         mReadings.add(reading);
+        mMemory.addBody(reading);
         CallBoundary boundary = new CallBoundary(id, reading::fail);
         request.handler(boundary.around(reading::append)::accept);
         request.endHandler(ignored -> boundary.run(reading::complete));
@@ -127,7 +148,11 @@
                 id -> {
                     if (mWaiting.remove(reading)) {
                         reading.mRequest.resume();
-                        reading.refuse(noRoom());
+                        reading.mArrivedMilliseconds = mClock.nowMilliseconds();
+                        // Requests that filled the memory may have stalled since.
+                        if (!reading.mBody.reserve(length)) {
+                            reading.refuse(noRoom());
+                        }
                     }
                 });
     }
@@ -154,7 +179,7 @@
     }
 
     /** A body that is being read. */
-    private final class Reading {
+    private final class Reading implements CallerMemory.Holder {
         private final HttpServerRequest mRequest;
         private final CallerLimits mLimits;
         private final int mMaxBodyBytes;
@@ -163,6 +188,8 @@
         private final HeldBytes mBody = new HeldBytes(mBudget);
         private long mNeededBytes;
         private long mIdleMilliseconds;
+        private final long mBeganMilliseconds = mClock.nowMilliseconds();
+        private long mArrivedMilliseconds = mBeganMilliseconds;
         private boolean mHasArrived = true;
         private boolean mSeemsLate;
         private boolean mEnded;
@@ -194,8 +221,25 @@
             return seemedLate && mSeemsLate;
         }
 
+        @Override
+        public boolean isStalled(long nowMilliseconds) {
+            long ageMilliseconds = nowMilliseconds - mBeganMilliseconds;
+            boolean isSlow =
+                    ageMilliseconds >= SLOW_MILLISECONDS
+                            && mBody.lengthBytes() < ageMilliseconds * MIN_BYTES_PER_MILLISECOND;
+            return !mWaiting.contains(this)
+                    && (isSlow || nowMilliseconds - mArrivedMilliseconds >= STALLED_MILLISECONDS);
+        }
+
+        @Override
+        public void giveUp() {
+            stop();
+            RefusedBody.abort(mRequest.connection());
+        }
+
         void append(Buffer chunk) {
             mHasArrived = true;
+            mArrivedMilliseconds = mClock.nowMilliseconds();
             if (mEnded) {
                 return;
             }
@@ -241,6 +285,7 @@
             boolean isFirst = !mEnded;
             mEnded = true;
             mReadings.remove(this);
+            mMemory.removeBody(this);
             mWaiting.remove(this);
             return isFirst;
         }
--- a/gateway/src/main/java/org/skylarkbend/gateway/front/CallerConnections.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/front/CallerConnections.java
@@ -1,45 +1,130 @@
 package org.skylarkbend.gateway.front;
 
 import io.vertx.core.http.HttpConnection;
-import java.util.HashMap;
+import io.vertx.core.http.HttpServerRequest;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.function.LongSupplier;
+import org.skylarkbend.base.StructuredLog;
+import org.skylarkbend.wire.RefusedBody;
+import org.skylarkbend.wire.RequestDecoder;
 
-/** Tracks the open connections of callers and the number of requests in progress on each. */
+/**
+ * Tracks the open connections of callers and the requests in progress on each, with the memory of
+ * their heads. Confined to the task that serves the calls.
+ */
 final class CallerConnections {
-    private final Map<HttpConnection, Integer> mRequests = new HashMap<>();
+    private static final StructuredLog LOG = StructuredLog.of(CallerConnections.class);
 
-    /** Adds a new connection. */
-    void opened(HttpConnection connection) {
-        mRequests.put(connection, 0);
-        connection.closeHandler(ignored -> mRequests.remove(connection));
+    private final CallerMemory mMemory;
+    private final int mMaxConnections;
+
+    /**
+     * Bytes of the heads of the requests in progress on each connection, in their order.
+     * Connections that were used last come last.
+     */
+    private final Map<HttpConnection, Deque<Long>> mHeadBytes = new LinkedHashMap<>();
+
+    CallerConnections(CallerMemory memory, int maxConnections) {
+        mMemory = memory;
+        mMaxConnections = maxConnections;
+    }
+
+    /**
+     * Adds a new connection. If there are too many, the one that has been idle for the longest time
+     * is closed.
+     *
+     * @param connection the connection
+     * @param headMilliseconds returns the time in which a head must be complete
+     * @return the limits on the connection
+     */
+    RequestDecoder.Limits opened(HttpConnection connection, LongSupplier headMilliseconds) {
+        if (mHeadBytes.size() >= mMaxConnections) {
+            closeLongestIdle();
+        }
+        mHeadBytes.put(connection, new ArrayDeque<>());
+        connection.closeHandler(ignored -> closed(connection));
+        return new RequestDecoder.Limits(
+                headMilliseconds,
+                () -> CallerServer.IDLE_TIMEOUT_MILLISECONDS,
+                () -> isServing(connection),
+                mMemory.newHead());
+    }
+
+    private void closeLongestIdle() {
+        Optional<HttpConnection> idle =
+                mHeadBytes.entrySet().stream()
+                        .filter(entry -> entry.getValue().isEmpty())
+                        .map(Map.Entry::getKey)
+                        .findFirst();
+        idle.ifPresent(
+                connection -> {
+                    LOG.info("caller.idle.closed", "connections", mHeadBytes.size());
+                    connection.close();
+                });
     }
 
-    /** Records the start of a request. */
-    void begun(HttpConnection connection) {
-        mRequests.computeIfPresent(connection, (key, requests) -> requests + 1);
+    private void closed(HttpConnection connection) {
+        Deque<Long> heads = mHeadBytes.remove(connection);
+        if (heads != null) {
+            heads.forEach(mMemory::releaseHead);
+        }
     }
 
-    /** Records the end of a request. */
-    void ended(HttpConnection connection) {
-        mRequests.computeIfPresent(connection, (key, requests) -> Math.max(0, requests - 1));
+    /**
+     * Records the start of a request. Closes its connection and returns false if there is no memory
+     * for its head.
+     */
+    boolean begun(HttpServerRequest request) {
+        HttpConnection connection = request.connection();
+        Deque<Long> heads = mHeadBytes.get(connection);
+        if (heads == null) {
+            return true;
+        }
+        long bytes = CallerMemory.bytesOf(request.headers());
+        boolean hasMemory = mMemory.takeHead(bytes);
+        if (!hasMemory) {
+            LOG.info("request.head.no_memory", "bytes", bytes);
+            RefusedBody.abort(connection);
+            // The connection refers to the request until the loop has read all others.
+            request.headers().clear();
+            return false;
+        }
+        heads.add(bytes);
+        request.response().endHandler(ignored -> ended(connection));
+        return true;
+    }
+
+    private void ended(HttpConnection connection) {
+        Deque<Long> heads = mHeadBytes.remove(connection);
+        if (heads != null) {
+            mHeadBytes.put(connection, heads);
+            if (!heads.isEmpty()) {
+                mMemory.releaseHead(heads.poll());
+            }
+        }
     }
 
     /** Returns whether a request is in progress on the connection. */
     boolean isServing(HttpConnection connection) {
-        return mRequests.getOrDefault(connection, 0) > 0;
+        Deque<Long> heads = mHeadBytes.get(connection);
+        return heads != null && !heads.isEmpty();
     }
 
     /** Returns whether no request is in progress, which includes the sending of its response. */
     boolean areIdle() {
-        return mRequests.values().stream().allMatch(requests -> requests == 0);
+        return mHeadBytes.values().stream().allMatch(Deque::isEmpty);
     }
 
     /** Closes all connections without a request in progress. */
     void closeIdle() {
-        for (Map.Entry<HttpConnection, Integer> entry : List.copyOf(mRequests.entrySet())) {
-            if (entry.getValue() == 0) {
-                entry.getKey().close();
+        for (HttpConnection connection : List.copyOf(mHeadBytes.keySet())) {
+            if (!isServing(connection)) {
+                connection.close();
             }
         }
     }
--- a/gateway/src/main/java/org/skylarkbend/gateway/front/GatewayTask.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/front/GatewayTask.java
@@ -58,7 +58,7 @@
     private static final long CHECK_INTERVAL_MILLISECONDS = 250;
 
     private final GatewaySettings mSettings;
-    private final ByteBudget mMemory;
+    private final ByteBudget mBodies;
     private final MetricRegistry mMetrics;
     private final MillisecondClock mClock;
     private final EndpointDialer mDialer;
@@ -68,7 +68,8 @@
     private final CallHeadReader mHeadReader;
     private final Admissions mAdmissions;
     private final Set<GuardedCall> mCalls = new HashSet<>();
-    private final CallerConnections mConnections = new CallerConnections();
+    private final CallerMemory mCallerMemory;
+    private final CallerConnections mConnections;
     private final EndpointSelector mSelector;
     private final WorkReport mWorkReport;
     private final OutcomeRecorder mOutcomes;
@@ -89,7 +90,8 @@
      * Creates a task that listens once it is deployed.
      *
      * @param settings addresses, header names and budgets
-     * @param memory memory for the bodies of requests and responses
+     * @param heads memory for the heads of requests
+     * @param bodies memory for the bodies of requests and responses
      * @param metrics registry of the call metrics
      * @param clock monotonic clock
      * @param dialer opens connections of this VM to endpoints
@@ -99,7 +101,8 @@
      */
     public GatewayTask(
             GatewaySettings settings,
-            ByteBudget memory,
+            ByteBudget heads,
+            ByteBudget bodies,
             MetricRegistry metrics,
             MillisecondClock clock,
             EndpointDialer dialer,
@@ -107,13 +110,15 @@
             GatewayReports reports,
             Consumer<Boolean> onReady) {
         mSettings = settings;
-        mMemory = memory;
+        mBodies = bodies;
         mMetrics = metrics;
         mClock = clock;
         mDialer = dialer;
         mReports = reports;
         mLimitOwner = limitOwner;
         mOnReadyChange = onReady;
+        mCallerMemory = new CallerMemory(heads, bodies, clock);
+        mConnections = new CallerConnections(mCallerMemory, settings.budgets().callerConnections());
         mHeadReader = new CallHeadReader(settings.headers());
         mAdmissions =
                 new Admissions(mHeadReader, () -> mDrain.filter(Drain::isRefusing).isPresent());
@@ -137,7 +142,7 @@
                         this::wakeGateAt,
                         new SuspensionDetector(MillisecondClock.wall(), now())
                                 ::suspendedMilliseconds);
-        mIntake = new BodyIntake(vertx, mMemory, mClock);
+        mIntake = new BodyIntake(vertx, mBodies, mCallerMemory, mClock);
         mEndpoints = endpointAccess();
         mResources =
                 new CallResources(
@@ -152,7 +157,7 @@
                         mOutcomes,
                         mCrashes,
                         mEndpoints.probes(),
-                        new ResponseMemory(mMemory),
+                        new ResponseMemory(mBodies),
                         mMetrics,
                         mClock);
         vertx.setPeriodic(CHECK_INTERVAL_MILLISECONDS, id -> check());
@@ -241,11 +246,7 @@
 
     @Override
     public void evacuationsChanged(Set<String> dataCentres) {
-        mContext.runOnContext(
-                ignored -> {
-                    LOG.info("evacuations.in_force", "data_centres", dataCentres);
-                    mSelector.evacuated(dataCentres, now());
-                });
+        mContext.runOnContext(ignored -> mSelector.evacuated(dataCentres, now()));
     }
 
     @Override
@@ -371,11 +372,8 @@
 
     /** Returns the limits on a connection that a caller has opened. */
     private RequestDecoder.Limits connected(HttpConnection connection) {
-        mConnections.opened(connection);
-        return new RequestDecoder.Limits(
-                () -> mAdmissions.callerLimits().headerMilliseconds(),
-                () -> CallerServer.IDLE_TIMEOUT_MILLISECONDS,
-                () -> mConnections.isServing(connection));
+        return mConnections.opened(
+                connection, () -> mAdmissions.callerLimits().headerMilliseconds());
     }
 
     private void receive(HttpServerRequest request) {
@@ -385,8 +383,9 @@
 
     private void readBody(HttpServerRequest request) {
         long arrivedMilliseconds = now();
-        mConnections.begun(request.connection());
-        request.response().endHandler(ignored -> mConnections.ended(request.connection()));
+        if (!mConnections.begun(request)) {
+            return;
+        }
         Admissions.Decision decision = mAdmissions.decide(request);
         mIntake.read(
                 id(request),
--- a/gateway/src/test/java/org/skylarkbend/gateway/front/BodyIntakeTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/front/BodyIntakeTest.java
@@ -44,11 +44,10 @@
     @Test
     public void aBodyWhoseListenerThrowsIsRefusedAndReleased() throws Exception {
         int port = LoopbackPorts.next();
+        ByteBudget memory = new ByteBudget(BUDGET, MEMORY_BYTES, mMetrics);
+        MillisecondClock clock = MillisecondClock.monotonic();
         BodyIntake intake =
-                new BodyIntake(
-                        mVertx,
-                        new ByteBudget(BUDGET, MEMORY_BYTES, mMetrics),
-                        MillisecondClock.monotonic());
+                new BodyIntake(mVertx, memory, new CallerMemory(memory, memory, clock), clock);
         int status =
                 mVertx.createHttpServer()
                         .requestHandler(request -> read(intake, request))
--- a/gateway/src/test/java/org/skylarkbend/gateway/front/GatewayFixture.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/front/GatewayFixture.java
@@ -94,10 +94,11 @@
                         1,
                         FakeEndpoint.NAMES,
                         new GatewaySettings.Budgets(
-                                1, retryBudgetCapacity(), SiteLimits.Slack.none(), 60_000),
+                                1, retryBudgetCapacity(), SiteLimits.Slack.none(), 60_000, 2_000),
                         5_000);
         return new GatewayTask(
                 settings,
+                new ByteBudget("gateway_heads", 16 * 1024 * 1024, metrics),
                 new ByteBudget("gateway_held", memoryBytes(), metrics),
                 metrics,
                 clock(),
--- a/wire/src/main/java/org/skylarkbend/wire/RefusedBody.java
+++ b/wire/src/main/java/org/skylarkbend/wire/RefusedBody.java
@@ -45,6 +45,14 @@
         }
     }
 
+    /**
+     * Closes a connection without a response, so that the memory of its requests is free at once.
+     * Vert.x itself would wait for the end of the request.
+     */
+    public static void abort(HttpConnection connection) {
+        channel(connection).close();
+    }
+
     /**
      * Returns a handler of requests that leaves out those on a connection which is about to be
      * closed: a response to them could be cut.
--- a/wire/src/main/java/org/skylarkbend/wire/RequestDecoder.java
+++ b/wire/src/main/java/org/skylarkbend/wire/RequestDecoder.java
@@ -64,6 +64,8 @@
     private boolean mReadingBody;
     private boolean mInvalid;
     private long mIgnoredBytes;
+    private long mHeadBytes;
+    private int mUndecodedBytes;
 
     /**
      * Limits on a connection.
@@ -73,17 +75,55 @@
      *     responses that wait for it
      * @param isServing returns whether a response is still to be sent; as the rest of the next head
      *     may not be read meanwhile, its time begins anew
+     * @param memory memory for heads that are incomplete
      */
     public record Limits(
             LongSupplier headMilliseconds,
             LongSupplier unreadMilliseconds,
-            BooleanSupplier isServing) {
+            BooleanSupplier isServing,
+            HeadMemory memory) {
+        /** Creates limits without one on the memory of heads. */
+        public Limits(
+                LongSupplier headMilliseconds,
+                LongSupplier unreadMilliseconds,
+                BooleanSupplier isServing) {
+            this(headMilliseconds, unreadMilliseconds, isServing, HeadMemory.unlimited());
+        }
+
         /** Returns limits that end a connection on which no response was sent for some time. */
         public static Limits ofIdleMilliseconds(long idleMilliseconds) {
             return new Limits(() -> idleMilliseconds, () -> idleMilliseconds, () -> false);
         }
     }
 
+    /** Memory for the incomplete head on a connection. */
+    public interface HeadMemory {
+        /**
+         * Takes memory for a head of which so many bytes have arrived. Returns false if there is
+         * none, after which the connection is closed.
+         *
+         * @param bytes size of the part that has arrived
+         * @param close closes the connection, to free its memory
+         */
+        boolean hold(long bytes, Runnable close);
+
+        /** Releases the memory, because the head is complete or its connection is closed. */
+        void release();
+
+        /** Returns an account without a limit. */
+        static HeadMemory unlimited() {
+            return new HeadMemory() {
+                @Override
+                public boolean hold(long bytes, Runnable close) {
+                    return true;
+                }
+
+                @Override
+                public void release() {}
+            };
+        }
+    }
+
     /** Creates a decoder for one connection of a server with these options. */
     RequestDecoder(HttpServerOptions options, Limits limits) {
         super(options);
@@ -138,9 +178,15 @@
         }
         if (isBetweenRequests && received.isReadable()) {
             startHeadTimer(context);
+            mHeadBytes = 0;
+            mUndecodedBytes = 0;
+        }
+        if (!mReadingBody && !hasMemoryForHead(context, received)) {
+            return;
         }
         int earlier = decoded.size();
         super.decode(context, received, decoded);
+        mUndecodedBytes = received.readableBytes();
         for (Object part : decoded.subList(earlier, decoded.size())) {
             if (((HttpObject) part).decoderResult().isFailure()) {
                 mInvalid = true;
@@ -155,6 +201,22 @@
         }
     }
 
+    /**
+     * Takes memory for what has arrived of a head before it is decoded: connections that are closed
+     * afterwards keep what was decoded until the loop has read all others.
+     */
+    private boolean hasMemoryForHead(ChannelHandlerContext context, ByteBuf received) {
+        mHeadBytes += Math.max(0, received.readableBytes() - mUndecodedBytes);
+        if (mHeadTimer == null || mLimits.memory().hold(mHeadBytes, context::close)) {
+            return true;
+        }
+        LOG.info("request.head.no_memory", "peer", context.channel().remoteAddress());
+        mInvalid = true;
+        received.skipBytes(received.readableBytes());
+        context.close();
+        return false;
+    }
+
     /** Discards bytes behind an invalid request; beyond the limit they are left to the socket. */
     private void ignore(ChannelHandlerContext context, ByteBuf received) {
         mIgnoredBytes += received.readableBytes();
@@ -255,6 +317,7 @@
         if (mHeadTimer != null) {
             mHeadTimer.cancel(false);
             mHeadTimer = null;
+            mLimits.memory().release();
         }
     }
 
