Spread calls of many gateways, and learn the speed of engines

Responses of endpoints that share their machines have a fourth figure in the load header, the time of work; such a header was taken for malformed, so no load was known. For services that report it:

- a prompt goes to its home or to the cheaper one of two engines drawn at random, since gateways that know of each other's calls late all took the same cheapest one (SampledChoiceTest);
- the time to the first event is learned from responses instead of 30 tokens a millisecond for all engines, and decides what counts as late (FirstEventEstimateTest; gateway_estimate_error_milliseconds);
- a call pays for leaving its data centre what the way costs by the times of new connections (CrossingTimesTest).

Other services are served as before. The decisions stand in placement.pool, without network and clock.

--- a/gateway/src/main/java/org/skylarkbend/gateway/call/CallResources.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/CallResources.java
@@ -53,6 +53,16 @@
                         service, call.prompt().get(), call.cacheScope(), prior, nowMilliseconds);
     }
 
+    /** Records the time from the start of an attempt to its first event, which was estimated. */
+    void recordEstimate(EngineChoice choice, long milliseconds) {
+        if (choice.firstEventMilliseconds().isPresent()) {
+            long errorMilliseconds =
+                    Math.abs(milliseconds - choice.firstEventMilliseconds().getAsLong());
+            metrics.histogram("gateway_estimate_error_milliseconds").update(errorMilliseconds);
+            selector.sharedMachines().firstEvent(choice, milliseconds);
+        }
+    }
+
     /** Records the time from the arrival of a call to its first event. */
     void recordFirstEvent(long milliseconds) {
         metrics.histogram("gateway_first_event_milliseconds").update(milliseconds);
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/EndpointReports.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/EndpointReports.java
@@ -4,6 +4,7 @@
 import org.skylarkbend.base.ErrorKind;
 import org.skylarkbend.catalog.Endpoint;
 import org.skylarkbend.exchange.ResponseStart;
+import org.skylarkbend.gateway.endpoints.ReportedLoad;
 import org.skylarkbend.quarantine.SuspectCall;
 
 /**
@@ -53,12 +54,8 @@
 
     /** Records the load that an endpoint names in the headers of a response. */
     void loadReceived(Endpoint endpoint, ResponseStart head) {
-        LoadHeader.parse(head.header(mResources.names().load()))
-                .ifPresent(
-                        load ->
-                                mResources
-                                        .selector()
-                                        .reported(endpoint, load.running(), load.waiting(), now()));
+        ReportedLoad.parse(head.header(mResources.names().load()))
+                .ifPresent(load -> mResources.selector().reported(endpoint, load, now()));
     }
 
     /**
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/GatewayCall.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/GatewayCall.java
@@ -212,6 +212,7 @@
 
     @Override
     public boolean isStillWanted(Attempt attempt) {
+        mRuns.of(attempt).ifPresent(mRuns::connected);
         return mResources.selector().acceptsCalls(attempt.endpoint(), now())
                 && !isQuarantined()
                 && mRuns.of(attempt).filter(mHandOver::maySend).isPresent();
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/Runs.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/Runs.java
@@ -98,11 +98,22 @@
 
     /** Records that events for the caller have arrived. */
     void eventsArrived(Run run) {
+        if (!mHasEvents) {
+            mResources.recordEstimate(run.choice(), run.firstEventMilliseconds(now()));
+        }
         mHasEvents = true;
         run.eventsArrived(now());
         promptRead(run);
     }
 
+    /** Records that there is a connection for the request of a run. */
+    void connected(Run run) {
+        mResources
+                .selector()
+                .sharedMachines()
+                .connected(run.endpoint().zone(), run.firstEventMilliseconds(now()));
+    }
+
     /** Records an attempt that ended without a usable response, and removes its run. */
     void failed(Run run, AttemptOutcome outcome, String cause) {
         boolean isWaiting = isWaiting(run);
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/Urgency.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/Urgency.java
@@ -43,9 +43,17 @@
         return new Urgency(Math.max(minLevel, Math.min(LEAST_URGENT_LEVEL, basePriority)));
     }
 
+    /**
+     * Returns whether the call will miss its target. Where the speed of the engine is not learned,
+     * that is judged by the prompts ahead of the call alone.
+     */
     private static boolean isLate(CallRequest call, EngineChoice choice) {
+        long targetMilliseconds = call.route().targetMilliseconds();
+        if (choice.firstEventMilliseconds().isPresent()) {
+            return choice.firstEventMilliseconds().getAsLong() > targetMilliseconds;
+        }
         long maxTokensAhead =
-                call.route().targetMilliseconds()
+                targetMilliseconds
                         * PROMPT_TOKENS_PER_MILLISECOND
                         * QUEUE_SHARE_NUMERATOR
                         / QUEUE_SHARE_DENOMINATOR;
--- a/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EndpointLoad.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EndpointLoad.java
@@ -11,6 +11,10 @@
     /** Time for which the work of other gateways is valid. It is sent several times a second. */
     private static final long OTHER_WORK_VALID_MILLISECONDS = 1_500;
 
+    /** Time for which a reported time of work is valid. It changes many times per second. */
+    private static final long WORK_TIME_VALID_MILLISECONDS = 300;
+
+    private static final int USUAL_PERCENT = 100;
     private static final long MIN_BACKOFF_MILLISECONDS = 250;
     private static final long MAX_BACKOFF_MILLISECONDS = 4_000;
     private static final int MAX_DOUBLINGS = 4;
@@ -23,6 +27,7 @@
     private long mOtherWorkMilliseconds = Long.MIN_VALUE / 2;
     private int mOtherRunningCalls;
     private int mWaitingCalls;
+    private int mWorkTimePercent = USUAL_PERCENT;
     private long mReportedMilliseconds = Long.MIN_VALUE / 2;
     private int mFailures;
     private boolean mRefusing;
@@ -65,12 +70,22 @@
         mCalls--;
     }
 
-    void loadReported(int running, int waiting, long nowMilliseconds) {
-        mOtherRunningCalls = Math.max(0, running - mCalls);
-        mWaitingCalls = waiting;
+    void loadReported(ReportedLoad load, long nowMilliseconds) {
+        mOtherRunningCalls = Math.max(0, load.running() - mCalls);
+        mWaitingCalls = load.waiting();
+        mWorkTimePercent = load.workTimePercent().orElse(USUAL_PERCENT);
         mReportedMilliseconds = nowMilliseconds;
     }
 
+    /**
+     * Returns the factor by which work takes longer on the endpoint's machine than usual, as far as
+     * that is known at the moment.
+     */
+    double workTime(long nowMilliseconds) {
+        boolean isKnown = nowMilliseconds - mReportedMilliseconds < WORK_TIME_VALID_MILLISECONDS;
+        return isKnown ? Math.max(1, (double) mWorkTimePercent / USUAL_PERCENT) : 1;
+    }
+
     /** Records that the endpoint sent data or accepted a connection. */
     void responded(long nowMilliseconds) {
         mLastActivityMilliseconds = nowMilliseconds;
--- a/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EndpointSelector.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EndpointSelector.java
@@ -9,6 +9,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.DoubleSupplier;
+import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
 import org.skylarkbend.base.StructuredLog;
 import org.skylarkbend.catalog.Endpoint;
@@ -16,6 +17,7 @@
 import org.skylarkbend.catalog.Endpoints;
 import org.skylarkbend.catalog.VersionSplit;
 import org.skylarkbend.gateway.endpoints.PromptHomes.Home;
+import org.skylarkbend.placement.pool.SampledChoice;
 
 /**
  * Tracks the endpoints of all services and selects one for each call.
@@ -28,27 +30,12 @@
 public final class EndpointSelector {
     private static final StructuredLog LOG = StructuredLog.of(EndpointSelector.class);
 
-    /** Assumed fraction of the shared tokens that the home engine of a prompt has to process. */
-    private static final double HOME_MISS_RATIO = 0.15;
-
-    /**
-     * Cost per shared token on another engine. It is above 1 because the prompt also takes cache
-     * space and time from the prompts whose home is there.
-     */
-    private static final double OTHER_ENGINE_COST_FACTOR = 2;
-
     /**
      * Minimum number of shared tokens for a fetch from a cache. Fewer are processed as fast as they
      * are fetched.
      */
     private static final long MIN_SHARED_TOKENS = 1_000;
 
-    /** Cost of a waiting call, in prompt tokens. */
-    private static final double WAITING_CALL_COST_TOKENS = 1_500;
-
-    /** Cost of a running call, in prompt tokens, because it slows the processing of prompts. */
-    private static final double RUNNING_CALL_COST_TOKENS = 60;
-
     /**
      * Time without data after which a busy endpoint is probed. A busy engine sends data every 50
      * ms, and processes the largest prompts within a second.
@@ -73,6 +60,9 @@
     private final Set<EndpointLoad> mActive = new LinkedHashSet<>();
 
     private final WeightsLoadOrders mWeightsLoadOrders;
+    private final SharedMachines mShared;
+    private final PromptCost mPromptCost;
+    private final SampledChoice mSampledChoice;
     private final BrittleServices mBrittle;
     private final ColdEndpoints mCold;
     private Set<String> mEvacuated = Set.of();
@@ -88,11 +78,16 @@
      * @param random source of random numbers from 0 (inclusive) to 1 (exclusive), for ties
      * @param oldWeightsGraceMilliseconds time for which new calls may still use old weights after
      *     newer ones were announced
+     * @param dataCentre data centre of the gateway
      */
-    public EndpointSelector(DoubleSupplier random, long oldWeightsGraceMilliseconds) {
+    public EndpointSelector(
+            DoubleSupplier random, long oldWeightsGraceMilliseconds, String dataCentre) {
         mRandom = random;
         mWeightsCost = new WeightsCost(oldWeightsGraceMilliseconds);
         mWeightsLoadOrders = new WeightsLoadOrders(mWeightsCost);
+        mShared = new SharedMachines(dataCentre);
+        mPromptCost = new PromptCost(mWeightsCost, mShared);
+        mSampledChoice = new SampledChoice(random);
         mBrittle = new BrittleServices(random);
         mCold = new ColdEndpoints(random);
     }
@@ -195,24 +190,44 @@
         Map<EndpointLoad, Integer> weightsLoadOrder =
                 mWeightsLoadOrders.of(
                         service, mByService.getOrDefault(service, List.of()), prompt.model());
-        return cheapest(
-                        candidates,
-                        priorAttempts,
-                        load -> {
-                            if (!PromptHomes.serves(load, prompt.model())) {
-                                return Double.POSITIVE_INFINITY;
-                            }
-                            boolean isHome = isHome(load, home);
-                            double costFactor = isHome ? HOME_MISS_RATIO : OTHER_ENGINE_COST_FACTOR;
-                            return costFactor * prompt.sharedTokens()
-                                    + load.promptTokens(nowMilliseconds)
-                                    + load.waiting(nowMilliseconds) * WAITING_CALL_COST_TOKENS
-                                    + load.calls(nowMilliseconds) * RUNNING_CALL_COST_TOKENS
-                                    + mWeightsCost.cost(
-                                            load, weightsLoadOrder, prompt, nowMilliseconds)
-                                    + lastResortCost(load, nowMilliseconds);
-                        })
-                .map(load -> toChoice(load, candidates, prompt, home, nowMilliseconds));
+        ToDoubleFunction<EndpointLoad> cost =
+                load ->
+                        mPromptCost.of(
+                                        load,
+                                        prompt,
+                                        isHome(load, home),
+                                        weightsLoadOrder,
+                                        nowMilliseconds)
+                                + lastResortCost(load, nowMilliseconds);
+        Optional<EndpointLoad> chosen =
+                mShared.contains(service)
+                        ? sampled(candidates, priorAttempts, load -> isHome(load, home), cost)
+                        : cheapest(candidates, priorAttempts, cost);
+        return chosen.map(load -> toChoice(load, candidates, prompt, home, nowMilliseconds));
+    }
+
+    /**
+     * Chooses the home of a prompt or one of some engines drawn at random, so that gateways which
+     * know of each other's calls late do not all take the same one.
+     */
+    private Optional<EndpointLoad> sampled(
+            List<EndpointLoad> candidates,
+            PriorAttempts priorAttempts,
+            Predicate<EndpointLoad> isHome,
+            ToDoubleFunction<EndpointLoad> cost) {
+        List<EndpointLoad> untried =
+                candidates.stream()
+                        .filter(load -> !priorAttempts.incarnations().contains(load.incarnation()))
+                        .toList();
+        return mSampledChoice.of(
+                untried,
+                isHome,
+                load -> cost.applyAsDouble(load) + refusalCost(load, priorAttempts),
+                PromptCost.FULL_COST);
+    }
+
+    private static double refusalCost(EndpointLoad load, PriorAttempts priorAttempts) {
+        return priorAttempts.isLast() && load.isRefusing() ? LAST_RESORT_COST : 0;
     }
 
     private static boolean isHome(EndpointLoad load, Optional<Home> home) {
@@ -282,6 +297,7 @@
     public void evacuated(Set<String> dataCentres, long nowMilliseconds) {
         Set<String> before = mEvacuated;
         mEvacuated = Set.copyOf(dataCentres);
+        LOG.info("evacuations.in_force", "data_centres", mEvacuated);
         for (EndpointLoad load : mLoads.values()) {
             String dataCentre = load.endpoint().zone();
             if (before.contains(dataCentre) && !mEvacuated.contains(dataCentre)) {
@@ -380,8 +396,16 @@
     }
 
     /** Records the load that an endpoint reported. */
-    public void reported(Endpoint endpoint, int running, int waiting, long nowMilliseconds) {
-        loadOf(endpoint).ifPresent(load -> load.loadReported(running, waiting, nowMilliseconds));
+    public void reported(Endpoint endpoint, ReportedLoad load, long nowMilliseconds) {
+        loadOf(endpoint).ifPresent(known -> known.loadReported(load, nowMilliseconds));
+        if (load.workTimePercent().isPresent()) {
+            mShared.reported(endpoint.service());
+        }
+    }
+
+    /** Returns what was learned about services whose endpoints share their machines. */
+    public SharedMachines sharedMachines() {
+        return mShared;
     }
 
     private boolean acceptsCalls(EndpointLoad load, long nowMilliseconds) {
@@ -415,7 +439,7 @@
                 continue;
             }
             double loadCost = cost.applyAsDouble(load);
-            loadCost += priorAttempts.isLast() && load.isRefusing() ? LAST_RESORT_COST : 0;
+            loadCost += refusalCost(load, priorAttempts);
             ties = loadCost == bestCost ? ties + 1 : 1;
             if (loadCost < bestCost || loadCost == bestCost && mRandom.getAsDouble() * ties < 1) {
                 best = loadCost < Double.POSITIVE_INFINITY ? load : best;
@@ -448,16 +472,18 @@
                 isTooSmallToFetch || store.isPresent()
                         ? store
                         : mHomes.sourceOf(load, candidates, version, prompt, home);
-        double missRatio = isHome(load, home) ? HOME_MISS_RATIO : 1;
-        long ownTokens = prompt.promptTokens() - prompt.sharedTokens();
+        long tokensToRead = PromptCost.tokensToRead(prompt, isHome(load, home));
+        long tokensAhead = load.promptTokens(nowMilliseconds);
         return new EngineChoice(
                 endpoint,
                 OptionalLong.of(version),
                 source,
                 store,
-                ownTokens + (long) (missRatio * prompt.sharedTokens()),
-                load.promptTokens(nowMilliseconds),
-                isHome(load, home));
+                tokensToRead,
+                tokensAhead,
+                isHome(load, home),
+                mShared.firstEventMilliseconds(
+                        endpoint.service(), tokensAhead + tokensToRead, endpoint.zone()));
     }
 
     private double lastResortCost(EndpointLoad load, long nowMilliseconds) {
--- a/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EngineChoice.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EngineChoice.java
@@ -16,6 +16,8 @@
  * @param tokensToRead estimated number of prompt tokens that the engine has to process
  * @param tokensAhead number of tokens of other prompts that the engine has to process first
  * @param isHome true if the engine is the home of the prompt's shared parts
+ * @param firstEventMilliseconds expected time until the first event, if the speed of the engine is
+ *     being learned
  */
 public record EngineChoice(
         Endpoint endpoint,
@@ -24,10 +26,18 @@
         Optional<String> store,
         long tokensToRead,
         long tokensAhead,
-        boolean isHome) {
+        boolean isHome,
+        OptionalLong firstEventMilliseconds) {
     /** Returns the choice of an endpoint without cache hints. */
     static EngineChoice plain(Endpoint endpoint) {
         return new EngineChoice(
-                endpoint, OptionalLong.empty(), Optional.empty(), Optional.empty(), 0, 0, false);
+                endpoint,
+                OptionalLong.empty(),
+                Optional.empty(),
+                Optional.empty(),
+                0,
+                0,
+                false,
+                OptionalLong.empty());
     }
 }
--- /dev/null
+++ b/gateway/src/main/java/org/skylarkbend/gateway/endpoints/SharedMachines.java
@@ -0,0 +1,79 @@
+package org.skylarkbend.gateway.endpoints;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.skylarkbend.base.StructuredLog;
+import org.skylarkbend.placement.pool.CrossingTimes;
+import org.skylarkbend.placement.pool.FirstEventEstimate;
+
+/**
+ * What a gateway has learned about services whose endpoints share their machines with others, and
+ * say so in their responses. The speed of such endpoints varies. Confined to one task.
+ */
+public final class SharedMachines {
+    /**
+     * Prompt tokens that an engine is assumed to process in a millisecond until responses show it.
+     */
+    private static final double ASSUMED_TOKENS_PER_MILLISECOND = 30;
+
+    private static final StructuredLog LOG = StructuredLog.of(SharedMachines.class);
+
+    private final Set<String> mServices = new HashSet<>();
+    private final Map<String, FirstEventEstimate> mEstimates = new HashMap<>();
+    private final CrossingTimes mCrossings;
+
+    /** Creates the state of a gateway that knows no such service. */
+    SharedMachines(String dataCentre) {
+        mCrossings = new CrossingTimes(dataCentre);
+    }
+
+    /** Records that an endpoint of a service reported how long work takes on its machine. */
+    void reported(String service) {
+        if (mServices.add(service)) {
+            LOG.info("service.shares_machines", "service", service);
+        }
+    }
+
+    /** Returns whether the endpoints of a service share their machines. */
+    boolean contains(String service) {
+        return mServices.contains(service);
+    }
+
+    /** Records the time from the sending of a prompt until the first event of its response. */
+    public void firstEvent(EngineChoice choice, long milliseconds) {
+        estimateOf(choice.endpoint().service())
+                .observed(choice.tokensAhead() + choice.tokensToRead(), milliseconds);
+    }
+
+    /** Records the time that a new connection to an endpoint took. */
+    public void connected(String dataCentre, long milliseconds) {
+        mCrossings.connected(dataCentre, milliseconds);
+    }
+
+    /** Returns the expected time until the first event, for services with shared machines. */
+    OptionalLong firstEventMilliseconds(String service, long tokens, String dataCentre) {
+        if (!contains(service)) {
+            return OptionalLong.empty();
+        }
+        double milliseconds =
+                estimateOf(service).milliseconds(tokens) + mCrossings.extraMilliseconds(dataCentre);
+        return OptionalLong.of(Math.round(milliseconds));
+    }
+
+    /**
+     * Returns the prompt tokens that an engine processes in the time that a call needs to leave the
+     * data centre of this gateway.
+     */
+    double crossingTokens(String service, String dataCentre) {
+        return mCrossings.extraMilliseconds(dataCentre)
+                * estimateOf(service).tokensPerMillisecond();
+    }
+
+    private FirstEventEstimate estimateOf(String service) {
+        return mEstimates.computeIfAbsent(
+                service, name -> new FirstEventEstimate(ASSUMED_TOKENS_PER_MILLISECOND));
+    }
+}
--- a/gateway/src/main/java/org/skylarkbend/gateway/front/GatewayTask.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/front/GatewayTask.java
@@ -125,7 +125,8 @@
         mSelector =
                 new EndpointSelector(
                         () -> ThreadLocalRandom.current().nextDouble(),
-                        settings.budgets().oldWeightsGraceMilliseconds());
+                        settings.budgets().oldWeightsGraceMilliseconds(),
+                        settings.dataCentre().value());
         mWorkReport = new WorkReport(mSelector, reports.onWork());
         mOutcomes = new OutcomeRecorder(reports.onOutcomes());
         mCrashes = new CrashGuard(reports.onCrashes(), metrics);
--- a/gateway/src/test/java/org/skylarkbend/gateway/call/AttemptTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/call/AttemptTest.java
@@ -87,7 +87,14 @@
 
     private static EngineChoice choice(Endpoint endpoint) {
         return new EngineChoice(
-                endpoint, OptionalLong.empty(), Optional.empty(), Optional.empty(), 0, 0, false);
+                endpoint,
+                OptionalLong.empty(),
+                Optional.empty(),
+                Optional.empty(),
+                0,
+                0,
+                false,
+                OptionalLong.empty());
     }
 
     /** Listener of an attempt that sends nothing. */
--- a/gateway/src/test/java/org/skylarkbend/gateway/call/GatewayCallFuzzTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/call/GatewayCallFuzzTest.java
@@ -5,6 +5,7 @@
 import io.vertx.core.buffer.Buffer;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import org.skylarkbend.gateway.endpoints.ReportedLoad;
 import org.skylarkbend.testing.fuzz.FuzzTarget;
 import org.skylarkbend.testing.fuzz.FuzzTargets;
 import org.skylarkbend.testing.fuzz.SeededFuzzing;
@@ -23,7 +24,7 @@
                 new FuzzTarget(
                         "load-header",
                         texts("1,2,3"),
-                        input -> LoadHeader.parse(text(input)).isPresent()),
+                        input -> ReportedLoad.parse(text(input)).isPresent()),
                 new FuzzTarget(
                         "retry-after-header",
                         texts("1.5", "120"),
--- a/gateway/src/test/java/org/skylarkbend/gateway/call/UrgencyTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/call/UrgencyTest.java
@@ -47,7 +47,8 @@
                 Optional.empty(),
                 500,
                 tokensAhead,
-                false);
+                false,
+                OptionalLong.empty());
     }
 
     private static CallRequest call(OptionalInt priority) {
--- a/gateway/src/test/java/org/skylarkbend/gateway/endpoints/BrittleScheduleTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/endpoints/BrittleScheduleTest.java
@@ -122,7 +122,7 @@
                 mServers.add(new Server(i, site.slots()));
             }
             for (int i = 0; i < site.gateways(); i++) {
-                EndpointSelector gateway = new EndpointSelector(mRandom::nextDouble, 60_000);
+                EndpointSelector gateway = new EndpointSelector(mRandom::nextDouble, 60_000, "z");
                 gateway.replace(
                         new Endpoints(mServers.stream().map(s -> s.mEndpoint).toList(), Set.of()),
                         0);
--- a/gateway/src/test/java/org/skylarkbend/gateway/endpoints/ColdEndpointsTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/endpoints/ColdEndpointsTest.java
@@ -88,7 +88,7 @@
     /** Guards against gateways that believe a list from before an endpoint became cold. */
     @Test
     public void endpointsOfADataCentreWhoseEvacuationIsWithdrawnAreTakenForCold() {
-        EndpointSelector selector = new EndpointSelector(() -> 0.9, 7_000);
+        EndpointSelector selector = new EndpointSelector(() -> 0.9, 7_000, "z");
         selector.coldEndpoints().servicesChanged(SERVICES);
         selector.gatewaysCounted(50);
         selector.replace(new Endpoints(List.of(endpoint("a", 0)), Set.of()), 0);
@@ -106,7 +106,7 @@
     /** Guards against a flood of calls to an endpoint that comes back empty. */
     @Test
     public void anEndpointThatWasUnreachableIsTakenForColdWhenItResponds() {
-        EndpointSelector selector = new EndpointSelector(() -> 0.9, 7_000);
+        EndpointSelector selector = new EndpointSelector(() -> 0.9, 7_000, "z");
         selector.coldEndpoints().servicesChanged(SERVICES);
         selector.gatewaysCounted(50);
         Endpoint endpoint = endpoint("a", 0);
--- a/gateway/src/test/java/org/skylarkbend/gateway/endpoints/EndpointSelectorTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/endpoints/EndpointSelectorTest.java
@@ -271,7 +271,7 @@
     }
 
     private static EndpointSelector selector(Set<String> loading, Endpoint... endpoints) {
-        EndpointSelector selector = new EndpointSelector(() -> 0.5, WEIGHTS_LIFE_MILLISECONDS);
+        EndpointSelector selector = new EndpointSelector(() -> 0.5, WEIGHTS_LIFE_MILLISECONDS, "z");
         selector.replace(new Endpoints(new ArrayList<>(List.of(endpoints)), loading), 0);
         return selector;
     }
--- a/gateway/src/test/java/org/skylarkbend/gateway/endpoints/StoreProbeTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/endpoints/StoreProbeTest.java
@@ -45,7 +45,7 @@
     public void createProbe() throws Exception {
         mVertx = Vertx.vertx();
         mTask = mVertx.getOrCreateContext();
-        mSelector = new EndpointSelector(() -> 0.5, PAUSE_MILLISECONDS);
+        mSelector = new EndpointSelector(() -> 0.5, PAUSE_MILLISECONDS, "z");
         mProbe =
                 new StoreProbe(
                         EndpointDialer.direct(mVertx, 300), mSelector, mNowMilliseconds::get);
