Read connections once more before late requests are sent on

On small machines the event loop of a gateway is held up for a second and more after a final fault.

The end of a connection is read after the request in front of it. While the gateway was held up within the last 2 s, a complete request waits for one more turn of the loop, in which the end is read. HeldUpGatewayTest failed before.

--- a/gateway/src/main/java/org/skylarkbend/gateway/front/BodyIntake.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/front/BodyIntake.java
@@ -43,6 +43,12 @@
     /** A body that arrives more slowly takes a minute and more for the usual maximum size. */
     private static final long MIN_BYTES_PER_MILLISECOND = 64;
 
+    /** Time between two checks after which the gateway counts as held up. */
+    private static final long HELD_UP_MILLISECONDS = 400;
+
+    /** Time for which requests may still be read late after the gateway was held up. */
+    private static final long CATCH_UP_MILLISECONDS = 2_000;
+
     /** Bodies up to this size are read before larger ones that wait. */
     private static final long SMALL_BYTES = 64 * 1024;
 
@@ -53,6 +59,7 @@
     private final Deque<Reading> mWaiting = new ArrayDeque<>();
     private final Set<Reading> mReadings = new HashSet<>();
     private long mCheckedMilliseconds;
+    private long mHeldUpUntilMilliseconds = Long.MIN_VALUE / 2;
 
     /**
      * Receives a complete body, or the reason why there is none. Neither is called if the
@@ -104,7 +111,7 @@
         mMemory.addBody(reading);
         CallBoundary boundary = new CallBoundary(id, reading::fail);
         request.handler(boundary.around(reading::append)::accept);
-        request.endHandler(ignored -> boundary.run(reading::complete));
+        request.endHandler(ignored -> boundary.run(() -> reading.complete(boundary)));
         request.exceptionHandler(e -> boundary.run(reading::stop));
         boundary.run(() -> makeRoom(reading));
     }
@@ -127,6 +134,9 @@
         long nowMilliseconds = mClock.nowMilliseconds();
         long elapsedMilliseconds =
                 Math.min(MAX_CHECK_MILLISECONDS, nowMilliseconds - mCheckedMilliseconds);
+        if (nowMilliseconds - mCheckedMilliseconds > HELD_UP_MILLISECONDS) {
+            mHeldUpUntilMilliseconds = nowMilliseconds + CATCH_UP_MILLISECONDS;
+        }
         mCheckedMilliseconds = nowMilliseconds;
         for (Reading reading : List.copyOf(mReadings)) {
             if (!mWaiting.contains(reading)
@@ -250,7 +260,19 @@
             }
         }
 
-        void complete() {
+        /**
+         * Passes the body on. While the gateway is held up, it reads the connection once more
+         * before: the caller may have left, and then its request must reach no endpoint.
+         */
+        void complete(CallBoundary boundary) {
+            if (mClock.nowMilliseconds() < mHeldUpUntilMilliseconds) {
+                mVertx.setTimer(1, id -> boundary.run(this::complete));
+            } else {
+                complete();
+            }
+        }
+
+        private void complete() {
             if (end()) {
                 mCompleting = true;
                 mListener.complete(mBody);
