--- a/gateway/src/main/java/org/skylarkbend/gateway/endpoints/ColdEndpoints.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/endpoints/ColdEndpoints.java
@@ -57,13 +57,13 @@
     }
 
     /** Sets the number of gateways between which the calls are divided. */
-    public void gatewaysCounted(int gateways) {
+    void gatewaysCounted(int gateways) {
         // A gateway that is cut off is not counted soon, and goes on sending.
         mGateways = Math.max(mGateways, gateways);
     }
 
     /** Replaces the services, by name. */
-    public void servicesChanged(Map<String, Service> services) {
+    void servicesChanged(Map<String, Service> services) {
         Map<String, Service.WarmUp> warmUps = new HashMap<>();
         services.forEach(
                 (name, service) -> service.warmUp().ifPresent(warmUp -> warmUps.put(name, warmUp)));
--- a/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EndpointSelector.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EndpointSelector.java
@@ -15,6 +15,7 @@
 import org.skylarkbend.catalog.Endpoint;
 import org.skylarkbend.catalog.EndpointWork;
 import org.skylarkbend.catalog.Endpoints;
+import org.skylarkbend.catalog.Service;
 import org.skylarkbend.catalog.VersionSplit;
 import org.skylarkbend.gateway.endpoints.PromptHomes.Home;
 import org.skylarkbend.placement.pool.SampledChoice;
@@ -174,7 +175,7 @@
                         load ->
                                 (double) load.calls(nowMilliseconds)
                                                 / Math.max(1, load.endpoint().slots())
-                                        + lastResortCost(load, nowMilliseconds))
+                                        + lastResortCost(load, priorAttempts, nowMilliseconds))
                 .map(load -> EngineChoice.plain(load.endpoint()));
     }
 
@@ -198,7 +199,7 @@
                                         isHome(load, home),
                                         weightsLoadOrder,
                                         nowMilliseconds)
-                                + lastResortCost(load, nowMilliseconds);
+                                + lastResortCost(load, priorAttempts, nowMilliseconds);
         Optional<EndpointLoad> chosen =
                 mShared.contains(service)
                         ? sampled(candidates, priorAttempts, load -> isHome(load, home), cost)
@@ -219,15 +220,7 @@
                 candidates.stream()
                         .filter(load -> !priorAttempts.incarnations().contains(load.incarnation()))
                         .toList();
-        return mSampledChoice.of(
-                untried,
-                isHome,
-                load -> cost.applyAsDouble(load) + refusalCost(load, priorAttempts),
-                PromptCost.FULL_COST);
-    }
-
-    private static double refusalCost(EndpointLoad load, PriorAttempts priorAttempts) {
-        return priorAttempts.isLast() && load.isRefusing() ? LAST_RESORT_COST : 0;
+        return mSampledChoice.of(untried, isHome, cost, PromptCost.FULL_COST);
     }
 
     private static boolean isHome(EndpointLoad load, Optional<Home> home) {
@@ -362,6 +355,12 @@
                         });
     }
 
+    /** Replaces the services, by name. */
+    public void servicesChanged(Map<String, Service> services) {
+        mCold.servicesChanged(services);
+        mPromptCost.servicesChanged(services);
+    }
+
     /** Sets the number of gateways between which the room at endpoints is divided. */
     public void gatewaysCounted(int gateways) {
         mBrittle.gatewaysCounted(gateways);
@@ -439,7 +438,6 @@
                 continue;
             }
             double loadCost = cost.applyAsDouble(load);
-            loadCost += refusalCost(load, priorAttempts);
             ties = loadCost == bestCost ? ties + 1 : 1;
             if (loadCost < bestCost || loadCost == bestCost && mRandom.getAsDouble() * ties < 1) {
                 best = loadCost < Double.POSITIVE_INFINITY ? load : best;
@@ -486,11 +484,13 @@
                         endpoint.service(), tokensAhead + tokensToRead, endpoint.zone()));
     }
 
-    private double lastResortCost(EndpointLoad load, long nowMilliseconds) {
+    private double lastResortCost(
+            EndpointLoad load, PriorAttempts priorAttempts, long nowMilliseconds) {
         boolean isLast =
                 load.isBackingOff(nowMilliseconds)
                         || load.isUnreachable()
                         || mHomes.isLoadingWeights(load);
-        return isLast ? LAST_RESORT_COST : 0;
+        boolean mayRefuse = priorAttempts.isLast() && load.isRefusing();
+        return (isLast ? LAST_RESORT_COST : 0) + (mayRefuse ? LAST_RESORT_COST : 0);
     }
 }
--- a/gateway/src/main/java/org/skylarkbend/gateway/front/GatewayTask.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/front/GatewayTask.java
@@ -214,7 +214,7 @@
                 ignored -> {
                     mAdmissions.catalogChanged(catalog);
                     mEndpoints.storeChanged(catalog.store());
-                    mSelector.coldEndpoints().servicesChanged(catalog.services());
+                    mSelector.servicesChanged(catalog.services());
                     mGate.updateLimits(
                             SiteLimits.of(catalog, mSettings.budgets().limitSlack()), now());
                     LOG.info(
--- a/gateway/src/test/java/org/skylarkbend/gateway/endpoints/ColdEndpointsTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/endpoints/ColdEndpointsTest.java
@@ -89,7 +89,7 @@
     @Test
     public void endpointsOfADataCentreWhoseEvacuationIsWithdrawnAreTakenForCold() {
         EndpointSelector selector = new EndpointSelector(() -> 0.9, 7_000, "z");
-        selector.coldEndpoints().servicesChanged(SERVICES);
+        selector.servicesChanged(SERVICES);
         selector.gatewaysCounted(50);
         selector.replace(new Endpoints(List.of(endpoint("a", 0)), Set.of()), 0);
         assertThat(selector.choose("desk", PriorAttempts.none(), 1)).isPresent();
@@ -107,7 +107,7 @@
     @Test
     public void anEndpointThatWasUnreachableIsTakenForColdWhenItResponds() {
         EndpointSelector selector = new EndpointSelector(() -> 0.9, 7_000, "z");
-        selector.coldEndpoints().servicesChanged(SERVICES);
+        selector.servicesChanged(SERVICES);
         selector.gatewaysCounted(50);
         Endpoint endpoint = endpoint("a", 0);
         selector.replace(new Endpoints(List.of(endpoint), Set.of()), 0);
