--- a/gateway/src/main/java/org/skylarkbend/gateway/call/CallRequest.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/CallRequest.java
@@ -4,6 +4,7 @@
 import io.vertx.core.http.HttpMethod;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import org.skylarkbend.catalog.CallKind;
 import org.skylarkbend.catalog.Customer;
 import org.skylarkbend.catalog.Route;
@@ -47,6 +48,14 @@
                 + Math.min(callerTimeoutMilliseconds, route.timeoutMilliseconds());
     }
 
+    /** Returns the priority of the customer, or else that of the route; 0 is the highest. */
+    public int priority() {
+        return customer.map(Customer::priority)
+                .filter(OptionalInt::isPresent)
+                .map(OptionalInt::getAsInt)
+                .orElse(route.priority());
+    }
+
     /** Returns whether the response is a stream of events. */
     public boolean isStream() {
         return route.kind() == CallKind.STREAM;
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/CallResources.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/CallResources.java
@@ -53,6 +53,25 @@
                         service, call.prompt().get(), call.cacheScope(), prior, nowMilliseconds);
     }
 
+    /**
+     * Returns the time after which a call that found no room may return. Callers of services whose
+     * endpoints vary in speed return one after the other.
+     *
+     * @param call the refused call
+     * @param shortestMilliseconds time after which it may return at the earliest
+     */
+    long retryAfterMilliseconds(CallRequest call, long shortestMilliseconds) {
+        if (!selector.sharedMachines().contains(call.service())) {
+            return shortestMilliseconds;
+        }
+        return selector.sharedMachines()
+                .returnTimes()
+                .afterMilliseconds(
+                        shortestMilliseconds,
+                        call.priority(),
+                        call.deadlineMilliseconds() - clock.nowMilliseconds());
+    }
+
     /** Records the time from the start of an attempt to its first event, which was estimated. */
     void recordEstimate(EngineChoice choice, long milliseconds) {
         if (choice.firstEventMilliseconds().isPresent()) {
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/GatewayCall.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/GatewayCall.java
@@ -420,7 +420,7 @@
             fail(
                     AttemptPolicy.failure(outcome, mHistory.mayHaveRun()),
                     cause,
-                    RETRY_AFTER_MILLISECONDS);
+                    mResources.retryAfterMilliseconds(mCall, RETRY_AFTER_MILLISECONDS));
         }
     }
 
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/Urgency.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/Urgency.java
@@ -1,6 +1,5 @@
 package org.skylarkbend.gateway.call;
 
-import org.skylarkbend.catalog.Customer;
 import org.skylarkbend.gateway.endpoints.EngineChoice;
 
 /**
@@ -33,14 +32,8 @@
     private static final long QUEUE_SHARE_NUMERATOR = 3;
 
     static Urgency of(CallRequest call, EngineChoice choice) {
-        int basePriority =
-                call.customer()
-                        .map(Customer::priority)
-                        .filter(java.util.OptionalInt::isPresent)
-                        .map(java.util.OptionalInt::getAsInt)
-                        .orElse(call.route().priority());
         int minLevel = isLate(call, choice) ? LATE_LEVEL : 0;
-        return new Urgency(Math.max(minLevel, Math.min(LEAST_URGENT_LEVEL, basePriority)));
+        return new Urgency(Math.max(minLevel, Math.min(LEAST_URGENT_LEVEL, call.priority())));
     }
 
     /**
--- a/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EndpointSelector.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EndpointSelector.java
@@ -86,7 +86,7 @@
         mRandom = random;
         mWeightsCost = new WeightsCost(oldWeightsGraceMilliseconds);
         mWeightsLoadOrders = new WeightsLoadOrders(mWeightsCost);
-        mShared = new SharedMachines(dataCentre);
+        mShared = new SharedMachines(dataCentre, random);
         mPromptCost = new PromptCost(mWeightsCost, mShared);
         mSampledChoice = new SampledChoice(random);
         mBrittle = new BrittleServices(random);
--- a/gateway/src/main/java/org/skylarkbend/gateway/endpoints/SharedMachines.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/endpoints/SharedMachines.java
@@ -5,9 +5,11 @@
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.DoubleSupplier;
 import org.skylarkbend.base.StructuredLog;
 import org.skylarkbend.placement.pool.CrossingTimes;
 import org.skylarkbend.placement.pool.FirstEventEstimate;
+import org.skylarkbend.placement.pool.ReturnTimes;
 
 /**
  * What a gateway has learned about services whose endpoints share their machines with others, and
@@ -24,10 +26,17 @@
     private final Set<String> mServices = new HashSet<>();
     private final Map<String, FirstEventEstimate> mEstimates = new HashMap<>();
     private final CrossingTimes mCrossings;
+    private final ReturnTimes mReturnTimes;
 
-    /** Creates the state of a gateway that knows no such service. */
-    SharedMachines(String dataCentre) {
+    /**
+     * Creates the state of a gateway that knows no such service.
+     *
+     * @param dataCentre data centre of the gateway
+     * @param random source of random numbers from 0 (inclusive) to 1 (exclusive)
+     */
+    SharedMachines(String dataCentre, DoubleSupplier random) {
         mCrossings = new CrossingTimes(dataCentre);
+        mReturnTimes = new ReturnTimes(random);
     }
 
     /** Records that an endpoint of a service reported how long work takes on its machine. */
@@ -38,10 +47,15 @@
     }
 
     /** Returns whether the endpoints of a service share their machines. */
-    boolean contains(String service) {
+    public boolean contains(String service) {
         return mServices.contains(service);
     }
 
+    /** Returns the times after which callers that found no room may return. */
+    public ReturnTimes returnTimes() {
+        return mReturnTimes;
+    }
+
     /** Records the time from the sending of a prompt until the first event of its response. */
     public void firstEvent(EngineChoice choice, long milliseconds) {
         estimateOf(choice.endpoint().service())
