--- a/catalog/src/main/java/org/skylarkbend/catalog/CatalogChecker.java
+++ b/catalog/src/main/java/org/skylarkbend/catalog/CatalogChecker.java
@@ -1,7 +1,9 @@
 package org.skylarkbend.catalog;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -12,18 +14,22 @@
 
     /** Returns the first problem found, or empty if the catalog is valid. */
     static Optional<String> problemOf(Catalog catalog) {
+        return problemsOf(catalog).stream().findFirst();
+    }
+
+    /** Returns all problems; of each route the first one. */
+    static List<String> problemsOf(Catalog catalog) {
+        List<String> problems = new ArrayList<>();
         Set<String> hostsAndPaths = new HashSet<>();
         for (Route route : catalog.routes()) {
-            Optional<String> problem = problemOf(catalog, route);
-            if (problem.isPresent()) {
-                return problem;
-            }
+            problemOf(catalog, route).ifPresent(problems::add);
             if (!hostsAndPaths.add(route.host() + " " + route.pathPrefix())) {
-                return Optional.of(
+                problems.add(
                         "route \"" + route.name() + "\" has the host and path of another route");
             }
         }
-        return problemOfSharedKeys(catalog);
+        problemOfSharedKeys(catalog).ifPresent(problems::add);
+        return problems;
     }
 
     private static Optional<String> problemOf(Catalog catalog, Route route) {
