Give hot shared parts several homes

A key that gets a third of the traffic had one home: one engine served all of its prompts until its queue outweighed reading the parts elsewhere, and every other engine read them anew. At services whose endpoints share their machines, the homes of a part grow with its share of the recent tokens and shrink again (HomeCountTest). Gateways that measure different shares agree on the first homes.

--- a/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EndpointSelector.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EndpointSelector.java
@@ -17,7 +17,7 @@
 import org.skylarkbend.catalog.Endpoints;
 import org.skylarkbend.catalog.Service;
 import org.skylarkbend.catalog.VersionSplit;
-import org.skylarkbend.gateway.endpoints.PromptHomes.Home;
+import org.skylarkbend.gateway.endpoints.PromptHomes.Homes;
 import org.skylarkbend.placement.pool.SampledChoice;
 
 /**
@@ -187,7 +187,9 @@
             PriorAttempts priorAttempts,
             long nowMilliseconds) {
         List<EndpointLoad> candidates = candidates(service, priorAttempts, nowMilliseconds);
-        Optional<Home> home = mHomes.homeOf(candidates, prompt, scope);
+        int homeCount =
+                mShared.homeCount(service, prompt, scope, mByService.get(service), nowMilliseconds);
+        Homes homes = mHomes.homesOf(candidates, prompt, scope, homeCount);
         Map<EndpointLoad, Integer> weightsLoadOrder =
                 mWeightsLoadOrders.of(
                         service, mByService.getOrDefault(service, List.of()), prompt.model());
@@ -196,20 +198,20 @@
                         mPromptCost.of(
                                         load,
                                         prompt,
-                                        isHome(load, home),
+                                        homes.contains(load),
                                         weightsLoadOrder,
                                         nowMilliseconds)
                                 + lastResortCost(load, priorAttempts, nowMilliseconds);
         Optional<EndpointLoad> chosen =
                 mShared.contains(service)
-                        ? sampled(candidates, priorAttempts, load -> isHome(load, home), cost)
+                        ? sampled(candidates, priorAttempts, homes::contains, cost)
                         : cheapest(candidates, priorAttempts, cost);
-        return chosen.map(load -> toChoice(load, candidates, prompt, home, nowMilliseconds));
+        return chosen.map(load -> toChoice(load, candidates, prompt, homes, nowMilliseconds));
     }
 
     /**
-     * Chooses the home of a prompt or one of some engines drawn at random, so that gateways which
-     * know of each other's calls late do not all take the same one.
+     * Chooses one of the homes of a prompt or of some engines drawn at random, so that gateways
+     * which know of each other's calls late do not all take the same one.
      */
     private Optional<EndpointLoad> sampled(
             List<EndpointLoad> candidates,
@@ -223,10 +225,6 @@
         return mSampledChoice.of(untried, isHome, cost, PromptCost.FULL_COST);
     }
 
-    private static boolean isHome(EndpointLoad load, Optional<Home> home) {
-        return home.isPresent() && home.get().engine() == load;
-    }
-
     /** Records that a call was sent to an endpoint, with the number of prompt tokens to process. */
     public void sent(Endpoint endpoint, long promptTokens, long nowMilliseconds) {
         loadOf(endpoint)
@@ -358,7 +356,7 @@
     /** Replaces the services, by name. */
     public void servicesChanged(Map<String, Service> services) {
         mCold.servicesChanged(services);
-        mPromptCost.servicesChanged(services);
+        mShared.servicesChanged(services);
     }
 
     /** Sets the number of gateways between which the room at endpoints is divided. */
@@ -456,7 +454,7 @@
             EndpointLoad load,
             List<EndpointLoad> candidates,
             Prompt prompt,
-            Optional<Home> home,
+            Homes homes,
             long nowMilliseconds) {
         Endpoint endpoint = load.endpoint();
         Long version = endpoint.weights().get(prompt.model());
@@ -469,8 +467,8 @@
         Optional<String> source =
                 isTooSmallToFetch || store.isPresent()
                         ? store
-                        : mHomes.sourceOf(load, candidates, version, prompt, home);
-        long tokensToRead = PromptCost.tokensToRead(prompt, isHome(load, home));
+                        : mHomes.sourceOf(load, candidates, version, prompt, homes);
+        long tokensToRead = PromptCost.tokensToRead(prompt, homes.contains(load));
         long tokensAhead = load.promptTokens(nowMilliseconds);
         return new EngineChoice(
                 endpoint,
@@ -479,7 +477,7 @@
                 store,
                 tokensToRead,
                 tokensAhead,
-                isHome(load, home),
+                homes.contains(load),
                 mShared.firstEventMilliseconds(
                         endpoint.service(), tokensAhead + tokensToRead, endpoint.zone()));
     }
--- a/gateway/src/main/java/org/skylarkbend/gateway/endpoints/PromptCost.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/endpoints/PromptCost.java
@@ -1,8 +1,6 @@
 package org.skylarkbend.gateway.endpoints;
 
-import java.util.HashMap;
 import java.util.Map;
-import org.skylarkbend.catalog.Service;
 
 /** Estimates what a prompt costs at an engine, in prompt tokens. Confined to one task. */
 final class PromptCost {
@@ -26,23 +24,12 @@
 
     private final WeightsCost mWeightsCost;
     private final SharedMachines mShared;
-    private final Map<String, Long> mMemoryTokens = new HashMap<>();
 
     PromptCost(WeightsCost weightsCost, SharedMachines shared) {
         mWeightsCost = weightsCost;
         mShared = shared;
     }
 
-    /** Replaces the services, by name. */
-    void servicesChanged(Map<String, Service> services) {
-        mMemoryTokens.clear();
-        services.forEach(
-                (name, service) ->
-                        service.engine()
-                                .ifPresent(
-                                        engine -> mMemoryTokens.put(name, engine.cacheTokens())));
-    }
-
     /** Returns the estimated number of tokens of a prompt that an engine has to process. */
     static long tokensToRead(Prompt prompt, boolean isHome) {
         long ownTokens = prompt.promptTokens() - prompt.sharedTokens();
@@ -82,7 +69,7 @@
 
     /** Returns whether the prompts that an engine has not read leave no memory for another one. */
     private boolean isFull(EndpointLoad load, Prompt prompt, long nowMilliseconds) {
-        long memoryTokens = mMemoryTokens.getOrDefault(load.endpoint().service(), 0L);
+        long memoryTokens = mShared.memoryTokens(load.endpoint().service());
         return memoryTokens > 0
                 && load.promptTokens(nowMilliseconds) + prompt.promptTokens() > memoryTokens;
     }
--- a/gateway/src/main/java/org/skylarkbend/gateway/endpoints/PromptHomes.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/endpoints/PromptHomes.java
@@ -1,5 +1,6 @@
 package org.skylarkbend.gateway.endpoints;
 
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -14,12 +15,17 @@
     private Set<String> mLoadingWeights = Set.of();
 
     /**
-     * Home engine of a prompt.
+     * Home engines of a prompt.
      *
      * @param keyHash hash of the prompt's shared parts
-     * @param engine engine with the highest rendezvous score for it
+     * @param engines engines with the highest rendezvous scores for it, the highest first; none if
+     *     the prompt shares no parts or no candidate serves it
      */
-    record Home(long keyHash, EndpointLoad engine) {}
+    record Homes(long keyHash, Set<EndpointLoad> engines) {
+        boolean contains(EndpointLoad engine) {
+            return engines.contains(engine);
+        }
+    }
 
     /** Sets the engines that load weights, which are no homes meanwhile. */
     void loadingChanged(Set<String> incarnations) {
@@ -31,15 +37,28 @@
         return mLoadingWeights.contains(load.incarnation());
     }
 
-    /** Returns the home of a prompt; empty if it shares no parts or no candidate serves it. */
-    Optional<Home> homeOf(List<EndpointLoad> candidates, Prompt prompt, String scope) {
-        String key = prompt.sharedKey();
-        if (key.isEmpty()) {
-            return Optional.empty();
-        }
-        long keyHash = (scope + key).hashCode() * 31L;
-        return bestScored(candidates, prompt.model(), keyHash, load -> true)
-                .map(engine -> new Home(keyHash, engine));
+    /** Returns the hash of a prompt's shared parts within a scope. */
+    static long keyHash(Prompt prompt, String scope) {
+        return (scope + prompt.sharedKey()).hashCode() * 31L;
+    }
+
+    /** Returns the homes of a prompt, at most the given number. */
+    Homes homesOf(List<EndpointLoad> candidates, Prompt prompt, String scope, int count) {
+        long keyHash = keyHash(prompt, scope);
+        Set<EndpointLoad> homes = new LinkedHashSet<>();
+        Optional<EndpointLoad> next = Optional.empty();
+        do {
+            next =
+                    prompt.sharedTokens() == 0
+                            ? Optional.empty()
+                            : bestScored(
+                                    candidates,
+                                    prompt.model(),
+                                    keyHash,
+                                    load -> !homes.contains(load));
+            next.ifPresent(homes::add);
+        } while (next.isPresent() && homes.size() < count);
+        return new Homes(keyHash, homes);
     }
 
     /**
@@ -51,15 +70,15 @@
             List<EndpointLoad> candidates,
             Long version,
             Prompt prompt,
-            Optional<Home> home) {
-        if (home.isEmpty()) {
+            Homes homes) {
+        if (homes.engines().isEmpty()) {
             return Optional.empty();
         }
         String model = prompt.model();
         return bestScored(
                         candidates,
                         model,
-                        home.get().keyHash(),
+                        homes.keyHash(),
                         other ->
                                 other != load
                                         && version.equals(other.endpoint().weights().get(model)))
--- a/gateway/src/main/java/org/skylarkbend/gateway/endpoints/SharedMachines.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/endpoints/SharedMachines.java
@@ -2,13 +2,16 @@
 
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.DoubleSupplier;
 import org.skylarkbend.base.StructuredLog;
+import org.skylarkbend.catalog.Service;
 import org.skylarkbend.placement.pool.CrossingTimes;
 import org.skylarkbend.placement.pool.FirstEventEstimate;
+import org.skylarkbend.placement.pool.HomeCount;
 import org.skylarkbend.placement.pool.ReturnTimes;
 
 /**
@@ -25,6 +28,8 @@
 
     private final Set<String> mServices = new HashSet<>();
     private final Map<String, FirstEventEstimate> mEstimates = new HashMap<>();
+    private final HomeCount mHomeCount = new HomeCount();
+    private final Map<String, Long> mMemoryTokens = new HashMap<>();
     private final CrossingTimes mCrossings;
     private final ReturnTimes mReturnTimes;
 
@@ -39,6 +44,21 @@
         mReturnTimes = new ReturnTimes(random);
     }
 
+    /** Replaces the services, by name. */
+    void servicesChanged(Map<String, Service> services) {
+        mMemoryTokens.clear();
+        services.forEach(
+                (name, service) ->
+                        service.engine()
+                                .ifPresent(
+                                        engine -> mMemoryTokens.put(name, engine.cacheTokens())));
+    }
+
+    /** Returns the tokens that fit into the memory of an engine; 0 if that is not known. */
+    long memoryTokens(String service) {
+        return mMemoryTokens.getOrDefault(service, 0L);
+    }
+
     /** Records that an endpoint of a service reported how long work takes on its machine. */
     void reported(String service) {
         if (mServices.add(service)) {
@@ -67,6 +87,24 @@
         mCrossings.connected(dataCentre, milliseconds);
     }
 
+    /** Counts a prompt and returns the number of homes of its shared parts. */
+    int homeCount(
+            String service,
+            Prompt prompt,
+            String scope,
+            List<EndpointLoad> engines,
+            long nowMilliseconds) {
+        if (!contains(service) || engines == null || prompt.sharedTokens() == 0) {
+            return 1;
+        }
+        return mHomeCount.of(
+                PromptHomes.keyHash(prompt, scope),
+                prompt.sharedTokens(),
+                engines.size(),
+                memoryTokens(service),
+                nowMilliseconds);
+    }
+
     /** Returns the expected time until the first event, for services with shared machines. */
     OptionalLong firstEventMilliseconds(String service, long tokens, String dataCentre) {
         if (!contains(service)) {
--- a/placement/src/main/java/org/skylarkbend/placement/PrefixPopularity.java
+++ b/placement/src/main/java/org/skylarkbend/placement/PrefixPopularity.java
@@ -38,13 +38,23 @@
         double weight = weight(nowMilliseconds) * chain.promptTokens();
         mTotal += weight;
         for (int i = 0; i < blocks.count(); i++) {
-            long key = PrefixIndex.keyOf(scopeHash, blocks.get(i));
-            int cell = cellOf(key);
-            mCounts[cell] = mKeys[cell] == key ? mCounts[cell] + weight : weight;
-            mKeys[cell] = key;
+            add(PrefixIndex.keyOf(scopeHash, blocks.get(i)), weight);
         }
     }
 
+    /** Adds tokens to the counter of a single key. */
+    public void count(long key, long tokens, long nowMilliseconds) {
+        double weight = weight(nowMilliseconds) * tokens;
+        mTotal += weight;
+        add(key, weight);
+    }
+
+    private void add(long key, double weight) {
+        int cell = cellOf(key);
+        mCounts[cell] = mKeys[cell] == key ? mCounts[cell] + weight : weight;
+        mKeys[cell] = key;
+    }
+
     /** Returns the decayed sum of the tokens of all prompts. */
     public double total(long nowMilliseconds) {
         return mTotal / weight(nowMilliseconds);
--- a/placement/src/main/java/org/skylarkbend/placement/pool/SampledChoice.java
+++ b/placement/src/main/java/org/skylarkbend/placement/pool/SampledChoice.java
@@ -1,11 +1,15 @@
 package org.skylarkbend.placement.pool;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.function.DoubleSupplier;
 import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 /**
  * Chooses the cheapest of a few candidates drawn at random.
@@ -33,8 +37,8 @@
      * Chooses among candidates.
      *
      * @param candidates all candidates
-     * @param preferred matches those that are compared in any case, such as the one that has a
-     *     prompt in its cache
+     * @param preferred matches those of which two are drawn besides two others, such as those that
+     *     have a prompt in their cache
      * @param cost cost of a candidate
      * @param maxCost candidates above this cost are drawn only if there are no others
      * @param <T> type of the candidates
@@ -58,15 +62,24 @@
     private record Priced<T>(T candidate, double cost) {}
 
     private <T> Optional<T> cheapestDrawn(List<Priced<T>> candidates, Predicate<T> preferred) {
-        Optional<Priced<T>> best =
-                candidates.stream().filter(priced -> preferred.test(priced.candidate())).findAny();
-        for (int drawn = 0; drawn < DRAWN && !candidates.isEmpty(); drawn++) {
-            int index = (int) (mRandom.getAsDouble() * candidates.size());
-            Priced<T> other = candidates.remove(index);
-            if (best.isEmpty() || other.cost() < best.get().cost()) {
-                best = Optional.of(other);
-            }
+        Map<Boolean, List<Priced<T>>> byPreference =
+                candidates.stream()
+                        .collect(
+                                Collectors.partitioningBy(
+                                        priced -> preferred.test(priced.candidate())));
+        return Stream.concat(
+                        draw(byPreference.get(true)).stream(),
+                        draw(byPreference.get(false)).stream())
+                .min(Comparator.comparingDouble(Priced::cost))
+                .map(Priced::candidate);
+    }
+
+    private <T> List<Priced<T>> draw(List<Priced<T>> candidates) {
+        List<Priced<T>> left = new ArrayList<>(candidates);
+        List<Priced<T>> drawn = new ArrayList<>();
+        while (drawn.size() < DRAWN && !left.isEmpty()) {
+            drawn.add(left.remove((int) (mRandom.getAsDouble() * left.size())));
         }
-        return best.map(Priced::candidate);
+        return drawn;
     }
 }
