Let refused callers return while they can still be served in time

The time of the return grew with the priority, so that a call of the second priority with a target of 415 ms came back 400 to 700 ms later and was late in any case. Those who can still be in time now return within half of what is left of their target, the others after them.

--- a/gateway/src/main/java/org/skylarkbend/gateway/call/CallResources.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/CallResources.java
@@ -64,12 +64,14 @@
         if (!selector.sharedMachines().contains(call.service())) {
             return shortestMilliseconds;
         }
+        long nowMilliseconds = clock.nowMilliseconds();
+        long elapsedMilliseconds = nowMilliseconds - call.arrivedMilliseconds();
         return selector.sharedMachines()
                 .returnTimes()
                 .afterMilliseconds(
                         shortestMilliseconds,
-                        call.priority(),
-                        call.deadlineMilliseconds() - clock.nowMilliseconds());
+                        call.route().targetMilliseconds() - elapsedMilliseconds,
+                        call.deadlineMilliseconds() - nowMilliseconds);
     }
 
     /** Records the time from the start of an attempt to its first event, which was estimated. */
--- a/placement/src/main/java/org/skylarkbend/placement/pool/ReturnTimes.java
+++ b/placement/src/main/java/org/skylarkbend/placement/pool/ReturnTimes.java
@@ -6,18 +6,18 @@
  * Decides after how long refused callers may return.
  *
  * <p>Callers that are refused together and told the same time come back together and meet the same
- * shortage. So their returns are spread over a time, in the order of their urgency: the least
- * urgent ones begin to return when the most urgent ones have all returned.
+ * shortage, so their returns are spread. Those who can still be served within their target return
+ * first, in a part of what is left of it; the others begin when these have returned.
  */
 public final class ReturnTimes {
     /**
-     * Time over which callers of one priority are spread. Several gateways' sums of work arrive in
+     * Longest time over which callers are spread. Sums of the work of all gateways arrive within
      * it, so that those who return early are known when the next ones are placed.
      */
-    private static final double SPREAD_MILLISECONDS = 300;
+    private static final long SPREAD_MILLISECONDS = 300;
 
-    /** Priorities beyond this one wait no longer. */
-    private static final int MAX_PRIORITY = 3;
+    /** Part of what is left of a target that callers wait at most. */
+    private static final long TARGET_DIVISOR = 2;
 
     private final DoubleSupplier mRandom;
 
@@ -33,15 +33,22 @@
     /**
      * Returns the time after which a caller may return.
      *
-     * @param shortestMilliseconds time for the most urgent callers at least
-     * @param priority rank of the caller; 0 is the most urgent
-     * @param remainingMilliseconds time until the caller gives up, of which it uses a third at most
+     * @param shortestMilliseconds time after which it may return at the earliest
+     * @param targetMilliseconds time that is left of its target; not positive if it has passed
+     * @param remainingMilliseconds time until the caller gives up, of which it waits a third at
+     *     most
      */
     public long afterMilliseconds(
-            long shortestMilliseconds, int priority, long remainingMilliseconds) {
-        int rank = Math.max(0, Math.min(MAX_PRIORITY, priority));
-        double spread = (rank + mRandom.getAsDouble()) * SPREAD_MILLISECONDS;
-        long longestMilliseconds = Math.max(shortestMilliseconds, remainingMilliseconds / 3);
-        return Math.min(longestMilliseconds, shortestMilliseconds + Math.round(spread));
+            long shortestMilliseconds, long targetMilliseconds, long remainingMilliseconds) {
+        long inTimeMilliseconds = targetMilliseconds / TARGET_DIVISOR - shortestMilliseconds;
+        boolean isInTime = inTimeMilliseconds > 0;
+        long spreadMilliseconds =
+                isInTime ? Math.min(SPREAD_MILLISECONDS, inTimeMilliseconds) : SPREAD_MILLISECONDS;
+        long afterMilliseconds =
+                shortestMilliseconds
+                        + (isInTime ? 0 : SPREAD_MILLISECONDS)
+                        + Math.round(spreadMilliseconds * mRandom.getAsDouble());
+        return Math.min(
+                Math.max(shortestMilliseconds, remainingMilliseconds / 3), afterMilliseconds);
     }
 }
