--- a/gateway/src/test/java/org/skylarkbend/gateway/front/HostileCallerTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/front/HostileCallerTest.java
@@ -2,6 +2,9 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import org.skylarkbend.catalog.CallKind;
 import org.skylarkbend.catalog.CallerLimits;
 import org.skylarkbend.gateway.CapturingEndpoint;
@@ -153,6 +156,23 @@
         awaitUntil(() -> caller.received().split("done", -1).length == 3);
     }
 
+    /** Guards against the memory of heads whose callers have left. */
+    @Test
+    public void aHeadThatStaysIncompleteTakesNoMemoryOnceItsCallerHasLeft() throws Exception {
+        for (String part : new String[] {HEAD + "X: y", HEAD, "POST"}) {
+            try (Socket caller = new Socket(InetAddress.getLoopbackAddress(), mPort)) {
+                caller.getOutputStream().write(part.getBytes(StandardCharsets.ISO_8859_1));
+                awaitUntil(() -> headBytes() > 0);
+            }
+            awaitUntil(() -> headBytes() == 0);
+        }
+        assertThat(call("other").status()).isEqualTo(200);
+    }
+
+    private long headBytes() {
+        return mMetrics.counter("gateway_heads_bytes").getCount();
+    }
+
     private long heldBytes() {
         return mMetrics.counter("gateway_held_bytes").getCount();
     }
