Release the memory of a request that is given up at once

Memory of a head was released when the close of its connection was seen, after the loop over the stalled requests: all of them were given up for one, and the one was refused all the same.

--- a/gateway/src/main/java/org/skylarkbend/gateway/front/BodyIntake.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/front/BodyIntake.java
@@ -15,7 +15,6 @@
 import org.skylarkbend.catalog.CallerLimits;
 import org.skylarkbend.gateway.call.CallBoundary;
 import org.skylarkbend.wire.HeldBytes;
-import org.skylarkbend.wire.RefusedBody;
 
 /**
  * Reads the bodies of requests within the memory for all of them.
@@ -244,7 +243,7 @@
         @Override
         public void giveUp() {
             stop();
-            RefusedBody.abort(mRequest.connection());
+            mMemory.abort(mRequest);
         }
 
         void append(Buffer chunk) {
--- a/gateway/src/main/java/org/skylarkbend/gateway/front/CallerConnections.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/front/CallerConnections.java
@@ -32,6 +32,7 @@
     CallerConnections(CallerMemory memory, int maxConnections) {
         mMemory = memory;
         mMaxConnections = maxConnections;
+        memory.onAbort(this::abort);
     }
 
     /**
@@ -89,9 +90,7 @@
         boolean hasMemory = mMemory.takeHead(bytes);
         if (!hasMemory) {
             LOG.info("request.head.no_memory", "bytes", bytes);
-            RefusedBody.abort(connection);
-            // The connection refers to the request until the loop has read all others.
-            request.headers().clear();
+            abort(request);
             return false;
         }
         heads.add(bytes);
@@ -99,6 +98,13 @@
         return true;
     }
 
+    private void abort(HttpServerRequest request) {
+        closed(request.connection());
+        RefusedBody.abort(request.connection());
+        // The connection refers to the request until the loop has read all others.
+        request.headers().clear();
+    }
+
     private void ended(HttpConnection connection) {
         Deque<Long> heads = mHeadBytes.remove(connection);
         if (heads != null) {
--- a/gateway/src/main/java/org/skylarkbend/gateway/front/CallerMemory.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/front/CallerMemory.java
@@ -1,10 +1,12 @@
 package org.skylarkbend.gateway.front;
 
 import io.vertx.core.MultiMap;
+import io.vertx.core.http.HttpServerRequest;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.skylarkbend.base.ByteBudget;
 import org.skylarkbend.base.MillisecondClock;
 import org.skylarkbend.base.StructuredLog;
@@ -39,6 +41,7 @@
     private final MillisecondClock mClock;
     private final Set<Holder> mHeads = new LinkedHashSet<>();
     private final Set<Holder> mBodies = new LinkedHashSet<>();
+    private Consumer<HttpServerRequest> mAbort = request -> {};
 
     /** Incomplete request that holds memory. */
     interface Holder {
@@ -63,6 +66,16 @@
         bodies.onFull(bytes -> reclaim(bodies, List.of(mBodies), bytes));
     }
 
+    /** Sets what closes the connection of a request and releases the memory of its heads. */
+    void onAbort(Consumer<HttpServerRequest> abort) {
+        mAbort = abort;
+    }
+
+    /** Closes the connection of a request, whose memory is free at once. */
+    void abort(HttpServerRequest request) {
+        mAbort.accept(request);
+    }
+
     /** Returns the heap that the headers of a request take until its response is sent. */
     static long bytesOf(MultiMap headers) {
         long bytes = 0;
--- a/gateway/src/test/java/org/skylarkbend/gateway/front/GatewayFixture.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/front/GatewayFixture.java
@@ -98,7 +98,7 @@
                         5_000);
         return new GatewayTask(
                 settings,
-                new ByteBudget("gateway_heads", 16 * 1024 * 1024, metrics),
+                new ByteBudget("gateway_heads", headMemoryBytes(), metrics),
                 new ByteBudget("gateway_held", memoryBytes(), metrics),
                 metrics,
                 clock(),
@@ -164,6 +164,11 @@
         return new MetricRegistry();
     }
 
+    /** Returns the memory for heads. */
+    protected long headMemoryBytes() {
+        return 16 * 1024 * 1024;
+    }
+
     /** Returns the memory for bodies. */
     protected long memoryBytes() {
         return 64 * 1024 * 1024;
