Reuse what is there: divisor of holders, end of a response, hash of homes

Found by reading the change once more:

- the review of a catalog had its own copy of the part of a burst that a gateway holds; it takes the one of LimitPolicy;
- whether the connection ends a response was decided twice for each;
- the loop over the homes of a prompt asked for its tokens in each turn.
It goes by the shared parts again, as the code before: a prompt whose shared parts have no tokens has a home;
- the comment on the memory of heads named figures from before the last change of the account.

--- a/catalog/src/main/java/org/skylarkbend/catalog/CatalogReview.java
+++ b/catalog/src/main/java/org/skylarkbend/catalog/CatalogReview.java
@@ -9,6 +9,7 @@
 import java.util.TreeMap;
 import java.util.function.Function;
 import java.util.stream.Collectors;
+import org.skylarkbend.limits.LimitPolicy;
 
 /**
  * What an operator should know of a catalog before it is published.
@@ -23,9 +24,6 @@
         List<String> neverMatching,
         List<String> contradictions,
         List<String> differences) {
-    /** A gateway holds at most this part of the burst of a customer. */
-    private static final long HOLDER_DIVISOR = 3;
-
     /** Creates the review with copies of the lists. */
     public CatalogReview {
         errors = List.copyOf(errors);
@@ -96,13 +94,15 @@
                 findings.add("customer " + customer.name() + " has a burst and no rate: no limit");
             }
             if (customer.isLimited()
-                    && customer.defaultUnitsPerCall() > customer.burstUnits() / HOLDER_DIVISOR) {
+                    && customer.defaultUnitsPerCall()
+                            > customer.burstUnits() / LimitPolicy.forGateways().holderDivisor()) {
                 findings.add(
                         String.format(
-                                "customer %s has a burst of %d units, of which a gateway holds a"
-                                        + " third, and calls of %d units",
+                                "customer %s has a burst of %d units, of which a gateway holds"
+                                        + " one in %d, and calls of %d units",
                                 customer.name(),
                                 customer.burstUnits(),
+                                LimitPolicy.forGateways().holderDivisor(),
                                 customer.defaultUnitsPerCall()));
             }
         }
--- a/exchange/src/main/java/org/skylarkbend/exchange/KeepAlive.java
+++ b/exchange/src/main/java/org/skylarkbend/exchange/KeepAlive.java
@@ -18,13 +18,12 @@
      * Returns what a response says about its connection.
      *
      * @param response head of the response
-     * @param withoutBody true if the response cannot have a body
+     * @param isEndedByConnection true if nothing but the end of the connection ends its body
      * @param standardMilliseconds time if the response names none; 0 if none is kept
      */
-    static KeepAlive of(HttpResponse response, boolean withoutBody, long standardMilliseconds) {
-        boolean endsConnection =
-                !HttpUtil.isKeepAlive(response)
-                        || ResponseDecoder.isEndedByConnection(response, withoutBody);
+    static KeepAlive of(
+            HttpResponse response, boolean isEndedByConnection, long standardMilliseconds) {
+        boolean endsConnection = isEndedByConnection || !HttpUtil.isKeepAlive(response);
         if (standardMilliseconds == 0 || endsConnection) {
             return new KeepAlive(0);
         }
--- a/exchange/src/main/java/org/skylarkbend/exchange/ResponseDecoder.java
+++ b/exchange/src/main/java/org/skylarkbend/exchange/ResponseDecoder.java
@@ -159,19 +159,19 @@
             mSkipped++;
             out.set(0, new SkippedResponse(status));
         } else {
-            boolean isWithoutBody = isContentAlwaysEmpty(response);
+            boolean isEndedByConnection = isEndedByConnection(response);
             out.set(
                     0,
                     new Head(
                             start,
-                            KeepAlive.of(response, isWithoutBody, mKeepAliveMilliseconds),
-                            isEndedByConnection(response, isWithoutBody)));
+                            KeepAlive.of(response, isEndedByConnection, mKeepAliveMilliseconds),
+                            isEndedByConnection));
         }
     }
 
     /** Returns whether a response has a body with neither a length nor chunks. */
-    static boolean isEndedByConnection(HttpResponse response, boolean isWithoutBody) {
-        return !isWithoutBody
+    private boolean isEndedByConnection(HttpResponse response) {
+        return !isContentAlwaysEmpty(response)
                 && !HttpUtil.isContentLengthSet(response)
                 && !HttpUtil.isTransferEncodingChunked(response);
     }
--- a/gateway/src/main/java/org/skylarkbend/gateway/GatewayProcess.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/GatewayProcess.java
@@ -35,8 +35,8 @@
     private static final int HEAP_PARTS_OF_BODIES = 3;
 
     /**
-     * The heads of requests may take this part of the heap. A head of 16 KiB takes up to 850 KB if
-     * its lines are short, and the usual one 10 KB.
+     * The heads of requests may take this part of the heap. A head of 16 KiB counts with up to 1.4
+     * MB if its lines are short, and the usual one with some 6 KB.
      */
     private static final int HEAP_PARTS_OF_HEADS = 8;
 
--- a/gateway/src/main/java/org/skylarkbend/gateway/endpoints/PromptHomes.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/endpoints/PromptHomes.java
@@ -46,18 +46,13 @@
     Homes homesOf(List<EndpointLoad> candidates, Prompt prompt, String scope, int count) {
         long keyHash = keyHash(prompt, scope);
         Set<EndpointLoad> homes = new LinkedHashSet<>();
-        Optional<EndpointLoad> next = Optional.empty();
-        do {
-            next =
-                    prompt.sharedTokens() == 0
-                            ? Optional.empty()
-                            : bestScored(
-                                    candidates,
-                                    prompt.model(),
-                                    keyHash,
-                                    load -> !homes.contains(load));
+        boolean mayHaveMore = !prompt.sharedKey().isEmpty();
+        while (mayHaveMore && homes.size() < count) {
+            Optional<EndpointLoad> next =
+                    bestScored(candidates, prompt.model(), keyHash, load -> !homes.contains(load));
             next.ifPresent(homes::add);
-        } while (next.isPresent() && homes.size() < count);
+            mayHaveMore = next.isPresent();
+        }
         return new Homes(keyHash, homes);
     }
 
