Review case 10: earlier parts of an isolated tenant stay shared

Cause: the scope of tenants that are not isolated stays the same when one of them is isolated, so the others find what it has left there. Change: a script that isolates a tenant by a change of the config.

--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,6 @@
+#!/bin/bash
+# 1: the rule was broken, 0: it held, 2: the case could not run. TROUBLE=0: without the disruption.
+folder="$(cd "$(dirname "$0")" && pwd)"
+cd "$folder/../.." || exit 2
+[ -f target/skylarkbend/skylark-site.jar ] && [ -f target/review-2/WallRaised.class ] || exit 2
+exec timeout -k 5 118 java -Xmx512m -cp target/review-2 WallRaised "$folder/record.txt"
