--- a/review/standins-2/DamagedConfig.java
+++ b/review/standins-2/DamagedConfig.java
@@ -37,6 +37,7 @@
                             port,
                             (request, channel) -> {
                                 if (!Sample.serveProbe(request, channel, id)) {
+                                    site.record(id + " runs " + request.header("skylarkbend-request-id"));
                                     channel.answer(200, Sample.sealed(request), "done");
                                 }
                             });
--- a/review/standins-2/ManyLines.java
+++ b/review/standins-2/ManyLines.java
@@ -49,6 +49,7 @@
 
     private static int run(Site site, boolean trouble) throws Exception {
         int port = Site.freePort();
+        AtomicInteger ran = new AtomicInteger();
         for (int i = 0; i < 3; i++) {
             String id = "i-7f3a91c" + i;
             Site.Replica replica =
@@ -57,6 +58,7 @@
                             port,
                             (request, channel) -> {
                                 if (!Sample.serveProbe(request, channel, id)) {
+                                    ran.incrementAndGet();
                                     Thread.sleep(20);
                                     channel.answer(200, Sample.sealed(request), "done");
                                 }
@@ -70,6 +72,7 @@
             int rounds = trouble ? MAX_ROUNDS : ROUNDS;
             for (int round = 1; round <= rounds && front.ends < ROUNDS; round++) {
                 playRound(site, front, round, trouble);
+                site.record("requests that replicas have run so far: " + ran);
             }
             site.record(front.node + ": its process ended by itself " + front.ends + " times");
             broken += front.ends >= ROUNDS ? 1 : 0;
