Decode a request once the response to the one before has been sent

Seen by callers: an ordinary call gets no answer beside 60 connections with requests of 180 short lines one behind the other; the gateway runs out of memory. Cause: RequestDecoder decoded all that a read of a connection brought, and Vert.x kept the decoded requests in a queue that no account has. Change: ResponseTracker reports the end of each response to the decoder. Until then the bytes behind a request stay undecoded, and beyond 16 KiB unread. Why this works: a connection holds one decoded request, whatever its peer sends.

--- a/wire/src/main/java/org/skylarkbend/wire/RequestDecoder.java
+++ b/wire/src/main/java/org/skylarkbend/wire/RequestDecoder.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -28,7 +29,11 @@
 import org.skylarkbend.base.StructuredLog;
 
 /**
- * Decodes the requests on a connection of an HTTP server more strictly than Vert.x does.
+ * Decodes the requests on a connection of an HTTP server more strictly than Vert.x does, and one
+ * request at a time.
+ *
+ * <p>A request is decoded once the response to the one before has been sent. Until then the bytes
+ * behind it stay undecoded, and beyond a limit unread.
  *
  * <p>A request whose length another server on its way could understand differently is invalid, so
  * that no part of its body can be taken for a request. A connection on which a head stays
@@ -41,8 +46,11 @@
     /** Name that Vert.x gives to the decoder in the pipeline of a channel. */
     private static final String HANDLER_NAME = "httpDecoder";
 
-    /** Requests that wait until the peer has read earlier responses. */
-    private static final int MAX_WAITING_BYTES = 64 * 1024;
+    /** Name that Vert.x gives to the encoder in the pipeline of a channel. */
+    private static final String ENCODER_NAME = "httpEncoder";
+
+    /** Bytes behind a request that are read while its response is not sent yet. */
+    private static final int MAX_WAITING_BYTES = 16 * 1024;
 
     /**
      * Bytes behind an invalid request that are read all the same: closing a connection with unread
@@ -61,6 +69,10 @@
     private Future<?> mUnreadTimer;
     private long mUnreadBytes;
     private boolean mHeadSeemsLate;
+    private boolean mTracksResponses;
+    private boolean mAwaitsResponse;
+    private boolean mStoppedReading;
+    private boolean mReadingHead;
     private boolean mReadingBody;
     private boolean mInvalid;
     private long mIgnoredBytes;
@@ -148,16 +160,18 @@
                 .requestHandler(RefusedBody.leavingOut(handler))
                 .connectionHandler(
                         connection ->
-                                replaceDecoder(
-                                        connection,
-                                        new RequestDecoder(options, limits.apply(connection))));
+                                new RequestDecoder(options, limits.apply(connection))
+                                        .install(((ConnectionBase) connection).channel()));
     }
 
-    private static void replaceDecoder(HttpConnection connection, RequestDecoder decoder) {
-        ((ConnectionBase) connection)
-                .channel()
-                .pipeline()
-                .replace(HANDLER_NAME, HANDLER_NAME, decoder);
+    private void install(Channel channel) {
+        channel.pipeline().replace(HANDLER_NAME, HANDLER_NAME, this);
+        channel.pipeline()
+                .addAfter(
+                        ENCODER_NAME,
+                        null,
+                        new ResponseTracker(() -> responseEnded(channel), () -> mInvalid));
+        mTracksResponses = true;
     }
 
     @Override
@@ -167,17 +181,17 @@
             ignore(context, received);
             return;
         }
-        boolean isBetweenRequests = !mReadingBody && mHeadTimer == null;
-        if (isBetweenRequests && !context.channel().isWritable()) {
-            if (received.readableBytes() > MAX_WAITING_BYTES) {
-                LOG.info("request.pipeline.full", "peer", context.channel().remoteAddress());
-                received.skipBytes(received.readableBytes());
-                context.close();
+        if (received.isReadable() && !mReadingBody && mHeadTimer == null) {
+            startHeadTimer(context);
+        }
+        if (isWaiting(context)) {
+            if (received.readableBytes() >= MAX_WAITING_BYTES) {
+                stopReading(context.channel());
             }
             return;
         }
-        if (isBetweenRequests && received.isReadable()) {
-            startHeadTimer(context);
+        if (received.isReadable() && !mReadingBody && !mReadingHead) {
+            mReadingHead = true;
             mHeadBytes = 0;
             mUndecodedBytes = 0;
         }
@@ -192,7 +206,9 @@
                 mInvalid = true;
             }
             if (part instanceof HttpRequest) {
+                mReadingHead = false;
                 mReadingBody = true;
+                mAwaitsResponse = mTracksResponses;
                 cancelHeadTimer();
             }
             if (part instanceof LastHttpContent) {
@@ -201,13 +217,57 @@
         }
     }
 
+    /** Returns whether the bytes that have arrived may not be decoded yet. */
+    private boolean isWaiting(ChannelHandlerContext context) {
+        boolean isBetweenRequests = !mReadingBody && !mReadingHead;
+        return isBetweenRequests && (mAwaitsResponse || !context.channel().isWritable());
+    }
+
+    private void responseEnded(Channel channel) {
+        mAwaitsResponse = false;
+        if (!mReadingBody && internalBuffer().isReadable()) {
+            restartHeadTimer(channel);
+            decodeLater(channel);
+        }
+    }
+
+    private void stopReading(Channel channel) {
+        mStoppedReading = true;
+        channel.config().setAutoRead(false);
+    }
+
+    /** Decodes what has arrived on a connection that was waiting, and reads on. */
+    private void decodeLater(Channel channel) {
+        channel.eventLoop()
+                .execute(
+                        () -> {
+                            ChannelHandlerContext context = channel.pipeline().context(this);
+                            if (context != null) {
+                                decodeWaiting(context);
+                            }
+                        });
+    }
+
+    private void decodeWaiting(ChannelHandlerContext context) {
+        if (mStoppedReading) {
+            mStoppedReading = false;
+            context.channel().config().setAutoRead(true);
+        }
+        try {
+            channelRead(context, Unpooled.EMPTY_BUFFER);
+            channelReadComplete(context);
+        } catch (Exception e) {
+            context.fireExceptionCaught(e);
+        }
+    }
+
     /**
      * Takes memory for what has arrived of a head before it is decoded: connections that are closed
      * afterwards keep what was decoded until the loop has read all others.
      */
     private boolean hasMemoryForHead(ChannelHandlerContext context, ByteBuf received) {
         mHeadBytes += Math.max(0, received.readableBytes() - mUndecodedBytes);
-        if (mHeadTimer == null || mLimits.memory().hold(mHeadBytes, context::close)) {
+        if (!mReadingHead || mLimits.memory().hold(mHeadBytes, context::close)) {
             return true;
         }
         LOG.info("request.head.no_memory", "peer", context.channel().remoteAddress());
@@ -222,13 +282,13 @@
         mIgnoredBytes += received.readableBytes();
         received.skipBytes(received.readableBytes());
         if (mIgnoredBytes > MAX_IGNORED_BYTES) {
-            context.channel().config().setAutoRead(false);
+            stopReading(context.channel());
         }
     }
 
     @Override
     public void channelReadComplete(ChannelHandlerContext context) throws Exception {
-        if (mIgnoredBytes > MAX_IGNORED_BYTES) {
+        if (mStoppedReading) {
             // The inherited method reads on until a message is complete.
             context.fireChannelReadComplete();
         } else {
@@ -241,23 +301,12 @@
         super.channelWritabilityChanged(context);
         if (context.channel().isWritable()) {
             cancelUnreadTimer();
-            context.executor().execute(() -> decodeWaiting(context));
+            decodeLater(context.channel());
         } else if (mUnreadTimer == null) {
             startUnreadTimer(context);
         }
     }
 
-    /** Decodes the requests that arrived while earlier responses were unread. */
-    private void decodeWaiting(ChannelHandlerContext context) {
-        try {
-            if (!context.isRemoved()) {
-                channelRead(context, Unpooled.EMPTY_BUFFER);
-            }
-        } catch (Exception e) {
-            context.fireExceptionCaught(e);
-        }
-    }
-
     @Override
     public void channelInactive(ChannelHandlerContext context) throws Exception {
         cancelHeadTimer();
@@ -301,8 +350,17 @@
                         .schedule(() -> headLate(context), milliseconds, TimeUnit.MILLISECONDS);
     }
 
+    private void restartHeadTimer(Channel channel) {
+        if (mHeadTimer != null) {
+            cancelHeadTimer();
+            startHeadTimer(channel.pipeline().context(this));
+        }
+    }
+
     private void headLate(ChannelHandlerContext context) {
-        if (mLimits.isServing().getAsBoolean() || !context.channel().isWritable()) {
+        if (mLimits.isServing().getAsBoolean()
+                || mAwaitsResponse
+                || !context.channel().isWritable()) {
             startHeadTimer(context);
         } else if (!mHeadSeemsLate) {
             mHeadSeemsLate = true;
