Take memory for what callers send before it is decoded

Seen by callers: no answer beside 200 connections whose trailer sections have no end; the process ends beside 400 connections that send bodies of 4 MB at once. Cause: what is decoded was held before anyone had taken memory for it. Trailer lines were on no account. A body that waited for room was paused in Vert.x, which keeps what has been decoded of it, and up to a megabyte was read of each connection in one pass. Change: the decoder takes memory for each line of a head or trailer section before it decodes it (ReceiveMemory), instead of the most that a head can take. Bytes that are not decoded count on an account of their own, with the receive buffer of a connection that is not read. BodyIntake stops the decoder instead of the request. A read takes 4 KiB, a receive buffer 64 KiB. CallerMemory, CallerConnections, BodyIntake and CallBoundary move to the module intake, so that the router can use them. If there is no memory for the bytes behind a request, its response is still sent before the connection closes. Why this works: a connection holds one request, whose lines and body are on accounts, and undecoded bytes, which are too.

--- a/gateway/src/main/java/org/skylarkbend/gateway/GatewayProcess.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/GatewayProcess.java
@@ -17,6 +17,7 @@
 import org.skylarkbend.gateway.front.StatusTask;
 import org.skylarkbend.gateway.link.SiteLinkDecider;
 import org.skylarkbend.gateway.link.SiteLinkTask;
+import org.skylarkbend.intake.CallerBudgets;
 import org.skylarkbend.limits.LimitMessage;
 import org.skylarkbend.moves.rollout.RolloutOutcomes;
 import org.skylarkbend.publishing.feed.FeedMessage.RouterHello;
@@ -34,12 +35,6 @@
      */
     private static final int HEAP_PARTS_OF_BODIES = 3;
 
-    /**
-     * The heads of requests may take this part of the heap. A head of 16 KiB counts with up to 1.4
-     * MB if its lines are short, and the usual one with some 6 KB.
-     */
-    private static final int HEAP_PARTS_OF_HEADS = 8;
-
     private final Vertx mVertx;
     private final GatewaySettings mSettings;
     private final GatewayTask mGateway;
@@ -66,13 +61,12 @@
         mGateway =
                 new GatewayTask(
                         settings,
-                        new ByteBudget(
-                                "gateway_heads",
-                                Runtime.getRuntime().maxMemory() / HEAP_PARTS_OF_HEADS,
-                                metrics),
-                        new ByteBudget(
-                                "gateway_held",
-                                Runtime.getRuntime().maxMemory() / HEAP_PARTS_OF_BODIES,
+                        CallerBudgets.ofHeap(
+                                "gateway",
+                                new ByteBudget(
+                                        "gateway_held",
+                                        Runtime.getRuntime().maxMemory() / HEAP_PARTS_OF_BODIES,
+                                        metrics),
                                 metrics),
                         metrics,
                         clock,
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/Attempt.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/Attempt.java
@@ -15,6 +15,7 @@
 import org.skylarkbend.exchange.ResponseStart;
 import org.skylarkbend.gateway.HeaderNames;
 import org.skylarkbend.gateway.endpoints.EngineChoice;
+import org.skylarkbend.intake.CallBoundary;
 
 /**
  * Single HTTP request of a call to one endpoint. It is confined to the task that serves the calls.
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/GatewayCall.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/GatewayCall.java
@@ -9,6 +9,7 @@
 import org.skylarkbend.exchange.ResponseStart;
 import org.skylarkbend.gateway.endpoints.EngineChoice;
 import org.skylarkbend.gateway.limits.TokenGate;
+import org.skylarkbend.intake.CallBoundary;
 import org.skylarkbend.wire.HeldBytes;
 
 /**
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/GuardedCall.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/GuardedCall.java
@@ -2,6 +2,7 @@
 
 import java.util.function.Consumer;
 import org.skylarkbend.catalog.Endpoint;
+import org.skylarkbend.intake.CallBoundary;
 import org.skylarkbend.wire.HeldBytes;
 
 /**
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/Runs.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/Runs.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.skylarkbend.gateway.endpoints.EngineChoice;
+import org.skylarkbend.intake.CallBoundary;
 
 /**
  * The attempts of a call that are under way, in the order of their starts, and their accounts at
--- a/gateway/src/main/java/org/skylarkbend/gateway/front/Admissions.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/front/Admissions.java
@@ -5,11 +5,27 @@
 import java.util.function.BooleanSupplier;
 import org.skylarkbend.base.ErrorKind;
 import org.skylarkbend.base.Result;
+import org.skylarkbend.base.SkylarkError;
 import org.skylarkbend.catalog.CallerLimits;
 import org.skylarkbend.catalog.Catalog;
+import org.skylarkbend.intake.BodyLimits;
 
 /** Admits requests by the catalog in force. */
 final class Admissions {
+    private static final BodyLimits.Errors BODY_ERRORS =
+            new BodyLimits.Errors(
+                    () ->
+                            new SkylarkError(
+                                    ErrorKind.BODY_TOO_LARGE, "the request body is too large"),
+                    () ->
+                            new SkylarkError(
+                                    ErrorKind.OVERLOADED,
+                                    "there is no memory for the request body"),
+                    () ->
+                            new SkylarkError(
+                                    ErrorKind.REQUEST_TIMEOUT,
+                                    "the request was not completed in time"));
+
     private final CallHeadReader mHeadReader;
     private final BooleanSupplier mIsRefusing;
     private Optional<ServingState> mState = Optional.empty();
@@ -64,10 +80,18 @@
     }
 
     /**
-     * Returns the time in which the body must arrive. It is of no use after the deadline of its
-     * call; of a refused call nobody needs it.
+     * Returns the limits on the body of a request. It is of no use after the deadline of its call;
+     * of a refused call nobody needs it.
      */
-    long bodyMilliseconds(HttpServerRequest request, Decision decision) {
+    BodyLimits bodyLimits(HttpServerRequest request, Decision decision, long arrivedMilliseconds) {
+        return new BodyLimits(
+                callerLimits().bodyBytes(),
+                callerLimits().idleMilliseconds(),
+                arrivedMilliseconds + bodyMilliseconds(request, decision),
+                BODY_ERRORS);
+    }
+
+    private long bodyMilliseconds(HttpServerRequest request, Decision decision) {
         long callerMilliseconds = mHeadReader.timeoutMilliseconds(request.headers());
         if (decision.state().isEmpty()) {
             return callerMilliseconds;
--- a/gateway/src/main/java/org/skylarkbend/gateway/front/CallHeadReader.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/front/CallHeadReader.java
@@ -1,6 +1,7 @@
 package org.skylarkbend.gateway.front;
 
 import io.vertx.core.MultiMap;
+import io.vertx.core.http.HttpServerRequest;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -43,6 +44,12 @@
         mNames = names;
     }
 
+    /** Returns the ID that the caller gave to a request; empty if it gave none. */
+    String id(HttpServerRequest request) {
+        String id = request.getHeader(mNames.requestId());
+        return id == null ? "" : id;
+    }
+
     /** Returns the SHA-256 digest of the caller's key. */
     Optional<String> keyDigest(MultiMap headers) {
         String value = headers.get("Authorization");
--- a/gateway/src/main/java/org/skylarkbend/gateway/front/Drain.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/front/Drain.java
@@ -8,6 +8,7 @@
 import org.skylarkbend.base.StructuredLog;
 import org.skylarkbend.gateway.DrainSchedule;
 import org.skylarkbend.gateway.call.GuardedCall;
+import org.skylarkbend.intake.CallerConnections;
 
 /** The drain of a gateway that shuts down. Confined to the task that serves the calls. */
 final class Drain {
--- a/gateway/src/main/java/org/skylarkbend/gateway/front/GatewayTask.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/front/GatewayTask.java
@@ -15,7 +15,6 @@
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Consumer;
-import org.skylarkbend.base.ByteBudget;
 import org.skylarkbend.base.MillisecondClock;
 import org.skylarkbend.base.SkylarkError;
 import org.skylarkbend.base.StructuredLog;
@@ -30,7 +29,6 @@
 import org.skylarkbend.exchange.EndpointDialer;
 import org.skylarkbend.gateway.DrainSchedule;
 import org.skylarkbend.gateway.GatewaySettings;
-import org.skylarkbend.gateway.call.CallBoundary;
 import org.skylarkbend.gateway.call.CallRequest;
 import org.skylarkbend.gateway.call.CallResources;
 import org.skylarkbend.gateway.call.GuardedCall;
@@ -42,6 +40,11 @@
 import org.skylarkbend.gateway.limits.TokenGate;
 import org.skylarkbend.gateway.link.SiteListener;
 import org.skylarkbend.gateway.outcomes.OutcomeRecorder;
+import org.skylarkbend.intake.BodyIntake;
+import org.skylarkbend.intake.CallBoundary;
+import org.skylarkbend.intake.CallerBudgets;
+import org.skylarkbend.intake.CallerConnections;
+import org.skylarkbend.intake.CallerMemory;
 import org.skylarkbend.limits.LimitMessage;
 import org.skylarkbend.limits.LimitPolicy;
 import org.skylarkbend.limits.LimitShareDecider;
@@ -58,7 +61,6 @@
     private static final long CHECK_INTERVAL_MILLISECONDS = 250;
 
     private final GatewaySettings mSettings;
-    private final ByteBudget mBodies;
     private final MetricRegistry mMetrics;
     private final MillisecondClock mClock;
     private final EndpointDialer mDialer;
@@ -90,8 +92,7 @@
      * Creates a task that listens once it is deployed.
      *
      * @param settings addresses, header names and budgets
-     * @param heads memory for the heads of requests
-     * @param bodies memory for the bodies of requests and responses
+     * @param budgets memory for what callers send; responses count as bodies
      * @param metrics registry of the call metrics
      * @param clock monotonic clock
      * @param dialer opens connections of this VM to endpoints
@@ -101,8 +102,7 @@
      */
     public GatewayTask(
             GatewaySettings settings,
-            ByteBudget heads,
-            ByteBudget bodies,
+            CallerBudgets budgets,
             MetricRegistry metrics,
             MillisecondClock clock,
             EndpointDialer dialer,
@@ -110,15 +110,16 @@
             GatewayReports reports,
             Consumer<Boolean> onReady) {
         mSettings = settings;
-        mBodies = bodies;
         mMetrics = metrics;
         mClock = clock;
         mDialer = dialer;
         mReports = reports;
         mLimitOwner = limitOwner;
         mOnReadyChange = onReady;
-        mCallerMemory = new CallerMemory(heads, bodies, clock);
-        mConnections = new CallerConnections(mCallerMemory, settings.budgets().callerConnections());
+        mCallerMemory = new CallerMemory(budgets, clock);
+        mConnections =
+                new CallerConnections(
+                        mCallerMemory, settings.budgets().callerConnections(), connection -> {});
         mHeadReader = new CallHeadReader(settings.headers());
         mAdmissions =
                 new Admissions(mHeadReader, () -> mDrain.filter(Drain::isRefusing).isPresent());
@@ -143,7 +144,7 @@
                         this::wakeGateAt,
                         new SuspensionDetector(MillisecondClock.wall(), now())
                                 ::suspendedMilliseconds);
-        mIntake = new BodyIntake(vertx, mBodies, mCallerMemory, mClock);
+        mIntake = new BodyIntake(vertx, mCallerMemory, mClock);
         mEndpoints = endpointAccess();
         mResources =
                 new CallResources(
@@ -158,7 +159,7 @@
                         mOutcomes,
                         mCrashes,
                         mEndpoints.probes(),
-                        new ResponseMemory(mBodies),
+                        new ResponseMemory(mCallerMemory.bodies()),
                         mMetrics,
                         mClock);
         vertx.setPeriodic(CHECK_INTERVAL_MILLISECONDS, id -> check());
@@ -374,25 +375,25 @@
     /** Returns the limits on a connection that a caller has opened. */
     private RequestDecoder.Limits connected(HttpConnection connection) {
         return mConnections.opened(
-                connection, () -> mAdmissions.callerLimits().headerMilliseconds());
+                connection,
+                () -> mAdmissions.callerLimits().headerMilliseconds(),
+                () -> CallerServer.IDLE_TIMEOUT_MILLISECONDS);
     }
 
     private void receive(HttpServerRequest request) {
-        new CallBoundary(id(request), () -> refuseBody(request, BodyIntake.stepFailed()))
+        new CallBoundary(
+                        mHeadReader.id(request), () -> refuseBody(request, BodyIntake.stepFailed()))
                 .run(() -> readBody(request));
     }
 
     private void readBody(HttpServerRequest request) {
         long arrivedMilliseconds = now();
-        if (!mConnections.begun(request)) {
-            return;
-        }
+        mConnections.begun(request);
         Admissions.Decision decision = mAdmissions.decide(request);
         mIntake.read(
-                id(request),
+                mHeadReader.id(request),
                 request,
-                mAdmissions.callerLimits(),
-                arrivedMilliseconds + mAdmissions.bodyMilliseconds(request, decision),
+                mAdmissions.bodyLimits(request, decision, arrivedMilliseconds),
                 new BodyIntake.Listener() {
                     @Override
                     public void complete(HeldBytes body) {
@@ -407,7 +408,8 @@
     }
 
     private void beginOrQueue(Arrival arrival) {
-        CallBoundary boundary = new CallBoundary(id(arrival.request()), () -> failed(arrival));
+        CallBoundary boundary =
+                new CallBoundary(mHeadReader.id(arrival.request()), () -> failed(arrival));
         Runnable begin = boundary.around(() -> begin(arrival));
         if (isFullyInitialized() || mDrain.isPresent() || !mStartupQueue.offer(begin)) {
             begin.run();
@@ -429,7 +431,7 @@
     private void begin(Arrival arrival) {
         HttpServerRequest request = arrival.request();
         if (request.response().ended() || request.response().closed()) {
-            LOG.info("caller.gone", "id", id(request));
+            LOG.info("caller.gone", "id", mHeadReader.id(request));
             arrival.body().release();
             return;
         }
@@ -447,7 +449,7 @@
         HttpServerRequest request = arrival.request();
         CallRequest call =
                 new CallRequest(
-                        id(request),
+                        mHeadReader.id(request),
                         request.method(),
                         request.uri(),
                         request.getHeader("Host"),
@@ -479,7 +481,7 @@
         LOG.info(
                 "call.refused",
                 "id",
-                id(request),
+                mHeadReader.id(request),
                 "kind",
                 error.kind().code(),
                 "catalog",
@@ -488,12 +490,6 @@
                 error.detail());
     }
 
-    /** Returns the ID that the caller gave to a request; empty if it gave none. */
-    private String id(HttpServerRequest request) {
-        String id = request.getHeader(mSettings.headers().requestId());
-        return id == null ? "" : id;
-    }
-
     private long now() {
         return mClock.nowMilliseconds();
     }
--- a/gateway/src/test/java/org/skylarkbend/gateway/call/AttemptTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/call/AttemptTest.java
@@ -21,6 +21,7 @@
 import org.skylarkbend.gateway.ListedEndpoint;
 import org.skylarkbend.gateway.Routes;
 import org.skylarkbend.gateway.endpoints.EngineChoice;
+import org.skylarkbend.intake.CallBoundary;
 import org.skylarkbend.testing.RawServer;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
--- a/gateway/src/test/java/org/skylarkbend/gateway/front/GatewayFixture.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/front/GatewayFixture.java
@@ -39,6 +39,7 @@
 import org.skylarkbend.exchange.EndpointDialer;
 import org.skylarkbend.gateway.FakeEndpoint;
 import org.skylarkbend.gateway.GatewaySettings;
+import org.skylarkbend.intake.CallerBudgets;
 import org.skylarkbend.limits.LimitMessage;
 import org.skylarkbend.testing.LoopbackPorts;
 import org.testng.annotations.AfterMethod;
@@ -98,8 +99,10 @@
                         5_000);
         return new GatewayTask(
                 settings,
-                new ByteBudget("gateway_heads", headMemoryBytes(), metrics),
-                new ByteBudget("gateway_held", memoryBytes(), metrics),
+                new CallerBudgets(
+                        new ByteBudget("gateway_heads", headMemoryBytes(), metrics),
+                        new ByteBudget("gateway_held", memoryBytes(), metrics),
+                        new ByteBudget("gateway_undecoded", memoryBytes(), metrics)),
                 metrics,
                 clock(),
                 dialer,
--- a/gateway/src/main/java/org/skylarkbend/gateway/front/BodyIntake.java
+++ b/intake/src/main/java/org/skylarkbend/intake/BodyIntake.java
@@ -1,4 +1,4 @@
-package org.skylarkbend.gateway.front;
+package org.skylarkbend.intake;
 
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
@@ -12,9 +12,8 @@
 import org.skylarkbend.base.ErrorKind;
 import org.skylarkbend.base.MillisecondClock;
 import org.skylarkbend.base.SkylarkError;
-import org.skylarkbend.catalog.CallerLimits;
-import org.skylarkbend.gateway.call.CallBoundary;
 import org.skylarkbend.wire.HeldBytes;
+import org.skylarkbend.wire.RequestDecoder;
 
 /**
  * Reads the bodies of requests within the memory for all of them.
@@ -23,7 +22,7 @@
  * not read, so that its caller waits. Large requests wait in order of arrival, and not for long;
  * small ones pass them. Confined to the task that serves the calls.
  */
-final class BodyIntake {
+public final class BodyIntake {
     /** A caller gives up a connection that does not read its request within a second. */
     private static final long MAX_WAIT_MILLISECONDS = 500;
 
@@ -65,7 +64,7 @@
      * connection is lost first. If {@code complete} throws, the body is released and {@code
      * refused} is called.
      */
-    interface Listener {
+    public interface Listener {
         /** Called with the complete body, which the listener must release. */
         void complete(HeldBytes body);
 
@@ -77,17 +76,16 @@
      * Creates an intake without requests.
      *
      * @param vertx sets the timers
-     * @param budget memory for the bodies
-     * @param memory ends stalled requests if there is no memory left
+     * @param memory memory for the bodies, which ends stalled requests if there is none left
      * @param clock monotonic clock
      */
-    BodyIntake(Vertx vertx, ByteBudget budget, CallerMemory memory, MillisecondClock clock) {
+    public BodyIntake(Vertx vertx, CallerMemory memory, MillisecondClock clock) {
         mMemory = memory;
         mVertx = vertx;
-        mBudget = budget;
+        mBudget = memory.bodies();
         mClock = clock;
         mCheckedMilliseconds = clock.nowMilliseconds();
-        budget.onRelease(this::startWaiting);
+        mBudget.onRelease(this::startWaiting);
     }
 
     /**
@@ -96,16 +94,10 @@
      * @param id ID that the caller gave to the request
      * @param request request whose head has arrived
      * @param limits limits in force when the request began, which stay those of its body
-     * @param untilMilliseconds time at which a body that is still incomplete is refused
      * @param listener receives the outcome
      */
-    void read(
-            String id,
-            HttpServerRequest request,
-            CallerLimits limits,
-            long untilMilliseconds,
-            Listener listener) {
-        Reading reading = new Reading(request, limits, untilMilliseconds, listener);
+    public void read(String id, HttpServerRequest request, BodyLimits limits, Listener listener) {
+        Reading reading = new Reading(request, limits, listener);
         mReadings.add(reading);
         mMemory.addBody(reading);
         CallBoundary boundary = new CallBoundary(id, reading::fail);
@@ -118,8 +110,7 @@
     private void makeRoom(Reading reading) {
         long length = contentLength(reading.mRequest);
         if (length > reading.mMaxBodyBytes) {
-            reading.refuse(
-                    new SkylarkError(ErrorKind.BODY_TOO_LARGE, "the request body is too large"));
+            reading.refuse(reading.mLimits.errors().tooLarge().get());
         } else if (!mWaiting.isEmpty() && length > SMALL_BYTES || !reading.mBody.reserve(length)) {
             waitForRoom(reading, length);
         }
@@ -129,7 +120,7 @@
      * Refuses the bodies of which nothing has arrived for a time, and those that take too long,
      * however often a byte of them arrives. To be called at intervals.
      */
-    void endLate() {
+    public void endLate() {
         long nowMilliseconds = mClock.nowMilliseconds();
         long elapsedMilliseconds =
                 Math.min(MAX_CHECK_MILLISECONDS, nowMilliseconds - mCheckedMilliseconds);
@@ -140,27 +131,27 @@
         for (Reading reading : List.copyOf(mReadings)) {
             if (!mWaiting.contains(reading)
                     && reading.isLate(nowMilliseconds, elapsedMilliseconds)) {
-                reading.refuse(
-                        new SkylarkError(
-                                ErrorKind.REQUEST_TIMEOUT,
-                                "the request was not completed in time"));
+                reading.refuse(reading.mLimits.errors().late().get());
             }
         }
     }
 
     private void waitForRoom(Reading reading, long length) {
+        if (!RequestDecoder.pause(reading.mRequest.connection())) {
+            reading.refuse(reading.mLimits.errors().noMemory().get());
+            return;
+        }
         reading.mNeededBytes = length;
-        reading.mRequest.pause();
         mWaiting.add(reading);
         mVertx.setTimer(
                 MAX_WAIT_MILLISECONDS,
                 id -> {
                     if (mWaiting.remove(reading)) {
-                        reading.mRequest.resume();
+                        reading.resume();
                         reading.mArrivedMilliseconds = mClock.nowMilliseconds();
                         // Requests that filled the memory may have stalled since.
                         if (!reading.mBody.reserve(length)) {
-                            reading.refuse(noRoom());
+                            reading.refuse(reading.mLimits.errors().noMemory().get());
                         }
                     }
                 });
@@ -168,16 +159,12 @@
 
     private void startWaiting() {
         while (!mWaiting.isEmpty() && mWaiting.peek().mBody.reserve(mWaiting.peek().mNeededBytes)) {
-            mWaiting.poll().mRequest.resume();
+            mWaiting.poll().resume();
         }
     }
 
-    private static SkylarkError noRoom() {
-        return new SkylarkError(ErrorKind.OVERLOADED, "there is no memory for the request body");
-    }
-
     /** Returns the error of a request that an exception ended before it was sent on. */
-    static SkylarkError stepFailed() {
+    public static SkylarkError stepFailed() {
         return new SkylarkError(ErrorKind.INTERNAL_NOT_RUN, "a step of the request failed");
     }
 
@@ -190,9 +177,8 @@
     /** A body that is being read. */
     private final class Reading implements CallerMemory.Holder {
         private final HttpServerRequest mRequest;
-        private final CallerLimits mLimits;
-        private final int mMaxBodyBytes;
-        private final long mUntilMilliseconds;
+        private final BodyLimits mLimits;
+        private final long mMaxBodyBytes;
         private final Listener mListener;
         private final HeldBytes mBody = new HeldBytes(mBudget);
         private long mNeededBytes;
@@ -204,15 +190,10 @@
         private boolean mEnded;
         private boolean mCompleting;
 
-        Reading(
-                HttpServerRequest request,
-                CallerLimits limits,
-                long untilMilliseconds,
-                Listener listener) {
+        Reading(HttpServerRequest request, BodyLimits limits, Listener listener) {
             mRequest = request;
             mLimits = limits;
-            mMaxBodyBytes = (int) Math.min(limits.bodyBytes(), mBudget.limitBytes());
-            mUntilMilliseconds = untilMilliseconds;
+            mMaxBodyBytes = Math.min(limits.maxBytes(), mBudget.limitBytes());
             mListener = listener;
         }
 
@@ -226,7 +207,7 @@
             boolean seemedLate = mSeemsLate;
             mSeemsLate =
                     mIdleMilliseconds > mLimits.idleMilliseconds()
-                            || mUntilMilliseconds <= nowMilliseconds;
+                            || mLimits.untilMilliseconds() <= nowMilliseconds;
             return seemedLate && mSeemsLate;
         }
 
@@ -253,9 +234,9 @@
                 return;
             }
             if (mBody.lengthBytes() + chunk.length() > mMaxBodyBytes) {
-                refuse(new SkylarkError(ErrorKind.BODY_TOO_LARGE, "the request body is too large"));
+                refuse(mLimits.errors().tooLarge().get());
             } else if (!mBody.append(chunk)) {
-                refuse(noRoom());
+                refuse(mLimits.errors().noMemory().get());
             }
         }
 
@@ -295,6 +276,10 @@
             }
         }
 
+        private void resume() {
+            RequestDecoder.resume(mRequest.connection());
+        }
+
         /** Ends the reading because the connection is lost. */
         void stop() {
             if (end()) {
@@ -307,7 +292,9 @@
             mEnded = true;
             mReadings.remove(this);
             mMemory.removeBody(this);
-            mWaiting.remove(this);
+            if (mWaiting.remove(this)) {
+                resume();
+            }
             return isFirst;
         }
     }
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/CallBoundary.java
+++ b/intake/src/main/java/org/skylarkbend/intake/CallBoundary.java
@@ -1,4 +1,4 @@
-package org.skylarkbend.gateway.call;
+package org.skylarkbend.intake;
 
 import java.util.function.Consumer;
 import org.skylarkbend.base.StructuredLog;
--- a/wire/src/main/java/org/skylarkbend/wire/RequestDecoder.java
+++ b/wire/src/main/java/org/skylarkbend/wire/RequestDecoder.java
@@ -4,7 +4,8 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelOutboundBuffer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMessage;
@@ -12,6 +13,8 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.AsciiString;
+import io.netty.util.ReferenceCountUtil;
 import io.vertx.core.Handler;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpConnection;
@@ -33,7 +36,8 @@
  * request at a time.
  *
  * <p>A request is decoded once the response to the one before has been sent. Until then the bytes
- * behind it stay undecoded, and beyond a limit unread.
+ * behind it stay undecoded, and beyond a limit unread. Memory is taken before a line of a head or
+ * of a trailer section is decoded; without memory the connection is closed.
  *
  * <p>A request whose length another server on its way could understand differently is invalid, so
  * that no part of its body can be taken for a request. A connection on which a head stays
@@ -52,6 +56,12 @@
     /** Bytes behind a request that are read while its response is not sent yet. */
     private static final int MAX_WAITING_BYTES = 16 * 1024;
 
+    /** Size of the buffer for one read of a connection. */
+    private static final int READ_BYTES = 4 * 1024;
+
+    /** Receive buffer of a connection, which the kernel fills while the connection is not read. */
+    private static final int RECEIVE_BUFFER_BYTES = 64 * 1024;
+
     /**
      * Bytes behind an invalid request that are read all the same: closing a connection with unread
      * bytes can cost its peer the response to an earlier request.
@@ -65,19 +75,21 @@
     private static final long READ_AGAIN_MILLISECONDS = 50;
 
     private final Limits mLimits;
+    private final UnreadResponses mUnread;
     private Future<?> mHeadTimer;
-    private Future<?> mUnreadTimer;
-    private long mUnreadBytes;
     private boolean mHeadSeemsLate;
     private boolean mTracksResponses;
     private boolean mAwaitsResponse;
+    private boolean mPaused;
     private boolean mStoppedReading;
     private boolean mReadingHead;
+    private boolean mReadingLines;
     private boolean mReadingBody;
     private boolean mInvalid;
+    private boolean mOutOfMemory;
+    private boolean mClosesAfterResponse;
     private long mIgnoredBytes;
-    private long mHeadBytes;
-    private int mUndecodedBytes;
+    private long mUndecodedBytes;
 
     /**
      * Limits on a connection.
@@ -87,19 +99,19 @@
      *     responses that wait for it
      * @param isServing returns whether a response is still to be sent; as the rest of the next head
      *     may not be read meanwhile, its time begins anew
-     * @param memory memory for heads that are incomplete
+     * @param memory memory for what the peer sends
      */
     public record Limits(
             LongSupplier headMilliseconds,
             LongSupplier unreadMilliseconds,
             BooleanSupplier isServing,
-            HeadMemory memory) {
-        /** Creates limits without one on the memory of heads. */
+            ReceiveMemory memory) {
+        /** Creates limits without one on the memory. */
         public Limits(
                 LongSupplier headMilliseconds,
                 LongSupplier unreadMilliseconds,
                 BooleanSupplier isServing) {
-            this(headMilliseconds, unreadMilliseconds, isServing, HeadMemory.unlimited());
+            this(headMilliseconds, unreadMilliseconds, isServing, ReceiveMemory.unlimited());
         }
 
         /** Returns limits that end a connection on which no response was sent for some time. */
@@ -108,38 +120,11 @@
         }
     }
 
-    /** Memory for the incomplete head on a connection. */
-    public interface HeadMemory {
-        /**
-         * Takes memory for a head of which so many bytes have arrived. Returns false if there is
-         * none, after which the connection is closed.
-         *
-         * @param bytes size of the part that has arrived
-         * @param close closes the connection, to free its memory
-         */
-        boolean hold(long bytes, Runnable close);
-
-        /** Releases the memory, because the head is complete or its connection is closed. */
-        void release();
-
-        /** Returns an account without a limit. */
-        static HeadMemory unlimited() {
-            return new HeadMemory() {
-                @Override
-                public boolean hold(long bytes, Runnable close) {
-                    return true;
-                }
-
-                @Override
-                public void release() {}
-            };
-        }
-    }
-
     /** Creates a decoder for one connection of a server with these options. */
     RequestDecoder(HttpServerOptions options, Limits limits) {
         super(options);
         mLimits = limits;
+        mUnread = new UnreadResponses(limits.unreadMilliseconds());
     }
 
     /**
@@ -161,10 +146,14 @@
                 .connectionHandler(
                         connection ->
                                 new RequestDecoder(options, limits.apply(connection))
-                                        .install(((ConnectionBase) connection).channel()));
+                                        .install(channel(connection)));
     }
 
     private void install(Channel channel) {
+        channel.config().setOption(ChannelOption.SO_RCVBUF, RECEIVE_BUFFER_BYTES);
+        channel.config()
+                .setRecvByteBufAllocator(
+                        new FixedRecvByteBufAllocator(READ_BYTES).maxMessagesPerRead(1));
         channel.pipeline().replace(HANDLER_NAME, HANDLER_NAME, this);
         channel.pipeline()
                 .addAfter(
@@ -174,6 +163,80 @@
         mTracksResponses = true;
     }
 
+    /**
+     * Stops decoding and reading a connection in the middle of a body. Returns false, and leaves
+     * the connection as it is, if there is no memory for the bytes that may arrive until it is
+     * resumed.
+     */
+    public static boolean pause(HttpConnection connection) {
+        RequestDecoder decoder = channel(connection).pipeline().get(RequestDecoder.class);
+        return decoder == null || decoder.pause(channel(connection));
+    }
+
+    /** Decodes and reads a connection again after {@link #pause(HttpConnection)}. */
+    public static void resume(HttpConnection connection) {
+        RequestDecoder decoder = channel(connection).pipeline().get(RequestDecoder.class);
+        if (decoder != null && decoder.mPaused) {
+            decoder.mPaused = false;
+            decoder.decodeLater(channel(connection));
+        }
+    }
+
+    private boolean pause(Channel channel) {
+        if (!mLimits.memory().holdUndecoded(READ_BYTES + RECEIVE_BUFFER_BYTES)) {
+            mUndecodedBytes = 0;
+            return false;
+        }
+        mUndecodedBytes = READ_BYTES + RECEIVE_BUFFER_BYTES;
+        mPaused = true;
+        stopReading(channel);
+        return true;
+    }
+
+    private static Channel channel(HttpConnection connection) {
+        return ((ConnectionBase) connection).channel();
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
+        super.channelRead(context, message);
+        holdUndecoded(context);
+    }
+
+    /** Takes memory for the bytes that wait to be decoded or, on a stopped connection, read. */
+    private void holdUndecoded(ChannelHandlerContext context) {
+        ByteBuf undecoded = internalBuffer();
+        long bytes =
+                (undecoded.isReadable() ? undecoded.capacity() : 0)
+                        + (mStoppedReading ? RECEIVE_BUFFER_BYTES : 0);
+        if (bytes != mUndecodedBytes && context.channel().isActive()) {
+            mUndecodedBytes = bytes;
+            if (!mLimits.memory().holdUndecoded(bytes)) {
+                mUndecodedBytes = 0;
+                discardUndecoded(context);
+            }
+        }
+    }
+
+    /** Ends a connection, after the response in progress if the bytes are behind its request. */
+    private void discardUndecoded(ChannelHandlerContext context) {
+        if (mInvalid || mReadingBody || !mAwaitsResponse) {
+            closeWithoutMemory(context);
+        } else {
+            LOG.info("request.pipeline.no_memory", "peer", context.channel().remoteAddress());
+            mInvalid = true;
+            mClosesAfterResponse = true;
+            ignore(context, internalBuffer());
+        }
+    }
+
+    private void closeWithoutMemory(ChannelHandlerContext context) {
+        LOG.info("request.no_memory", "peer", context.channel().remoteAddress());
+        mInvalid = true;
+        mLimits.memory().releaseAll();
+        context.close();
+    }
+
     @Override
     protected void decode(ChannelHandlerContext context, ByteBuf received, List<Object> decoded)
             throws Exception {
@@ -192,40 +255,84 @@
         }
         if (received.isReadable() && !mReadingBody && !mReadingHead) {
             mReadingHead = true;
-            mHeadBytes = 0;
-            mUndecodedBytes = 0;
-        }
-        if (!mReadingBody && !hasMemoryForHead(context, received)) {
-            return;
+            mLimits.memory().headBegun();
         }
         int earlier = decoded.size();
+        mReadingLines |= mReadingHead;
+        decodeOnce(context, received, decoded);
+        List<Object> parts = decoded.subList(earlier, decoded.size());
+        if (mOutOfMemory) {
+            parts.forEach(ReferenceCountUtil::release);
+            parts.clear();
+            received.skipBytes(received.readableBytes());
+            closeWithoutMemory(context);
+        } else {
+            parts.forEach(this::decoded);
+        }
+    }
+
+    private void decodeOnce(ChannelHandlerContext context, ByteBuf received, List<Object> decoded)
+            throws Exception {
+        int receivedBytes = received.readableBytes();
         super.decode(context, received, decoded);
-        mUndecodedBytes = received.readableBytes();
-        for (Object part : decoded.subList(earlier, decoded.size())) {
-            if (((HttpObject) part).decoderResult().isFailure()) {
-                mInvalid = true;
-            }
-            if (part instanceof HttpRequest) {
-                mReadingHead = false;
-                mReadingBody = true;
-                mAwaitsResponse = mTracksResponses;
-                cancelHeadTimer();
-            }
-            if (part instanceof LastHttpContent) {
-                mReadingBody = false;
-            }
+        int decodedBytes = receivedBytes - received.readableBytes();
+        if (mReadingLines && !mLimits.memory().take(DecodedHeap.ofCharacters(decodedBytes))) {
+            mOutOfMemory = true;
         }
     }
 
     /** Returns whether the bytes that have arrived may not be decoded yet. */
     private boolean isWaiting(ChannelHandlerContext context) {
         boolean isBetweenRequests = !mReadingBody && !mReadingHead;
-        return isBetweenRequests && (mAwaitsResponse || !context.channel().isWritable());
+        return mPaused || isBetweenRequests && (mAwaitsResponse || !context.channel().isWritable());
+    }
+
+    private void decoded(Object part) {
+        if (((HttpObject) part).decoderResult().isFailure()) {
+            mInvalid = true;
+        }
+        if (part instanceof HttpRequest) {
+            mReadingHead = false;
+            mReadingLines = false;
+            mReadingBody = true;
+            mAwaitsResponse = mTracksResponses;
+            mLimits.memory().headComplete();
+            cancelHeadTimer();
+        }
+        if (part instanceof LastHttpContent) {
+            mReadingBody = false;
+            mReadingLines = false;
+        }
+    }
+
+    /** Called with the words of the request line. */
+    @Override
+    protected HttpMessage createMessage(String[] initialLine) {
+        takeMemory(DecodedHeap.REQUEST_BYTES);
+        return super.createMessage(initialLine);
+    }
+
+    /** Called with each line of a head or of a trailer section. */
+    @Override
+    protected AsciiString splitHeaderName(byte[] line, int start, int length) {
+        mReadingLines = true;
+        takeMemory(DecodedHeap.HEADER_BYTES);
+        return super.splitHeaderName(line, start, length);
+    }
+
+    private void takeMemory(long bytes) {
+        if (!mLimits.memory().take(bytes)) {
+            mOutOfMemory = true;
+            throw new IllegalStateException("there is no memory for the request");
+        }
     }
 
     private void responseEnded(Channel channel) {
         mAwaitsResponse = false;
-        if (!mReadingBody && internalBuffer().isReadable()) {
+        mLimits.memory().releaseRequest();
+        if (mClosesAfterResponse) {
+            channel.eventLoop().execute(channel::close);
+        } else if (!mReadingBody && internalBuffer().isReadable()) {
             restartHeadTimer(channel);
             decodeLater(channel);
         }
@@ -249,7 +356,7 @@
     }
 
     private void decodeWaiting(ChannelHandlerContext context) {
-        if (mStoppedReading) {
+        if (mStoppedReading && !mPaused) {
             mStoppedReading = false;
             context.channel().config().setAutoRead(true);
         }
@@ -261,22 +368,6 @@
         }
     }
 
-    /**
-     * Takes memory for what has arrived of a head before it is decoded: connections that are closed
-     * afterwards keep what was decoded until the loop has read all others.
-     */
-    private boolean hasMemoryForHead(ChannelHandlerContext context, ByteBuf received) {
-        mHeadBytes += Math.max(0, received.readableBytes() - mUndecodedBytes);
-        if (!mReadingHead || mLimits.memory().hold(mHeadBytes, context::close)) {
-            return true;
-        }
-        LOG.info("request.head.no_memory", "peer", context.channel().remoteAddress());
-        mInvalid = true;
-        received.skipBytes(received.readableBytes());
-        context.close();
-        return false;
-    }
-
     /** Discards bytes behind an invalid request; beyond the limit they are left to the socket. */
     private void ignore(ChannelHandlerContext context, ByteBuf received) {
         mIgnoredBytes += received.readableBytes();
@@ -300,18 +391,20 @@
     public void channelWritabilityChanged(ChannelHandlerContext context) throws Exception {
         super.channelWritabilityChanged(context);
         if (context.channel().isWritable()) {
-            cancelUnreadTimer();
+            mUnread.cancel();
             decodeLater(context.channel());
-        } else if (mUnreadTimer == null) {
-            startUnreadTimer(context);
+        } else {
+            mUnread.startUnlessRunning(context);
         }
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext context) throws Exception {
         cancelHeadTimer();
-        cancelUnreadTimer();
+        mUnread.cancel();
+        mInvalid = true;
         super.channelInactive(context);
+        mLimits.memory().releaseAll();
     }
 
     /** Called once the head is complete; an exception makes the request invalid. */
@@ -375,44 +468,6 @@
         if (mHeadTimer != null) {
             mHeadTimer.cancel(false);
             mHeadTimer = null;
-            mLimits.memory().release();
-        }
-    }
-
-    private void startUnreadTimer(ChannelHandlerContext context) {
-        mUnreadBytes = unreadBytes(context);
-        mUnreadTimer =
-                context.executor()
-                        .schedule(
-                                () -> checkUnread(context),
-                                mLimits.unreadMilliseconds().getAsLong(),
-                                TimeUnit.MILLISECONDS);
-    }
-
-    private void checkUnread(ChannelHandlerContext context) {
-        if (unreadBytes(context) == mUnreadBytes) {
-            LOG.info(
-                    "response.unread",
-                    "peer",
-                    context.channel().remoteAddress(),
-                    "unread_bytes",
-                    mUnreadBytes);
-            context.close();
-        } else {
-            startUnreadTimer(context);
-        }
-    }
-
-    /** Returns the bytes that the socket has not taken yet; those of the first part are counted. */
-    private static long unreadBytes(ChannelHandlerContext context) {
-        ChannelOutboundBuffer waiting = context.channel().unsafe().outboundBuffer();
-        return waiting == null ? 0 : waiting.totalPendingWriteBytes() - waiting.currentProgress();
-    }
-
-    private void cancelUnreadTimer() {
-        if (mUnreadTimer != null) {
-            mUnreadTimer.cancel(false);
-            mUnreadTimer = null;
         }
     }
 }
