Keep the limit on callers' connections

Seen by callers: connections without a request beyond caller_connections stay open and take the descriptors that are needed for endpoints. Cause: the longest idle connection was asked to close, in Vert.x's way, and stayed in the record until that was done; each further connection chose the same one. Change: a connection that gives way is closed past Vert.x and leaves the record at once. Those that never had a request give way first, so that kept connections of callers stay; then one with a stalled request. If there is none, the new connection is closed. Counters caller_connections_closed and _refused, log lines caller.idle.closed and caller.refused. Why this works: the record and the open connections are the same.

--- a/gateway/src/main/java/org/skylarkbend/gateway/front/GatewayTask.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/front/GatewayTask.java
@@ -119,7 +119,10 @@
         mCallerMemory = new CallerMemory(budgets, clock);
         mConnections =
                 new CallerConnections(
-                        mCallerMemory, settings.budgets().callerConnections(), connection -> {});
+                        mCallerMemory,
+                        settings.budgets().callerConnections(),
+                        connection -> {},
+                        metrics);
         mHeadReader = new CallHeadReader(settings.headers());
         mAdmissions =
                 new Admissions(mHeadReader, () -> mDrain.filter(Drain::isRefusing).isPresent());
--- a/intake/src/main/java/org/skylarkbend/intake/CallerConnections.java
+++ b/intake/src/main/java/org/skylarkbend/intake/CallerConnections.java
@@ -1,5 +1,7 @@
 package org.skylarkbend.intake;
 
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpServerRequest;
 import java.util.LinkedHashMap;
@@ -8,6 +10,7 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 import org.skylarkbend.base.StructuredLog;
 import org.skylarkbend.wire.ReceiveMemory;
 import org.skylarkbend.wire.RefusedBody;
@@ -23,6 +26,8 @@
     private final CallerMemory mMemory;
     private final int mMaxConnections;
     private final Consumer<HttpConnection> mOnClosed;
+    private final Counter mClosed;
+    private final Counter mRefused;
 
     /** Connections that were used last come last. */
     private final Map<HttpConnection, Caller> mCallers = new LinkedHashMap<>();
@@ -31,6 +36,7 @@
     private static final class Caller {
         private final ReceiveMemory mReceiveMemory;
         private boolean mServing;
+        private boolean mWasUsed;
 
         Caller(ReceiveMemory memory) {
             mReceiveMemory = memory;
@@ -39,6 +45,10 @@
         boolean isIdle() {
             return !mServing;
         }
+
+        boolean isUnused() {
+            return !mServing && !mWasUsed;
+        }
     }
 
     /**
@@ -47,18 +57,27 @@
      * @param memory memory for what callers send
      * @param maxConnections number of connections that are kept
      * @param onClosed receives each connection that is closed
+     * @param metrics registry of the metrics {@code caller_connections_closed} and {@code
+     *     caller_connections_refused}
      */
     public CallerConnections(
-            CallerMemory memory, int maxConnections, Consumer<HttpConnection> onClosed) {
+            CallerMemory memory,
+            int maxConnections,
+            Consumer<HttpConnection> onClosed,
+            MetricRegistry metrics) {
         mMemory = memory;
         mMaxConnections = maxConnections;
         mOnClosed = onClosed;
+        mClosed = metrics.counter("caller_connections_closed");
+        mRefused = metrics.counter("caller_connections_refused");
         memory.onAbort(this::abort);
     }
 
     /**
-     * Adds a new connection. If there are too many, the one that has been idle for the longest time
-     * is closed.
+     * Adds a new connection. If there are too many, one on which no request is in progress is
+     * closed: the oldest one without any request so far, else the one that has been idle for the
+     * longest time, else the oldest one with a stalled request. If there is none of these, the new
+     * one is closed.
      *
      * @param connection the connection
      * @param headMilliseconds returns the time in which a head must be complete
@@ -70,26 +89,39 @@
             LongSupplier headMilliseconds,
             LongSupplier unreadMilliseconds) {
         ReceiveMemory memory = mMemory.newConnection(() -> abort(connection));
-        if (mCallers.size() >= mMaxConnections) {
-            closeLongestIdle();
-        }
+        boolean hasRoom = mCallers.size() < mMaxConnections || makeRoom();
         mCallers.put(connection, new Caller(memory));
         connection.closeHandler(ignored -> closed(connection));
+        if (!hasRoom) {
+            LOG.info("caller.refused", "peer", connection.remoteAddress());
+            mRefused.inc();
+            abort(connection);
+        }
         return new RequestDecoder.Limits(
                 headMilliseconds, unreadMilliseconds, () -> isServing(connection), memory);
     }
 
-    private void closeLongestIdle() {
-        Optional<HttpConnection> idle =
-                mCallers.entrySet().stream()
-                        .filter(entry -> entry.getValue().isIdle())
-                        .map(Map.Entry::getKey)
-                        .findFirst();
+    private boolean makeRoom() {
+        Optional<HttpConnection> idle = first(Caller::isUnused).or(() -> first(Caller::isIdle));
         idle.ifPresent(
                 connection -> {
-                    LOG.info("caller.idle.closed", "connections", mCallers.size());
-                    connection.close();
+                    LOG.info(
+                            "caller.idle.closed",
+                            "peer",
+                            connection.remoteAddress(),
+                            "connections",
+                            mCallers.size());
+                    mClosed.inc();
+                    abort(connection);
                 });
+        return idle.isPresent() || mMemory.giveUpStalled();
+    }
+
+    private Optional<HttpConnection> first(Predicate<Caller> condition) {
+        return mCallers.entrySet().stream()
+                .filter(entry -> condition.test(entry.getValue()))
+                .map(Map.Entry::getKey)
+                .findFirst();
     }
 
     private void closed(HttpConnection connection) {
@@ -117,6 +149,7 @@
         Caller caller = mCallers.get(connection);
         if (caller != null) {
             caller.mServing = true;
+            caller.mWasUsed = true;
             request.response().endHandler(ignored -> ended(connection));
         }
     }
--- a/intake/src/main/java/org/skylarkbend/intake/CallerMemory.java
+++ b/intake/src/main/java/org/skylarkbend/intake/CallerMemory.java
@@ -3,8 +3,10 @@
 import io.vertx.core.http.HttpServerRequest;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
 import org.skylarkbend.base.ByteBudget;
 import org.skylarkbend.base.MillisecondClock;
 import org.skylarkbend.base.StructuredLog;
@@ -95,6 +97,17 @@
         return new Connection(close);
     }
 
+    /** Gives up the oldest incomplete request that is stalled. Returns false if there is none. */
+    boolean giveUpStalled() {
+        long nowMilliseconds = mClock.nowMilliseconds();
+        Optional<Holder> stalled =
+                Stream.concat(mHeads.stream(), mBodies.stream())
+                        .filter(holder -> holder.isStalled(nowMilliseconds))
+                        .findFirst();
+        stalled.ifPresent(Holder::giveUp);
+        return stalled.isPresent();
+    }
+
     private void reclaim(ByteBudget memory, List<Set<Holder>> holders, long missingBytes) {
         long nowMilliseconds = mClock.nowMilliseconds();
         long enoughBytes = memory.usedBytes() - missingBytes;
