Count what callers send to a router, with the code of the gateway

Seen by callers: no answer beside 300 connections with heads or trailer sections of short lines without end, or with short or odd lines and an incomplete body. Cause: the router counted bodies only, and had no limit on connections. Change: HttpFrontTask uses CallerMemory, CallerConnections and BodyIntake of the module intake. Bound caller_connections, 2,000 by default. Bodies that find no memory wait for half a second before they are refused, as in the gateway; a refused body is read for a second more before its connection closes.

--- a/router/src/main/java/org/skylarkbend/router/RouterBounds.java
+++ b/router/src/main/java/org/skylarkbend/router/RouterBounds.java
@@ -3,10 +3,7 @@
 /**
  * Size limits, timeouts and intervals of a router.
  *
- * @param maxBodyBytes the maximum size of a request body
- * @param maxHeaderBytes the maximum size of the request headers
- * @param requestReadMilliseconds the timeout for reading a request
- * @param idleConnectionMilliseconds the idle timeout of callers' connections
+ * @param callers the bounds of callers' requests and connections
  * @param maxResponseBytes the maximum size of a buffered response and of a stream event
  * @param connectTimeoutMilliseconds the timeout for connecting to an endpoint
  * @param silenceMilliseconds the time without data after which a connection to an endpoint is
@@ -22,10 +19,7 @@
  *     reports itself as unready, so that the load balancer can notice
  */
 public record RouterBounds(
-        int maxBodyBytes,
-        int maxHeaderBytes,
-        long requestReadMilliseconds,
-        long idleConnectionMilliseconds,
+        CallerBounds callers,
         int maxResponseBytes,
         long connectTimeoutMilliseconds,
         long silenceMilliseconds,
@@ -35,4 +29,20 @@
         int maxWaitingPerPriority,
         int maxWaitingPerCustomer,
         long watchMilliseconds,
-        long drainNoticeMilliseconds) {}
+        long drainNoticeMilliseconds) {
+    /**
+     * Bounds of callers' requests and connections.
+     *
+     * @param maxBodyBytes the maximum size of a request body
+     * @param maxHeaderBytes the maximum size of the request headers
+     * @param requestReadMilliseconds the timeout for reading a request
+     * @param idleConnectionMilliseconds the idle timeout of a connection
+     * @param maxConnections the number of connections beyond which idle ones are closed
+     */
+    public record CallerBounds(
+            int maxBodyBytes,
+            int maxHeaderBytes,
+            long requestReadMilliseconds,
+            long idleConnectionMilliseconds,
+            int maxConnections) {}
+}
--- a/router/src/main/java/org/skylarkbend/router/RouterSettingsReader.java
+++ b/router/src/main/java/org/skylarkbend/router/RouterSettingsReader.java
@@ -7,6 +7,7 @@
 import org.skylarkbend.base.settings.YamlDocument;
 import org.skylarkbend.base.settings.YamlMap;
 import org.skylarkbend.publishing.feed.FeedMessage.ControlAddress;
+import org.skylarkbend.router.RouterBounds.CallerBounds;
 import org.skylarkbend.router.RouterSettings.HttpAddress;
 import org.skylarkbend.wire.TlsFiles;
 
@@ -95,10 +96,7 @@
     private static RouterBounds bounds(YamlMap fields) {
         RouterBounds bounds =
                 new RouterBounds(
-                        bytes(fields, "max_body_bytes", 16 * MEBIBYTE, 256 * MEBIBYTE),
-                        bytes(fields, "max_header_bytes", 16 * KIBIBYTE, MEBIBYTE),
-                        time(fields, "request_read_milliseconds", 10_000),
-                        time(fields, "idle_connection_milliseconds", MINUTE_MILLISECONDS),
+                        callerBounds(fields),
                         bytes(fields, "max_answer_bytes", 16 * MEBIBYTE, 256 * MEBIBYTE),
                         time(fields, "connect_timeout_milliseconds", 1_000),
                         time(fields, "silence_milliseconds", 2_000),
@@ -113,6 +111,15 @@
         return bounds;
     }
 
+    private static CallerBounds callerBounds(YamlMap fields) {
+        return new CallerBounds(
+                bytes(fields, "max_body_bytes", 16 * MEBIBYTE, 256 * MEBIBYTE),
+                bytes(fields, "max_header_bytes", 16 * KIBIBYTE, MEBIBYTE),
+                time(fields, "request_read_milliseconds", 10_000),
+                time(fields, "idle_connection_milliseconds", MINUTE_MILLISECONDS),
+                count(fields, "caller_connections", 2_000));
+    }
+
     private static int bytes(YamlMap fields, String field, long defaultBytes, long maxBytes) {
         return (int) fields.integerOr(field, defaultBytes, KIBIBYTE, maxBytes);
     }
--- a/router/src/main/java/org/skylarkbend/router/forward/ForwardTask.java
+++ b/router/src/main/java/org/skylarkbend/router/forward/ForwardTask.java
@@ -139,7 +139,7 @@
                         MAX_CONNECTIONS_PER_ENDPOINT,
                         bounds.connectTimeoutMilliseconds(),
                         keepAliveMilliseconds,
-                        bounds.maxHeaderBytes()),
+                        bounds.callers().maxHeaderBytes()),
                 mClock,
                 mMetrics.strayReceptions());
     }
--- a/router/src/main/java/org/skylarkbend/router/front/CallerExchange.java
+++ b/router/src/main/java/org/skylarkbend/router/front/CallerExchange.java
@@ -6,37 +6,31 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
+import java.util.Optional;
 import java.util.function.Consumer;
 import org.skylarkbend.base.SkylarkError;
-import org.skylarkbend.router.RouterBounds;
+import org.skylarkbend.intake.BodyIntake;
+import org.skylarkbend.intake.BodyLimits;
+import org.skylarkbend.router.RouterBounds.CallerBounds;
 import org.skylarkbend.router.forward.ResponseMessage;
 import org.skylarkbend.wire.HeldBytes;
+import org.skylarkbend.wire.RefusedBody;
 
 /** One HTTP request of a caller and its response. */
 final class CallerExchange {
     private final Vertx mVertx;
     private final HttpServerRequest mRequest;
-    private final RouterBounds mBounds;
+    private final CallerBounds mBounds;
     private final Span mSpan;
-    private final HeldBytes mBody;
-    private Consumer<Buffer> mOnBody = body -> {};
-    private Consumer<SkylarkError> mOnRefused = error -> {};
+    private Optional<HeldBytes> mBody = Optional.empty();
     private Consumer<Boolean> mOnPause = paused -> {};
     private Runnable mOnEnd = () -> {};
-    private long mReadTimerId;
     private long mStallTimerId;
-    private boolean mReading = true;
     private boolean mEnded;
     private boolean mCloseAfterResponse;
 
-    CallerExchange(
-            Vertx vertx,
-            HttpServerRequest request,
-            RouterBounds bounds,
-            HeldBytes body,
-            Span span) {
+    CallerExchange(Vertx vertx, HttpServerRequest request, CallerBounds bounds, Span span) {
         mVertx = vertx;
-        mBody = body;
         mRequest = request;
         mBounds = bounds;
         mSpan = span;
@@ -68,50 +62,38 @@
         mCloseAfterResponse = true;
     }
 
-    /** Reads the body, subject to the size limit and the read timeout. */
-    void read(Consumer<Buffer> onBody, Consumer<SkylarkError> onRefused) {
-        mOnBody = onBody;
-        mOnRefused = onRefused;
+    /**
+     * Reads the body.
+     *
+     * @param intake reads it
+     * @param limits limits on it
+     * @param onBody receives it when it is complete
+     * @param onRefused receives the reason if it is not read
+     */
+    void read(
+            BodyIntake intake,
+            BodyLimits limits,
+            Consumer<Buffer> onBody,
+            Consumer<SkylarkError> onRefused) {
         mRequest.response().closeHandler(ignored -> finish());
         mRequest.response().exceptionHandler(e -> finish());
-        mRequest.exceptionHandler(e -> finish());
-        mReadTimerId =
-                mVertx.setTimer(mBounds.requestReadMilliseconds(), id -> handleReadTimeout());
-        mRequest.handler(this::handleChunk);
-        mRequest.endHandler(ignored -> bodyEnded());
-    }
-
-    private void handleChunk(Buffer chunk) {
-        if (!mReading) {
-            return;
-        }
-        if (mBody.lengthBytes() + chunk.length() > mBounds.maxBodyBytes()) {
-            mReading = false;
-            mOnRefused.accept(RequestErrors.bodyTooLarge(mBounds.maxBodyBytes()));
-        } else if (!mBody.append(chunk)) {
-            mReading = false;
-            closeAfterResponse();
-            mOnRefused.accept(RequestErrors.noMemory());
-        }
-    }
-
-    private void bodyEnded() {
-        mVertx.cancelTimer(mReadTimerId);
-        if (mReading) {
-            mReading = false;
-            mOnBody.accept(mBody.content());
-        }
-    }
-
-    private void handleReadTimeout() {
-        boolean timedOut = mReading;
-        mReading = false;
-        if (timedOut) {
-            closeAfterResponse();
-            mOnRefused.accept(RequestErrors.readTimedOut());
-        } else {
-            mRequest.connection().close();
-        }
+        intake.read(
+                mSpan.getSpanContext().getTraceId(),
+                mRequest,
+                limits,
+                new BodyIntake.Listener() {
+                    @Override
+                    public void complete(HeldBytes body) {
+                        mBody = Optional.of(body);
+                        onBody.accept(body.content());
+                    }
+
+                    @Override
+                    public void refused(SkylarkError error) {
+                        RefusedBody.closeConnection(mVertx, mRequest);
+                        onRefused.accept(error);
+                    }
+                });
     }
 
     /** Sends a complete response. */
@@ -199,7 +181,7 @@
     private void finish() {
         if (!mEnded) {
             mEnded = true;
-            mBody.release();
+            mBody.ifPresent(HeldBytes::release);
             mVertx.cancelTimer(mStallTimerId);
             mSpan.end();
             mOnEnd.run();
--- a/router/src/main/java/org/skylarkbend/router/front/HttpFrontTask.java
+++ b/router/src/main/java/org/skylarkbend/router/front/HttpFrontTask.java
@@ -26,16 +26,20 @@
 import org.skylarkbend.base.SkylarkError;
 import org.skylarkbend.base.telemetry.PrometheusText;
 import org.skylarkbend.base.telemetry.Tracing;
+import org.skylarkbend.intake.BodyIntake;
+import org.skylarkbend.intake.BodyLimits;
+import org.skylarkbend.intake.CallerBudgets;
+import org.skylarkbend.intake.CallerConnections;
+import org.skylarkbend.intake.CallerMemory;
 import org.skylarkbend.router.Call;
 import org.skylarkbend.router.HttpHeader;
 import org.skylarkbend.router.Mailbox;
-import org.skylarkbend.router.RouterBounds;
+import org.skylarkbend.router.RouterBounds.CallerBounds;
 import org.skylarkbend.router.RouterSettings;
 import org.skylarkbend.router.SseEvent;
 import org.skylarkbend.router.forward.ForwardMessage;
 import org.skylarkbend.router.forward.ResponseMessage;
 import org.skylarkbend.router.link.ServingView;
-import org.skylarkbend.wire.HeldBytes;
 import org.skylarkbend.wire.RequestDecoder;
 
 /** HTTP server task that owns the callers' connections, reads requests and writes responses. */
@@ -49,6 +53,9 @@
     /** Bodies that have taken the memory before are forwarded within the time. */
     private static final long MEMORY_RETRY_MILLISECONDS = 1_000;
 
+    /** Interval of the checks for bodies that are late. */
+    private static final long CHECK_INTERVAL_MILLISECONDS = 50;
+
     private static final String JSON = "application/json";
     private static final String TEXT = "text/plain; version=0.0.4; charset=utf-8";
 
@@ -57,11 +64,13 @@
     private final Consumer<ForwardMessage> mForward;
     private final CallAdmission mAdmission;
     private final MetricRegistry mMetrics;
-    private final ByteBudget mBodies;
+    private final CallerMemory mMemory;
+    private final CallerConnections mConnections;
     private final Tracing mTracing;
     private final MillisecondClock mClock;
     private final Map<String, CallerExchange> mRunning = new HashMap<>();
     private IdleTimeouts mIdle;
+    private BodyIntake mIntake;
     private HttpServer mServer;
     private ServingView mView = ServingView.none();
     private Optional<Runnable> mWhenDrained = Optional.empty();
@@ -83,11 +92,18 @@
         mForward = forward;
         mAdmission = new CallAdmission(callIdPrefix);
         mMetrics = metrics;
-        mBodies =
+        ByteBudget bodies =
                 new ByteBudget(
                         "front_bodies",
                         Runtime.getRuntime().maxMemory() / HEAP_PARTS_OF_BODIES,
                         metrics);
+        mMemory = new CallerMemory(CallerBudgets.ofHeap("front", bodies, metrics), clock);
+        mConnections =
+                new CallerConnections(
+                        mMemory,
+                        settings.bounds().callers().maxConnections(),
+                        connection -> mIdle.closed(connection),
+                        metrics);
         mTracing = tracing;
         mClock = clock;
         metrics.gauge("front_open_requests", () -> () -> mOpenRequests);
@@ -100,8 +116,10 @@
 
     @Override
     public Future<?> start() {
-        RouterBounds bounds = mSettings.bounds();
+        CallerBounds bounds = mSettings.bounds().callers();
         mIdle = new IdleTimeouts(vertx, bounds);
+        mIntake = new BodyIntake(vertx, mMemory, mClock);
+        vertx.setPeriodic(CHECK_INTERVAL_MILLISECONDS, id -> mIntake.endLate());
         mMailbox.bind(context, this::handle);
         HttpServerOptions options =
                 new HttpServerOptions()
@@ -117,12 +135,22 @@
 
     /** Returns the limits on a connection that a caller has opened. */
     private RequestDecoder.Limits connected(HttpConnection connection) {
-        RouterBounds bounds = mSettings.bounds();
+        CallerBounds bounds = mSettings.bounds().callers();
         mIdle.opened(connection);
-        return new RequestDecoder.Limits(
-                bounds::requestReadMilliseconds,
-                bounds::idleConnectionMilliseconds,
-                () -> mIdle.isServing(connection));
+        return mConnections.opened(
+                connection, bounds::requestReadMilliseconds, bounds::idleConnectionMilliseconds);
+    }
+
+    private BodyLimits bodyLimits() {
+        CallerBounds bounds = mSettings.bounds().callers();
+        return new BodyLimits(
+                bounds.maxBodyBytes(),
+                bounds.requestReadMilliseconds(),
+                mClock.nowMilliseconds() + bounds.requestReadMilliseconds(),
+                new BodyLimits.Errors(
+                        () -> RequestErrors.bodyTooLarge(bounds.maxBodyBytes()),
+                        RequestErrors::noMemory,
+                        RequestErrors::readTimedOut));
     }
 
     private static String refusalName(ErrorKind kind) {
@@ -173,6 +201,7 @@
 
     private void handleRequest(HttpServerRequest request) {
         mOpenRequests++;
+        mConnections.begun(request);
         mIdle.requestStarted(request.connection());
         Context parent = mTracing.propagator().extract(Context.root(), request, HEADERS);
         Span span =
@@ -182,13 +211,14 @@
                         .setSpanKind(SpanKind.SERVER)
                         .startSpan();
         CallerExchange exchange =
-                new CallerExchange(
-                        vertx, request, mSettings.bounds(), new HeldBytes(mBodies), span);
+                new CallerExchange(vertx, request, mSettings.bounds().callers(), span);
         if (mDraining) {
             exchange.closeAfterResponse();
         }
         exchange.onEnd(() -> requestEnded(request));
         exchange.read(
+                mIntake,
+                bodyLimits(),
                 body -> dispatch(exchange, parent, body),
                 error -> exchange.fail(error, MEMORY_RETRY_MILLISECONDS));
     }
@@ -283,7 +313,8 @@
                         || cause instanceof TooLongHttpLineException;
         SkylarkError error =
                 tooLarge
-                        ? RequestErrors.headersTooLarge(mSettings.bounds().maxHeaderBytes())
+                        ? RequestErrors.headersTooLarge(
+                                mSettings.bounds().callers().maxHeaderBytes())
                         : RequestErrors.notHttp();
         mMetrics.meter(refusalName(error.kind())).mark();
         request.response()
--- a/router/src/main/java/org/skylarkbend/router/front/IdleTimeouts.java
+++ b/router/src/main/java/org/skylarkbend/router/front/IdleTimeouts.java
@@ -4,7 +4,7 @@
 import io.vertx.core.http.HttpConnection;
 import java.util.HashMap;
 import java.util.Map;
-import org.skylarkbend.router.RouterBounds;
+import org.skylarkbend.router.RouterBounds.CallerBounds;
 
 /**
  * Closes callers' connections that have been idle for too long. A connection on which the headers
@@ -12,22 +12,20 @@
  */
 final class IdleTimeouts {
     private final Vertx mVertx;
-    private final RouterBounds mBounds;
+    private final CallerBounds mBounds;
     private final Map<HttpConnection, Long> mTimerIds = new HashMap<>();
 
-    IdleTimeouts(Vertx vertx, RouterBounds bounds) {
+    IdleTimeouts(Vertx vertx, CallerBounds bounds) {
         mVertx = vertx;
         mBounds = bounds;
     }
 
     void opened(HttpConnection connection) {
         startTimer(connection, mBounds.requestReadMilliseconds());
-        connection.closeHandler(ignored -> cancel(connection));
     }
 
-    /** Returns whether a request is in progress on the connection. */
-    boolean isServing(HttpConnection connection) {
-        return !mTimerIds.containsKey(connection);
+    void closed(HttpConnection connection) {
+        cancel(connection);
     }
 
     void requestStarted(HttpConnection connection) {
