--- a/router/src/test/java/org/skylarkbend/router/RouterCrowdTest.java
+++ b/router/src/test/java/org/skylarkbend/router/RouterCrowdTest.java
@@ -28,7 +28,11 @@
     /** Descriptors of a router beside those of its callers' connections. */
     private static final int OTHER_DESCRIPTORS = 200;
 
+    private static final int CALLER_CONNECTIONS = 500;
+    private static final String BOUNDS =
+            "bounds: {caller_connections: " + CALLER_CONNECTIONS + "}\n";
     private static final int CALLERS = 300;
+    private static final int TOO_MANY_CALLERS = 900;
     private static final int LARGE_CALLERS = 40;
     private static final int PIPELINING_CALLERS = 60;
     private static final int LARGE_CROWD = 400;
@@ -51,7 +55,7 @@
                 (request, socket) ->
                         socket.write(FakeResponses.stream(request.attempt(), 0, "fine")));
         mFixture.publish();
-        mRouter = new RouterProgram(mFixture, HEAP_MEGABYTES, "");
+        mRouter = new RouterProgram(mFixture, HEAP_MEGABYTES, BOUNDS);
         RouterFixture.awaitTrue(() -> chat() == 200);
     }
 
@@ -135,13 +139,19 @@
         assertServesBeside(LARGE_CROWD, CrowdRequests.smallChunks(START, CHUNKS));
     }
 
+    /** Guards against connections that take the descriptors for endpoints. */
+    @Test
+    public void aRouterKeepsItsLimitOnConnectionsBesideManyWithoutARequest() throws Exception {
+        assertServesBeside(TOO_MANY_CALLERS, CrowdRequests.none());
+    }
+
     private void assertServesBeside(int callers, CallerCrowd.Request request) throws Exception {
         try (CallerCrowd crowd = new CallerCrowd()) {
             crowd.send(mRouter.port(), callers, request);
             assertThat(mRouter.isRunning()).as("the process lives").isTrue();
             assertThat(chat()).as("status of an ordinary call").isEqualTo(200);
             ProcessUsage usage = ProcessUsage.of(mRouter.id(), mRouter.port());
-            assertThat(usage.descriptors()).isLessThan(callers + OTHER_DESCRIPTORS);
+            assertThat(usage.descriptors()).isLessThan(CALLER_CONNECTIONS + OTHER_DESCRIPTORS);
             assertThat(usage.memoryKilobytes()).as("%s", usage).isLessThan(MAX_MEMORY_KILOBYTES);
             assertThat(mRouter.isRunning()).as("the process lives").isTrue();
         }
--- a/testing/src/main/java/org/skylarkbend/testing/crowd/CallerCrowd.java
+++ b/testing/src/main/java/org/skylarkbend/testing/crowd/CallerCrowd.java
@@ -40,7 +40,7 @@
         }
     }
 
-    /** Connection of a caller and what is left to send on it. */
+    /** Connection of a caller, and the bytes that are left to send on it. */
     private record Caller(SocketChannel channel, ByteBuffer rest) {
         /** Sends one piece. Returns whether the connection accepted any of it. */
         boolean sendPiece() throws IOException {
@@ -66,7 +66,7 @@
      *
      * @param port port of the process on the loopback interface
      * @param callers number of connections
-     * @param request what is sent on each
+     * @param request request that is sent on each
      */
     public void send(int port, int callers, Request request) throws IOException {
         byte[] bytes = request.bytes();
--- a/wire/src/main/java/org/skylarkbend/wire/DecodedHeap.java
+++ b/wire/src/main/java/org/skylarkbend/wire/DecodedHeap.java
@@ -2,7 +2,7 @@
 
 /** Estimates of the heap that decoded parts of a request take until its response is sent. */
 final class DecodedHeap {
-    /** Request, response and what a server keeps for them. */
+    /** Heap of a request without headers, of its response and of their state in the server. */
     static final long REQUEST_BYTES = 2_000;
 
     /**
@@ -16,7 +16,7 @@
 
     private DecodedHeap() {}
 
-    /** Returns the heap that the characters of so many decoded bytes take. */
+    /** Returns the heap of the characters that are decoded from a number of bytes. */
     static long ofCharacters(int bytes) {
         return COPIES * bytes;
     }
--- a/wire/src/main/java/org/skylarkbend/wire/ReceiveMemory.java
+++ b/wire/src/main/java/org/skylarkbend/wire/ReceiveMemory.java
@@ -13,8 +13,8 @@
     void headComplete();
 
     /**
-     * Takes memory for what is decoded of the current request. Returns false if there is none,
-     * after which the connection is closed.
+     * Takes memory for a decoded part of the current request. Returns false if there is none, after
+     * which the connection is closed.
      *
      * @param bytes heap that the decoded part takes
      */
--- a/wire/src/main/java/org/skylarkbend/wire/RequestDecoder.java
+++ b/wire/src/main/java/org/skylarkbend/wire/RequestDecoder.java
@@ -286,7 +286,7 @@
         }
     }
 
-    /** Decodes the rest of what has arrived of a body, so that its small chunks can be joined. */
+    /** Decodes the other bytes of a body that have arrived, so that small chunks can be joined. */
     private void decodeMoreOfBody(
             ChannelHandlerContext context, ByteBuf received, List<Object> decoded)
             throws Exception {
@@ -366,7 +366,7 @@
         channel.config().setAutoRead(false);
     }
 
-    /** Decodes what has arrived on a connection that was waiting, and reads on. */
+    /** Decodes the bytes that were waiting, and reads on. */
     private void decodeLater(Channel channel) {
         channel.eventLoop()
                 .execute(
