Tell of a closed connection after its request has ended

Cause: a connection that gave way told the router's idle timeouts at once; its request ended afterwards and started a timer that kept the connection for the idle timeout, a minute by default. Change: CallerConnections reports a connection from the handler of its close, which Vert.x calls after those of its requests.

--- a/intake/src/main/java/org/skylarkbend/intake/CallerConnections.java
+++ b/intake/src/main/java/org/skylarkbend/intake/CallerConnections.java
@@ -56,7 +56,7 @@
      *
      * @param memory memory for what callers send
      * @param maxConnections number of connections that are kept
-     * @param onClosed receives each connection that is closed
+     * @param onClosed receives each connection once it is closed and its request has ended
      * @param metrics registry of the metrics {@code caller_connections_closed} and {@code
      *     caller_connections_refused}
      */
@@ -91,7 +91,11 @@
         ReceiveMemory memory = mMemory.newConnection(() -> abort(connection));
         boolean hasRoom = mCallers.size() < mMaxConnections || makeRoom();
         mCallers.put(connection, new Caller(memory));
-        connection.closeHandler(ignored -> closed(connection));
+        connection.closeHandler(
+                ignored -> {
+                    closed(connection);
+                    mOnClosed.accept(connection);
+                });
         if (!hasRoom) {
             LOG.info("caller.refused", "peer", connection.remoteAddress());
             mRefused.inc();
@@ -128,7 +132,6 @@
         Caller caller = mCallers.remove(connection);
         if (caller != null) {
             caller.mReceiveMemory.releaseAll();
-            mOnClosed.accept(connection);
         }
     }
 
