--- a/router/src/test/java/org/skylarkbend/router/RouterCrowdTest.java
+++ b/router/src/test/java/org/skylarkbend/router/RouterCrowdTest.java
@@ -37,6 +37,7 @@
     private static final int PIPELINING_CALLERS = 60;
     private static final int LARGE_CROWD = 400;
     private static final int CHUNKS = 4_000;
+    private static final int STREAMS_AT_ONCE = 450;
     private static final Duration CALL_TIMEOUT = Duration.ofSeconds(30);
     private static final String BODY =
             "{\"model\":\"assistant\",\"stream\":true,"
@@ -145,6 +146,33 @@
         assertServesBeside(TOO_MANY_CALLERS, CrowdRequests.none());
     }
 
+    /**
+     * Guards against lines whose decoding takes a time that grows with the square of their number.
+     */
+    @Test
+    public void aRouterServesBesidePipelinedRequestsWithFoldedLines() throws Exception {
+        assertServesBeside(CALLERS, CrowdRequests.pipelinedWithFoldedLines(START));
+    }
+
+    /** Guards against complete bodies that together exceed the memory. */
+    @Test
+    public void aRouterServesBesideManyLargeBodiesThatAreComplete() throws Exception {
+        assertServesBeside(LARGE_CROWD, CrowdRequests.completeLargeBody(START));
+    }
+
+    /** Guards against responses that their callers do not read. */
+    @Test
+    public void aRouterServesBesideCallersThatReadNothingOfItsMetrics() throws Exception {
+        String start = "GET /metrics HTTP/1.1\r\nHost: router\r\n";
+        assertServesBeside(LARGE_CROWD, CrowdRequests.pipelinedWithoutBodies(start));
+    }
+
+    /** Guards against a router that is not there for others while many streams begin at once. */
+    @Test
+    public void aRouterServesBehindManyStreamsThatBeginAtOnce() throws Exception {
+        assertServesBeside(STREAMS_AT_ONCE, CrowdRequests.complete(START, BODY));
+    }
+
     private void assertServesBeside(int callers, CallerCrowd.Request request) throws Exception {
         try (CallerCrowd crowd = new CallerCrowd()) {
             crowd.send(mRouter.port(), callers, request);
--- a/testing/src/main/java/org/skylarkbend/testing/crowd/CrowdRequests.java
+++ b/testing/src/main/java/org/skylarkbend/testing/crowd/CrowdRequests.java
@@ -14,6 +14,8 @@
     private static final int PIPELINED_REQUESTS = 300;
     private static final int BODY_BYTES = 4_000_000;
     private static final int BODY_PIECES = 16;
+    private static final int FOLDED_VALUE_BYTES = 8_000;
+    private static final int FOLDED_LINES = 2_400;
     private static final String SHORT_LINE = "a:1\r\n";
     private static final String LAST_BYTE_MISSING = "Content-Length: 2\r\n\r\nx";
     private static final String CHUNKED = "Transfer-Encoding: chunked\r\n\r\n";
@@ -31,6 +33,23 @@
         return new Request("", request, PIPELINED_REQUESTS);
     }
 
+    /** Returns complete requests with a long header value that continues on many empty lines. */
+    public static Request pipelinedWithFoldedLines(String start) {
+        String value =
+                "f: " + "x".repeat(FOLDED_VALUE_BYTES) + "\r\n" + " \r\n".repeat(FOLDED_LINES);
+        return new Request("", start + value + "\r\n", PIPELINED_REQUESTS);
+    }
+
+    /** Returns complete requests without a body, one behind the other. */
+    public static Request pipelinedWithoutBodies(String start) {
+        return new Request("", start + "\r\n", PIPELINED_REQUESTS);
+    }
+
+    /** Returns one complete request with a small body. */
+    public static Request complete(String start, String body) {
+        return new Request(start + "Content-Length: " + body.length() + "\r\n\r\n" + body, "", 0);
+    }
+
     private static String headOfShortLines(String start) {
         return start + SHORT_LINE.repeat(PIPELINED_LINES) + "\r\n";
     }
@@ -63,6 +82,14 @@
                 BODY_PIECES);
     }
 
+    /** Returns a large body that is complete. */
+    public static Request completeLargeBody(String start) {
+        return new Request(
+                start + "Content-Length: " + BODY_BYTES + "\r\n\r\n",
+                "x".repeat(BODY_BYTES / BODY_PIECES),
+                BODY_PIECES);
+    }
+
     /** Returns a large body in chunks without the last one. */
     public static Request largeBodyInChunks(String start) {
         int bytes = BODY_BYTES / BODY_PIECES;
--- a/wire/src/test/java/org/skylarkbend/wire/RequestMemoryTest.java
+++ b/wire/src/test/java/org/skylarkbend/wire/RequestMemoryTest.java
@@ -4,9 +4,11 @@
 import static org.skylarkbend.testing.Waits.await;
 import static org.skylarkbend.testing.Waits.awaitUntil;
 
+import com.sun.management.ThreadMXBean;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
+import java.lang.management.ManagementFactory;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -27,6 +29,11 @@
     /** Less than the heap that a header takes, so that the entry alone exceeds the characters. */
     private static final long LEAST_HEADER_BYTES = 100;
 
+    /** Short lines take up to 60 times their size, and the server some for the request itself. */
+    private static final long MAX_ALLOCATED_PER_BYTE = 100;
+
+    private static final int REPEATED_HEADS = 5;
+    private static final ThreadMXBean THREADS = (ThreadMXBean) ManagementFactory.getThreadMXBean();
     private static final String REQUEST = "GET /%d HTTP/1.1\r\nHost: server\r\n\r\n";
     private static final String CHUNKED =
             "POST / HTTP/1.1\r\nHost: server\r\nTransfer-Encoding: chunked\r\n\r\n1\r\ny\r\n0\r\n";
@@ -82,6 +89,32 @@
         awaitUntil(mVertx, () -> mMemory.mRequestBytes > earlierBytes + LINES);
     }
 
+    /** Guards against a value that is copied once for each line on which it continues. */
+    @Test
+    public void aHeadOfFoldedLinesAllocatesInProportionToItsSize() throws Exception {
+        String head =
+                "GET / HTTP/1.1\r\nHost: server\r\na: "
+                        + "x".repeat(8_000)
+                        + "\r\n"
+                        + " \r\n".repeat(LINES)
+                        + "\r\n";
+        List<Long> allocatedBytes = new CopyOnWriteArrayList<>();
+        RawClient peer =
+                connect(
+                        request -> {
+                            allocatedBytes.add(THREADS.getCurrentThreadAllocatedBytes());
+                            request.response().end(request.getHeader("a").trim() + ";");
+                        });
+        for (int i = 1; i <= REPEATED_HEADS; i++) {
+            int count = i;
+            await(peer.send(head));
+            awaitUntil(mVertx, () -> allocatedBytes.size() == count);
+        }
+        awaitUntil(mVertx, () -> peer.received().endsWith("x;"));
+        assertThat(allocatedBytes.get(REPEATED_HEADS - 1) - allocatedBytes.get(0))
+                .isLessThan(MAX_ALLOCATED_PER_BYTE * head.length() * (REPEATED_HEADS - 1));
+    }
+
     @Test
     public void aConnectionWithoutMemoryForALineIsClosed() throws Exception {
         mMemory.mFreeBytes = LINES * LEAST_HEADER_BYTES;
