Count what callers send to the readiness check and to the page of metrics

Seen by callers: a gateway ends when 400 callers send heads without an end to its readiness check or its page of metrics; 900 connections to the check take 979 descriptors; 200 callers with requests one behind the other keep the task busy, so that an ordinary call is refused with 429. Cause: both had plain servers without accounts and without a limit on connections, on addresses that callers reach, and share the loop with the calls. Connections that give way are logged and counted by the name of their server. Why this works: the crowd competes for these accounts and connections only.

--- a/gateway/src/main/java/org/skylarkbend/gateway/GatewayProcess.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/GatewayProcess.java
@@ -18,11 +18,11 @@
 import org.skylarkbend.gateway.link.SiteLinkDecider;
 import org.skylarkbend.gateway.link.SiteLinkTask;
 import org.skylarkbend.intake.CallerBudgets;
+import org.skylarkbend.intake.MetricsTask;
 import org.skylarkbend.limits.LimitMessage;
 import org.skylarkbend.moves.rollout.RolloutOutcomes;
 import org.skylarkbend.publishing.feed.FeedMessage.RouterHello;
 import org.skylarkbend.quarantine.CrashEvidence;
-import org.skylarkbend.wire.MetricsTask;
 
 /**
  * Runs the tasks of a gateway: the connection to control, the calls, the readiness check and the
@@ -56,8 +56,13 @@
         mSettings = settings;
         MillisecondClock clock = MillisecondClock.monotonic();
         MetricRegistry metrics = new MetricRegistry();
-        mMetrics = new MetricsTask(settings.callers().host(), settings.metricsPort(), metrics);
-        mStatus = new StatusTask(settings);
+        mMetrics =
+                new MetricsTask(
+                        settings.callers().host(),
+                        settings.metricsPort(),
+                        settings.budgets().managementConnections(),
+                        metrics);
+        mStatus = new StatusTask(settings, metrics);
         mGateway =
                 new GatewayTask(
                         settings,
--- a/gateway/src/main/java/org/skylarkbend/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/GatewaySettings.java
@@ -44,13 +44,15 @@
      * @param oldWeightsGraceMilliseconds time for which new calls may still use old weights after
      *     newer ones were announced
      * @param callerConnections number of connections of callers beyond which idle ones are closed
+     * @param managementConnections the same for the readiness check and for the metrics page
      */
     public record Budgets(
             double retriesPerCall,
             double retryBudgetCapacity,
             SiteLimits.Slack limitSlack,
             long oldWeightsGraceMilliseconds,
-            int callerConnections) {}
+            int callerConnections,
+            int managementConnections) {}
 
     /** Address to listen on. */
     public record ListenAddress(String host, int port) {}
--- a/gateway/src/main/java/org/skylarkbend/gateway/front/GatewayTask.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/front/GatewayTask.java
@@ -119,6 +119,7 @@
         mCallerMemory = new CallerMemory(budgets, clock);
         mConnections =
                 new CallerConnections(
+                        "caller",
                         mCallerMemory,
                         settings.budgets().callerConnections(),
                         connection -> {},
--- a/gateway/src/test/java/org/skylarkbend/gateway/front/GatewayFixture.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/front/GatewayFixture.java
@@ -95,7 +95,12 @@
                         1,
                         FakeEndpoint.NAMES,
                         new GatewaySettings.Budgets(
-                                1, retryBudgetCapacity(), SiteLimits.Slack.none(), 60_000, 2_000),
+                                1,
+                                retryBudgetCapacity(),
+                                SiteLimits.Slack.none(),
+                                60_000,
+                                2_000,
+                                100),
                         5_000);
         return new GatewayTask(
                 settings,
--- a/intake/src/main/java/org/skylarkbend/intake/CallerConnections.java
+++ b/intake/src/main/java/org/skylarkbend/intake/CallerConnections.java
@@ -23,6 +23,7 @@
 public final class CallerConnections {
     private static final StructuredLog LOG = StructuredLog.of(CallerConnections.class);
 
+    private final String mName;
     private final CallerMemory mMemory;
     private final int mMaxConnections;
     private final Consumer<HttpConnection> mOnClosed;
@@ -54,22 +55,25 @@
     /**
      * Creates a record without connections.
      *
+     * @param name name of the server, for logs and metrics
      * @param memory memory for what callers send
      * @param maxConnections number of connections that are kept
      * @param onClosed receives each connection once it is closed and its request has ended
-     * @param metrics registry of the metrics {@code caller_connections_closed} and {@code
-     *     caller_connections_refused}
+     * @param metrics registry of the metrics {@code NAME_connections_closed} and {@code
+     *     NAME_connections_refused}
      */
     public CallerConnections(
+            String name,
             CallerMemory memory,
             int maxConnections,
             Consumer<HttpConnection> onClosed,
             MetricRegistry metrics) {
+        mName = name;
         mMemory = memory;
         mMaxConnections = maxConnections;
         mOnClosed = onClosed;
-        mClosed = metrics.counter("caller_connections_closed");
-        mRefused = metrics.counter("caller_connections_refused");
+        mClosed = metrics.counter(name + "_connections_closed");
+        mRefused = metrics.counter(name + "_connections_refused");
         memory.onAbort(this::abort);
     }
 
@@ -97,7 +101,7 @@
                     mOnClosed.accept(connection);
                 });
         if (!hasRoom) {
-            LOG.info("caller.refused", "peer", connection.remoteAddress());
+            LOG.info("caller.refused", "server", mName, "peer", connection.remoteAddress());
             mRefused.inc();
             abort(connection);
         }
@@ -111,6 +115,8 @@
                 connection -> {
                     LOG.info(
                             "caller.idle.closed",
+                            "server",
+                            mName,
                             "peer",
                             connection.remoteAddress(),
                             "connections",
--- a/wire/src/main/java/org/skylarkbend/wire/MetricsTask.java
+++ b/intake/src/main/java/org/skylarkbend/intake/MetricsTask.java
@@ -1,9 +1,8 @@
-package org.skylarkbend.wire;
+package org.skylarkbend.intake;
 
 import com.codahale.metrics.MetricRegistry;
 import io.vertx.core.Future;
 import io.vertx.core.VerticleBase;
-import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
 import org.skylarkbend.base.telemetry.PrometheusText;
 
@@ -14,19 +13,27 @@
 
     private final String mHost;
     private final int mPort;
+    private final int mMaxConnections;
     private final MetricRegistry mMetrics;
 
-    /** Creates a task that listens on this address once it is deployed. */
-    public MetricsTask(String host, int port, MetricRegistry metrics) {
+    /**
+     * Creates a task that listens once it is deployed.
+     *
+     * @param host host to listen on
+     * @param port port to listen on
+     * @param maxConnections number of connections that are kept
+     * @param metrics registry that is served
+     */
+    public MetricsTask(String host, int port, int maxConnections, MetricRegistry metrics) {
         mHost = host;
         mPort = port;
+        mMaxConnections = maxConnections;
         mMetrics = metrics;
     }
 
     @Override
     public Future<?> start() {
-        return vertx.createHttpServer(new HttpServerOptions().setHttp2ClearTextEnabled(false))
-                .requestHandler(this::respond)
+        return ManagementServer.create(vertx, "metrics", mMaxConnections, mMetrics, this::respond)
                 .listen(mPort, mHost);
     }
 
--- a/intake/src/test/java/org/skylarkbend/intake/CallerConnectionsTest.java
+++ b/intake/src/test/java/org/skylarkbend/intake/CallerConnectionsTest.java
@@ -38,6 +38,7 @@
         ByteBudget memory = new ByteBudget("memory", MEMORY_BYTES, mMetrics);
         CallerConnections connections =
                 new CallerConnections(
+                        "caller",
                         new CallerMemory(
                                 new CallerBudgets(memory, memory, memory),
                                 MillisecondClock.monotonic()),
--- a/router/src/main/java/org/skylarkbend/router/front/HttpFrontTask.java
+++ b/router/src/main/java/org/skylarkbend/router/front/HttpFrontTask.java
@@ -100,6 +100,7 @@
         mMemory = new CallerMemory(CallerBudgets.ofHeap("front", bodies, metrics), clock);
         mConnections =
                 new CallerConnections(
+                        "caller",
                         mMemory,
                         settings.bounds().callers().maxConnections(),
                         connection -> mIdle.closed(connection),
