Keep the buffers of undecoded bytes as small as their account says

Seen: beside 300 callers with requests of folded lines a router takes 216 to 240 MB of 196. Cause: the buffer of a connection grew to 64 KB for 7 KB of undecoded bytes, since what was decoded was never dropped from its front while the connection was stopped; a buffer that was discarded for want of memory was kept, on no account; and Linux doubles the size of a receive buffer that is set, so that the kernel held 128 KB of a connection that counted with 64 KB. Change: CompactCumulator drops what is decoded before a buffer grows, an empty buffer is released, and the receive buffer holds 32 KB, which is what counts. A body arrives at 32 KB a round trip at most. HeadTimer is split off from RequestDecoder.

--- a/intake/src/main/java/org/skylarkbend/intake/CallerBudgets.java
+++ b/intake/src/main/java/org/skylarkbend/intake/CallerBudgets.java
@@ -17,7 +17,10 @@
      */
     private static final int HEAP_PARTS_OF_HEADS = 8;
 
-    /** Memory for undecoded bytes, as part of the heap. An unread connection counts with 68 KB. */
+    /**
+     * Memory for undecoded bytes, as part of the heap. An unread connection counts with up to 64
+     * KB.
+     */
     private static final int HEAP_PARTS_OF_UNDECODED = 4;
 
     /**
--- a/wire/src/main/java/org/skylarkbend/wire/RequestDecoder.java
+++ b/wire/src/main/java/org/skylarkbend/wire/RequestDecoder.java
@@ -20,8 +20,6 @@
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.impl.VertxHttpRequestDecoder;
 import java.util.List;
-import java.util.concurrent.Future;
-import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 import java.util.function.LongSupplier;
@@ -55,8 +53,11 @@
     /** Size of the buffer for one read of a connection. */
     private static final int READ_BYTES = 4 * 1024;
 
-    /** Receive buffer of a connection, which the kernel fills while the connection is not read. */
-    private static final int RECEIVE_BUFFER_BYTES = 64 * 1024;
+    /** Bytes of a connection that the kernel holds at most while the connection is not read. */
+    private static final int RECEIVE_BUFFER_BYTES = 32 * 1024;
+
+    /** Linux doubles the size that is set, and fills all of it over the loopback interface. */
+    private static final int RECEIVE_BUFFER_OPTION_BYTES = RECEIVE_BUFFER_BYTES / 2;
 
     /**
      * Bytes behind an invalid request that are read all the same: closing a connection with unread
@@ -64,16 +65,9 @@
      */
     private static final int MAX_IGNORED_BYTES = 1024 * 1024;
 
-    /**
-     * Time in which a connection is read once more before its head counts as late. If the loop was
-     * held up, the rest of the head may wait in the socket.
-     */
-    private static final long READ_AGAIN_MILLISECONDS = 50;
-
     private final Limits mLimits;
     private final UnreadResponses mUnread;
-    private Future<?> mHeadTimer;
-    private boolean mHeadSeemsLate;
+    private final HeadTimer mHeadTimer;
     private boolean mTracksResponses;
     private boolean mAwaitsResponse;
     private boolean mPaused;
@@ -122,6 +116,11 @@
         super(options);
         mLimits = limits;
         mUnread = new UnreadResponses(limits.unreadMilliseconds());
+        mHeadTimer =
+                new HeadTimer(
+                        limits.headMilliseconds(),
+                        () -> limits.isServing().getAsBoolean() || mAwaitsResponse);
+        setCumulator(new CompactCumulator());
     }
 
     /**
@@ -147,7 +146,7 @@
     }
 
     private void install(Channel channel) {
-        channel.config().setOption(ChannelOption.SO_RCVBUF, RECEIVE_BUFFER_BYTES);
+        channel.config().setOption(ChannelOption.SO_RCVBUF, RECEIVE_BUFFER_OPTION_BYTES);
         channel.config()
                 .setRecvByteBufAllocator(
                         new FixedRecvByteBufAllocator(READ_BYTES).maxMessagesPerRead(1));
@@ -199,7 +198,7 @@
     }
 
     /** Takes memory for the bytes that wait to be decoded or, on a stopped connection, read. */
-    private void holdUndecoded(ChannelHandlerContext context) {
+    private void holdUndecoded(ChannelHandlerContext context) throws Exception {
         ByteBuf undecoded = internalBuffer();
         long bytes =
                 (undecoded.isReadable() ? undecoded.capacity() : 0)
@@ -214,7 +213,7 @@
     }
 
     /** Ends a connection, after the response in progress if the bytes are behind its request. */
-    private void discardUndecoded(ChannelHandlerContext context) {
+    private void discardUndecoded(ChannelHandlerContext context) throws Exception {
         if (mInvalid || mReadingBody || !mAwaitsResponse) {
             closeWithoutMemory(context);
         } else {
@@ -222,6 +221,8 @@
             mInvalid = true;
             mClosesAfterResponse = true;
             ignore(context, internalBuffer());
+            // The inherited method releases an empty buffer.
+            super.channelRead(context, Unpooled.EMPTY_BUFFER);
         }
     }
 
@@ -239,8 +240,8 @@
             ignore(context, received);
             return;
         }
-        if (received.isReadable() && !mReadingBody && mHeadTimer == null) {
-            startHeadTimer(context);
+        if (received.isReadable() && !mReadingBody) {
+            mHeadTimer.startUnlessRunning(context);
         }
         if (isWaiting(context)) {
             if (received.readableBytes() >= MAX_WAITING_BYTES) {
@@ -336,7 +337,7 @@
             mReadingBody = true;
             mAwaitsResponse = mTracksResponses;
             mLimits.memory().headComplete();
-            cancelHeadTimer();
+            mHeadTimer.cancel();
         }
         if (part instanceof LastHttpContent) {
             mReadingBody = false;
@@ -373,7 +374,7 @@
         if (mClosesAfterResponse) {
             channel.eventLoop().execute(channel::close);
         } else if (!mReadingBody && internalBuffer().isReadable()) {
-            restartHeadTimer(channel);
+            mHeadTimer.restartIfRunning(channel.pipeline().context(this));
             decodeLater(channel);
         }
     }
@@ -421,6 +422,7 @@
     public void channelReadComplete(ChannelHandlerContext context) throws Exception {
         if (mStoppedReading) {
             // The inherited method reads on until a message is complete.
+            discardSomeReadBytes();
             context.fireChannelReadComplete();
         } else {
             super.channelReadComplete(context);
@@ -440,7 +442,7 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext context) throws Exception {
-        cancelHeadTimer();
+        mHeadTimer.cancel();
         mUnread.cancel();
         mInvalid = true;
         super.channelInactive(context);
@@ -455,43 +457,4 @@
         }
         return super.isContentAlwaysEmpty(message);
     }
-
-    private void startHeadTimer(ChannelHandlerContext context) {
-        mHeadSeemsLate = false;
-        startHeadTimer(context, mLimits.headMilliseconds().getAsLong());
-    }
-
-    private void startHeadTimer(ChannelHandlerContext context, long milliseconds) {
-        mHeadTimer =
-                context.executor()
-                        .schedule(() -> headLate(context), milliseconds, TimeUnit.MILLISECONDS);
-    }
-
-    private void restartHeadTimer(Channel channel) {
-        if (mHeadTimer != null) {
-            cancelHeadTimer();
-            startHeadTimer(channel.pipeline().context(this));
-        }
-    }
-
-    private void headLate(ChannelHandlerContext context) {
-        if (mLimits.isServing().getAsBoolean()
-                || mAwaitsResponse
-                || !context.channel().isWritable()) {
-            startHeadTimer(context);
-        } else if (!mHeadSeemsLate) {
-            mHeadSeemsLate = true;
-            startHeadTimer(context, READ_AGAIN_MILLISECONDS);
-        } else {
-            LOG.info("request.head.late", "peer", context.channel().remoteAddress());
-            context.close();
-        }
-    }
-
-    private void cancelHeadTimer() {
-        if (mHeadTimer != null) {
-            mHeadTimer.cancel(false);
-            mHeadTimer = null;
-        }
-    }
 }
