--- a/router/src/test/java/org/skylarkbend/router/RouterProgram.java
+++ b/router/src/test/java/org/skylarkbend/router/RouterProgram.java
@@ -21,10 +21,8 @@
                 new ProcessBuilder(
                         List.of(
                                 Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                                "@" + Path.of("..", "bin", "skylark-router.jvm"),
                                 "-Xmx" + heapMegabytes + "m",
-                                "-XX:+ExitOnOutOfMemoryError",
-                                "-XX:+UseSerialGC",
-                                "-XX:+PerfDisableSharedMem",
                                 "-Dtinylog.writer.stream=out",
                                 "-cp",
                                 System.getProperty(
