Refuse no call while its tokens may be on their way

Seen by callers: 429 within the limit of their customer, beside 500 calls that begin at once, and beside crowds that keep the gateway's task busy. Cause: the 257th call that waited for tokens was refused at once, whatever the limit; and a gateway that was held up refused the calls whose time had passed before it read what the owner of the limits had sent. Change: 2,000 calls of a customer may wait at a router, the usual number of callers' connections. A router that decides later than it asked to be woken refuses nothing for the time of a report, in which it reads what has arrived. Why this works: a call is refused on what the owner has said.

--- a/limits/src/main/java/org/skylarkbend/limits/LimitPolicy.java
+++ b/limits/src/main/java/org/skylarkbend/limits/LimitPolicy.java
@@ -46,6 +46,9 @@
      */
     private static final long MIN_LEADERLESS_MILLISECONDS = 300;
 
+    /** As many calls as callers can have in progress at a router at once, with a call each. */
+    private static final int MAX_WAITING_CALLS = 2_000;
+
     private static final long MILLISECONDS_PER_SECOND = 1_000;
 
     /**
@@ -53,7 +56,8 @@
      * owner responds, which is the time of an election and of its first grants.
      */
     public static LimitPolicy standard() {
-        return new LimitPolicy(4, 200, 64, 20, 1_000, 300, 256, 30_000, 0, 1, 1_000, 0);
+        return new LimitPolicy(
+                4, 200, 64, 20, 1_000, 300, MAX_WAITING_CALLS, 30_000, 0, 1, 1_000, 0);
     }
 
     /**
@@ -69,7 +73,18 @@
      */
     public static LimitPolicy forGateways() {
         return new LimitPolicy(
-                3, 1_000, 64, 30, 1_000, 100, 256, 0, MIN_LEADERLESS_MILLISECONDS, 4, 400, 8_000);
+                3,
+                1_000,
+                64,
+                30,
+                1_000,
+                100,
+                MAX_WAITING_CALLS,
+                0,
+                MIN_LEADERLESS_MILLISECONDS,
+                4,
+                400,
+                8_000);
     }
 
     /** Returns whether a router gives up free tokens that no owner has confirmed for a time. */
--- a/limits/src/main/java/org/skylarkbend/limits/LimitShareDecider.java
+++ b/limits/src/main/java/org/skylarkbend/limits/LimitShareDecider.java
@@ -62,6 +62,10 @@
     private boolean mReportSoon = true;
     private boolean mShuttingDown;
     private long mSuspendedMilliseconds;
+    private long mWakeMilliseconds = Long.MAX_VALUE;
+
+    /** Time until which a router that was held up reads what has arrived, and refuses no call. */
+    private long mReadUntilMilliseconds = Long.MIN_VALUE;
 
     /** Creates a router that holds no tokens. */
     public LimitShareDecider(LimitPolicy policy, long nowMilliseconds) {
@@ -77,6 +81,7 @@
             mSuspendedMilliseconds += suspended.milliseconds();
         }
         checkContact(nowMilliseconds);
+        checkHeldUp(nowMilliseconds);
         if (message instanceof Reserve reserve) {
             reserve(reserve, nowMilliseconds);
         } else if (message instanceof Spend spend) {
@@ -93,10 +98,21 @@
         }
         refuseExpired(nowMilliseconds);
         reportWhenDue(nowMilliseconds);
-        mEffects.add(new WakeAt(nextWakeMilliseconds()));
+        mWakeMilliseconds = nextWakeMilliseconds();
+        mEffects.add(new WakeAt(mWakeMilliseconds));
         return mEffects;
     }
 
+    /**
+     * Refuses no call for the time of a report if the router decides later than it wanted to: the
+     * tokens may have arrived meanwhile and wait to be read.
+     */
+    private void checkHeldUp(long nowMilliseconds) {
+        if (nowMilliseconds - mWakeMilliseconds > mPolicy.reportMilliseconds()) {
+            mReadUntilMilliseconds = nowMilliseconds + mPolicy.reportMilliseconds();
+        }
+    }
+
     /** Returns the tokens of a customer that are available for new calls. */
     public long freeTokens(ObjectName customer) {
         ShareLedger ledger = mLedgers.get(customer);
@@ -256,12 +272,17 @@
      * response on.
      */
     private long deadlineMilliseconds(ShareLedger.Waiting call) {
-        long latestMilliseconds = call.sinceMilliseconds() + mPolicy.ownerlessWaitMilliseconds();
+        long latestMilliseconds =
+                Math.max(
+                        mReadUntilMilliseconds,
+                        call.sinceMilliseconds() + mPolicy.ownerlessWaitMilliseconds());
         if (!mJoined || mConfirmedSequence <= call.sinceSequence()) {
             return latestMilliseconds;
         }
         long sinceMilliseconds = Math.max(call.sinceMilliseconds(), mJoinedMilliseconds);
-        return Math.min(latestMilliseconds, sinceMilliseconds + mPolicy.waitMilliseconds());
+        return Math.min(
+                latestMilliseconds,
+                Math.max(mReadUntilMilliseconds, sinceMilliseconds + mPolicy.waitMilliseconds()));
     }
 
     private static Refuse refusal(ShareLedger ledger, long callId, long tokens) {
