Decode one request of a connection in a turn of the loop

Seen by callers: 429 and 503 beside crowds that send requests one behind the other, since a gateway lost its link to control for 3.4 s. Cause: requests that are answered at once were decoded in a row, up to 4 KiB of them in one read, and the rest by tasks that the loop runs for up to a second before it reads any other connection. Change: a connection decodes one request each time it is read; what is left waits for a scheduled task, which runs after the other connections were read. Why this works: the time of a turn is bounded by the number of connections. Test: RequestMemoryTest#aPeerWithManyRequestsInARow... failed before (the other peer was served after all 100 requests) and passes, with all 61 of wire.

--- a/wire/src/main/java/org/skylarkbend/wire/RequestDecoder.java
+++ b/wire/src/main/java/org/skylarkbend/wire/RequestDecoder.java
@@ -20,6 +20,7 @@
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.impl.VertxHttpRequestDecoder;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 import java.util.function.LongSupplier;
@@ -70,6 +71,8 @@
     private final HeadTimer mHeadTimer;
     private boolean mTracksResponses;
     private boolean mAwaitsResponse;
+    private boolean mHadTurn;
+    private boolean mTurnIsScheduled;
     private boolean mPaused;
     private boolean mStoppedReading;
     private boolean mReadingHead;
@@ -193,6 +196,7 @@
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
+        mHadTurn = false;
         super.channelRead(context, message);
         holdUndecoded(context);
     }
@@ -243,6 +247,10 @@
         if (received.isReadable() && !mReadingBody) {
             mHeadTimer.startUnlessRunning(context);
         }
+        if (mHadTurn && isBetweenRequests() && received.isReadable()) {
+            decodeLater(context.channel());
+            return;
+        }
         if (isWaiting(context)) {
             if (received.readableBytes() >= MAX_WAITING_BYTES) {
                 stopReading(context.channel());
@@ -322,8 +330,12 @@
 
     /** Returns whether the bytes that have arrived may not be decoded yet. */
     private boolean isWaiting(ChannelHandlerContext context) {
-        boolean isBetweenRequests = !mReadingBody && !mReadingHead;
-        return mPaused || isBetweenRequests && (mAwaitsResponse || !context.channel().isWritable());
+        return mPaused
+                || isBetweenRequests() && (mAwaitsResponse || !context.channel().isWritable());
+    }
+
+    private boolean isBetweenRequests() {
+        return !mReadingBody && !mReadingHead;
     }
 
     private void decoded(Object part) {
@@ -336,6 +348,7 @@
             mReadingLines = false;
             mReadingBody = true;
             mAwaitsResponse = mTracksResponses;
+            mHadTurn = mTracksResponses;
             mLimits.memory().headComplete();
             mHeadTimer.cancel();
         }
@@ -384,16 +397,24 @@
         channel.config().setAutoRead(false);
     }
 
-    /** Decodes the bytes that were waiting, and reads on. */
+    /**
+     * Decodes the bytes that were waiting, and reads on, once the loop has read the other
+     * connections. A connection decodes one request in a turn; tasks that are not scheduled would
+     * run for up to a second before the loop reads again.
+     */
     private void decodeLater(Channel channel) {
-        channel.eventLoop()
-                .execute(
-                        () -> {
-                            ChannelHandlerContext context = channel.pipeline().context(this);
-                            if (context != null) {
-                                decodeWaiting(context);
-                            }
-                        });
+        if (!mTurnIsScheduled) {
+            mTurnIsScheduled = true;
+            channel.eventLoop().schedule(() -> takeTurn(channel), 0, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void takeTurn(Channel channel) {
+        mTurnIsScheduled = false;
+        ChannelHandlerContext context = channel.pipeline().context(this);
+        if (context != null) {
+            decodeWaiting(context);
+        }
     }
 
     private void decodeWaiting(ChannelHandlerContext context) {
--- a/wire/src/test/java/org/skylarkbend/wire/RequestMemoryTest.java
+++ b/wire/src/test/java/org/skylarkbend/wire/RequestMemoryTest.java
@@ -11,6 +11,7 @@
 import java.lang.management.ManagementFactory;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
@@ -26,6 +27,9 @@
     private static final long PLENTY_BYTES = 1L << 40;
     private static final int LINES = 2_500;
 
+    /** Requests that arrive with one read. */
+    private static final int IN_A_ROW = 100;
+
     /** Less than the heap that a header takes, so that the entry alone exceeds the characters. */
     private static final long LEAST_HEADER_BYTES = 100;
 
@@ -169,6 +173,29 @@
         assertThat(peer.received().split("HTTP/1.1 200 OK", -1)).hasSize(5_001);
     }
 
+    /** Guards against a peer whose requests are all served before others are read. */
+    @Test
+    public void aPeerWithManyRequestsInARowDoesNotKeepOthersWaiting() throws Exception {
+        CompletableFuture<Void> othersHaveSent = new CompletableFuture<>();
+        List<String> served = new CopyOnWriteArrayList<>();
+        int port =
+                listen(
+                        request -> {
+                            othersHaveSent.join();
+                            served.add(request.path());
+                            request.response().end("done");
+                        });
+        Vertx peers = Vertx.vertx();
+        await(
+                await(RawClient.connect(peers, port))
+                        .send(String.format(REQUEST, 0).repeat(IN_A_ROW)));
+        await(await(RawClient.connect(peers, port)).send(String.format(REQUEST, 1)));
+        othersHaveSent.complete(null);
+        awaitUntil(mVertx, () -> served.size() == IN_A_ROW + 1);
+        await(peers.close());
+        assertThat(served.indexOf("/1")).isLessThan(IN_A_ROW / 2);
+    }
+
     /** Guards against a response that is cut for the bytes behind its request. */
     @Test
     public void aResponseIsDeliveredThoughThereIsNoMemoryForTheRequestsBehindIt() throws Exception {
@@ -194,25 +221,26 @@
     }
 
     private RawClient connect(Consumer<HttpServerRequest> serve) throws Exception {
+        return await(RawClient.connect(mVertx, listen(serve)));
+    }
+
+    private int listen(Consumer<HttpServerRequest> serve) throws Exception {
         HttpServerOptions options =
                 new HttpServerOptions().setHttp2ClearTextEnabled(false).setMaxHeaderSize(16 * 1024);
         RequestDecoder.Limits limits =
                 new RequestDecoder.Limits(
                         () -> LONG_MILLISECONDS, () -> LONG_MILLISECONDS, () -> false, mMemory);
-        int port =
-                await(
-                        RequestDecoder.createServer(
-                                        mVertx,
-                                        options,
-                                        connection -> {
-                                            connection.closeHandler(
-                                                    ignored -> mClosed.incrementAndGet());
-                                            return limits;
-                                        },
-                                        serve::accept)
-                                .listen(0, HOST)
-                                .map(server -> server.actualPort()));
-        return await(RawClient.connect(mVertx, port));
+        return await(
+                RequestDecoder.createServer(
+                                mVertx,
+                                options,
+                                connection -> {
+                                    connection.closeHandler(ignored -> mClosed.incrementAndGet());
+                                    return limits;
+                                },
+                                serve::accept)
+                        .listen(0, HOST)
+                        .map(server -> server.actualPort()));
     }
 
     /** Memory of one connection that records what is taken. */
