Write the page of metrics once a second at most

Seen by callers: 429 or 503 beside 400 callers who ask for the page of metrics and read nothing of it; at the router the crowd kept all others waiting for 13 s. Cause: the page was written anew for each request, some milliseconds of the task that serves the calls. Change: MetricsPage, used by MetricsTask and by the router.

--- a/intake/src/main/java/org/skylarkbend/intake/MetricsTask.java
+++ b/intake/src/main/java/org/skylarkbend/intake/MetricsTask.java
@@ -4,7 +4,8 @@
 import io.vertx.core.Future;
 import io.vertx.core.VerticleBase;
 import io.vertx.core.http.HttpServerRequest;
-import org.skylarkbend.base.telemetry.PrometheusText;
+import org.skylarkbend.base.MillisecondClock;
+import org.skylarkbend.base.telemetry.MetricsPage;
 
 /** Serves the metrics of a process over HTTP on a separate address. */
 public final class MetricsTask extends VerticleBase {
@@ -15,6 +16,7 @@
     private final int mPort;
     private final int mMaxConnections;
     private final MetricRegistry mMetrics;
+    private final MetricsPage mPage;
 
     /**
      * Creates a task that listens once it is deployed.
@@ -29,6 +31,7 @@
         mPort = port;
         mMaxConnections = maxConnections;
         mMetrics = metrics;
+        mPage = new MetricsPage(metrics, MillisecondClock.monotonic());
     }
 
     @Override
@@ -41,7 +44,7 @@
         if (request.path().equals(PATH)) {
             request.response()
                     .putHeader("Content-Type", "text/plain; version=0.0.4")
-                    .end(PrometheusText.write(mMetrics));
+                    .end(mPage.text());
         } else {
             request.response().setStatusCode(NOT_FOUND).end();
         }
--- a/router/src/main/java/org/skylarkbend/router/front/HttpFrontTask.java
+++ b/router/src/main/java/org/skylarkbend/router/front/HttpFrontTask.java
@@ -24,7 +24,7 @@
 import org.skylarkbend.base.ErrorKind;
 import org.skylarkbend.base.MillisecondClock;
 import org.skylarkbend.base.SkylarkError;
-import org.skylarkbend.base.telemetry.PrometheusText;
+import org.skylarkbend.base.telemetry.MetricsPage;
 import org.skylarkbend.base.telemetry.Tracing;
 import org.skylarkbend.intake.BodyIntake;
 import org.skylarkbend.intake.BodyLimits;
@@ -64,6 +64,7 @@
     private final Consumer<ForwardMessage> mForward;
     private final CallAdmission mAdmission;
     private final MetricRegistry mMetrics;
+    private final MetricsPage mMetricsPage;
     private final CallerMemory mMemory;
     private final CallerConnections mConnections;
     private final Tracing mTracing;
@@ -92,6 +93,7 @@
         mForward = forward;
         mAdmission = new CallAdmission(callIdPrefix);
         mMetrics = metrics;
+        mMetricsPage = new MetricsPage(metrics, clock);
         ByteBudget bodies =
                 new ByteBudget(
                         "front_bodies",
@@ -248,7 +250,7 @@
         } else if (path.equals("/readyz")) {
             respondReadiness(exchange);
         } else if (path.equals("/metrics")) {
-            exchange.respond(200, TEXT, PrometheusText.write(mMetrics));
+            exchange.respond(200, TEXT, mMetricsPage.text());
         } else if (mWhenDrained.isPresent()) {
             exchange.fail(RequestErrors.draining(), 0);
         } else {
