Leave a refused connection as it is

Seen in the log: "Socket is closed", with a stack trace, for each connection that is refused for want of room. Cause: the options of the decoder were set on a channel that had been closed. Change: the decoder is installed on open channels only. Result: CallerConnectionsTest of intake logged it before and does not now.

--- a/wire/src/main/java/org/skylarkbend/wire/RequestDecoder.java
+++ b/wire/src/main/java/org/skylarkbend/wire/RequestDecoder.java
@@ -148,7 +148,11 @@
                                         .install(RefusedBody.channel(connection)));
     }
 
+    /** Installs the decoder, unless the connection was refused and is closed already. */
     private void install(Channel channel) {
+        if (!channel.isOpen()) {
+            return;
+        }
         channel.config().setOption(ChannelOption.SO_RCVBUF, RECEIVE_BUFFER_OPTION_BYTES);
         channel.config()
                 .setRecvByteBufAllocator(
