--- a/intake/src/main/java/org/skylarkbend/intake/ManagementServer.java
+++ b/intake/src/main/java/org/skylarkbend/intake/ManagementServer.java
@@ -76,7 +76,8 @@
     }
 
     private static boolean hasBody(HttpServerRequest request) {
+        String length = request.getHeader(HttpHeaders.CONTENT_LENGTH);
         return request.headers().contains(HttpHeaders.TRANSFER_ENCODING)
-                || request.headers().contains(HttpHeaders.CONTENT_LENGTH);
+                || length != null && !length.equals("0");
     }
 }
