Join a folded line by one space

An endpoint got a header line folded over two lines with three spaces in its value; RequestFramingTest.aFoldedHeaderReachesAnEndpointAsOneLine failed (1 of 456 tests of the gateway).

Cause: FoldedLines overwrote the line break in place, a space for each byte of it, and kept the blanks that follow.

The line break and the blanks around it are dropped now, and the bytes in front of it move up to the reader index. Lines that have no fold are not copied.

--- a/wire/src/main/java/org/skylarkbend/wire/FoldedLines.java
+++ b/wire/src/main/java/org/skylarkbend/wire/FoldedLines.java
@@ -16,8 +16,8 @@
     private FoldedLines() {}
 
     /**
-     * Replaces each line break before a continuation by spaces, up to the empty line that ends the
-     * head.
+     * Replaces each line break before a continuation, and the blanks around it, by one space, up to
+     * the empty line that ends the head. The reader index moves on by the bytes that are dropped.
      *
      * @param received bytes from the start of a line
      * @param isStart whether the bytes are the first ones of a head, which may begin with
@@ -27,23 +27,50 @@
      */
     static int join(ByteBuf received, boolean isStart) {
         int end = received.writerIndex();
-        int line = isStart ? skipControlCharacters(received) : received.readerIndex();
+        int first = isStart ? skipControlCharacters(received) : received.readerIndex();
+        int line = first;
+        int decodable = end;
+        int joinedEnd = first;
         int lineFeed = received.indexOf(line, end, LINE_FEED);
         while (lineFeed >= 0 && !isEmpty(received, line, lineFeed)) {
             if (lineFeed + 1 == end) {
-                return line;
+                decodable = line;
+                break;
             }
             if (isBlank(received.getByte(lineFeed + 1))) {
-                received.setByte(lineFeed, SPACE);
-                if (received.getByte(lineFeed - 1) == CARRIAGE_RETURN) {
-                    received.setByte(lineFeed - 1, SPACE);
-                }
+                joinedEnd = lineFeed + 2;
             } else {
                 line = lineFeed + 1;
             }
             lineFeed = received.indexOf(lineFeed + 1, end, LINE_FEED);
         }
-        return end;
+        return joinedEnd == first ? decodable : join(received, first, joinedEnd, decodable);
+    }
+
+    /** Joins the lines of a range, and returns the index to which one in the buffer has moved. */
+    private static int join(ByteBuf received, int first, int end, int index) {
+        byte[] joined = new byte[end - first];
+        int length = 0;
+        int lengthBeforeIndex = 0;
+        for (int i = first; i < end; i++) {
+            lengthBeforeIndex = i == index ? length : lengthBeforeIndex;
+            byte character = received.getByte(i);
+            if (character == LINE_FEED && i + 1 < end && isBlank(received.getByte(i + 1))) {
+                while (length > 0 && isDropped(joined[length - 1])) {
+                    length--;
+                }
+                joined[length++] = SPACE;
+                while (i + 1 < end && isBlank(received.getByte(i + 1))) {
+                    i++;
+                }
+            } else {
+                joined[length++] = character;
+            }
+        }
+        int start = end - length;
+        received.setBytes(start, joined, 0, length);
+        received.readerIndex(start);
+        return index < end ? start + lengthBeforeIndex : index;
     }
 
     private static int skipControlCharacters(ByteBuf received) {
@@ -64,6 +91,10 @@
                 || lineFeed == line + 1 && received.getByte(line) == CARRIAGE_RETURN;
     }
 
+    private static boolean isDropped(byte character) {
+        return character == CARRIAGE_RETURN || isBlank(character);
+    }
+
     private static boolean isBlank(byte character) {
         return character == SPACE || character == TAB;
     }
