Move the checks of a crowded program to testing.crowd

RouterCrowdTest and CrowdedGateway each had a copy of the ordinary call and of the checks made beside a crowd. CrowdedProgram and OrdinaryCall hold them once; crowds, bounds and checks are as before.

--- a/router/src/test/java/org/skylarkbend/router/RouterCrowdTest.java
+++ b/router/src/test/java/org/skylarkbend/router/RouterCrowdTest.java
@@ -1,15 +1,11 @@
 package org.skylarkbend.router;
 
-import static org.assertj.core.api.Assertions.assertThat;
-
 import java.net.URI;
-import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
-import java.net.http.HttpResponse;
-import java.time.Duration;
 import org.skylarkbend.testing.crowd.CallerCrowd;
 import org.skylarkbend.testing.crowd.CrowdRequests;
-import org.skylarkbend.testing.crowd.ProcessUsage;
+import org.skylarkbend.testing.crowd.CrowdedProgram;
+import org.skylarkbend.testing.crowd.OrdinaryCall;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -38,7 +34,6 @@
     private static final int LARGE_CROWD = 400;
     private static final int CHUNKS = 4_000;
     private static final int STREAMS_AT_ONCE = 450;
-    private static final Duration CALL_TIMEOUT = Duration.ofSeconds(30);
     private static final String BODY =
             "{\"model\":\"assistant\",\"stream\":true,"
                     + "\"messages\":[{\"role\":\"user\",\"content\":\"stock?\"}]}";
@@ -174,46 +169,22 @@
     }
 
     private void assertServesBeside(int callers, CallerCrowd.Request request) throws Exception {
-        try (CallerCrowd crowd = new CallerCrowd()) {
-            crowd.send(mRouter.port(), callers, request);
-            assertThat(mRouter.isRunning()).as("the process lives").isTrue();
-            assertThat(chat()).as("status of an ordinary call").isEqualTo(200);
-            ProcessUsage usage = ProcessUsage.of(mRouter.id(), mRouter.port());
-            assertThat(usage.descriptors())
-                    .isLessThan(Math.min(callers, CALLER_CONNECTIONS) + OTHER_DESCRIPTORS);
-            assertThat(usage.memoryKilobytes()).as("%s", usage).isLessThan(MAX_MEMORY_KILOBYTES);
-            assertThat(mRouter.isRunning()).as("the process lives").isTrue();
-        }
+        int descriptors = Math.min(callers, CALLER_CONNECTIONS) + OTHER_DESCRIPTORS;
+        new CrowdedProgram(mRouter::isRunning, mRouter::id, this::chat)
+                .assertServesBeside(
+                        mRouter.port(),
+                        callers,
+                        request,
+                        new CrowdedProgram.Bounds(MAX_MEMORY_KILOBYTES, descriptors));
     }
 
     private int chat() {
-        return statusOf(
-                to(CHAT).header("Authorization", "Bearer " + RouterFixture.KEY)
+        return OrdinaryCall.statusOf(
+                HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + mRouter.port() + CHAT))
+                        .header("Authorization", "Bearer " + RouterFixture.KEY)
                         .POST(HttpRequest.BodyPublishers.ofString(BODY)));
     }
 
-    private HttpRequest.Builder to(String path) {
-        return HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + mRouter.port() + path));
-    }
-
-    /** Returns the status of the response to a request, or 0 if there is none. */
-    private static int statusOf(HttpRequest.Builder request) {
-        try {
-            return HttpClient.newBuilder()
-                    .version(HttpClient.Version.HTTP_1_1)
-                    .build()
-                    .send(
-                            request.timeout(CALL_TIMEOUT).build(),
-                            HttpResponse.BodyHandlers.ofString())
-                    .statusCode();
-        } catch (java.io.IOException e) {
-            return 0;
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            return 0;
-        }
-    }
-
     private static String start(String path, String authorization) {
         return "POST " + path + " HTTP/1.1\r\nHost: router\r\n" + authorization + "\r\n";
     }
