Join folded lines as strictly as the decoder reads them

What callers saw: a head whose lines continue as blank lines without an end was neither refused nor served until its time was up, since nothing of it counted for the limit on heads. A line feed without a carriage return, which the decoder refuses, was accepted in front of a continuation, and so was a byte 127 in front of a request line with a continuation behind it. The spaces in a joined value depended on how the head was cut into packets.

Cause: lines are joined before the decoder of Netty checks them, and the joined line had lost what it would have refused.

Only line breaks that the decoder accepts are joined now; the bytes by which lines become shorter have the limit of the head; a line feed waits until the blanks behind it are complete, and the line in front of it is decoded up to there, so that its length is checked as before.

--- a/wire/src/main/java/org/skylarkbend/wire/RequestDecoder.java
+++ b/wire/src/main/java/org/skylarkbend/wire/RequestDecoder.java
@@ -67,6 +67,7 @@
     private static final int MAX_IGNORED_BYTES = 1024 * 1024;
 
     private final Limits mLimits;
+    private final FoldedLines mFoldedLines;
     private final UnreadResponses mUnread;
     private final HeadTimer mHeadTimer;
     private boolean mTracksResponses;
@@ -118,6 +119,7 @@
     RequestDecoder(HttpServerOptions options, Limits limits) {
         super(options);
         mLimits = limits;
+        mFoldedLines = new FoldedLines(options.getMaxHeaderSize());
         mUnread = new UnreadResponses(limits.unreadMilliseconds());
         mHeadTimer =
                 new HeadTimer(
@@ -292,7 +294,7 @@
     private void decodeLines(ChannelHandlerContext context, ByteBuf received, List<Object> decoded)
             throws Exception {
         int end = received.writerIndex();
-        received.writerIndex(FoldedLines.join(received, mReadingHead && !mHasRequestLine));
+        received.writerIndex(mFoldedLines.join(received, mReadingHead && !mHasRequestLine));
         try {
             decodeOnce(context, received, decoded);
         } finally {
@@ -350,6 +352,7 @@
             mReadingHead = false;
             mHasRequestLine = false;
             mReadingLines = false;
+            mFoldedLines.sectionEnded();
             mReadingBody = true;
             mAwaitsResponse = mTracksResponses;
             mHadTurn = mTracksResponses;
@@ -359,6 +362,7 @@
         if (part instanceof LastHttpContent) {
             mReadingBody = false;
             mReadingLines = false;
+            mFoldedLines.sectionEnded();
         }
     }
 
@@ -374,6 +378,7 @@
     @Override
     protected AsciiString splitHeaderName(byte[] line, int start, int length) {
         mReadingLines = true;
+        mFoldedLines.requireWithinLimit();
         takeMemory(DecodedHeap.HEADER_BYTES);
         return super.splitHeaderName(line, start, length);
     }
--- a/wire/src/test/java/org/skylarkbend/wire/FoldedLinesTest.java
+++ b/wire/src/test/java/org/skylarkbend/wire/FoldedLinesTest.java
@@ -10,6 +10,7 @@
 /** Tests which line breaks of a head are replaced. */
 public class FoldedLinesTest {
     private static final String REQUEST_LINE = "GET / HTTP/1.1\r\n";
+    private static final int MAX_BYTES = 512;
 
     @Test
     public void aValueThatContinuesOnOtherLinesIsJoined() {
@@ -31,26 +32,35 @@
                 .isEqualTo(REQUEST_LINE + "a: b c\r\n\r\n");
     }
 
+    /** Guards against characters that the decoder refuses and a folded line would hide. */
+    @Test
+    public void aCharacterThatTheDecoderRefusesIsKept() {
+        assertThat(joined("\u007f\n" + REQUEST_LINE + "a: b\r\n c\r\n\r\n"))
+                .isEqualTo("\u007f\n" + REQUEST_LINE + "a: b c\r\n\r\n");
+    }
+
     /** Guards against a value that depends on how the head is cut into parts. */
     @Test
-    public void aLineThatMayContinueHasToWait() {
+    public void theLineFeedOfALineThatMayContinueHasToWait() {
         ByteBuf received = bytes(REQUEST_LINE + "a: b\r\n");
-        assertThat(FoldedLines.join(received, true)).isEqualTo(REQUEST_LINE.length());
+        assertThat(new FoldedLines(MAX_BYTES).join(received, true))
+                .isEqualTo((REQUEST_LINE + "a: b\r").length());
     }
 
     @Test
-    public void aJoinedLineThatMayContinueHasToWait() {
-        ByteBuf received = bytes(REQUEST_LINE + "a: b\r\n c\r\nd: e\r\n f\r\n");
-        int decodable = FoldedLines.join(received, true);
+    public void theLineFeedOfAJoinedLineThatMayContinueHasToWait() {
+        ByteBuf received = bytes(REQUEST_LINE + "a: b\r\n c\r\nd: e\r\n f\r\n ");
+        int decodable = new FoldedLines(MAX_BYTES).join(received, true);
         assertThat(text(received, received.readerIndex(), decodable))
-                .isEqualTo(REQUEST_LINE + "a: b c\r\n");
-        assertThat(text(received, decodable, received.writerIndex())).isEqualTo("d: e f\r\n");
+                .isEqualTo(REQUEST_LINE + "a: b c\r\nd: e f\r");
+        assertThat(text(received, decodable, received.writerIndex())).isEqualTo("\n ");
     }
 
     @Test
     public void anIncompleteLineIsLeftToTheDecoder() {
         ByteBuf received = bytes(REQUEST_LINE + "a: b");
-        assertThat(FoldedLines.join(received, true)).isEqualTo(received.writerIndex());
+        assertThat(new FoldedLines(MAX_BYTES).join(received, true))
+                .isEqualTo(received.writerIndex());
     }
 
     private static ByteBuf bytes(String text) {
@@ -63,7 +73,8 @@
 
     private static String joined(String text) {
         ByteBuf received = bytes(text);
-        assertThat(FoldedLines.join(received, true)).isEqualTo(received.writerIndex());
+        assertThat(new FoldedLines(MAX_BYTES).join(received, true))
+                .isEqualTo(received.writerIndex());
         return received.toString(StandardCharsets.ISO_8859_1);
     }
 }
