Know the last chunk by what the decoder accepts around its size

A size line with a form feed behind the zero was not taken for the last chunk, so that the first line of the trailer section behind it was decoded before memory was taken for its characters.

Cause: ChunkSizes knew blanks and line breaks; the decoder of Netty ends a size at any control character.

--- a/wire/src/main/java/org/skylarkbend/wire/ChunkSizes.java
+++ b/wire/src/main/java/org/skylarkbend/wire/ChunkSizes.java
@@ -2,8 +2,11 @@
 
 import io.netty.buffer.ByteBuf;
 
-/** Sizes of chunks, in the form of HTTP/1.1. */
+/** Sizes of chunks, with the characters around them that the decoder of Netty accepts. */
 final class ChunkSizes {
+    private static final byte SPACE = ' ';
+    private static final byte DELETE = 127;
+
     private ChunkSizes() {}
 
     /**
@@ -26,10 +29,10 @@
     }
 
     private static boolean isSpace(byte character) {
-        return character == ' ' || character == '\t';
+        return character == SPACE || Character.isWhitespace(character);
     }
 
     private static boolean isEnd(byte character) {
-        return character == ';' || character == '\r' || character == '\n' || isSpace(character);
+        return character == ';' || character >= 0 && character <= SPACE || character == DELETE;
     }
 }
