State once which line break is a fold

FoldedLines had the condition for a fold twice, in the pass that finds the range and in the one that joins it; isFold holds it. FoldedHeadTest and WireFuzzTest build their limits with Limits.ofIdleMilliseconds, which was there already.

Behaviour, bounds and assertions are as before.

--- a/wire/src/main/java/org/skylarkbend/wire/FoldedLines.java
+++ b/wire/src/main/java/org/skylarkbend/wire/FoldedLines.java
@@ -55,7 +55,7 @@
                 decodable = end - line > mMaxBytes ? end : lineFeed;
                 break;
             }
-            if (next > lineFeed + 1 && received.getByte(lineFeed - 1) == CARRIAGE_RETURN) {
+            if (isFold(received, lineFeed, next)) {
                 joinedEnd = next;
             } else {
                 line = lineFeed + 1;
@@ -76,7 +76,7 @@
         while (index < end) {
             byte character = received.getByte(index);
             int next = character == LINE_FEED ? skipBlanks(received, index + 1) : index + 1;
-            if (next > index + 1 && received.getByte(index - 1) == CARRIAGE_RETURN) {
+            if (isFold(received, index, next)) {
                 length--;
                 while (length > 0 && isBlank(joined[length - 1])) {
                     length--;
@@ -110,6 +110,16 @@
         return mJoinedBytes > mMaxBytes;
     }
 
+    /**
+     * Returns whether a line continues behind a character: a line break that the decoder accepts,
+     * with blanks behind it.
+     *
+     * @param next index of the first character behind the blanks
+     */
+    private static boolean isFold(ByteBuf received, int index, int next) {
+        return next > index + 1 && received.getByte(index - 1) == CARRIAGE_RETURN;
+    }
+
     private static int skipBlanks(ByteBuf received, int start) {
         int index = start;
         while (index < received.writerIndex() && isBlank(received.getByte(index))) {
--- a/wire/src/test/java/org/skylarkbend/wire/FoldedHeadTest.java
+++ b/wire/src/test/java/org/skylarkbend/wire/FoldedHeadTest.java
@@ -27,10 +27,7 @@
                 new EmbeddedChannel(
                         new RequestDecoder(
                                 new HttpServerOptions().setMaxHeaderSize(MAX_HEADER_BYTES),
-                                new Limits(
-                                        () -> NEVER_MILLISECONDS,
-                                        () -> NEVER_MILLISECONDS,
-                                        () -> false)));
+                                Limits.ofIdleMilliseconds(NEVER_MILLISECONDS)));
     }
 
     @AfterMethod(alwaysRun = true)
--- a/wire/src/test/java/org/skylarkbend/wire/WireFuzzTest.java
+++ b/wire/src/test/java/org/skylarkbend/wire/WireFuzzTest.java
@@ -156,8 +156,6 @@
     }
 
     private static ChannelHandler decoder() {
-        return new RequestDecoder(
-                OPTIONS,
-                new Limits(() -> NEVER_MILLISECONDS, () -> NEVER_MILLISECONDS, () -> false));
+        return new RequestDecoder(OPTIONS, Limits.ofIdleMilliseconds(NEVER_MILLISECONDS));
     }
 }
