Move the shared cache scope with the set of isolated customers

Cause: calls of all customers that are not isolated had one constant cache scope, "shared". Isolation moved only the isolated customer's own later calls. A call kept the scope of its admission, so a stream resumed after the change still used the older one.

Change: CacheScopes derives the scopes from the catalog alone. The shared one is named after the set of isolated customers, so only customers outside that set have ever made parts in it, whichever catalogs a gateway has missed and whichever ones others still use. There is no state and no order of changes. Each attempt takes its scope from the catalog in force. catalog.in_force logs the scope and the number of isolated customers.

--- a/gateway/src/main/java/org/skylarkbend/gateway/call/Attempt.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/Attempt.java
@@ -103,6 +103,7 @@
      * @param call the call
      * @param body its body
      * @param urgency its urgency at the engine
+     * @param cacheScope the scope of cached prompt parts that its customer may use
      * @param lastEventId the ID of the event after which a stream is to go on
      * @param remainingMilliseconds the time that the caller still waits
      */
@@ -110,6 +111,7 @@
             CallRequest call,
             Buffer body,
             Urgency urgency,
+            String cacheScope,
             Optional<String> lastEventId,
             long remainingMilliseconds) {}
 
@@ -146,7 +148,7 @@
         headers.set(names.deadline(), Long.toString(content.remainingMilliseconds()));
         call.customer().ifPresent(c -> headers.set(names.customer(), c.name()));
         if (mayUseCache(call)) {
-            headers.set(names.engine().cacheScope(), cacheScope(call));
+            headers.set(names.engine().cacheScope(), cacheScope(content.cacheScope()));
         }
         if (call.prompt().isPresent()) {
             putEngineHeaders(headers, names.engine(), content);
@@ -167,12 +169,12 @@
      * The version of the weights is part of it, so an engine never uses parts that were computed
      * with other weights, whichever engine they come from.
      */
-    private String cacheScope(CallRequest call) {
+    private String cacheScope(String ofCustomer) {
         if (mChoice.weights().isPresent()) {
-            return call.cacheScope() + "-" + mChoice.weights().getAsLong();
+            return ofCustomer + "-" + mChoice.weights().getAsLong();
         }
         Map<String, Long> weights = new TreeMap<>(mEndpoint.weights());
-        return weights.isEmpty() ? call.cacheScope() : call.cacheScope() + "-" + weights;
+        return weights.isEmpty() ? ofCustomer : ofCustomer + "-" + weights;
     }
 
     private void putEngineHeaders(MultiMap headers, HeaderNames.Engine names, Content content) {
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/CallRequest.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/CallRequest.java
@@ -40,8 +40,6 @@
         long arrivedMilliseconds,
         long callerTimeoutMilliseconds,
         long catalogNumber) {
-    private static final String SHARED_CACHE_SCOPE = "shared";
-
     /** Returns the time by which the caller must have a response. */
     public long deadlineMilliseconds() {
         return arrivedMilliseconds
@@ -66,16 +64,6 @@
         return prompt.map(Prompt::sharedParts).orElse(List.of());
     }
 
-    /**
-     * Returns the scope within which engines may reuse cached parts of the prompt. Isolated
-     * customers share none with others.
-     */
-    public String cacheScope() {
-        return customer.filter(Customer::isolated)
-                .map(isolated -> "only-" + isolated.name())
-                .orElse(SHARED_CACHE_SCOPE);
-    }
-
     /** Returns the number of units that the call uses of its customer's rate limit. */
     public long units() {
         long defaultUnits = customer.map(Customer::defaultUnitsPerCall).orElse(0L);
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/CallResources.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/CallResources.java
@@ -3,7 +3,9 @@
 import com.codahale.metrics.MetricRegistry;
 import io.vertx.core.Vertx;
 import java.util.Optional;
+import java.util.function.Supplier;
 import org.skylarkbend.base.MillisecondClock;
+import org.skylarkbend.catalog.CacheScopes;
 import org.skylarkbend.exchange.EndpointClient;
 import org.skylarkbend.gateway.HeaderNames;
 import org.skylarkbend.gateway.crashes.CrashGuard;
@@ -27,6 +29,7 @@
  * @param crashes reports crashes of endpoints and knows the quarantined parts of prompts
  * @param probes checks endpoints whose connections broke
  * @param responses memory for responses that callers have not got yet
+ * @param cacheScopes returns the scopes of cached prompt parts under the catalog in force
  * @param metrics registry of the call metrics
  * @param clock monotonic clock
  */
@@ -41,6 +44,7 @@
         CrashGuard crashes,
         EndpointProbes probes,
         ResponseMemory responses,
+        Supplier<CacheScopes> cacheScopes,
         MetricRegistry metrics,
         MillisecondClock clock) {
     /** Selects the endpoint for the next attempt of a call; empty if none is left to try. */
@@ -50,7 +54,15 @@
         return call.prompt().isEmpty()
                 ? selector.choose(service, prior, nowMilliseconds)
                 : selector.choose(
-                        service, call.prompt().get(), call.cacheScope(), prior, nowMilliseconds);
+                        service, call.prompt().get(), cacheScope(call), prior, nowMilliseconds);
+    }
+
+    /**
+     * Returns the scope within which engines may reuse cached parts of a call's prompt. It follows
+     * the catalog in force at the time of the attempt, which may be newer than the admission.
+     */
+    String cacheScope(CallRequest call) {
+        return cacheScopes.get().of(call.customer());
     }
 
     /**
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/Runs.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/Runs.java
@@ -93,6 +93,7 @@
                                 mCall,
                                 body,
                                 Urgency.of(mCall, run.choice()),
+                                mResources.cacheScope(mCall),
                                 lastEventId,
                                 Math.max(1, mCall.deadlineMilliseconds() - now())));
     }
--- a/gateway/src/main/java/org/skylarkbend/gateway/front/Admissions.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/front/Admissions.java
@@ -1,17 +1,22 @@
 package org.skylarkbend.gateway.front;
 
 import io.vertx.core.http.HttpServerRequest;
+import java.util.List;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import org.skylarkbend.base.ErrorKind;
 import org.skylarkbend.base.Result;
 import org.skylarkbend.base.SkylarkError;
+import org.skylarkbend.base.StructuredLog;
+import org.skylarkbend.catalog.CacheScopes;
 import org.skylarkbend.catalog.CallerLimits;
 import org.skylarkbend.catalog.Catalog;
 import org.skylarkbend.intake.BodyLimits;
 
 /** Admits requests by the catalog in force. */
 final class Admissions {
+    private static final StructuredLog LOG = StructuredLog.of(Admissions.class);
+
     private static final BodyLimits.Errors BODY_ERRORS =
             new BodyLimits.Errors(
                     () ->
@@ -51,7 +56,20 @@
 
     /** Puts a catalog in force. */
     void catalogChanged(Catalog catalog) {
-        mState = Optional.of(ServingState.of(catalog));
+        ServingState state = ServingState.of(catalog);
+        mState = Optional.of(state);
+        LOG.info(
+                "catalog.in_force",
+                "number",
+                catalog.number(),
+                "routes",
+                catalog.routes().size(),
+                "customers",
+                catalog.customers().size(),
+                "isolated",
+                state.cacheScopes().isolatedCount(),
+                "cache_scope",
+                state.cacheScopes().shared());
     }
 
     boolean hasCatalog() {
@@ -63,6 +81,11 @@
         return mState.map(state -> state.catalog().number()).orElse(0L);
     }
 
+    /** Returns the scopes of cached prompt parts under the catalog in force. */
+    CacheScopes cacheScopes() {
+        return mState.map(ServingState::cacheScopes).orElseGet(() -> CacheScopes.of(List.of()));
+    }
+
     /** Returns the limits on what callers send. */
     CallerLimits callerLimits() {
         return mState.map(state -> state.catalog().callerLimits()).orElse(CallerLimits.defaults());
--- a/gateway/src/main/java/org/skylarkbend/gateway/front/GatewayTask.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/front/GatewayTask.java
@@ -164,6 +164,7 @@
                         mCrashes,
                         mEndpoints.probes(),
                         new ResponseMemory(mCallerMemory.bodies()),
+                        mAdmissions::cacheScopes,
                         mMetrics,
                         mClock);
         vertx.setPeriodic(CHECK_INTERVAL_MILLISECONDS, id -> check());
@@ -222,14 +223,6 @@
                     mSelector.servicesChanged(catalog.services());
                     mGate.updateLimits(
                             SiteLimits.of(catalog, mSettings.budgets().limitSlack()), now());
-                    LOG.info(
-                            "catalog.in_force",
-                            "number",
-                            catalog.number(),
-                            "routes",
-                            catalog.routes().size(),
-                            "customers",
-                            catalog.customers().size());
                     updateReadiness();
                 });
     }
--- a/gateway/src/main/java/org/skylarkbend/gateway/front/ServingState.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/front/ServingState.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import org.skylarkbend.base.ErrorKind;
 import org.skylarkbend.base.Result;
+import org.skylarkbend.catalog.CacheScopes;
 import org.skylarkbend.catalog.Catalog;
 import org.skylarkbend.catalog.Customer;
 import org.skylarkbend.catalog.Route;
@@ -15,8 +16,13 @@
  * @param catalog catalog in force
  * @param routes lookup table of the routes
  * @param customers customers by the digests of their keys
+ * @param cacheScopes scopes of cached prompt parts
  */
-public record ServingState(Catalog catalog, RouteTable routes, Map<String, Customer> customers) {
+public record ServingState(
+        Catalog catalog,
+        RouteTable routes,
+        Map<String, Customer> customers,
+        CacheScopes cacheScopes) {
     /** Creates the state with a copy of {@code customers}. */
     public ServingState {
         customers = Map.copyOf(customers);
@@ -25,7 +31,10 @@
     /** Returns the state for a catalog. */
     public static ServingState of(Catalog catalog) {
         return new ServingState(
-                catalog, new RouteTable(catalog.routes()), catalog.customersByKeyDigest());
+                catalog,
+                new RouteTable(catalog.routes()),
+                catalog.customersByKeyDigest(),
+                CacheScopes.of(catalog.customers()));
     }
 
     /** Route and customer of an admitted call. The customer is empty on routes that need no key. */
--- a/gateway/src/test/java/org/skylarkbend/gateway/FakeEndpoint.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/FakeEndpoint.java
@@ -132,6 +132,14 @@
         };
     }
 
+    /** Returns a behavior that streams one event, and closes the connection after a future. */
+    public static Consumer<HttpServerRequest> streamingUntil(Future<Void> broken) {
+        return request -> {
+            head(request, 200).setChunked(true).write("id: 1\ndata: 1\n\n");
+            broken.onSuccess(ignored -> request.connection().close());
+        };
+    }
+
     private static io.vertx.core.http.HttpServerResponse head(
             HttpServerRequest request, int status) {
         return request.response()
--- a/gateway/src/test/java/org/skylarkbend/gateway/call/AttemptTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/call/AttemptTest.java
@@ -83,7 +83,12 @@
                 client,
                 FakeEndpoint.NAMES,
                 new Attempt.Content(
-                        call, Buffer.buffer("body"), new Urgency(0), Optional.empty(), 2_000));
+                        call,
+                        Buffer.buffer("body"),
+                        new Urgency(0),
+                        "shared",
+                        Optional.empty(),
+                        2_000));
     }
 
     private static EngineChoice choice(Endpoint endpoint) {
--- a/gateway/src/test/java/org/skylarkbend/gateway/front/GatewayFixture.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/front/GatewayFixture.java
@@ -22,6 +22,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.stream.Stream;
 import org.skylarkbend.base.ByteBudget;
 import org.skylarkbend.base.MillisecondClock;
 import org.skylarkbend.base.ObjectName;
@@ -141,6 +142,11 @@
         return false;
     }
 
+    /** Returns the customers besides the one whose key the calls have. */
+    protected List<Customer> otherCustomers() {
+        return List.of();
+    }
+
     /** Returns the limits on the requests and connections of callers. */
     protected CallerLimits callerLimits() {
         return CallerLimits.defaults();
@@ -219,7 +225,7 @@
                         1,
                         List.of(route),
                         Map.of("desk", new Service("desk", 10, Optional.empty(), Optional.empty())),
-                        List.of(customer),
+                        Stream.concat(Stream.of(customer), otherCustomers().stream()).toList(),
                         callerLimits()));
         gateway.endpointsChanged(new Endpoints(List.of(endpoints), Set.of()));
         gateway.limitMessageReceived(new LimitMessage.TermBegan(1));
