Give calls without a key a cache scope that no customer has

A customer of skylark-router named "open" shared the cache scope, and so the cached parts of prompts, of all calls without a key: both were named after the customer of fair queueing.

The scope of calls without a key now begins with "/", which no object name does. Scopes of customers are unchanged.

--- a/placement/src/main/java/org/skylarkbend/placement/CacheScope.java
+++ b/placement/src/main/java/org/skylarkbend/placement/CacheScope.java
@@ -20,15 +20,26 @@
     }
 
     /**
-     * Returns the scope of a request.
+     * Returns the scope of a customer's request.
      *
-     * @param customer the customer, or the name of the open route if the request has no customer
+     * @param customer the customer
      * @param weights the weights of the version that serves the request
      * @param adapter the adapter applied to the weights, or an empty string
      */
     public static CacheScope of(ObjectName customer, String weights, String adapter) {
-        long versionHash = hashOfText(weights + '\0' + adapter);
-        return new CacheScope(customer + "/" + String.format("%016x", versionHash));
+        return new CacheScope(customer + "/" + hexOfVersion(weights, adapter));
+    }
+
+    /**
+     * Returns the scope of a request without a customer, which no customer has: its text begins
+     * with a character that no name begins with.
+     */
+    public static CacheScope withoutCustomer(String weights, String adapter) {
+        return new CacheScope("/" + hexOfVersion(weights, adapter));
+    }
+
+    private static String hexOfVersion(String weights, String adapter) {
+        return String.format("%016x", hashOfText(weights + '\0' + adapter));
     }
 
     /** Returns the text that engines receive with a request and include in their cache events. */
--- a/router/src/main/java/org/skylarkbend/router/forward/CallPlacement.java
+++ b/router/src/main/java/org/skylarkbend/router/forward/CallPlacement.java
@@ -110,7 +110,10 @@
         EndpointVersion version = mSet.versions().get(name);
         boolean hasWeights = version != null && !version.weights().isEmpty();
         String weights = hasWeights ? version.weights() : name.value();
-        return CacheScope.of(call.fairShareCustomer(), weights, "");
+        return call.grant()
+                .customer()
+                .map(customer -> CacheScope.of(customer.name(), weights, ""))
+                .orElseGet(() -> CacheScope.withoutCustomer(weights, ""));
     }
 
     private PlacementRequest requestOf(Call call, Set<ObjectName> excluded) {
--- a/router/src/test/java/org/skylarkbend/router/FakeControl.java
+++ b/router/src/test/java/org/skylarkbend/router/FakeControl.java
@@ -42,7 +42,8 @@
     private static final List<CustomerLimit> AMPLE_LIMITS =
             List.of(
                     limitOf("desk", AMPLE_TOKENS, AMPLE_TOKENS),
-                    limitOf("other", AMPLE_TOKENS, AMPLE_TOKENS));
+                    limitOf("other", AMPLE_TOKENS, AMPLE_TOKENS),
+                    limitOf("open", AMPLE_TOKENS, AMPLE_TOKENS));
 
     private final List<FrameConnection<FeedMessage>> mConnections = new ArrayList<>();
     private final Vertx mVertx;
--- a/router/src/test/java/org/skylarkbend/router/RouterProcessTest.java
+++ b/router/src/test/java/org/skylarkbend/router/RouterProcessTest.java
@@ -7,6 +7,7 @@
 import java.net.http.HttpResponse;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.stream.Collectors;
@@ -48,6 +49,35 @@
                 .isEqualTo(CacheScope.of(ObjectName.of("desk"), "w1", "").text());
     }
 
+    /** Guards against cached parts of a customer that calls without a key find. */
+    @Test
+    public void aCallWithoutAKeySharesNoCacheScopeWithACustomerOfAnyName() {
+        FakeEndpoint engine =
+                mFixture.endpoint(
+                        (request, socket) ->
+                                socket.write(FakeResponses.stream(request.attempt(), 0, "a")));
+        String set =
+                mFixture.set(RouterFixture.KEY)
+                        .replace("other: {rate", "open: {rate")
+                        .replace("customer: other", "customer: open")
+                        .replace("customers: [desk]", "customers: [desk, open]");
+        mFixture.publish(
+                set
+                        + "  lobby: {kind: engine, pool: engine, version: v1,"
+                        + " deadline_milliseconds: 20000, open: true}\n");
+        String body = "{\"model\":\"lobby\",\"messages\":[{\"role\":\"user\",\"content\":\"?\"}]}";
+        HttpRequest.Builder withoutKey =
+                mFixture.to("/v1/chat/completions").POST(HttpRequest.BodyPublishers.ofString(body));
+        assertThat(mFixture.send(withoutKey).statusCode()).isEqualTo(200);
+        for (String key : List.of(RouterFixture.KEY, RouterFixture.OTHER_KEY)) {
+            assertThat(mFixture.send(mFixture.chat(key, false)).statusCode()).isEqualTo(200);
+        }
+        assertThat(engine.requests())
+                .extracting(request -> request.header("X-Skylark-Cache-Scope"))
+                .hasSize(3)
+                .doesNotHaveDuplicates();
+    }
+
     @Test
     public void aCallerWithoutStreamingGetsASingleResponse() {
         mFixture.endpoint(
