Promise "not run" to callers only where it is known

Cause: the endpoint's statement that it did not run a call decided only whether the gateway tried again. Other error statuses were passed on as they came, also 408, 421, 429 and 503, which callers take for that statement. skylark-router did the same. The gateway's own errors were checked against the attempts at each place that fails a call.

Change: AttemptPolicy.mayPassOn decides for all that endpoints answer. For a call that may run once, such a status without the statement becomes 502 without the seal, logged as response.withheld and counted. GatewayCall.fail turns every error that states "not run" into endpoint_failed if an attempt may have run, by ErrorKind.unlessItMayHaveRun, which the router's AttemptDecider uses as well. Calls that may be repeated keep the endpoint's response. What the gateway records about the endpoint is as before.

Why it works: after the last attempt there are two ways to a caller, a response that is passed on and an error of our own, and each has one check.

--- a/base/src/main/java/org/skylarkbend/base/ErrorKind.java
+++ b/base/src/main/java/org/skylarkbend/base/ErrorKind.java
@@ -84,6 +84,17 @@
         mRetryable = retryable;
     }
 
+    /**
+     * Returns the kind to report for a request.
+     *
+     * @param mayHaveRun whether the request may have run, whatever this kind states
+     * @return {@link #ENDPOINT_FAILED} if this kind states that a request has not run that may have
+     *     run, otherwise this kind
+     */
+    public ErrorKind unlessItMayHaveRun(boolean mayHaveRun) {
+        return mayHaveRun && mRunState == RunState.NOT_RUN ? ENDPOINT_FAILED : this;
+    }
+
     /** Returns the code used in responses, logs and metrics. */
     public String code() {
         return name().toLowerCase(java.util.Locale.ROOT);
--- a/base/src/test/java/org/skylarkbend/base/ErrorKindTest.java
+++ b/base/src/test/java/org/skylarkbend/base/ErrorKindTest.java
@@ -21,6 +21,17 @@
         assertThat(rows).isEqualTo(Arrays.stream(ErrorKind.values()).map(this::row).toList());
     }
 
+    /** Guards against an error that makes callers place a request again that may have run. */
+    @Test
+    public void noKindOfARequestThatMayHaveRunHasAStatusThatImpliesTheOpposite() {
+        for (ErrorKind kind : ErrorKind.values()) {
+            ErrorKind reported = kind.unlessItMayHaveRun(true);
+            assertThat(reported.runState()).as(kind.code()).isEqualTo(RunState.MAY_HAVE_RUN);
+            assertThat(RunState.isImpliedNotRun(reported.httpStatus())).as(kind.code()).isFalse();
+            assertThat(kind.unlessItMayHaveRun(false)).isEqualTo(kind);
+        }
+    }
+
     private String row(ErrorKind kind) {
         return "| `"
                 + kind.code()
--- a/forwarding/src/main/java/org/skylarkbend/forwarding/AttemptDecider.java
+++ b/forwarding/src/main/java/org/skylarkbend/forwarding/AttemptDecider.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.Optional;
 import org.skylarkbend.base.ErrorKind;
-import org.skylarkbend.base.RunState;
 import org.skylarkbend.base.SkylarkError;
 import org.skylarkbend.forwarding.AttemptMessage.Admitted;
 import org.skylarkbend.forwarding.AttemptMessage.Cancelled;
@@ -123,6 +122,13 @@
                     ErrorKind.ENDPOINT_FAILED,
                     "the endpoint returned status " + head.status());
         }
+        if (head.isImpliedNotRun() && !head.saysNotRun() && !state.traits().idempotent()) {
+            return retryIfIdempotent(
+                    state,
+                    budget,
+                    ErrorKind.ENDPOINT_FAILED,
+                    "the endpoint may have run the call and returned status " + head.status());
+        }
         AttemptEffect read = new AttemptEffect.ReadBody(state.attempt());
         return new AttemptDecision(state.withPhase(AttemptPhase.RECEIVING), budget, List.of(read));
     }
@@ -194,8 +200,7 @@
 
     private static AttemptDecision fail(
             AttemptState state, RetryBudget budget, ErrorKind kind, String cause) {
-        boolean contradictsState = kind.runState() == RunState.NOT_RUN && state.mayHaveRun();
-        ErrorKind reportedKind = contradictsState ? ErrorKind.ENDPOINT_FAILED : kind;
+        ErrorKind reportedKind = kind.unlessItMayHaveRun(state.mayHaveRun());
         AttemptEffect fail = new AttemptEffect.Fail(new SkylarkError(reportedKind, cause));
         return new AttemptDecision(state.withPhase(AttemptPhase.ENDED), budget, List.of(fail));
     }
--- a/forwarding/src/main/java/org/skylarkbend/forwarding/ResponseHead.java
+++ b/forwarding/src/main/java/org/skylarkbend/forwarding/ResponseHead.java
@@ -1,6 +1,7 @@
 package org.skylarkbend.forwarding;
 
 import java.util.Optional;
+import org.skylarkbend.base.RunState;
 
 /**
  * The head of an endpoint's response.
@@ -17,6 +18,11 @@
         return status >= MIN_SERVER_ERROR_STATUS;
     }
 
+    /** Returns whether callers conclude from the status that the call has not run. */
+    public boolean isImpliedNotRun() {
+        return RunState.isImpliedNotRun(status);
+    }
+
     /** Returns whether the response belongs to the given attempt. */
     public boolean belongsTo(AttemptId attempt) {
         return echoedAttempt.filter(attempt.value()::equals).isPresent();
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/AttemptPolicy.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/AttemptPolicy.java
@@ -36,9 +36,19 @@
         if (sent >= route.maxAttempts()) {
             return false;
         }
-        return !outcome.mayHaveRun()
-                || route.mayRunAgain()
-                || route.kind() == CallKind.STREAM && route.resumable();
+        return !outcome.mayHaveRun() || mayRepeat(route);
+    }
+
+    /**
+     * Returns whether the caller may receive an endpoint's response as it is. The status of one
+     * that has run a call once only must not make the caller place the call again.
+     */
+    static boolean mayPassOn(Route route, ResponseHead head) {
+        return mayRepeat(route) || !head.isImpliedNotRunOnly();
+    }
+
+    private static boolean mayRepeat(Route route) {
+        return route.mayRunAgain() || route.kind() == CallKind.STREAM && route.resumable();
     }
 
     /** Returns the error for the caller of a call that is not retried. */
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/CallLog.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/CallLog.java
@@ -61,6 +61,22 @@
                 nowMilliseconds - mCall.arrivedMilliseconds());
     }
 
+    /**
+     * Logs that a status is kept from the caller, who would place a call again that may have run.
+     */
+    void withheld(Endpoint endpoint, int status, long nowMilliseconds) {
+        LOG.warn(
+                "response.withheld",
+                "id",
+                mCall.id(),
+                "endpoint",
+                endpoint.incarnation(),
+                "status",
+                status,
+                "elapsed_milliseconds",
+                nowMilliseconds - mCall.arrivedMilliseconds());
+    }
+
     /**
      * Logs that the call is refused because of the parts of its prompt.
      *
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/GatewayCall.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/GatewayCall.java
@@ -146,11 +146,7 @@
      * whether the call may have run.
      */
     void gatewayStopping() {
-        mRuns.mayHaveRun();
-        fail(
-                mHistory.mayHaveRun() ? ErrorKind.ENDPOINT_FAILED : ErrorKind.ROUTER_DRAINING,
-                "the gateway is shutting down",
-                RETRY_AFTER_MILLISECONDS);
+        fail(ErrorKind.ROUTER_DRAINING, "the gateway is shutting down");
     }
 
     /**
@@ -159,7 +155,6 @@
      */
     void quarantineChanged() {
         if (!mEnded && mRuns.all().stream().anyMatch(mRuns::isWaiting) && isQuarantined()) {
-            mRuns.mayHaveRun();
             refuseQuarantined();
         }
     }
@@ -179,10 +174,8 @@
     private void refuseQuarantined() {
         long remainingMilliseconds = quarantinedMilliseconds().orElse(RETRY_AFTER_MILLISECONDS);
         mLog.quarantined(!mRuns.isEmpty(), remainingMilliseconds);
-        fail(
-                mHistory.mayHaveRun() ? ErrorKind.ENDPOINT_FAILED : ErrorKind.PROMPT_QUARANTINED,
-                "a part of the prompt crashes engines",
-                remainingMilliseconds);
+        String detail = "a part of the prompt crashes engines";
+        fail(ErrorKind.PROMPT_QUARANTINED, detail, remainingMilliseconds);
     }
 
     private void sendToNextEndpoint() {
@@ -195,10 +188,9 @@
             return;
         }
         if (chosen.isEmpty()) {
-            ErrorKind kind =
-                    mHistory.mayHaveRun() ? ErrorKind.ENDPOINT_FAILED : ErrorKind.NO_ENDPOINT;
             OptionalLong paused = mResources.selector().pausedMilliseconds(mCall.service(), now());
-            fail(kind, "no endpoint is left to try", paused.orElse(RETRY_AFTER_MILLISECONDS));
+            long returnMilliseconds = paused.orElse(RETRY_AFTER_MILLISECONDS);
+            fail(ErrorKind.NO_ENDPOINT, "no endpoint is left to try", returnMilliseconds);
             return;
         }
         start(chosen.get(), true);
@@ -348,20 +340,22 @@
         Run run = mRuns.of(attempt).orElseThrow();
         ResponseHead head = run.head();
         String cause = "the endpoint responded with status " + head.status();
-        if (head.isStream()) {
-            if (run.received().hasPartialEvent()) {
-                String partial = "the stream ended in the middle of an event";
-                aborted(attempt, AttemptOutcome.BROKEN, partial);
-            } else {
-                endCompleteStream(run);
-            }
+        if (head.isStream() && run.received().hasPartialEvent()) {
+            aborted(attempt, AttemptOutcome.BROKEN, "the stream ended in the middle of an event");
+        } else if (head.isStream()) {
+            endCompleteStream(run);
         } else if (head.statesNotRun()) {
             aborted(attempt, AttemptOutcome.NOT_RUN, cause);
         } else if (head.isServerError() && (mRuns.areSeveral() || mHistory.mayRetryServerError())) {
             aborted(attempt, AttemptOutcome.FAILED, cause);
         } else {
             answered(run);
-            sendCompleteResponse(run);
+            if (AttemptPolicy.mayPassOn(mCall.route(), head)) {
+                sendCompleteResponse(run);
+            } else {
+                mRuns.responseWithheld(run);
+                fail(ErrorKind.ENDPOINT_FAILED, cause);
+            }
         }
     }
 
@@ -440,24 +434,34 @@
     }
 
     private void timedOut() {
-        mRuns.mayHaveRun();
-        ErrorKind kind = mHistory.mayHaveRun() ? ErrorKind.ENDPOINT_TIMEOUT : ErrorKind.OVERLOADED;
-        fail(kind, "the deadline of the call has passed", RETRY_AFTER_MILLISECONDS);
+        ErrorKind kind = mayHaveRun() ? ErrorKind.ENDPOINT_TIMEOUT : ErrorKind.OVERLOADED;
+        fail(kind, "the deadline of the call has passed");
     }
 
     /** Ends the call after an exception. The caller learns whether the call may have run. */
     void stepFailed() {
+        ErrorKind kind = mayHaveRun() ? ErrorKind.INTERNAL : ErrorKind.INTERNAL_NOT_RUN;
+        fail(kind, "a step of the call failed");
+    }
+
+    private boolean mayHaveRun() {
         mRuns.mayHaveRun();
-        fail(
-                mHistory.mayHaveRun() ? ErrorKind.INTERNAL : ErrorKind.INTERNAL_NOT_RUN,
-                "a step of the call failed",
-                RETRY_AFTER_MILLISECONDS);
+        return mHistory.mayHaveRun();
+    }
+
+    private void fail(ErrorKind reason, String detail) {
+        fail(reason, detail, RETRY_AFTER_MILLISECONDS);
     }
 
-    private void fail(ErrorKind kind, String detail, long retryAfterMilliseconds) {
+    /**
+     * Ends the call with an error. Whatever the reason, an error that states that the call did not
+     * run reaches the caller only if no attempt may have run it.
+     */
+    private void fail(ErrorKind reason, String detail, long retryAfterMilliseconds) {
         if (mEnded) {
             return;
         }
+        ErrorKind kind = reason.unlessItMayHaveRun(mayHaveRun());
         mBoundary.runEach(
                 () -> {
                     if (mStreaming) {
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/ResponseHead.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/ResponseHead.java
@@ -2,6 +2,7 @@
 
 import io.vertx.core.MultiMap;
 import java.util.List;
+import org.skylarkbend.base.RunState;
 import org.skylarkbend.exchange.ResponseStart;
 import org.skylarkbend.gateway.HeaderNames;
 
@@ -60,6 +61,14 @@
         return isError() && response.header(names.notRun()) != null;
     }
 
+    /**
+     * Returns whether callers conclude from the status that the call has not run, although the
+     * endpoint did not state it.
+     */
+    boolean isImpliedNotRunOnly() {
+        return RunState.isImpliedNotRun(status()) && !statesNotRun();
+    }
+
     /** Returns whether the body is a stream of events. */
     boolean isStream() {
         return call.isStream() && !isError();
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/Runs.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/Runs.java
@@ -145,6 +145,12 @@
         }
     }
 
+    /** Records that the response of the call is kept from the caller. */
+    void responseWithheld(Run run) {
+        mResources.metrics().counter("gateway_responses_withheld").inc();
+        mLog.withheld(run.endpoint(), run.head().status(), now());
+    }
+
     /** Stops all other attempts because one goes on. Those that were silent have failed. */
     void stopAllBut(Run run, String reason) {
         for (Run other : all()) {
--- a/router/src/test/java/org/skylarkbend/router/AttemptFailureTest.java
+++ b/router/src/test/java/org/skylarkbend/router/AttemptFailureTest.java
@@ -91,6 +91,37 @@
         assertThat(first.requests()).isNotEmpty();
     }
 
+    /** Guards against a booking that is made twice because its status promised "not run". */
+    @Test
+    public void aBookingThatTheServiceMayHaveRunGetsAStatusThatPromisesNothing() {
+        AtomicReference<String> response = new AtomicReference<>();
+        FakeEndpoint service =
+                mFixture.endpoint(
+                        (request, socket) ->
+                                socket.write(response.get().replace("ATTEMPT", request.attempt())));
+        mFixture.publish();
+        for (int status : List.of(408, 421, 429, 503)) {
+            for (String more : List.of("", "X-Skylark-Not-Run: no\r\n", "X-Not-Run: true\r\n")) {
+                response.set(FakeResponses.full("ATTEMPT", status, "{}", more));
+                int before = service.requests().size();
+                HttpResponse<String> reply = mFixture.send(mFixture.booking(RouterFixture.KEY));
+                assertThat(reply.statusCode()).as("status %d %s", status, more).isEqualTo(502);
+                assertThat(reply.body()).contains("may_have_run");
+                assertThat(service.requests()).hasSize(before + 1);
+            }
+        }
+    }
+
+    /** Guards against a changed response to a call that may run again. */
+    @Test
+    public void aLookupGetsTheStatusOfTheService() {
+        mFixture.endpoint(
+                (request, socket) ->
+                        socket.write(FakeResponses.full(request.attempt(), 429, "{}")));
+        mFixture.publish();
+        assertThat(mFixture.send(mFixture.stock(RouterFixture.KEY)).statusCode()).isEqualTo(429);
+    }
+
     @Test
     public void aBookingForWhichNoConnectionCanBeHadDidNotRun() {
         FakeEndpoint gone = mFixture.endpoint((request, socket) -> reply(request, socket));
