Refuse bytes that are no UTF-8 instead of replacing them

Operators saw: a config with one byte 0xff inside a customer's key is answered 200 and in force.

Cause: the operators' interface decoded the body with replacement and encoded it again, so the parser never saw the byte. The parser itself accepts overlong forms and surrogates.

Change: Utf8 is the one decoder for bytes of others. It names the offset of the first bad byte. It stands at both operators' interfaces (400, nothing is stored), skylarkctl, the config check, files of settings, the platform's lists and reports, the router's chat bodies and events, the stand-in, and in MessageReader, so that a message or a stored catalog with a bad text is malformed; these are logged and counted.

--- a/base/src/main/java/org/skylarkbend/base/settings/YamlDocument.java
+++ b/base/src/main/java/org/skylarkbend/base/settings/YamlDocument.java
@@ -8,6 +8,7 @@
 import java.util.function.Function;
 import org.skylarkbend.base.ErrorKind;
 import org.skylarkbend.base.Result;
+import org.skylarkbend.base.Utf8;
 import org.yaml.snakeyaml.LoaderOptions;
 import org.yaml.snakeyaml.Yaml;
 import org.yaml.snakeyaml.error.MarkedYAMLException;
@@ -31,7 +32,12 @@
             if (Files.size(file) > MAX_DOCUMENT_BYTES) {
                 return Result.failure(ErrorKind.SET_INVALID, file + ": larger than 16 MiB");
             }
-            return readText(file.toString(), Files.readString(file), reader);
+            return Utf8.decode(Files.readAllBytes(file), ErrorKind.SET_INVALID)
+                    .fold(
+                            text -> readText(file.toString(), text, reader),
+                            error ->
+                                    Result.failure(
+                                            ErrorKind.SET_INVALID, file + ": " + error.detail()));
         } catch (IOException e) {
             return Result.failure(
                     ErrorKind.SET_INVALID, file + ": cannot read the file: " + e.getMessage());
--- a/control/src/main/java/org/skylarkbend/control/ControlProcess.java
+++ b/control/src/main/java/org/skylarkbend/control/ControlProcess.java
@@ -153,7 +153,8 @@
                                 new PublishingSlice(this::stateChanged),
                                 new LedgerSlice(LedgerLimits.defaults()),
                                 new LimitRegistrySlice(this::stateChanged),
-                                new UsageSlice(this::stateChanged)));
+                                new UsageSlice(this::stateChanged)),
+                        mParts.metrics().counter("control_entries_unreadable"));
         mAgreement =
                 new AgreementTask(
                         mParts.settings().vm(),
--- a/control/src/main/java/org/skylarkbend/control/log/ControlStateMachine.java
+++ b/control/src/main/java/org/skylarkbend/control/log/ControlStateMachine.java
@@ -1,5 +1,6 @@
 package org.skylarkbend.control.log;
 
+import com.codahale.metrics.Counter;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -23,9 +24,16 @@
     private static final int FAILED = 2;
 
     private final Map<String, ReplicatedSlice> mSlices = new LinkedHashMap<>();
+    private final Counter mUnreadable;
 
-    /** Creates a state machine of the given slices. Snapshots list them in the given order. */
-    public ControlStateMachine(List<ReplicatedSlice> slices) {
+    /**
+     * Creates a state machine.
+     *
+     * @param slices its slices, which snapshots list in the given order
+     * @param unreadable counts committed entries that cannot be decoded
+     */
+    public ControlStateMachine(List<ReplicatedSlice> slices, Counter unreadable) {
+        mUnreadable = unreadable;
         slices.forEach(slice -> mSlices.put(slice.name(), slice));
     }
 
@@ -34,7 +42,16 @@
      * decodes.
      */
     public byte[] apply(byte[] command) {
-        return encodeResult(ControlEntry.fromBytes(command).flatMap(this::applyEntry));
+        Result<byte[]> result = ControlEntry.fromBytes(command).flatMap(this::applyEntry);
+        result.match(ignored -> {}, this::checkReadable);
+        return encodeResult(result);
+    }
+
+    private void checkReadable(SkylarkError error) {
+        if (error.kind() == ErrorKind.FRAME_INVALID) {
+            mUnreadable.inc();
+            LOG.warn("control.entry.unreadable", "detail", error.detail());
+        }
     }
 
     /** Returns the encoded states of all slices but those that are still initial. */
@@ -72,7 +89,6 @@
     private Result<byte[]> applyEntry(ControlEntry entry) {
         ReplicatedSlice slice = mSlices.get(entry.slice());
         if (slice == null) {
-            LOG.warn("control.entry.unknown_slice", "slice", entry.slice());
             return Result.failure(ErrorKind.FRAME_INVALID, "unknown slice " + entry.slice());
         }
         return slice.apply(entry.payload(), entry.proposedEpochMilliseconds());
--- a/control/src/main/java/org/skylarkbend/control/operator/OperatorTask.java
+++ b/control/src/main/java/org/skylarkbend/control/operator/OperatorTask.java
@@ -22,6 +22,7 @@
 import org.skylarkbend.base.Result;
 import org.skylarkbend.base.SkylarkError;
 import org.skylarkbend.base.StructuredLog;
+import org.skylarkbend.base.Utf8;
 import org.skylarkbend.base.telemetry.PrometheusText;
 import org.skylarkbend.base.telemetry.Tracing;
 import org.skylarkbend.control.feed.FeedStatus;
@@ -289,7 +290,8 @@
         request.endHandler(
                 ignored -> {
                     if (!request.response().ended()) {
-                        onBody.accept(body.toString());
+                        Utf8.decode(body.getBytes(), ErrorKind.BAD_REQUEST)
+                                .match(onBody, error -> sendError(request, error));
                     }
                 });
     }
--- a/control/src/main/java/org/skylarkbend/control/site/CatalogSlice.java
+++ b/control/src/main/java/org/skylarkbend/control/site/CatalogSlice.java
@@ -75,7 +75,6 @@
             return MessageReader.unknownType(type);
         }
         long number = reader.number();
-        String text = new String(reader.bytes(), java.nio.charset.StandardCharsets.UTF_8);
-        return new NumberedDocument(number, text);
+        return new NumberedDocument(number, MessageReader.textOf(reader.bytes()));
     }
 }
--- a/control/src/main/java/org/skylarkbend/control/site/SiteControlProcess.java
+++ b/control/src/main/java/org/skylarkbend/control/site/SiteControlProcess.java
@@ -241,7 +241,8 @@
                                 RolloutTask.slice(this::rolloutsChanged),
                                 QuarantineTask.slice(mQuarantine::post),
                                 new LimitRegistrySlice(this::limitsChanged),
-                                new EvacuationsSlice(this::evacuationsChanged)));
+                                new EvacuationsSlice(this::evacuationsChanged)),
+                        mParts.metrics().counter("control_entries_unreadable"));
         mAgreement =
                 new AgreementTask(
                         mParts.self(),
--- a/control/src/test/java/org/skylarkbend/control/operator/HostileOperatorTest.java
+++ b/control/src/test/java/org/skylarkbend/control/operator/HostileOperatorTest.java
@@ -187,6 +187,15 @@
         assertThat(peer.received()).startsWith("HTTP/1.1 431 ").doesNotContain(" 200 ");
     }
 
+    /** Guards against a set that is published with replaced bytes. */
+    @Test
+    public void aSetThatIsNoTextIsRefusedWithThePlaceOfTheFirstBadByte() throws Exception {
+        RawClient peer = connect();
+        peer.send(PUT + "Content-Length: 8\r\n\r\nrates: \u00ff");
+        awaitUntil(mVertx, () -> peer.received().contains("offset"));
+        assertThat(peer.received()).startsWith("HTTP/1.1 400 ").contains("at offset 7");
+    }
+
     private void assertServes() throws Exception {
         RawClient sound = connect();
         sound.send(GET);
--- a/control/src/test/java/org/skylarkbend/control/site/EvacuationsSliceTest.java
+++ b/control/src/test/java/org/skylarkbend/control/site/EvacuationsSliceTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import com.codahale.metrics.Counter;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
@@ -13,7 +14,8 @@
 public class EvacuationsSliceTest {
     private final List<Set<String>> mChanges = new ArrayList<>();
     private final EvacuationsSlice mSlice = new EvacuationsSlice(mChanges::add);
-    private final ControlStateMachine mState = new ControlStateMachine(List.of(mSlice));
+    private final ControlStateMachine mState =
+            new ControlStateMachine(List.of(mSlice), new Counter());
 
     @Test
     public void anOrderThatIsRepeatedOrLateChangesNothing() {
@@ -35,7 +37,7 @@
     /** Guards against a member of an earlier version that cannot restore a snapshot. */
     @Test
     public void aSnapshotHasTheSliceOnlyWhileADataCentreIsEvacuated() {
-        ControlStateMachine earlierVersion = new ControlStateMachine(List.of());
+        ControlStateMachine earlierVersion = new ControlStateMachine(List.of(), new Counter());
         earlierVersion.restore(mState.snapshot());
         apply(EvacuationsSlice.encodeEvacuated("nord"));
         apply(EvacuationsSlice.encodeWithdrawn("nord"));
--- a/control/src/test/java/org/skylarkbend/control/site/NumberedDocumentTest.java
+++ b/control/src/test/java/org/skylarkbend/control/site/NumberedDocumentTest.java
@@ -2,8 +2,11 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import com.codahale.metrics.Counter;
 import java.util.ArrayList;
 import java.util.List;
+import org.skylarkbend.control.log.ControlEntry;
+import org.skylarkbend.control.log.ControlStateMachine;
 import org.testng.annotations.Test;
 
 /** Tests which document is in force. */
@@ -34,6 +37,22 @@
         assertThat(slice.apply(new byte[] {1, 2}, 0).isSuccess()).isFalse();
     }
 
+    /** Guards against a stored document that is read with replaced bytes. */
+    @Test
+    public void aStoredDocumentThatIsNoTextIsAnError() {
+        List<NumberedDocument> notified = new ArrayList<>();
+        CatalogSlice slice = new CatalogSlice(notified::add);
+        byte[] entry = CatalogSlice.encode(new NumberedDocument(5, "text"));
+        entry[entry.length - 2] = (byte) 0xff;
+        Counter unreadable = new Counter();
+        ControlStateMachine state = new ControlStateMachine(List.of(slice), unreadable);
+        byte[] result = state.apply(new ControlEntry(CatalogSlice.NAME, 0, entry).toBytes());
+        assertThat(ControlStateMachine.decodeResult(result).isSuccess()).isFalse();
+        assertThat(unreadable.getCount()).isEqualTo(1);
+        assertThat(slice.restore(entry).isSuccess()).isFalse();
+        assertThat(notified).isEmpty();
+    }
+
     @Test
     public void versionsOfWeightsOnlyGoUp() {
         List<java.util.Map<String, Long>> notified = new ArrayList<>();
--- a/ctl/src/main/java/org/skylarkbend/ctl/CheckCommand.java
+++ b/ctl/src/main/java/org/skylarkbend/ctl/CheckCommand.java
@@ -4,7 +4,6 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.File;
 import java.util.List;
-import java.util.Optional;
 import org.kohsuke.args4j.Argument;
 import org.kohsuke.args4j.Option;
 import org.skylarkbend.publishing.PublishedSet;
@@ -24,11 +23,11 @@
 
     @Override
     public ExitCode run(CtlEnvironment environment) {
-        Optional<String> text = SetFile.read(mFile, environment);
-        if (text.isEmpty()) {
-            return ExitCode.USAGE;
-        }
-        String yaml = text.get();
+        return SetFile.read(mFile)
+                .fold(yaml -> check(environment, yaml), error -> SetFile.fail(error, environment));
+    }
+
+    private ExitCode check(CtlEnvironment environment, String yaml) {
         List<String> problems =
                 SetReader.readText(mFile.toString(), yaml)
                         .fold(set -> List.of(), error -> error.detail().lines().toList());
--- a/ctl/src/main/java/org/skylarkbend/ctl/HttpTransport.java
+++ b/ctl/src/main/java/org/skylarkbend/ctl/HttpTransport.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.TimeoutException;
 import org.skylarkbend.base.ErrorKind;
 import org.skylarkbend.base.Result;
+import org.skylarkbend.base.Utf8;
 
 /**
  * Sends requests over HTTP to each control VM in turn until the leader has responded. Each request
@@ -92,8 +93,7 @@
             HttpClientResponse response, ControlRequest request) {
         String location = response.getHeader("Location");
         if (response.statusCode() != HTTP_TEMPORARY_REDIRECT || location == null) {
-            return response.body()
-                    .map(body -> new ControlResponse(response.statusCode(), body.toString()));
+            return response.body().compose(body -> decode(response.statusCode(), body));
         }
         return mClient.request(optionsOf(location, request))
                 .compose(outgoing -> outgoing.send(Buffer.buffer(request.body())))
@@ -101,11 +101,14 @@
                         leaderResponse ->
                                 leaderResponse
                                         .body()
-                                        .map(
-                                                body ->
-                                                        new ControlResponse(
-                                                                statusOf(leaderResponse),
-                                                                body.toString())));
+                                        .compose(body -> decode(statusOf(leaderResponse), body)));
+    }
+
+    private static Future<ControlResponse> decode(int httpStatus, Buffer body) {
+        return Utf8.decode(body.getBytes(), ErrorKind.CONNECTION_FAILED)
+                .fold(
+                        text -> Future.succeededFuture(new ControlResponse(httpStatus, text)),
+                        error -> Future.failedFuture("the response is " + error.detail()));
     }
 
     /** Maps a second redirect to 503, because the leader is changing. */
--- a/ctl/src/main/java/org/skylarkbend/ctl/PublishCommand.java
+++ b/ctl/src/main/java/org/skylarkbend/ctl/PublishCommand.java
@@ -1,7 +1,6 @@
 package org.skylarkbend.ctl;
 
 import java.io.File;
-import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.UUID;
 import org.kohsuke.args4j.Argument;
@@ -40,12 +39,13 @@
 
     @Override
     public ExitCode run(CtlEnvironment environment) {
-        Optional<String> text = SetFile.read(mFile, environment);
-        if (text.isEmpty()) {
-            return ExitCode.USAGE;
-        }
-        String yaml = text.get();
-        return withControl(environment, transport -> publish(environment, transport, yaml));
+        return SetFile.read(mFile)
+                .fold(
+                        yaml ->
+                                withControl(
+                                        environment,
+                                        transport -> publish(environment, transport, yaml)),
+                        error -> SetFile.fail(error, environment));
     }
 
     private ExitCode publish(CtlEnvironment environment, ControlTransport transport, String yaml) {
--- a/ctl/src/test/java/org/skylarkbend/ctl/CtlMainTest.java
+++ b/ctl/src/test/java/org/skylarkbend/ctl/CtlMainTest.java
@@ -122,6 +122,18 @@
         assertThat(out()).contains("\"valid\":false").contains(":4: customers.a.rate: ");
     }
 
+    /** Guards against a set with replaced bytes. */
+    @Test
+    public void aSetThatIsNoTextIsRefusedWithThePlaceOfTheFirstBadByte() throws IOException {
+        byte[] set = VALID_SET.getBytes(StandardCharsets.UTF_8);
+        set[5] = (byte) 0xff;
+        Files.write(mFile, set);
+        for (String command : new String[] {"check", "publish"}) {
+            assertThat(run(command, mFile.toString())).isEqualTo(ExitCode.INVALID);
+            assertThat(err()).contains("0xff at offset 5");
+        }
+    }
+
     @Test
     public void aKeyIsShownOnceWithTheDigestForTheSet() {
         assertThat(run("key", "new", "--json")).isEqualTo(ExitCode.OK);
--- a/gateway/src/main/java/org/skylarkbend/gateway/GatewayProcess.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/GatewayProcess.java
@@ -94,7 +94,8 @@
                         mGateway,
                         reader,
                         endpoints,
-                        clock);
+                        clock,
+                        metrics.counter("link_messages_unreadable"));
     }
 
     private void sendToLimitOwner(LimitMessage message) {
--- a/gateway/src/main/java/org/skylarkbend/gateway/link/SiteLinkTask.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/link/SiteLinkTask.java
@@ -1,5 +1,6 @@
 package org.skylarkbend.gateway.link;
 
+import com.codahale.metrics.Counter;
 import io.vertx.core.Context;
 import io.vertx.core.Future;
 import io.vertx.core.VerticleBase;
@@ -64,6 +65,7 @@
     private final CatalogReader mReader;
     private final EndpointSource mEndpoints;
     private final MillisecondClock mClock;
+    private final Counter mUnreadable;
     private final LimitCodec mLimitCodec = new LimitCodec();
     private final SiteCodec mSiteCodec = new SiteCodec();
     private final EndpointLists mEndpointLists = new EndpointLists();
@@ -74,18 +76,29 @@
     private boolean mControlReachable;
     private boolean mStopped;
 
-    /** Creates a task that calls the listener on its own context. */
+    /**
+     * Creates a task.
+     *
+     * @param decider decides when to connect and what to confirm
+     * @param listener receives what control sends, on the context of the task
+     * @param reader parses the documents of operators
+     * @param endpoints lists the endpoints while control is out of reach
+     * @param clock monotonic clock
+     * @param unreadable counts messages and documents of control that cannot be decoded
+     */
     public SiteLinkTask(
             SiteLinkDecider decider,
             SiteListener listener,
             CatalogReader reader,
             EndpointSource endpoints,
-            MillisecondClock clock) {
+            MillisecondClock clock,
+            Counter unreadable) {
         mDecider = decider;
         mListener = listener;
         mReader = reader;
         mEndpoints = endpoints;
         mClock = clock;
+        mUnreadable = unreadable;
     }
 
     @Override
@@ -215,7 +228,10 @@
     private void catalogRead(long number, Result<Catalog> result) {
         result.match(
                 mListener::catalogChanged,
-                error -> LOG.warn("catalog.refused", "number", number, "detail", error.detail()));
+                error -> {
+                    mUnreadable.inc();
+                    LOG.warn("catalog.refused", "number", number, "detail", error.detail());
+                });
         handle(new SiteLinkMessage.DocumentRead(number));
     }
 
@@ -283,7 +299,8 @@
         apply(new SiteLinkEffect.Close("a change of the list of endpoints was missed"));
     }
 
-    private static void logMalformed(SliceMessage message, String detail) {
+    private void logMalformed(SliceMessage message, String detail) {
+        mUnreadable.inc();
         LOG.warn("link.message.garbled", "slice", message.slice(), "detail", detail);
     }
 
--- a/gateway/src/test/java/org/skylarkbend/gateway/link/DirectListTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/link/DirectListTest.java
@@ -4,6 +4,7 @@
 import static org.skylarkbend.testing.Waits.await;
 import static org.skylarkbend.testing.Waits.awaitUntil;
 
+import com.codahale.metrics.Counter;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
@@ -78,7 +79,8 @@
                                 new EndpointListener(),
                                 document -> Result.failure(ErrorKind.SET_INVALID, "none"),
                                 this::listDirectly,
-                                MillisecondClock.monotonic())));
+                                MillisecondClock.monotonic(),
+                                new Counter())));
     }
 
     @AfterMethod(alwaysRun = true)
--- a/gateway/src/test/java/org/skylarkbend/gateway/link/SiteLinkTaskTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/link/SiteLinkTaskTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThatCode;
 
+import com.codahale.metrics.Counter;
 import io.vertx.core.Future;
 import java.util.List;
 import java.util.Map;
@@ -29,7 +30,8 @@
                         () ->
                                 Future.succeededFuture(
                                         Result.failure(ErrorKind.CONNECTION_FAILED, "none")),
-                        MillisecondClock.monotonic());
+                        MillisecondClock.monotonic(),
+                        new Counter());
         assertThatCode(
                         () -> {
                             link.sendWork(new WorkUnderWay(Map.of(), 0));
--- a/gateway/src/test/java/org/skylarkbend/gateway/link/SlowCatalogTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/link/SlowCatalogTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.skylarkbend.testing.Waits.await;
 
+import com.codahale.metrics.Counter;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
@@ -74,7 +75,8 @@
                         () ->
                                 Future.succeededFuture(
                                         Result.failure(ErrorKind.CONNECTION_FAILED, "none")),
-                        MillisecondClock.monotonic()));
+                        MillisecondClock.monotonic(),
+                        new Counter()));
         await(Future.fromCompletionStage(mReading));
         Promise<Void> other = Promise.promise();
         mVertx.runOnContext(ignored -> other.complete());
--- a/router/src/main/java/org/skylarkbend/router/SseParser.java
+++ b/router/src/main/java/org/skylarkbend/router/SseParser.java
@@ -1,11 +1,11 @@
 package org.skylarkbend.router;
 
 import java.io.ByteArrayOutputStream;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import org.skylarkbend.base.ErrorKind;
 import org.skylarkbend.base.Result;
+import org.skylarkbend.base.Utf8;
 
 /**
  * Incremental parser of server-sent events. Comments and fields other than id and data are ignored.
@@ -28,13 +28,17 @@
 
     /**
      * Parses the next bytes and returns the events completed by them. Fails if an event exceeds the
-     * maximum size.
+     * maximum size or is no UTF-8.
      */
     public Result<List<SseEvent>> feed(byte[] chunk) {
         List<SseEvent> events = new ArrayList<>();
         for (byte next : chunk) {
             if (next == '\n') {
-                endLine(events);
+                Result<String> line = Utf8.decode(mLine.toByteArray(), ErrorKind.ENDPOINT_FAILED);
+                if (!line.isSuccess()) {
+                    return line.map(ignored -> List.of());
+                }
+                line.match(text -> endLine(text, events), error -> {});
             } else if (next != '\r') {
                 mLine.write(next);
             }
@@ -45,8 +49,7 @@
         return Result.success(List.copyOf(events));
     }
 
-    private void endLine(List<SseEvent> events) {
-        String line = mLine.toString(StandardCharsets.UTF_8);
+    private void endLine(String line, List<SseEvent> events) {
         mLine.reset();
         if (line.isEmpty()) {
             endEvent(events);
--- a/router/src/main/java/org/skylarkbend/router/front/ChatCallCodec.java
+++ b/router/src/main/java/org/skylarkbend/router/front/ChatCallCodec.java
@@ -1,13 +1,14 @@
 package org.skylarkbend.router.front;
 
+import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.JsonNodeType;
-import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
 import org.skylarkbend.base.ErrorKind;
 import org.skylarkbend.base.Result;
+import org.skylarkbend.base.Utf8;
 import org.skylarkbend.router.ChatCall;
 import org.skylarkbend.router.ChatCall.ChatMessage;
 
@@ -20,13 +21,17 @@
     private ChatCallCodec() {}
 
     static Result<ChatCall> decode(byte[] body) {
+        return Utf8.decode(body, ErrorKind.BAD_REQUEST).flatMap(ChatCallCodec::decode);
+    }
+
+    private static Result<ChatCall> decode(String body) {
         try {
             JsonNode root = JSON.readTree(body);
             if (root == null || !root.isObject()) {
                 return refuse("the body is not a JSON object");
             }
             return decode(root);
-        } catch (IOException e) {
+        } catch (JsonProcessingException e) {
             return refuse("the body is not JSON");
         }
     }
--- a/router/src/test/java/org/skylarkbend/router/RequestLimitsTest.java
+++ b/router/src/test/java/org/skylarkbend/router/RequestLimitsTest.java
@@ -3,7 +3,9 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.net.http.HttpRequest;
+import java.net.http.HttpRequest.BodyPublishers;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.util.Random;
 import org.skylarkbend.testing.SeededRuns;
 import org.testng.annotations.AfterClass;
@@ -100,11 +102,29 @@
         assertServesOn(mShortTimeouts);
     }
 
+    /** Guards against a prompt that reaches an engine with other bytes than were sent. */
+    @Test
+    public void aBodyThatIsNoTextIsRefusedWithThePlaceOfTheFirstBadByte() {
+        String chat =
+                "{\"model\":\"assistant\",\"messages\":[{\"role\":\"user\",\"content\":\"??\"}]}";
+        int offset = chat.indexOf('?');
+        byte[] body = chat.getBytes(StandardCharsets.UTF_8);
+        for (int[] bytes : new int[][] {{0xff, 'a'}, {0xc0, 0xaf}}) {
+            body[offset] = (byte) bytes[0];
+            body[offset + 1] = (byte) bytes[1];
+            assertBadBody(BodyPublishers.ofByteArray(body), "at offset " + offset);
+        }
+    }
+
     private void assertBadBody(String body, String detail) {
+        assertBadBody(BodyPublishers.ofString(body), detail);
+    }
+
+    private void assertBadBody(HttpRequest.BodyPublisher body, String detail) {
         HttpRequest.Builder request =
                 mFixture.to("/v1/chat/completions")
                         .header("Authorization", "Bearer " + RouterFixture.KEY)
-                        .POST(HttpRequest.BodyPublishers.ofString(body));
+                        .POST(body);
         HttpResponse<String> response = mFixture.send(request);
         assertThat(response.statusCode()).isEqualTo(400);
         assertThat(response.body()).contains("bad_request", detail);
--- a/standin/src/main/java/org/skylarkbend/standin/StandinServer.java
+++ b/standin/src/main/java/org/skylarkbend/standin/StandinServer.java
@@ -17,7 +17,10 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.BiConsumer;
+import org.skylarkbend.base.ErrorKind;
+import org.skylarkbend.base.SkylarkError;
 import org.skylarkbend.base.StructuredLog;
+import org.skylarkbend.base.Utf8;
 import org.skylarkbend.base.telemetry.Tracing;
 
 /**
@@ -142,14 +145,28 @@
         request.body()
                 .onSuccess(
                         body -> {
-                            String text = body.toString();
-                            recordRequest(request, text);
-                            if (!isSilent(request.connection())) {
-                                handle(request, text, onRequest);
-                            }
+                            Utf8.decode(body.getBytes(), ErrorKind.BAD_REQUEST)
+                                    .match(
+                                            text -> received(request, text, onRequest),
+                                            error -> refuse(request, error));
                         });
     }
 
+    private void received(
+            HttpServerRequest request,
+            String text,
+            BiConsumer<HttpServerRequest, String> onRequest) {
+        recordRequest(request, text);
+        if (!isSilent(request.connection())) {
+            handle(request, text, onRequest);
+        }
+    }
+
+    private void refuse(HttpServerRequest request, SkylarkError error) {
+        recordRequest(request, error.detail());
+        respond(request, error.kind().httpStatus(), new JsonObject().put("error", error.detail()));
+    }
+
     private void handle(
             HttpServerRequest request,
             String text,
--- a/wire/src/main/java/org/skylarkbend/wire/MessageReader.java
+++ b/wire/src/main/java/org/skylarkbend/wire/MessageReader.java
@@ -9,6 +9,7 @@
 import org.msgpack.core.MessageUnpacker;
 import org.skylarkbend.base.ErrorKind;
 import org.skylarkbend.base.Result;
+import org.skylarkbend.base.Utf8;
 
 /**
  * Reads the fields of a message in the order in which a {@link MessageWriter} wrote them.
@@ -72,10 +73,20 @@
                 () -> {
                     int textBytes = checkedCount(mUnpacker.unpackRawStringHeader());
                     byte[] raw = mUnpacker.readPayload(textBytes);
-                    return new String(raw, java.nio.charset.StandardCharsets.UTF_8);
+                    return textOf(raw);
                 });
     }
 
+    /** Returns the text that a byte array of the message encodes in UTF-8. */
+    public static String textOf(byte[] utf8) {
+        return Utf8.decode(utf8, ErrorKind.FRAME_INVALID)
+                .fold(
+                        text -> text,
+                        error -> {
+                            throw new MalformedMessageException(error.detail());
+                        });
+    }
+
     /** Reads a byte array. */
     public byte[] bytes() {
         return unpack(() -> mUnpacker.readPayload(checkedCount(mUnpacker.unpackBinaryHeader())));
