Give every sound engine its weights beside an odd entry

Cause: the entry was taken for an engine. Its report cannot be requested, since no header holds such an ID; the exception left the loop over the effects, and those behind were dropped, although the decision had noted them as sent. An engine whose orders are refused each time also kept its place among those that load.

Engines of services that the catalog does not name get no orders. A request or order that was not sent is handed back to WeightsDecider, and a refused order frees its place.

--- a/control/src/main/java/org/skylarkbend/control/feed/FeedTask.java
+++ b/control/src/main/java/org/skylarkbend/control/feed/FeedTask.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
+import org.skylarkbend.base.Effects;
 import org.skylarkbend.base.MillisecondClock;
 import org.skylarkbend.base.Result;
 import org.skylarkbend.base.SkylarkError;
@@ -129,7 +130,8 @@
     }
 
     private void decide(FeedInput input) {
-        mDecider.decide(input, mParts.monotonic().nowMilliseconds()).forEach(this::execute);
+        Effects.executeEach(
+                mDecider.decide(input, mParts.monotonic().nowMilliseconds()), this::execute);
     }
 
     private void execute(FeedEffect effect) {
--- a/control/src/main/java/org/skylarkbend/control/limits/LimitOwnerTask.java
+++ b/control/src/main/java/org/skylarkbend/control/limits/LimitOwnerTask.java
@@ -8,6 +8,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.function.BiConsumer;
+import org.skylarkbend.base.Effects;
 import org.skylarkbend.base.MillisecondClock;
 import org.skylarkbend.base.ObjectName;
 import org.skylarkbend.base.StructuredLog;
@@ -209,7 +210,7 @@
 
     private void decide(LimitOwnerMessage message) {
         mDecider.map(decider -> decider.decide(message, mMonotonic.nowMilliseconds()))
-                .ifPresent(effects -> effects.forEach(this::execute));
+                .ifPresent(effects -> Effects.executeEach(effects, this::execute));
     }
 
     private void execute(LimitOwnerEffect effect) {
--- a/control/src/main/java/org/skylarkbend/control/site/EndpointsTask.java
+++ b/control/src/main/java/org/skylarkbend/control/site/EndpointsTask.java
@@ -1,14 +1,18 @@
 package org.skylarkbend.control.site;
 
+import com.codahale.metrics.Counter;
 import io.vertx.core.Context;
 import io.vertx.core.Future;
 import io.vertx.core.VerticleBase;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.BiConsumer;
+import org.skylarkbend.base.Effects;
 import org.skylarkbend.base.MillisecondClock;
 import org.skylarkbend.base.Result;
 import org.skylarkbend.base.StructuredLog;
@@ -58,8 +62,11 @@
     private final WeightsDecider mWeights;
     private final MillisecondClock mClock;
     private final MillisecondClock mWall;
+    private final Counter mUnnamed;
     private final BiConsumer<Optional<Endpoints>, Endpoints> mOnChange;
     private final Map<String, Endpoint> mEndpoints = new HashMap<>();
+    private Optional<Set<String>> mServices = Optional.empty();
+    private Set<String> mUnnamedEngines = Set.of();
     private Context mContext;
     private Leadership mLeadership = Leadership.unknown();
     private Optional<Endpoints> mLastNotified = Optional.empty();
@@ -78,6 +85,7 @@
      * @param weights decides which orders to send
      * @param clock a monotonic clock
      * @param wall the clock for the timestamps of log entries
+     * @param unnamed counts engines of services that the catalog does not name, which get no orders
      * @param onChange called on the context of the task with the previous and the new endpoint data
      *     for gateways; without the previous data when this member has begun to lead
      */
@@ -88,6 +96,7 @@
             WeightsDecider weights,
             MillisecondClock clock,
             MillisecondClock wall,
+            Counter unnamed,
             BiConsumer<Optional<Endpoints>, Endpoints> onChange) {
         mSource = source;
         mCommands = commands;
@@ -95,6 +104,7 @@
         mWeights = weights;
         mClock = clock;
         mWall = wall;
+        mUnnamed = unnamed;
         mOnChange = onChange;
     }
 
@@ -123,6 +133,11 @@
         mContext.runOnContext(ignored -> decide(new TargetVersionsChanged(versions)));
     }
 
+    /** Notifies the task of the services that the catalog in force names. */
+    public void postServices(Set<String> services) {
+        mContext.runOnContext(ignored -> mServices = Optional.of(services));
+    }
+
     /** Notifies the task of an order that was announced in the log. */
     public void postAnnounced(Announced announced) {
         mContext.runOnContext(ignored -> decide(announced));
@@ -184,17 +199,47 @@
     private void replace(List<Endpoint> endpoints) {
         mEndpoints.clear();
         List<Engine> engines = new ArrayList<>();
+        Set<String> unnamed = new HashSet<>();
         for (Endpoint endpoint : endpoints) {
             mEndpoints.put(endpoint.incarnation(), endpoint);
-            if (!endpoint.leaving() && !endpoint.weights().isEmpty()) {
+            if (endpoint.leaving() || endpoint.weights().isEmpty()) {
+                continue;
+            }
+            if (isNamed(endpoint.service())) {
                 engines.add(new Engine(endpoint.incarnation(), endpoint.weights()));
+            } else {
+                unnamed.add(endpoint.incarnation());
             }
         }
+        noteUnnamed(unnamed);
         mListReadAsLeader = true;
         decide(new EnginesListed(engines));
         notifyGateways();
     }
 
+    /**
+     * Returns whether the catalog names a service; while no catalog is known, each may be named.
+     */
+    private boolean isNamed(String service) {
+        return mServices.map(services -> services.contains(service)).orElse(true);
+    }
+
+    private void noteUnnamed(Set<String> engines) {
+        engines.stream()
+                .filter(engine -> !mUnnamedEngines.contains(engine))
+                .forEach(
+                        engine -> {
+                            mUnnamed.inc();
+                            LOG.info(
+                                    "engine.unnamed_service",
+                                    "engine",
+                                    engine,
+                                    "service",
+                                    mEndpoints.get(engine).service());
+                        });
+        mUnnamedEngines = engines;
+    }
+
     /**
      * Notifies gateways immediately, or, within the minimum interval after a notification, batches
      * the changes until its end.
@@ -240,7 +285,20 @@
 
     private void decide(WeightsMessage message) {
         List<WeightsEffect> effects = mWeights.decide(message, mClock.nowMilliseconds());
-        effects.forEach(this::execute);
+        Effects.executeEach(effects, this::execute, (effect, cause) -> notSent(effect));
+    }
+
+    /** Takes back a request or order that was not sent, so that it is tried again. */
+    private void notSent(WeightsEffect effect) {
+        if (effect instanceof RequestReport request) {
+            reportFailed(request.engine());
+        } else if (effect instanceof Load load) {
+            mContext.runOnContext(ignored -> orderAnswered(load, LoadAnswer.REFUSED));
+        }
+    }
+
+    private void reportFailed(String engine) {
+        mContext.runOnContext(ignored -> decide(new ReportFailed(engine, 0)));
     }
 
     private void execute(WeightsEffect effect) {
@@ -256,10 +314,10 @@
     private void requestReport(String engine) {
         Endpoint endpoint = mEndpoints.get(engine);
         if (endpoint == null) {
-            mContext.runOnContext(ignored -> decide(new ReportFailed(engine, 0)));
+            reportFailed(engine);
             return;
         }
-        mCommands.report(endpoint).onSuccess(this::decide);
+        mCommands.report(endpoint).onSuccess(this::decide).onFailure(e -> reportFailed(engine));
     }
 
     /**
@@ -270,7 +328,8 @@
     private void order(Load load) {
         byte[] announced = OrdersSlice.encode(new Announced(load.engine(), load.fencingNumber()));
         mLog.propose(new ControlEntry(OrdersSlice.NAME, mWall.nowMilliseconds(), announced))
-                .onSuccess(result -> mContext.runOnContext(ignored -> order(load, result)));
+                .onSuccess(result -> mContext.runOnContext(ignored -> order(load, result)))
+                .onFailure(e -> notSent(load));
     }
 
     private void order(Load load, Result<byte[]> announcement) {
@@ -283,10 +342,20 @@
         if (endpoint == null || !commands) {
             orderAnswered(load, LoadAnswer.REFUSED);
         } else {
-            mCommands.load(endpoint, load).onSuccess(answer -> orderAnswered(load, answer));
+            Effects.executeEach(
+                    List.of(load),
+                    order -> send(endpoint, order),
+                    (order, cause) -> notSent(order));
         }
     }
 
+    private void send(Endpoint endpoint, Load load) {
+        mCommands
+                .load(endpoint, load)
+                .onSuccess(answer -> orderAnswered(load, answer))
+                .onFailure(e -> orderAnswered(load, LoadAnswer.UNKNOWN));
+    }
+
     private void orderAnswered(Load load, LoadAnswer answer) {
         LOG.info(
                 "weights.ordered",
--- a/control/src/main/java/org/skylarkbend/control/site/SiteControlProcess.java
+++ b/control/src/main/java/org/skylarkbend/control/site/SiteControlProcess.java
@@ -150,6 +150,7 @@
                                 parts.engineOrders().oldWeightsMilliseconds()),
                         parts.clock().monotonic(),
                         wall,
+                        parts.metrics().counter("engines_of_unnamed_services"),
                         this::endpointsChanged);
     }
 
@@ -308,6 +309,7 @@
     private void catalogChanged(Catalog catalog) {
         List<CustomerLimit> limits = SiteLimits.of(catalog, mParts.bounds().limitSlack());
         mLimits.postLimits(limits);
+        mEndpoints.postServices(catalog.services().keySet());
     }
 
     private void weightsChanged(Map<String, Long> versions) {
--- a/control/src/test/java/org/skylarkbend/control/site/EndpointsTaskTest.java
+++ b/control/src/test/java/org/skylarkbend/control/site/EndpointsTaskTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import com.codahale.metrics.MetricRegistry;
 import io.vertx.core.Context;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
@@ -9,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -16,6 +18,8 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BooleanSupplier;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.skylarkbend.base.ErrorKind;
 import org.skylarkbend.base.MillisecondClock;
 import org.skylarkbend.base.Result;
@@ -35,13 +39,18 @@
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
-/** Tests commanders that stop between the announcement of an order and the order. */
+/**
+ * Tests commanders that stop between the announcement of an order and the order, and engines to
+ * which nothing can be sent.
+ */
 public class EndpointsTaskTest {
     private static final long TAKEOVER_MILLISECONDS = 3_000;
     private static final long OLD_WEIGHTS_MILLISECONDS = 60_000;
     private static final long WAIT_LIMIT_SECONDS = 30;
     private static final long POLL_MILLISECONDS = 10;
     private static final int TICKS = 3;
+    private static final long OLD_VERSION = 1;
+    private static final long NEW_VERSION = 2;
 
     /** Longer than two reads of the list take. */
     private static final long READS_MILLISECONDS = 1_200;
@@ -56,6 +65,10 @@
     private final List<Announced> mAnnounced = new CopyOnWriteArrayList<>();
     private final AtomicReference<EndpointSource> mSource = new AtomicReference<>();
     private final AtomicInteger mLists = new AtomicInteger();
+    private final MetricRegistry mMetrics = new MetricRegistry();
+    private volatile Set<String> mUnaskable = Set.of();
+    private volatile Set<String> mUnorderable = Set.of();
+    private volatile boolean mKeepsWeights;
     private Vertx mVertx;
 
     /** An entry that is not committed yet. */
@@ -84,19 +97,33 @@
         }
     }
 
-    /** An idle engine that accepts every order. */
+    /**
+     * Idle engines that accept every order. Requests for a report, or orders, to some engines
+     * cannot be sent.
+     */
     private final class RecordingEngine implements EngineCommands {
         @Override
         public Future<WeightsMessage> report(Endpoint engine) {
-            return Future.succeededFuture(
-                    new Reported(engine.incarnation(), Map.of("m", 1L), false, 0, 0));
+            requireSendable(mUnaskable, engine);
+            boolean isLoaded =
+                    mOrders.stream().anyMatch(load -> load.engine().equals(engine.incarnation()));
+            Map<String, Long> weights =
+                    Map.of("m", isLoaded && mKeepsWeights ? NEW_VERSION : OLD_VERSION);
+            return Future.succeededFuture(new Reported(engine.incarnation(), weights, false, 0, 0));
         }
 
         @Override
         public Future<LoadAnswer> load(Endpoint engine, Load load) {
+            requireSendable(mUnorderable, engine);
             mOrders.add(load);
             return Future.succeededFuture(LoadAnswer.ACCEPTED);
         }
+
+        private void requireSendable(Set<String> unsendable, Endpoint engine) {
+            if (unsendable.contains(engine.id())) {
+                throw new IllegalArgumentException("a header cannot hold " + engine.id());
+            }
+        }
     }
 
     @BeforeMethod
@@ -106,6 +133,9 @@
         mOrders.clear();
         mTasks.clear();
         mAnnounced.clear();
+        mUnaskable = Set.of();
+        mUnorderable = Set.of();
+        mKeepsWeights = false;
         mSource.set(() -> Future.succeededFuture(Result.success(List.of(ENGINE))));
     }
 
@@ -207,6 +237,79 @@
                 .containsExactly(ENGINE.incarnation());
     }
 
+    /** Guards against sound engines that never get weights because of an odd entry. */
+    @Test
+    public void anEngineThatCannotBeAskedTakesNothingFromTheOthers() throws Exception {
+        mUnaskable = Set.of("a1", "a2");
+        assertThat(enginesOrdered("a1", "a2", "b1", "b2", "b3", "b4"))
+                .containsExactlyInAnyOrder("b1@1", "b2@1", "b3@1", "b4@1");
+    }
+
+    /** Guards against an order that counts as sent although it could not be sent. */
+    @Test
+    public void anEngineThatCannotBeOrderedTakesNothingFromTheOthers() throws Exception {
+        mUnorderable = Set.of("a1", "a2");
+        assertThat(enginesOrdered("a1", "a2", "b1", "b2", "b3", "b4"))
+                .containsExactlyInAnyOrder("b1@1", "b2@1", "b3@1", "b4@1");
+    }
+
+    /** Guards against places for loads that engines of other owners take. */
+    @Test
+    public void anEngineOfAServiceThatNoCatalogNamesGetsNoOrder() throws Exception {
+        Endpoint other =
+                new Endpoint("a", "other", "127.0.0.1", 1, "z", "v1", 6, false, 1, Map.of("m", 1L));
+        mKeepsWeights = true;
+        mSource.set(() -> Future.succeededFuture(Result.success(List.of(other, ENGINE))));
+        EndpointsTask task = start();
+        task.postServices(Set.of("desk"));
+        task.post(leaderOf(1));
+        commitUntil(() -> !mOrders.isEmpty());
+        awaitLists(TICKS);
+        assertThat(mOrders).extracting(Load::engine).containsOnly(ENGINE.incarnation());
+        assertThat(mProposals).isEmpty();
+        assertThat(mMetrics.counter("unnamed").getCount()).isEqualTo(1);
+    }
+
+    /** Returns the engines that are ordered, out of those with the given IDs. */
+    private Set<String> enginesOrdered(String... ids) throws Exception {
+        List<Endpoint> engines =
+                Stream.of(ids)
+                        .map(
+                                id ->
+                                        new Endpoint(
+                                                id,
+                                                "desk",
+                                                "127.0.0.1",
+                                                1,
+                                                "z",
+                                                "v1",
+                                                6,
+                                                false,
+                                                1,
+                                                Map.of("m", OLD_VERSION)))
+                        .toList();
+        mKeepsWeights = true;
+        mSource.set(() -> Future.succeededFuture(Result.success(engines)));
+        EndpointsTask task = start();
+        task.post(leaderOf(1));
+        long sound = engines.size() - mUnaskable.size() - mUnorderable.size();
+        commitUntil(() -> mOrders.stream().map(Load::engine).distinct().count() == sound);
+        return mOrders.stream().map(Load::engine).collect(Collectors.toSet());
+    }
+
+    /** Commits what is proposed, while time passes, until a condition holds. */
+    private void commitUntil(BooleanSupplier condition) throws Exception {
+        awaitUntil(
+                () -> {
+                    mNowMilliseconds.addAndGet(POLL_MILLISECONDS);
+                    Proposal proposal = mProposals.poll();
+                    if (proposal != null) {
+                        commit(proposal);
+                    }
+                    return condition.getAsBoolean();
+                });
+    }
+
     private EndpointsTask start() throws Exception {
         EndpointsTask task =
                 new EndpointsTask(
@@ -219,6 +322,7 @@
                         new WeightsDecider(TAKEOVER_MILLISECONDS, OLD_WEIGHTS_MILLISECONDS),
                         mNowMilliseconds::get,
                         MillisecondClock.wall(),
+                        mMetrics.counter("unnamed"),
                         (previous, whole) -> mAnnounced.add(new Announced(previous, whole)));
         await(mVertx.deployVerticle(task));
         task.postWeights(Map.of("m", 2L));
--- a/gateway/src/main/java/org/skylarkbend/gateway/GatewayProcess.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/GatewayProcess.java
@@ -4,6 +4,7 @@
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import java.util.List;
+import java.util.function.Function;
 import org.skylarkbend.base.ByteBudget;
 import org.skylarkbend.base.MillisecondClock;
 import org.skylarkbend.catalog.CatalogReader;
@@ -48,10 +49,14 @@
      * @param vertx the Vert.x instance that runs the tasks
      * @param settings the settings of the gateway
      * @param reader reads the catalog documents that operators publish
-     * @param endpoints the list of endpoints that is read directly while control is unreachable
+     * @param endpoints creates, with the registry of its metrics, the list of endpoints that is
+     *     read directly while control is unreachable
      */
     public GatewayProcess(
-            Vertx vertx, GatewaySettings settings, CatalogReader reader, EndpointSource endpoints) {
+            Vertx vertx,
+            GatewaySettings settings,
+            CatalogReader reader,
+            Function<MetricRegistry, EndpointSource> endpoints) {
         mVertx = vertx;
         mSettings = settings;
         MillisecondClock clock = MillisecondClock.monotonic();
@@ -66,13 +71,7 @@
         mGateway =
                 new GatewayTask(
                         settings,
-                        CallerBudgets.ofHeap(
-                                "gateway",
-                                new ByteBudget(
-                                        "gateway_held",
-                                        Runtime.getRuntime().maxMemory() / HEAP_PARTS_OF_BODIES,
-                                        metrics),
-                                metrics),
+                        budgets(metrics),
                         metrics,
                         clock,
                         EndpointDialer.direct(vertx, EndpointAccess.CONNECT_TIMEOUT_MILLISECONDS),
@@ -93,11 +92,17 @@
                         new SiteLinkDecider(hello, settings.controlHosts(), settings.feedPort()),
                         mGateway,
                         reader,
-                        endpoints,
+                        endpoints.apply(metrics),
                         clock,
                         metrics.counter("link_messages_unreadable"));
     }
 
+    private static CallerBudgets budgets(MetricRegistry metrics) {
+        long heldBytes = Runtime.getRuntime().maxMemory() / HEAP_PARTS_OF_BODIES;
+        return CallerBudgets.ofHeap(
+                "gateway", new ByteBudget("gateway_held", heldBytes, metrics), metrics);
+    }
+
     private void sendToLimitOwner(LimitMessage message) {
         mLink.sendToLimitOwner(message);
     }
--- a/gateway/src/main/java/org/skylarkbend/gateway/link/SiteLinkTask.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/link/SiteLinkTask.java
@@ -6,6 +6,7 @@
 import io.vertx.core.VerticleBase;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import org.skylarkbend.base.Effects;
 import org.skylarkbend.base.MillisecondClock;
 import org.skylarkbend.base.Result;
 import org.skylarkbend.base.StructuredLog;
@@ -183,7 +184,7 @@
 
     private void handle(SiteLinkMessage message) {
         if (!mStopped) {
-            mDecider.decide(message, mClock.nowMilliseconds()).forEach(this::apply);
+            Effects.executeEach(mDecider.decide(message, mClock.nowMilliseconds()), this::apply);
         }
     }
 
--- a/orders/src/main/java/org/skylarkbend/orders/weights/WeightsDecider.java
+++ b/orders/src/main/java/org/skylarkbend/orders/weights/WeightsDecider.java
@@ -43,8 +43,8 @@
     static final long POLL_INTERVAL_MILLISECONDS = 150;
 
     /**
-     * Delay until an unreachable engine is polled again; it doubles with further failures, up to a
-     * limit.
+     * Delay until an engine is polled again that is unreachable or has refused an order; it doubles
+     * with further failures, up to a limit.
      */
     static final long MIN_UNREACHABLE_RETRY_MILLISECONDS = 700;
 
@@ -221,6 +221,13 @@
         if (completed.answer() == LoadAnswer.FENCED) {
             mFencingNumber = OptionalLong.empty();
         }
+        if (completed.answer() == LoadAnswer.REFUSED) {
+            // Its place goes to others, which it would keep waiting if it refuses every order.
+            mEngines.put(
+                    completed.engine(),
+                    load.unreachable(nowMilliseconds, MIN_UNREACHABLE_RETRY_MILLISECONDS));
+            return;
+        }
         boolean accepted = completed.answer() == LoadAnswer.ACCEPTED;
         EngineLoad next =
                 load.withUnknownOrderCount(
--- a/router/src/main/java/org/skylarkbend/router/accounting/AccountingTask.java
+++ b/router/src/main/java/org/skylarkbend/router/accounting/AccountingTask.java
@@ -5,6 +5,7 @@
 import io.vertx.core.VerticleBase;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.skylarkbend.base.Effects;
 import org.skylarkbend.base.MillisecondClock;
 import org.skylarkbend.router.Mailbox;
 import org.skylarkbend.usage.UsageMessage;
@@ -52,7 +53,7 @@
     }
 
     private void handle(AccountingMessage message) {
-        mDecider.decide(message, mClock.nowMilliseconds()).forEach(this::execute);
+        Effects.executeEach(mDecider.decide(message, mClock.nowMilliseconds()), this::execute);
     }
 
     private void execute(AccountingEffect effect) {
--- a/router/src/main/java/org/skylarkbend/router/forward/ForwardCall.java
+++ b/router/src/main/java/org/skylarkbend/router/forward/ForwardCall.java
@@ -5,6 +5,7 @@
 import io.opentelemetry.context.Context;
 import java.util.Optional;
 import java.util.function.Predicate;
+import org.skylarkbend.base.Effects;
 import org.skylarkbend.base.ErrorKind;
 import org.skylarkbend.base.RunState;
 import org.skylarkbend.base.SkylarkError;
@@ -172,7 +173,7 @@
         AttemptDecision decision = AttemptDecider.decide(mState, mOwner.budget(), message);
         mState = decision.state();
         mOwner.replaceBudget(decision.budget());
-        decision.effects().forEach(this::execute);
+        Effects.executeEach(decision.effects(), this::execute);
     }
 
     private void execute(AttemptEffect effect) {
--- a/router/src/main/java/org/skylarkbend/router/forward/ForwardTask.java
+++ b/router/src/main/java/org/skylarkbend/router/forward/ForwardTask.java
@@ -11,6 +11,7 @@
 import java.util.function.Consumer;
 import org.skylarkbend.access.WithdrawalPolicy;
 import org.skylarkbend.base.ByteBudget;
+import org.skylarkbend.base.Effects;
 import org.skylarkbend.base.ErrorKind;
 import org.skylarkbend.base.MillisecondClock;
 import org.skylarkbend.base.ObjectName;
@@ -285,9 +286,9 @@
         RouterBounds bounds = mSettings.bounds();
         AdmissionLimits limits =
                 new AdmissionLimits(bounds.maxWaitingPerPriority(), bounds.maxWaitingPerCustomer());
-        mQueues.computeIfAbsent(pool, name -> new AdmissionDecider(limits))
-                .decide(message, mClock.nowMilliseconds())
-                .forEach(this::execute);
+        AdmissionDecider queue =
+                mQueues.computeIfAbsent(pool, name -> new AdmissionDecider(limits));
+        Effects.executeEach(queue.decide(message, mClock.nowMilliseconds()), this::execute);
     }
 
     private void execute(AdmissionEffect effect) {
--- a/router/src/main/java/org/skylarkbend/router/link/ControlLinkTask.java
+++ b/router/src/main/java/org/skylarkbend/router/link/ControlLinkTask.java
@@ -4,6 +4,7 @@
 import io.vertx.core.VerticleBase;
 import java.util.List;
 import java.util.function.Consumer;
+import org.skylarkbend.base.Effects;
 import org.skylarkbend.base.MillisecondClock;
 import org.skylarkbend.base.StructuredLog;
 import org.skylarkbend.publishing.feed.FeedCodec;
@@ -67,7 +68,7 @@
 
     private void handle(ControlLinkMessage message) {
         if (!mStopped) {
-            mDecider.decide(message, mClock.nowMilliseconds()).forEach(this::execute);
+            Effects.executeEach(mDecider.decide(message, mClock.nowMilliseconds()), this::execute);
         }
     }
 
