Compute cache scopes once a catalog; names and comments of the review's mends

CacheScopes encoded the name of an isolated customer for each attempt; it does so once a catalog now. RunState.impliesNotRun and its callers say what a status implies; comments of Effects and Utf8 are plainer.

Behaviour is as before.

--- a/base/src/main/java/org/skylarkbend/base/Effects.java
+++ b/base/src/main/java/org/skylarkbend/base/Effects.java
@@ -19,10 +19,10 @@
      * Carries out the effects in their order. One that throws is logged, and the others follow. An
      * {@link Error} is thrown at once.
      *
-     * @param effects the effects, for which the state of the decision takes it that they happen
+     * @param effects the effects; the state of the decision assumes that all of them happen
      * @param execute carries out one effect
-     * @param onFailure receives an effect that was not carried out, with the exception; it must
-     *     take back what the decision noted of it
+     * @param onFailure receives an effect that was not carried out, with the exception, and reports
+     *     it to the decision
      */
     public static <E> void executeEach(
             List<? extends E> effects,
--- a/base/src/main/java/org/skylarkbend/base/RunState.java
+++ b/base/src/main/java/org/skylarkbend/base/RunState.java
@@ -25,7 +25,7 @@
     }
 
     /** Returns whether callers conclude from an HTTP status that the request has not run. */
-    public static boolean isImpliedNotRun(int httpStatus) {
+    public static boolean impliesNotRun(int httpStatus) {
         return NOT_RUN_STATUSES.contains(httpStatus);
     }
 
--- a/base/src/main/java/org/skylarkbend/base/Utf8.java
+++ b/base/src/main/java/org/skylarkbend/base/Utf8.java
@@ -7,8 +7,8 @@
 import java.nio.charset.StandardCharsets;
 
 /**
- * Strict decoder of UTF-8 (RFC 3629). Bytes that are no UTF-8 are refused and never replaced, so
- * what was decoded is what was sent: it encodes to the same bytes.
+ * Strict decoder of UTF-8 (RFC 3629). Bytes that are no UTF-8 are refused and never replaced, so a
+ * decoded text always encodes to the bytes from which it was decoded.
  */
 public final class Utf8 {
     private Utf8() {}
--- a/base/src/test/java/org/skylarkbend/base/ErrorKindTest.java
+++ b/base/src/test/java/org/skylarkbend/base/ErrorKindTest.java
@@ -27,7 +27,7 @@
         for (ErrorKind kind : ErrorKind.values()) {
             ErrorKind reported = kind.unlessItMayHaveRun(true);
             assertThat(reported.runState()).as(kind.code()).isEqualTo(RunState.MAY_HAVE_RUN);
-            assertThat(RunState.isImpliedNotRun(reported.httpStatus())).as(kind.code()).isFalse();
+            assertThat(RunState.impliesNotRun(reported.httpStatus())).as(kind.code()).isFalse();
             assertThat(kind.unlessItMayHaveRun(false)).isEqualTo(kind);
         }
     }
--- a/catalog/src/main/java/org/skylarkbend/catalog/CacheScopes.java
+++ b/catalog/src/main/java/org/skylarkbend/catalog/CacheScopes.java
@@ -3,6 +3,7 @@
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
 import java.util.Collection;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
@@ -27,11 +28,12 @@
     /** Hexadecimal digits of the digest of a set: 128 bits. */
     private static final int DIGEST_LENGTH = 32;
 
-    private final Set<String> mIsolated;
+    private final Map<String, String> mOwnByCustomer;
     private final String mShared;
 
     private CacheScopes(Set<String> isolated) {
-        mIsolated = Set.copyOf(isolated);
+        mOwnByCustomer =
+                isolated.stream().collect(Collectors.toUnmodifiableMap(n -> n, CacheScopes::own));
         mShared = isolated.isEmpty() ? SHARED : SHARED + "." + digestOf(isolated);
     }
 
@@ -51,7 +53,7 @@
 
     /** Returns the number of isolated customers. */
     public int isolatedCount() {
-        return mIsolated.size();
+        return mOwnByCustomer.size();
     }
 
     /**
@@ -61,9 +63,19 @@
      *     customer that is isolated under either catalog gets its own scope.
      */
     public String of(Optional<Customer> customer) {
-        return customer.filter(c -> c.isolated() || mIsolated.contains(c.name()))
-                .map(c -> OWN_PREFIX + escape(c.name()))
-                .orElse(mShared);
+        if (customer.isEmpty()) {
+            return mShared;
+        }
+        String name = customer.get().name();
+        String own = mOwnByCustomer.get(name);
+        if (own == null) {
+            return customer.get().isolated() ? own(name) : mShared;
+        }
+        return own;
+    }
+
+    private static String own(String name) {
+        return OWN_PREFIX + escape(name);
     }
 
     private static String digestOf(Set<String> names) {
--- a/forwarding/src/main/java/org/skylarkbend/forwarding/AttemptDecider.java
+++ b/forwarding/src/main/java/org/skylarkbend/forwarding/AttemptDecider.java
@@ -122,7 +122,7 @@
                     ErrorKind.ENDPOINT_FAILED,
                     "the endpoint returned status " + head.status());
         }
-        if (head.isImpliedNotRun() && !head.saysNotRun() && !state.traits().idempotent()) {
+        if (head.impliesNotRun() && !head.saysNotRun() && !state.traits().idempotent()) {
             return retryIfIdempotent(
                     state,
                     budget,
--- a/forwarding/src/main/java/org/skylarkbend/forwarding/ResponseHead.java
+++ b/forwarding/src/main/java/org/skylarkbend/forwarding/ResponseHead.java
@@ -19,8 +19,8 @@
     }
 
     /** Returns whether callers conclude from the status that the call has not run. */
-    public boolean isImpliedNotRun() {
-        return RunState.isImpliedNotRun(status);
+    public boolean impliesNotRun() {
+        return RunState.impliesNotRun(status);
     }
 
     /** Returns whether the response belongs to the given attempt. */
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/AttemptPolicy.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/AttemptPolicy.java
@@ -44,7 +44,7 @@
      * that has run a call once only must not make the caller place the call again.
      */
     static boolean mayPassOn(Route route, ResponseHead head) {
-        return mayRepeat(route) || !head.isImpliedNotRunOnly();
+        return mayRepeat(route) || !head.impliesNotRunUnstated();
     }
 
     private static boolean mayRepeat(Route route) {
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/ResponseHead.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/ResponseHead.java
@@ -65,8 +65,8 @@
      * Returns whether callers conclude from the status that the call has not run, although the
      * endpoint did not state it.
      */
-    boolean isImpliedNotRunOnly() {
-        return RunState.isImpliedNotRun(status()) && !statesNotRun();
+    boolean impliesNotRunUnstated() {
+        return RunState.impliesNotRun(status()) && !statesNotRun();
     }
 
     /** Returns whether the body is a stream of events. */
--- a/orders/src/test/java/org/skylarkbend/orders/weights/WeightsDeciderTest.java
+++ b/orders/src/test/java/org/skylarkbend/orders/weights/WeightsDeciderTest.java
@@ -108,6 +108,16 @@
         assertThat(mDecider.loading()).containsExactlyInAnyOrder("e2", "e3");
     }
 
+    /** Guards against places for loads that engines keep which refuse every order. */
+    @Test
+    public void anEngineThatRefusesItsOrderMakesRoomForOthersAndIsTriedAgainLater() {
+        order("e0");
+        decide(new OrderCompleted("e0", LoadAnswer.REFUSED));
+        assertThat(mDecider.loading()).containsExactlyInAnyOrder("e1", "e2");
+        mNowMilliseconds += WeightsDecider.MIN_UNREACHABLE_RETRY_MILLISECONDS;
+        assertThat(requested(decide(new Tick()))).contains("e0");
+    }
+
     @Test
     public void anEngineThatDidNotRespondTakesNoPlaceFromOthersUntilItDoes() {
         decide(new TargetVersionsChanged(Map.of("m", 2L)));
