--- a/gateway/src/test/java/org/skylarkbend/gateway/front/CutOffGatewayTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/front/CutOffGatewayTest.java
@@ -201,6 +201,16 @@
         assertThat(call().status()).isEqualTo(502);
     }
 
+    /** Guards against a promise that no endpoint made and that reaches a caller through a relay. */
+    @Test
+    public void aRefusalBehindARelayThatDoesNotStateItPromisesNothing() throws Exception {
+        String refusal = HEAD.replace("200 OK", "503 Busy") + "Content-Length: 0\r\n\r\n";
+        publishRaw(new RawServer(mVertx, (request, socket) -> socket.write(refusal)));
+        Response reply = call();
+        assertThat(reply.status()).isEqualTo(502);
+        assertThat(reply.body().orElse("")).contains("may_have_run");
+    }
+
     /** Guards against a response whose end a relay withholds. */
     @Test
     public void aResponseWithoutLengthArrivesWholeThroughARelay() throws Exception {
