--- a/wire/src/main/java/org/skylarkbend/wire/MessageReader.java
+++ b/wire/src/main/java/org/skylarkbend/wire/MessageReader.java
@@ -78,8 +78,8 @@
     }
 
     /**
-     * Returns the text that a byte array of the message encodes in UTF-8; makes {@link #decode} fail
-     * if it encodes none.
+     * Returns the text that a byte array of the message encodes in UTF-8; makes {@link #decode}
+     * fail if it encodes none.
      */
     public static String textOf(byte[] utf8) {
         return Utf8.decode(utf8, ErrorKind.FRAME_INVALID)
