Keep calls without a key apart from a customer of any name

Callers saw, at skylark-router with a customer named "open": once the monthly grant of this customer is used up, calls to routes that need no key are refused with 402. The two also share one place in fair queueing, so one fills the queue of the other.

Cause: calls without a key were counted under the customer name "open", which a set may give to a customer.

Change: Call.customerName and AdmissionMessage.CallArrived hold an optional customer. Calls without one have a place of their own in the queue, and no grant.

Why it works: no name stands for "no customer" any more, so no customer can have it.

Evidence: UsageReportTest .aCallWithoutAKeyIsServedWhateverTheNameOfACustomerWhoseGrantIsUsedUp failed before (402 in place of 200) and passes now, as do RouterProcessTest, CallLedgerTest and AdmissionDeciderTest with its new case of the queue.

--- a/forwarding/src/main/java/org/skylarkbend/forwarding/AdmissionDecider.java
+++ b/forwarding/src/main/java/org/skylarkbend/forwarding/AdmissionDecider.java
@@ -33,7 +33,7 @@
     private final AdmissionLimits mLimits;
     private final Map<String, WaitingCall> mWaiting = new LinkedHashMap<>();
     private final Set<String> mInService = new HashSet<>();
-    private final Map<ObjectName, Double> mFinishTagByCustomer = new HashMap<>();
+    private final Map<Optional<ObjectName>, Double> mFinishTagByCustomer = new HashMap<>();
     private double mVirtualTime;
     private double mMeanServiceMilliseconds;
     private int mSlots;
@@ -162,7 +162,7 @@
                 : startTagOf(waiting.call().customer());
     }
 
-    private double startTagOf(ObjectName customer) {
+    private double startTagOf(Optional<ObjectName> customer) {
         return Math.max(mVirtualTime, mFinishTagByCustomer.getOrDefault(customer, 0.0));
     }
 
--- a/forwarding/src/main/java/org/skylarkbend/forwarding/AdmissionMessage.java
+++ b/forwarding/src/main/java/org/skylarkbend/forwarding/AdmissionMessage.java
@@ -1,5 +1,6 @@
 package org.skylarkbend.forwarding;
 
+import java.util.Optional;
 import org.skylarkbend.base.ObjectName;
 
 /**
@@ -11,13 +12,17 @@
      *
      * @param call the ID of the call
      * @param customer the customer that the call is charged to in fair queueing; calls without a
-     *     customer are charged to a common one
+     *     customer share one place, which no customer has
      * @param weight the weight of the customer in fair queueing
      * @param priority the priority; 0 is the highest
      * @param deadlineMilliseconds the maximum time in the queue
      */
     record CallArrived(
-            String call, ObjectName customer, int weight, int priority, long deadlineMilliseconds)
+            String call,
+            Optional<ObjectName> customer,
+            int weight,
+            int priority,
+            long deadlineMilliseconds)
             implements AdmissionMessage {}
 
     /** A started call has ended after the given service time. */
--- a/forwarding/src/test/java/org/skylarkbend/forwarding/AdmissionDeciderTest.java
+++ b/forwarding/src/test/java/org/skylarkbend/forwarding/AdmissionDeciderTest.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Random;
 import org.skylarkbend.base.ObjectName;
@@ -20,12 +21,21 @@
 
     private static AdmissionMessage.CallArrived booking(String call) {
         return new AdmissionMessage.CallArrived(
-                call, ObjectName.of("desk"), 1, 0, BOOKING_DEADLINE_MILLISECONDS);
+                call, Optional.of(ObjectName.of("desk")), 1, 0, BOOKING_DEADLINE_MILLISECONDS);
     }
 
     private static AdmissionMessage.CallArrived reading(String call, String customer, int weight) {
         return new AdmissionMessage.CallArrived(
-                call, ObjectName.of(customer), weight, 9, READING_DEADLINE_MILLISECONDS);
+                call,
+                Optional.of(ObjectName.of(customer)),
+                weight,
+                9,
+                READING_DEADLINE_MILLISECONDS);
+    }
+
+    private static AdmissionMessage.CallArrived readingWithoutKey(String call) {
+        return new AdmissionMessage.CallArrived(
+                call, Optional.empty(), 1, 9, READING_DEADLINE_MILLISECONDS);
     }
 
     private static List<String> started(List<AdmissionEffect> effects) {
@@ -45,6 +55,17 @@
                 .containsExactly("b1");
     }
 
+    /** Guards against a queue that calls without a key share with a customer of some name. */
+    @Test
+    public void callsWithoutAKeyAreNotRefusedForTheCallsOfACustomer() {
+        AdmissionDecider queue = new AdmissionDecider(new AdmissionLimits(1_000, 1));
+        queue.decide(reading("r1", "open", 1), 0);
+        assertThat(queue.decide(readingWithoutKey("k1"), 0)).isEmpty();
+        assertThat(queue.decide(readingWithoutKey("k2"), 0))
+                .hasOnlyElementsOfType(AdmissionEffect.Refuse.class)
+                .hasSize(1);
+    }
+
     @Test
     public void customersAreServedByTheirWeight() {
         AdmissionDecider queue = new AdmissionDecider(LIMITS);
--- a/router/src/main/java/org/skylarkbend/router/Call.java
+++ b/router/src/main/java/org/skylarkbend/router/Call.java
@@ -32,8 +32,6 @@
         Optional<String> idempotencyKey,
         Context trace,
         long arrivedMilliseconds) {
-    private static final ObjectName KEYLESS_CUSTOMER = ObjectName.of("open");
-
     /** Copies the headers. The body is not copied and must not be modified afterwards. */
     public Call {
         headers = List.copyOf(headers);
@@ -44,12 +42,12 @@
         return new CallTraits(grant.route().kind(), grant.route().idempotent());
     }
 
-    /** Returns the customer for fair queueing and accounting. All calls without a key share one. */
-    public ObjectName fairShareCustomer() {
-        return grant.customer().map(customer -> customer.name()).orElse(KEYLESS_CUSTOMER);
+    /** Returns the name of the customer; empty for a call without a key. */
+    public Optional<ObjectName> customerName() {
+        return grant.customer().map(customer -> customer.name());
     }
 
-    /** Returns the weight of the customer in fair queueing. */
+    /** Returns the weight in fair queueing: that of the customer, or 1 without one. */
     public int weight() {
         return grant.customer().map(customer -> customer.weight()).orElse(1);
     }
--- a/router/src/main/java/org/skylarkbend/router/forward/CallLedger.java
+++ b/router/src/main/java/org/skylarkbend/router/forward/CallLedger.java
@@ -8,7 +8,6 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.skylarkbend.base.ErrorKind;
-import org.skylarkbend.base.ObjectName;
 import org.skylarkbend.base.Sha256;
 import org.skylarkbend.base.SkylarkError;
 import org.skylarkbend.forwarding.ledger.CallIdentity;
@@ -127,9 +126,10 @@
     }
 
     private static CallIdentity identityOf(Call call) {
-        Optional<ObjectName> customer = call.grant().customer().map(c -> c.name());
         return new CallIdentity(
-                customer, call.grant().route().name(), call.idempotencyKey().orElseThrow());
+                call.customerName(),
+                call.grant().route().name(),
+                call.idempotencyKey().orElseThrow());
     }
 
     private static String digestOf(Call call) {
--- a/router/src/main/java/org/skylarkbend/router/forward/CallLimits.java
+++ b/router/src/main/java/org/skylarkbend/router/forward/CallLimits.java
@@ -62,7 +62,7 @@
 
     /** Returns whether the call is subject to a customer's token rate limit. */
     boolean limits(Call call) {
-        return call.chat().isPresent() && call.grant().customer().isPresent();
+        return call.chat().isPresent() && call.customerName().isPresent();
     }
 
     void reserve(Call call, long nowMilliseconds) {
@@ -78,7 +78,7 @@
         mReservations.put(call.id(), new Reservation(number, call, 0));
         long tokens = chat.promptTokens() + chat.maxResponseTokens();
         handle(
-                new LimitShareMessage.Reserve(number, call.fairShareCustomer(), tokens),
+                new LimitShareMessage.Reserve(number, call.customerName().orElseThrow(), tokens),
                 nowMilliseconds);
     }
 
--- a/router/src/main/java/org/skylarkbend/router/forward/CallPlacement.java
+++ b/router/src/main/java/org/skylarkbend/router/forward/CallPlacement.java
@@ -110,9 +110,8 @@
         EndpointVersion version = mSet.versions().get(name);
         boolean hasWeights = version != null && !version.weights().isEmpty();
         String weights = hasWeights ? version.weights() : name.value();
-        return call.grant()
-                .customer()
-                .map(customer -> CacheScope.of(customer.name(), weights, ""))
+        return call.customerName()
+                .map(customer -> CacheScope.of(customer, weights, ""))
                 .orElseGet(() -> CacheScope.withoutCustomer(weights, ""));
     }
 
--- a/router/src/main/java/org/skylarkbend/router/forward/ForwardTask.java
+++ b/router/src/main/java/org/skylarkbend/router/forward/ForwardTask.java
@@ -174,7 +174,8 @@
     }
 
     private void submit(Call call) {
-        if (call.chat().isPresent() && isGrantUsedUp(call.fairShareCustomer())) {
+        if (call.chat().isPresent()
+                && call.customerName().filter(this::isGrantUsedUp).isPresent()) {
             String detail = "the customer's monthly token grant is exhausted";
             refuse(call, new SkylarkError(ErrorKind.GRANT_EXCEEDED, detail), 0);
             return;
@@ -192,7 +193,7 @@
         AdmissionMessage arrived =
                 new AdmissionMessage.CallArrived(
                         call.id(),
-                        call.fairShareCustomer(),
+                        call.customerName(),
                         call.weight(),
                         route.priority(),
                         route.deadlineMilliseconds());
@@ -210,7 +211,8 @@
 
     private void reportUsage(ForwardCall running) {
         Call call = running.call();
-        if (call.grant().key().isEmpty() || running.usage().isEmpty()) {
+        Optional<ObjectName> customer = call.customerName();
+        if (customer.isEmpty() || call.grant().key().isEmpty() || running.usage().isEmpty()) {
             return;
         }
         TokenUsage usage = running.usage().get();
@@ -218,7 +220,7 @@
                 new UsageTokens(usage.promptTokens(), usage.cachedTokens(), usage.responseTokens());
         UsageSubject subject =
                 new UsageSubject(
-                        call.fairShareCustomer(),
+                        customer.get(),
                         call.grant().key().get().name(),
                         call.grant().route().name());
         mUsage.accept(new UsageLine(subject, todayEpochDay(), tokens));
--- a/router/src/test/java/org/skylarkbend/router/RouterFixture.java
+++ b/router/src/test/java/org/skylarkbend/router/RouterFixture.java
@@ -315,6 +315,24 @@
                 });
     }
 
+    /**
+     * Returns the set with the customer of {@link #OTHER_KEY} named "open", and a route "lobby" to
+     * engines that needs no key.
+     */
+    String setWithCustomerNamedOpen() {
+        return set(KEY).replace("other: {rate", "open: {rate")
+                        .replace("customer: other", "customer: open")
+                        .replace("customers: [desk]", "customers: [desk, open]")
+                + "  lobby: {kind: engine, pool: engine, version: v1,"
+                + " deadline_milliseconds: 20000, open: true}\n";
+    }
+
+    /** Returns a chat request to the route "lobby". */
+    HttpRequest.Builder chatWithoutKey() {
+        String body = "{\"model\":\"lobby\",\"messages\":[{\"role\":\"user\",\"content\":\"?\"}]}";
+        return to("/v1/chat/completions").POST(HttpRequest.BodyPublishers.ofString(body));
+    }
+
     HttpRequest.Builder chat(String key, boolean streamed) {
         return chat(key, streamed, "");
     }
--- a/router/src/test/java/org/skylarkbend/router/RouterProcessTest.java
+++ b/router/src/test/java/org/skylarkbend/router/RouterProcessTest.java
@@ -56,19 +56,8 @@
                 mFixture.endpoint(
                         (request, socket) ->
                                 socket.write(FakeResponses.stream(request.attempt(), 0, "a")));
-        String set =
-                mFixture.set(RouterFixture.KEY)
-                        .replace("other: {rate", "open: {rate")
-                        .replace("customer: other", "customer: open")
-                        .replace("customers: [desk]", "customers: [desk, open]");
-        mFixture.publish(
-                set
-                        + "  lobby: {kind: engine, pool: engine, version: v1,"
-                        + " deadline_milliseconds: 20000, open: true}\n");
-        String body = "{\"model\":\"lobby\",\"messages\":[{\"role\":\"user\",\"content\":\"?\"}]}";
-        HttpRequest.Builder withoutKey =
-                mFixture.to("/v1/chat/completions").POST(HttpRequest.BodyPublishers.ofString(body));
-        assertThat(mFixture.send(withoutKey).statusCode()).isEqualTo(200);
+        mFixture.publish(mFixture.setWithCustomerNamedOpen());
+        assertThat(mFixture.send(mFixture.chatWithoutKey()).statusCode()).isEqualTo(200);
         for (String key : List.of(RouterFixture.KEY, RouterFixture.OTHER_KEY)) {
             assertThat(mFixture.send(mFixture.chat(key, false)).statusCode()).isEqualTo(200);
         }
--- a/router/src/test/java/org/skylarkbend/router/UsageReportTest.java
+++ b/router/src/test/java/org/skylarkbend/router/UsageReportTest.java
@@ -54,4 +54,16 @@
             assertThat(response.statusCode()).isIn(200, 402);
         }
     }
+
+    /** Guards against callers without a key who are refused for a customer's used-up grant. */
+    @Test
+    public void aCallWithoutAKeyIsServedWhateverTheNameOfACustomerWhoseGrantIsUsedUp() {
+        mFixture.publish(mFixture.setWithCustomerNamedOpen());
+        mFixture.control().exhaustGrants("open");
+        RouterFixture.pollUntilTrue(
+                () ->
+                        mFixture.send(mFixture.chat(RouterFixture.OTHER_KEY, true)).statusCode()
+                                == 402);
+        assertThat(mFixture.send(mFixture.chatWithoutKey()).statusCode()).isEqualTo(200);
+    }
 }
