Read a catalog that an earlier version acknowledged

Callers would see: an operator has published a config in which an escape names half of a surrogate pair, and an earlier version has acknowledged it. After an upgrade each gateway that starts refuses it, has no catalog, and never becomes ready. Control derives no limits and services from it.

Cause: CatalogReader.read checks documents before they are published and reads them after they were stored. Since it refuses halves of pairs, also in documents that had been acknowledged.

Change: CatalogReader.readPublished reads what was published. Gateways, control and the config check, for the document in force, use it. What may be published is as before.

Why it works: the strict check stands at the entry alone; behind it, all that any version has acknowledged is read.

--- a/control/src/main/java/org/skylarkbend/control/site/SiteControlProcess.java
+++ b/control/src/main/java/org/skylarkbend/control/site/SiteControlProcess.java
@@ -294,7 +294,7 @@
         LOG.info("site.catalog", "number", document.number(), "bytes", document.bytes().length);
         mFeed.post(new RevisionCommitted(document.number(), document.text()));
         mParts.reader()
-                .read(document.bytes())
+                .readPublished(document.bytes())
                 .match(
                         this::catalogChanged,
                         error ->
--- a/control/src/main/java/org/skylarkbend/control/site/SiteOperatorService.java
+++ b/control/src/main/java/org/skylarkbend/control/site/SiteOperatorService.java
@@ -186,7 +186,7 @@
 
     private Result<RolloutMessage.Ordered> checked(RolloutMessage.Ordered order) {
         return documentInForce()
-                .flatMap(document -> mReader.read(document.bytes()))
+                .flatMap(document -> mReader.readPublished(document.bytes()))
                 .flatMap(
                         catalog ->
                                 catalog.services().containsKey(order.service())
--- a/gateway/src/main/java/org/skylarkbend/gateway/link/SiteLinkTask.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/link/SiteLinkTask.java
@@ -221,7 +221,7 @@
     private void applyDocument(SiteLinkEffect.ApplyDocument document) {
         long number = document.number();
         byte[] bytes = document.text().getBytes(StandardCharsets.UTF_8);
-        vertx.executeBlocking(() -> mReader.read(bytes))
+        vertx.executeBlocking(() -> mReader.readPublished(bytes))
                 .onSuccess(catalog -> catalogRead(number, catalog))
                 .onFailure(e -> LOG.error(e, "catalog.unread", "number", number, "cause", e));
     }
--- a/gateway/src/test/java/org/skylarkbend/gateway/link/SlowCatalogTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/link/SlowCatalogTest.java
@@ -32,19 +32,22 @@
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
-/** Tests a gateway that gets a catalog which takes long to read, on its only event loop. */
+/** Tests how a gateway reads the catalogs that control sends, on its only event loop. */
 public class SlowCatalogTest {
     private static final String HOST = "127.0.0.1";
     private static final long LEASE_MILLISECONDS = 60_000;
 
-    private final CompletableFuture<Void> mReading = new CompletableFuture<>();
-    private final CompletableFuture<Void> mMayGoOn = new CompletableFuture<>();
-    private final Promise<Catalog> mCatalog = Promise.promise();
+    private CompletableFuture<Void> mReading;
+    private CompletableFuture<Void> mMayGoOn;
+    private Promise<Catalog> mCatalog;
     private Vertx mControl;
     private Vertx mVertx;
 
     @BeforeMethod
     public void start() {
+        mReading = new CompletableFuture<>();
+        mMayGoOn = new CompletableFuture<>();
+        mCatalog = Promise.promise();
         mControl = Vertx.vertx();
         mVertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
     }
@@ -59,6 +62,27 @@
     /** Guards against calls that wait until a changed catalog has been read. */
     @Test
     public void theEventLoopGoesOnWhileACatalogIsRead() throws Exception {
+        connect(slowReader());
+        await(Future.fromCompletionStage(mReading));
+        Promise<Void> other = Promise.promise();
+        mVertx.runOnContext(ignored -> other.complete());
+        await(other.future());
+        assertThat(mCatalog.future().isComplete()).isFalse();
+        mMayGoOn.complete(null);
+        assertThat(await(mCatalog.future()).number()).isEqualTo(1);
+    }
+
+    /**
+     * Guards against a gateway without a catalog after an upgrade to a version that accepts less
+     * from operators.
+     */
+    @Test
+    public void aCatalogThatCouldNotBePublishedAnyMoreIsStillRead() throws Exception {
+        connect(new StricterReader());
+        assertThat(await(mCatalog.future()).number()).isEqualTo(1);
+    }
+
+    private void connect(CatalogReader reader) throws Exception {
         FrameListener<FeedMessage> control =
                 new FrameListener<>(
                         mControl,
@@ -71,30 +95,27 @@
                 new SiteLinkTask(
                         new SiteLinkDecider(hello, List.of(HOST), port),
                         new CatalogListener(),
-                        slowReader(),
+                        reader,
                         () ->
                                 Future.succeededFuture(
                                         Result.failure(ErrorKind.CONNECTION_FAILED, "none")),
                         MillisecondClock.monotonic(),
                         new Counter()));
-        await(Future.fromCompletionStage(mReading));
-        Promise<Void> other = Promise.promise();
-        mVertx.runOnContext(ignored -> other.complete());
-        await(other.future());
-        assertThat(mCatalog.future().isComplete()).isFalse();
-        mMayGoOn.complete(null);
-        assertThat(await(mCatalog.future()).number()).isEqualTo(1);
     }
 
     private CatalogReader slowReader() {
         return document -> {
             mReading.complete(null);
             mMayGoOn.join();
-            return Result.success(
-                    new Catalog(1, List.of(), Map.of(), List.of(), CallerLimits.defaults()));
+            return emptyCatalog();
         };
     }
 
+    private static Result<Catalog> emptyCatalog() {
+        return Result.success(
+                new Catalog(1, List.of(), Map.of(), List.of(), CallerLimits.defaults()));
+    }
+
     private static void publish(FrameConnection<FeedMessage> connection) {
         connection.onMessage(
                 message -> {
@@ -107,6 +128,19 @@
                 });
     }
 
+    /** Reads published documents, and refuses to publish them again. */
+    private static final class StricterReader implements CatalogReader {
+        @Override
+        public Result<Catalog> read(byte[] document) {
+            return Result.failure(ErrorKind.SET_INVALID, "no longer accepted");
+        }
+
+        @Override
+        public Result<Catalog> readPublished(byte[] document) {
+            return emptyCatalog();
+        }
+    }
+
     /** Keeps the catalog. */
     private final class CatalogListener extends IdleSiteListener {
         @Override
