--- a/gateway/src/main/java/org/skylarkbend/gateway/call/CallLog.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/CallLog.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.stream.Stream;
 import org.skylarkbend.base.StructuredLog;
 import org.skylarkbend.catalog.Customer;
 import org.skylarkbend.catalog.Endpoint;
@@ -181,49 +182,74 @@
     void ended(End end, long nowMilliseconds) {
         LOG.info(
                 "call.ended",
-                "id",
-                mCall.id(),
-                "route",
-                mCall.route().name(),
-                "service",
-                mCall.service(),
-                "customer",
-                mCall.customer().map(Customer::name).orElse(NONE),
-                "catalog",
-                mCall.catalogNumber(),
-                "outcome",
-                end.outcome(),
-                "status",
-                end.status(),
-                "sent",
-                end.sent(),
-                "tried",
-                end.tried(),
-                "endpoint",
-                end.last().map(last -> last.endpoint().incarnation()).orElse(NONE),
-                "weights",
-                end.last().map(EngineChoice::weights).map(CallLog::format).orElse(NONE),
-                "cache_source",
-                end.last().flatMap(EngineChoice::cacheSource).orElse(NONE),
-                "endpoints_age_milliseconds",
-                end.endpointsAgeMilliseconds(),
-                "prompt_tokens",
-                mCall.prompt().map(Prompt::promptTokens).orElse(0L),
-                "shared_tokens",
-                mCall.prompt().map(Prompt::sharedTokens).orElse(0L),
-                "tokens_ahead",
-                end.last().map(EngineChoice::tokensAhead).orElse(0L),
-                "home",
-                end.last().map(EngineChoice::isHome).orElse(false),
-                "first_event_milliseconds",
-                end.timing().firstEventMilliseconds(),
-                "longest_gap_milliseconds",
-                end.timing().longestGapMilliseconds(),
-                "elapsed_milliseconds",
-                nowMilliseconds - mCall.arrivedMilliseconds());
+                Stream.of(callFields(), endFields(end, nowMilliseconds), choiceFields(end.last()))
+                        .flatMap(Stream::of)
+                        .toArray());
+    }
+
+    private Object[] callFields() {
+        return new Object[] {
+            "id",
+            mCall.id(),
+            "route",
+            mCall.route().name(),
+            "service",
+            mCall.service(),
+            "customer",
+            mCall.customer().map(Customer::name).orElse(NONE),
+            "catalog",
+            mCall.catalogNumber(),
+            "prompt_tokens",
+            mCall.prompt().map(Prompt::promptTokens).orElse(0L),
+            "shared_tokens",
+            mCall.prompt().map(Prompt::sharedTokens).orElse(0L)
+        };
+    }
+
+    private Object[] endFields(End end, long nowMilliseconds) {
+        return new Object[] {
+            "outcome",
+            end.outcome(),
+            "status",
+            end.status(),
+            "sent",
+            end.sent(),
+            "tried",
+            end.tried(),
+            "endpoints_age_milliseconds",
+            end.endpointsAgeMilliseconds(),
+            "first_event_milliseconds",
+            end.timing().firstEventMilliseconds(),
+            "longest_gap_milliseconds",
+            end.timing().longestGapMilliseconds(),
+            "elapsed_milliseconds",
+            nowMilliseconds - mCall.arrivedMilliseconds()
+        };
+    }
+
+    /** Returns what the last attempt was decided by. */
+    private Object[] choiceFields(Optional<EngineChoice> last) {
+        return new Object[] {
+            "endpoint",
+            last.map(choice -> choice.endpoint().incarnation()).orElse(NONE),
+            "weights",
+            last.map(EngineChoice::weights).map(CallLog::format).orElse(NONE),
+            "cache_source",
+            last.flatMap(EngineChoice::cacheSource).orElse(NONE),
+            "tokens_ahead",
+            last.map(EngineChoice::tokensAhead).orElse(0L),
+            "calls_ahead",
+            last.map(EngineChoice::callsAhead).orElse(0L),
+            "home",
+            last.map(EngineChoice::isHome).orElse(false),
+            "urgency",
+            last.map(choice -> Urgency.of(mCall, choice).header()).orElse(NONE),
+            "expected_first_event_milliseconds",
+            last.map(EngineChoice::firstEventMilliseconds).map(CallLog::format).orElse(NONE)
+        };
     }
 
-    private static String format(OptionalLong version) {
-        return version.isPresent() ? Long.toString(version.getAsLong()) : NONE;
+    private static String format(OptionalLong number) {
+        return number.isPresent() ? Long.toString(number.getAsLong()) : NONE;
     }
 }
--- a/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EndpointSelector.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EndpointSelector.java
@@ -477,6 +477,7 @@
                 store,
                 tokensToRead,
                 tokensAhead,
+                load.calls(nowMilliseconds),
                 homes.contains(load),
                 mShared.firstEventMilliseconds(
                         endpoint.service(), tokensAhead + tokensToRead, endpoint.zone()));
--- a/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EngineChoice.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EngineChoice.java
@@ -15,6 +15,7 @@
  * @param store address of the store to which the engine saves the prompt parts it has processed
  * @param tokensToRead estimated number of prompt tokens that the engine has to process
  * @param tokensAhead number of tokens of other prompts that the engine has to process first
+ * @param callsAhead number of calls that the engine is known to run or queue
  * @param isHome true if the engine is the home of the prompt's shared parts
  * @param firstEventMilliseconds expected time until the first event, if the speed of the engine is
  *     being learned
@@ -26,6 +27,7 @@
         Optional<String> store,
         long tokensToRead,
         long tokensAhead,
+        long callsAhead,
         boolean isHome,
         OptionalLong firstEventMilliseconds) {
     /** Returns the choice of an endpoint without cache hints. */
@@ -37,6 +39,7 @@
                 Optional.empty(),
                 0,
                 0,
+                0,
                 false,
                 OptionalLong.empty());
     }
--- a/gateway/src/test/java/org/skylarkbend/gateway/call/AttemptTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/call/AttemptTest.java
@@ -99,6 +99,7 @@
                 Optional.empty(),
                 0,
                 0,
+                0,
                 false,
                 OptionalLong.empty());
     }
--- a/gateway/src/test/java/org/skylarkbend/gateway/call/UrgencyTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/call/UrgencyTest.java
@@ -47,6 +47,7 @@
                 Optional.empty(),
                 500,
                 tokensAhead,
+                0,
                 false,
                 OptionalLong.empty());
     }
