Draw engines at random where many gateways share them

Cause: the choice for pools that many gateways share was switched on by a header of engines that share their machines. The engines of this site don't send it, so each of 69 gateways took the engine that looked cheapest in a sum 0.4 to 0.8 s old, the same one for all of them. Change: the choice is on for all services of a site with 16 gateways or more. SharedMachines is SharedPools now.

--- a/gateway/src/main/java/org/skylarkbend/gateway/call/CallResources.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/CallResources.java
@@ -73,12 +73,12 @@
      * @param shortestMilliseconds time after which it may return at the earliest
      */
     long retryAfterMilliseconds(CallRequest call, long shortestMilliseconds) {
-        if (!selector.sharedMachines().contains(call.service())) {
+        if (!selector.sharedPools().contains(call.service())) {
             return shortestMilliseconds;
         }
         long nowMilliseconds = clock.nowMilliseconds();
         long elapsedMilliseconds = nowMilliseconds - call.arrivedMilliseconds();
-        return selector.sharedMachines()
+        return selector.sharedPools()
                 .returnTimes()
                 .afterMilliseconds(
                         shortestMilliseconds,
@@ -92,7 +92,7 @@
             long errorMilliseconds =
                     Math.abs(milliseconds - choice.firstEventMilliseconds().getAsLong());
             metrics.histogram("gateway_estimate_error_milliseconds").update(errorMilliseconds);
-            selector.sharedMachines().firstEvent(choice, milliseconds);
+            selector.sharedPools().firstEvent(choice, milliseconds);
         }
     }
 
--- a/gateway/src/main/java/org/skylarkbend/gateway/call/Runs.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/Runs.java
@@ -112,7 +112,7 @@
     void connected(Run run) {
         mResources
                 .selector()
-                .sharedMachines()
+                .sharedPools()
                 .connected(run.endpoint().zone(), run.firstEventMilliseconds(now()));
     }
 
--- a/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EndpointSelector.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EndpointSelector.java
@@ -61,7 +61,7 @@
     private final Set<EndpointLoad> mActive = new LinkedHashSet<>();
 
     private final WeightsLoadOrders mWeightsLoadOrders;
-    private final SharedMachines mShared;
+    private final SharedPools mShared;
     private final PromptCost mPromptCost;
     private final SampledChoice mSampledChoice;
     private final BrittleServices mBrittle;
@@ -86,7 +86,7 @@
         mRandom = random;
         mWeightsCost = new WeightsCost(oldWeightsGraceMilliseconds);
         mWeightsLoadOrders = new WeightsLoadOrders(mWeightsCost);
-        mShared = new SharedMachines(dataCentre, random);
+        mShared = new SharedPools(dataCentre, random);
         mPromptCost = new PromptCost(mWeightsCost, mShared);
         mSampledChoice = new SampledChoice(random);
         mBrittle = new BrittleServices(random);
@@ -359,10 +359,11 @@
         mShared.servicesChanged(services);
     }
 
-    /** Sets the number of gateways between which the room at endpoints is divided. */
+    /** Sets the number of gateways that use the same endpoints. */
     public void gatewaysCounted(int gateways) {
         mBrittle.gatewaysCounted(gateways);
         mCold.gatewaysCounted(gateways);
+        mShared.gatewaysCounted(gateways);
     }
 
     /** Returns the services whose endpoints fall over if they have to refuse many calls. */
@@ -400,8 +401,8 @@
         }
     }
 
-    /** Returns what was learned about services whose endpoints share their machines. */
-    public SharedMachines sharedMachines() {
+    /** Returns what was learned about services whose endpoints are known from old sums. */
+    public SharedPools sharedPools() {
         return mShared;
     }
 
--- a/gateway/src/main/java/org/skylarkbend/gateway/endpoints/PromptCost.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/endpoints/PromptCost.java
@@ -23,9 +23,9 @@
     static final double FULL_COST = EndpointSelector.LAST_RESORT_COST / 4;
 
     private final WeightsCost mWeightsCost;
-    private final SharedMachines mShared;
+    private final SharedPools mShared;
 
-    PromptCost(WeightsCost weightsCost, SharedMachines shared) {
+    PromptCost(WeightsCost weightsCost, SharedPools shared) {
         mWeightsCost = weightsCost;
         mShared = shared;
     }
--- a/gateway/src/main/java/org/skylarkbend/gateway/endpoints/SharedMachines.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/endpoints/SharedPools.java
@@ -13,18 +13,27 @@
 import org.skylarkbend.placement.pool.FirstEventEstimate;
 import org.skylarkbend.placement.pool.HomeCount;
 import org.skylarkbend.placement.pool.ReturnTimes;
+import org.skylarkbend.placement.pool.SampledChoice;
 
 /**
- * What a gateway has learned about services whose endpoints share their machines with others, and
- * say so in their responses. The speed of such endpoints varies. Confined to one task.
+ * What a gateway has learned about services whose endpoints it knows from old sums only, since many
+ * gateways share them, or whose endpoints vary in speed, since they share their machines with
+ * others and say so in their responses. Confined to one task.
  */
-public final class SharedMachines {
+public final class SharedPools {
     /**
      * Prompt tokens that an engine is assumed to process in a millisecond until responses show it.
      */
     private static final double ASSUMED_TOKENS_PER_MILLISECOND = 30;
 
-    private static final StructuredLog LOG = StructuredLog.of(SharedMachines.class);
+    /**
+     * Number of gateways from which on the endpoints of all services count as shared. Control sends
+     * sums less often the more gateways there are: with fewer, a gateway knows most calls of the
+     * others.
+     */
+    private static final int MIN_GATEWAYS = 16;
+
+    private static final StructuredLog LOG = StructuredLog.of(SharedPools.class);
 
     private final Set<String> mServices = new HashSet<>();
     private final Map<String, FirstEventEstimate> mEstimates = new HashMap<>();
@@ -32,6 +41,7 @@
     private final Map<String, Long> mMemoryTokens = new HashMap<>();
     private final CrossingTimes mCrossings;
     private final ReturnTimes mReturnTimes;
+    private int mGateways;
 
     /**
      * Creates the state of a gateway that knows no such service.
@@ -39,7 +49,7 @@
      * @param dataCentre data centre of the gateway
      * @param random source of random numbers from 0 (inclusive) to 1 (exclusive)
      */
-    SharedMachines(String dataCentre, DoubleSupplier random) {
+    SharedPools(String dataCentre, DoubleSupplier random) {
         mCrossings = new CrossingTimes(dataCentre);
         mReturnTimes = new ReturnTimes(random);
     }
@@ -66,9 +76,21 @@
         }
     }
 
-    /** Returns whether the endpoints of a service share their machines. */
+    /** Sets the number of gateways that share the endpoints. */
+    void gatewaysCounted(int gateways) {
+        if (areMany(gateways) != areMany(mGateways)) {
+            LOG.info("services.shared_by_gateways", "gateways", gateways);
+        }
+        mGateways = gateways;
+    }
+
+    private static boolean areMany(int gateways) {
+        return gateways >= MIN_GATEWAYS;
+    }
+
+    /** Returns whether the calls to a service are placed by {@link SampledChoice}. */
     public boolean contains(String service) {
-        return mServices.contains(service);
+        return areMany(mGateways) || mServices.contains(service);
     }
 
     /** Returns the times after which callers that found no room may return. */
@@ -105,7 +127,7 @@
                 nowMilliseconds);
     }
 
-    /** Returns the expected time until the first event, for services with shared machines. */
+    /** Returns the expected time until the first event, for services in this state. */
     OptionalLong firstEventMilliseconds(String service, long tokens, String dataCentre) {
         if (!contains(service)) {
             return OptionalLong.empty();
--- a/gateway/src/test/java/org/skylarkbend/gateway/call/PoolSchedule.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/call/PoolSchedule.java
@@ -332,7 +332,7 @@
             report(call.gateway(), call.sent().engine());
             promptRead(call);
             call.gateway()
-                    .sharedMachines()
+                    .sharedPools()
                     .firstEvent(
                             call.sent().choice(), mNowMilliseconds - call.sent().atMilliseconds());
         }
--- a/gateway/src/test/java/org/skylarkbend/gateway/endpoints/SharedMachinesTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/endpoints/SharedPoolsTest.java
@@ -20,14 +20,14 @@
 import org.testng.annotations.Test;
 
 /** Tests the choice among engines that share their machines with others. */
-public class SharedMachinesTest {
+public class SharedPoolsTest {
     private static final int ENGINES = 12;
     private static final int DRAWS = 200;
     private static final long MEMORY_TOKENS = 100_000;
     private static final ReportedLoad USUAL = new ReportedLoad(0, 0, OptionalInt.of(100));
 
     private final List<Endpoint> mEngines =
-            IntStream.range(0, ENGINES).mapToObj(SharedMachinesTest::engine).toList();
+            IntStream.range(0, ENGINES).mapToObj(SharedPoolsTest::engine).toList();
     private EndpointSelector mSelector;
     private Map<String, EndpointWork> mWork;
 
@@ -81,6 +81,21 @@
         assertThat(chosen("")).hasSize(ENGINES);
     }
 
+    /** Guards against many gateways that all send to the engine which an old sum shows as idle. */
+    @Test
+    public void promptsOfManyGatewaysSpreadOverEnginesThatDoNotReportTheirMachines() {
+        mWork =
+                mEngines.stream()
+                        .skip(1)
+                        .collect(
+                                Collectors.toMap(
+                                        Endpoint::incarnation, engine -> new EndpointWork(500, 1)));
+        mSelector.gatewaysCounted(8);
+        assertThat(chosen("")).as("sums of few gateways are current").containsExactly("e0");
+        mSelector.gatewaysCounted(69);
+        assertThat(chosen("")).hasSize(ENGINES);
+    }
+
     @Test
     public void anEngineWhoseMachineIsSlowAtTheMomentLosesAgainstAnother() {
         mSelector.replace(new Endpoints(mEngines.subList(0, 2), Set.of()), 0);
