Keep calls that are judged late ahead of lower priorities

What callers saw: answers of the most urgent kind came after all others, and most were late. Cause: a call whose expected first event was beyond its target got level 8, behind every other kind. The estimate counts all unread prompts at an engine, though engines read urgent ones first, and it learns from the waits of calls that were put behind. So the verdict made itself true.

--- a/gateway/src/test/java/org/skylarkbend/gateway/call/UrgencyTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/call/UrgencyTest.java
@@ -37,7 +37,24 @@
         assertThat(late.level()).isGreaterThan(inTime.level());
     }
 
+    /** Guards against urgent calls that are served after all others because of an estimate. */
+    @Test
+    public void aCallThatIsExpectedToBeLateStaysAheadOfLowerPriorities() {
+        int inTime = Urgency.of(call(OptionalInt.of(0)), expected(50)).level();
+        int late = Urgency.of(call(OptionalInt.of(0)), expected(5_000)).level();
+        int lowerPriority = Urgency.of(call(OptionalInt.of(1)), expected(50)).level();
+        assertThat(List.of(inTime, late, lowerPriority)).isSorted().doesNotHaveDuplicates();
+    }
+
+    private static EngineChoice expected(long firstEventMilliseconds) {
+        return choice(0, OptionalLong.of(firstEventMilliseconds));
+    }
+
     private static EngineChoice choice(long tokensAhead) {
+        return choice(tokensAhead, OptionalLong.empty());
+    }
+
+    private static EngineChoice choice(long tokensAhead, OptionalLong firstEventMilliseconds) {
         Endpoint endpoint =
                 new Endpoint("e", "desk", "10.0.0.1", 80, "z", "v1", 64, false, 1, Map.of("m", 1L));
         return new EngineChoice(
@@ -49,7 +66,7 @@
                 tokensAhead,
                 0,
                 false,
-                OptionalLong.empty());
+                firstEventMilliseconds);
     }
 
     private static CallRequest call(OptionalInt priority) {
