Weigh the calls at an engine by the answers that they slow down

What callers saw: engines with twice as many calls as slots beside others with few. Cause: a running call cost as much as 60 prompt tokens whatever the answer. Each token of an answer takes longer the more calls run, so a call with 300 answer tokens bears much more than one with 10. Change: where engines are drawn, a running call costs 3 prompt tokens for each answer token, 60 at least.

--- a/gateway/src/main/java/org/skylarkbend/gateway/endpoints/PromptCost.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/endpoints/PromptCost.java
@@ -19,6 +19,12 @@
     /** Cost of a running call, in prompt tokens, because it slows the processing of prompts. */
     private static final double RUNNING_CALL_COST_TOKENS = 60;
 
+    /**
+     * Cost of a running call for each token of an answer, in prompt tokens, since each token takes
+     * longer the more calls run.
+     */
+    private static final double RUNNING_CALL_COST_PER_ANSWER_TOKEN = 3;
+
     /** Additional cost of an engine whose memory the prompts that it has not read would fill. */
     static final double FULL_COST = EndpointSelector.LAST_RESORT_COST / 4;
 
@@ -48,25 +54,31 @@
             return Double.POSITIVE_INFINITY;
         }
         double costFactor = isHome ? HOME_MISS_RATIO : OTHER_ENGINE_COST_FACTOR;
-        double work =
-                load.promptTokens(nowMilliseconds)
-                        + load.waiting(nowMilliseconds) * WAITING_CALL_COST_TOKENS
-                        + load.calls(nowMilliseconds) * RUNNING_CALL_COST_TOKENS;
         double cost =
                 costFactor * prompt.sharedTokens()
                         + mWeightsCost.cost(load, weightsLoadOrder, prompt, nowMilliseconds);
         String service = load.endpoint().service();
         if (!mShared.contains(service)) {
-            return cost + work;
+            return cost + work(load, RUNNING_CALL_COST_TOKENS, nowMilliseconds);
         }
+        double runningCallCost =
+                Math.max(
+                        RUNNING_CALL_COST_TOKENS,
+                        RUNNING_CALL_COST_PER_ANSWER_TOKEN * prompt.maxAnswerTokens());
         double workTime = load.workTime(nowMilliseconds);
         return cost
-                + work * workTime
+                + work(load, runningCallCost, nowMilliseconds) * workTime
                 + tokensToRead(prompt, isHome) * (workTime - 1)
                 + mShared.crossingTokens(service, load.endpoint().zone())
                 + (isFull(load, prompt, nowMilliseconds) ? FULL_COST : 0);
     }
 
+    private static double work(EndpointLoad load, double runningCallCost, long nowMilliseconds) {
+        return load.promptTokens(nowMilliseconds)
+                + load.waiting(nowMilliseconds) * WAITING_CALL_COST_TOKENS
+                + load.calls(nowMilliseconds) * runningCallCost;
+    }
+
     /** Returns whether the prompts that an engine has not read leave no memory for another one. */
     private boolean isFull(EndpointLoad load, Prompt prompt, long nowMilliseconds) {
         long memoryTokens = mShared.memoryTokens(load.endpoint().service());
