Draw endpoints of calls without a prompt where many gateways share them

Such a call lasts some 40 ms, so a sum of 69 gateways, which is 0.4 s old or more, tells nothing about the calls that run now; all gateways took the endpoint with the fewest calls in it. Change: these calls are drawn like prompts, by one method.

--- a/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EndpointSelector.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EndpointSelector.java
@@ -169,9 +169,11 @@
     /** Selects an endpoint for a call without a prompt. */
     public Optional<EngineChoice> choose(
             String service, PriorAttempts priorAttempts, long nowMilliseconds) {
-        return cheapest(
+        return chosen(
+                        service,
                         candidates(service, priorAttempts, nowMilliseconds),
                         priorAttempts,
+                        load -> false,
                         load ->
                                 (double) load.calls(nowMilliseconds)
                                                 / Math.max(1, load.endpoint().slots())
@@ -202,22 +204,24 @@
                                         weightsLoadOrder,
                                         nowMilliseconds)
                                 + lastResortCost(load, priorAttempts, nowMilliseconds);
-        Optional<EndpointLoad> chosen =
-                mShared.contains(service)
-                        ? sampled(candidates, priorAttempts, homes::contains, cost)
-                        : cheapest(candidates, priorAttempts, cost);
-        return chosen.map(load -> toChoice(load, candidates, prompt, homes, nowMilliseconds));
+        return chosen(service, candidates, priorAttempts, homes::contains, cost)
+                .map(load -> toChoice(load, candidates, prompt, homes, nowMilliseconds));
     }
 
     /**
-     * Chooses one of the homes of a prompt or of some engines drawn at random, so that gateways
-     * which know of each other's calls late do not all take the same one.
+     * Chooses the cheapest endpoint. If many gateways use the service, it is the cheapest one of
+     * some drawn at random, so that gateways which know of each other's calls late do not all take
+     * the same one.
      */
-    private Optional<EndpointLoad> sampled(
+    private Optional<EndpointLoad> chosen(
+            String service,
             List<EndpointLoad> candidates,
             PriorAttempts priorAttempts,
             Predicate<EndpointLoad> isHome,
             ToDoubleFunction<EndpointLoad> cost) {
+        if (!mShared.contains(service)) {
+            return cheapest(candidates, priorAttempts, cost);
+        }
         List<EndpointLoad> untried =
                 candidates.stream()
                         .filter(load -> !priorAttempts.incarnations().contains(load.incarnation()))
--- a/gateway/src/test/java/org/skylarkbend/gateway/endpoints/SharedPoolsTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/endpoints/SharedPoolsTest.java
@@ -96,6 +96,29 @@
         assertThat(chosen("")).hasSize(ENGINES);
     }
 
+    /** Guards against calls without a prompt that many gateways all send to one endpoint. */
+    @Test
+    public void callsWithoutPromptOfManyGatewaysSpreadOverEndpoints() {
+        Map<String, EndpointWork> work =
+                mEngines.stream()
+                        .skip(1)
+                        .collect(
+                                Collectors.toMap(
+                                        Endpoint::incarnation, engine -> new EndpointWork(0, 1)));
+        mSelector.gatewaysCounted(69);
+        mSelector.otherWorkChanged(work, 10);
+        Set<String> chosen = new HashSet<>();
+        for (int i = 0; i < DRAWS; i++) {
+            chosen.add(
+                    mSelector
+                            .choose("desk", PriorAttempts.none(), 20)
+                            .orElseThrow()
+                            .endpoint()
+                            .id());
+        }
+        assertThat(chosen).hasSize(ENGINES);
+    }
+
     @Test
     public void anEngineWhoseMachineIsSlowAtTheMomentLosesAgainstAnother() {
         mSelector.replace(new Endpoints(mEngines.subList(0, 2), Set.of()), 0);
