Keep the priority of calls whose first event is estimated, and stay with drawing

A new leader of control counts the gateways anew, so all gateways would have gone back to the cheapest engine for a second after each change. Change: where the first event is estimated from responses, a call keeps its priority.

--- a/gateway/src/main/java/org/skylarkbend/gateway/call/Urgency.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/call/Urgency.java
@@ -6,8 +6,8 @@
  * Priority of a call at an engine.
  *
  * <p>The priority of the customer overrides that of the route. A call that will miss its target
- * comes after calls that can still meet theirs. Serving in order of arrival would make every call
- * late in an overload.
+ * comes after all calls that can still meet theirs. Serving in order of arrival would make every
+ * call late in an overload.
  *
  * @param level priority from 0, the most urgent, to 9
  */
@@ -20,14 +20,6 @@
      */
     private static final int LATE_LEVEL = 8;
 
-    /**
-     * Levels of a priority where the speed of the engine is learned: one for calls in time and one
-     * for late ones. Late calls stay ahead of lower priorities, because the estimate counts all
-     * prompts at the engine although it processes urgent ones first; calls behind all others would
-     * also confirm it.
-     */
-    private static final int LEVELS_OF_A_PRIORITY = 2;
-
     /** Assumed prompt processing rate of an engine, which is that of the slower model. */
     private static final long PROMPT_TOKENS_PER_MILLISECOND = 30;
 
@@ -40,23 +32,20 @@
     private static final long QUEUE_SHARE_NUMERATOR = 3;
 
     static Urgency of(CallRequest call, EngineChoice choice) {
-        boolean isLate = isLate(call, choice);
-        int level =
-                choice.firstEventMilliseconds().isPresent()
-                        ? LEVELS_OF_A_PRIORITY * call.priority() + (isLate ? 1 : 0)
-                        : Math.max(isLate ? LATE_LEVEL : 0, call.priority());
-        return new Urgency(Math.min(LEAST_URGENT_LEVEL, level));
+        int minLevel = isLate(call, choice) ? LATE_LEVEL : 0;
+        return new Urgency(Math.max(minLevel, Math.min(LEAST_URGENT_LEVEL, call.priority())));
     }
 
     /**
-     * Returns whether the call will miss its target. Where the speed of the engine is not learned,
-     * that is judged by the prompts ahead of the call alone.
+     * Returns whether the prompts ahead of the call make it miss its target. Where the first event
+     * is estimated from responses no call counts as late: the estimate includes the waits of calls
+     * that were put behind others, so that it would confirm itself.
      */
     private static boolean isLate(CallRequest call, EngineChoice choice) {
-        long targetMilliseconds = call.route().targetMilliseconds();
         if (choice.firstEventMilliseconds().isPresent()) {
-            return choice.firstEventMilliseconds().getAsLong() > targetMilliseconds;
+            return false;
         }
+        long targetMilliseconds = call.route().targetMilliseconds();
         long maxTokensAhead =
                 targetMilliseconds
                         * PROMPT_TOKENS_PER_MILLISECOND
--- a/gateway/src/main/java/org/skylarkbend/gateway/endpoints/SharedPools.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/endpoints/SharedPools.java
@@ -41,7 +41,7 @@
     private final Map<String, Long> mMemoryTokens = new HashMap<>();
     private final CrossingTimes mCrossings;
     private final ReturnTimes mReturnTimes;
-    private int mGateways;
+    private boolean mSharedByGateways;
 
     /**
      * Creates the state of a gateway that knows no such service.
@@ -76,21 +76,20 @@
         }
     }
 
-    /** Sets the number of gateways that share the endpoints. */
+    /**
+     * Sets the number of gateways that share the endpoints. Endpoints that were shared by many stay
+     * so, because a new leader of control counts the gateways anew.
+     */
     void gatewaysCounted(int gateways) {
-        if (areMany(gateways) != areMany(mGateways)) {
+        if (gateways >= MIN_GATEWAYS && !mSharedByGateways) {
             LOG.info("services.shared_by_gateways", "gateways", gateways);
+            mSharedByGateways = true;
         }
-        mGateways = gateways;
-    }
-
-    private static boolean areMany(int gateways) {
-        return gateways >= MIN_GATEWAYS;
     }
 
     /** Returns whether the calls to a service are placed by {@link SampledChoice}. */
     public boolean contains(String service) {
-        return areMany(mGateways) || mServices.contains(service);
+        return mSharedByGateways || mServices.contains(service);
     }
 
     /** Returns the times after which callers that found no room may return. */
--- a/gateway/src/test/java/org/skylarkbend/gateway/endpoints/SharedPoolsTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/endpoints/SharedPoolsTest.java
@@ -94,6 +94,8 @@
         assertThat(chosen("")).as("sums of few gateways are current").containsExactly("e0");
         mSelector.gatewaysCounted(69);
         assertThat(chosen("")).hasSize(ENGINES);
+        mSelector.gatewaysCounted(5);
+        assertThat(chosen("")).as("a new leader knows few gateways at first").hasSize(ENGINES);
     }
 
     /** Guards against calls without a prompt that many gateways all send to one endpoint. */
