Reproduce voters that stopped and still count where the losses are not known

Settings without tolerated_losses let a voter that stops with a notice remain: its successors raised the number of voters, and that number is taken for the one to keep. A leader ends at once as a voter.

--- a/agreement/src/test/java/org/skylarkbend/agreement/MemberReplacementTest.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/MemberReplacementTest.java
@@ -32,12 +32,19 @@
     /** Guards against members that are gone and count, where losses count by data centre. */
     @Test
     public void aGroupThatIsGivenNoNumberOfLossesAlwaysFindsALeaderAgain() {
-        SeededRuns.forEachSeed(
-                FIRST_SEED,
-                SIMULATIONS_OF_OTHER_SIZES,
-                seed ->
-                        new MemberReplacements(ClusterSimulation.joiningMembers(seed, 3, 0), false)
-                                .run());
+        replaceWithUnknownLosses(3, false);
+    }
+
+    /** Guards against five voters of which two are successors, and two have said that they end. */
+    @Test
+    public void aGroupThatIsGivenNoNumberOfLossesDoesNotCountMembersThatStoppedWithNotice() {
+        replaceWithUnknownLosses(3, true);
+    }
+
+    /** Guards against members that are gone and count anew with each leader. */
+    @Test
+    public void aGroupOfFiveThatIsGivenNoNumberOfLossesAlwaysFindsALeaderAgain() {
+        replaceWithUnknownLosses(5, false);
     }
 
     @DataProvider
@@ -45,6 +52,17 @@
         return new Object[][] {{1, false}, {1, true}, {3, false}, {3, true}};
     }
 
+    private static void replaceWithUnknownLosses(int vms, boolean stopsWithNotice) {
+        SeededRuns.forEachSeed(
+                FIRST_SEED,
+                SIMULATIONS_OF_OTHER_SIZES,
+                seed ->
+                        new MemberReplacements(
+                                        ClusterSimulation.joiningMembers(seed, vms, 0),
+                                        stopsWithNotice)
+                                .run());
+    }
+
     private static void replaceInARow(
             int simulations, int toleratedLosses, boolean stopsWithNotice) {
         SeededRuns.forEachSeed(
--- a/agreement/src/test/java/org/skylarkbend/agreement/MembershipChangesTest.java
+++ b/agreement/src/test/java/org/skylarkbend/agreement/MembershipChangesTest.java
@@ -60,6 +60,21 @@
         assertThat(group.decider().role()).as("%s", group.voters()).isEqualTo(MemberRole.LEADER);
     }
 
+    /** Guards against a leader that ends as planned and is told that it is needed, and counts. */
+    @Test
+    public void aLeaderThatLeavesItsTwoSuccessorsIsNoVoterWhereTheLossesAreNotKnown() {
+        LeaderOfGroup group = LeaderOfGroup.withUnknownLosses(3);
+        group.join(4);
+        group.join(5);
+        group.runFor(ELECTION_MILLISECONDS);
+        assertThat(group.voterCounts()).containsExactly(4, 5);
+        group.decide(new AgreementInput.Leave());
+        group.runFor(ONE_HEARTBEAT_MILLISECONDS);
+        assertThat(group.effects(AgreementEffect.LeaveDecided.class))
+                .containsExactly(new AgreementEffect.LeaveDecided(LeaveOutcome.REMOVED));
+        assertThat(group.voters()).doesNotContain(LeaderOfGroup.member(1));
+    }
+
     /** Guards against a VM that ends as planned beside three losses and is a fourth one. */
     @Test
     public void aGroupThatToleratesThreeLossesTakesInTwoSuccessorsBeforeTheOthersEnd() {
