Bound the cost of a running call by what answers can be

Cause: the cost of a running call follows the length that the caller declares. With an absurd number it exceeded the cost that ranks engines last which failed, so such a call went to one of them while sound ones had one call. Change: a running call costs 10,000 prompt tokens at most. Result: SharedPoolsTest#aPromptWithAnAbsurdLengthOfItsAnswerAvoidsAnEngineThatFailed failed before.

--- a/gateway/src/main/java/org/skylarkbend/gateway/endpoints/PromptCost.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/endpoints/PromptCost.java
@@ -25,6 +25,9 @@
      */
     private static final double RUNNING_CALL_COST_PER_ANSWER_TOKEN = 3;
 
+    /** Highest cost of a running call. Callers may declare far longer answers than they get. */
+    private static final double MAX_RUNNING_CALL_COST_TOKENS = 10_000;
+
     /** Additional cost of an engine whose memory the prompts that it has not read would fill. */
     static final double FULL_COST = EndpointSelector.LAST_RESORT_COST / 4;
 
@@ -64,7 +67,9 @@
         double runningCallCost =
                 Math.max(
                         RUNNING_CALL_COST_TOKENS,
-                        RUNNING_CALL_COST_PER_ANSWER_TOKEN * prompt.maxAnswerTokens());
+                        Math.min(
+                                MAX_RUNNING_CALL_COST_TOKENS,
+                                RUNNING_CALL_COST_PER_ANSWER_TOKEN * prompt.maxAnswerTokens()));
         double workTime = load.workTime(nowMilliseconds);
         return cost
                 + work(load, runningCallCost, nowMilliseconds) * workTime
--- a/gateway/src/test/java/org/skylarkbend/gateway/endpoints/SharedPoolsTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/endpoints/SharedPoolsTest.java
@@ -155,6 +155,27 @@
         assertThat(chosen("hot")).hasSizeBetween(2, ENGINES / 2 + 1);
     }
 
+    /** Guards against engines that failed and are preferred because of a declared number. */
+    @Test
+    public void aPromptWithAnAbsurdLengthOfItsAnswerAvoidsAnEngineThatFailed() {
+        Endpoint failed = mEngines.get(0);
+        Map<String, EndpointWork> work =
+                mEngines.stream()
+                        .skip(1)
+                        .collect(
+                                Collectors.toMap(
+                                        Endpoint::incarnation, engine -> new EndpointWork(0, 1)));
+        mSelector.gatewaysCounted(69);
+        mSelector.otherWorkChanged(work, 10);
+        mSelector.failed(failed, 10);
+        Prompt prompt = new Prompt("m", List.of(new Prompt.Part("own", 600)), 600, 1_000_000_000);
+        for (int i = 0; i < DRAWS; i++) {
+            EngineChoice choice =
+                    mSelector.choose("desk", prompt, "s", PriorAttempts.none(), 20).orElseThrow();
+            assertThat(choice.endpoint()).isNotEqualTo(failed);
+        }
+    }
+
     private Set<String> chosen(String sharedPart) {
         return chosenAt(sharedPart, 20);
     }
