Answer the reports of many gateways on the same crashes together

Cause: each report of a gateway on a crash was decided at once, and each decision sent to all gateways. When a third of the engines crashed, 69 gateways reported some 200 parts within half a second. The leader sent 69 notices for each report, was silent for longer than an election timeout and lost the lead. The next one got the same reports. Change: reports are collected for 2 ms for each gateway that reports, so one gateway waits for 2 ms and 69 for 138 ms.

--- a/control/src/main/java/org/skylarkbend/control/quarantine/QuarantineTask.java
+++ b/control/src/main/java/org/skylarkbend/control/quarantine/QuarantineTask.java
@@ -40,12 +40,20 @@
     private static final StructuredLog LOG = StructuredLog.of(QuarantineTask.class);
     private static final long TICK_MILLISECONDS = 100;
 
+    /**
+     * Time for which reports are collected before a decision, for each gateway that reports. All
+     * gateways report a crash at about the same time, and each decision is sent to all of them.
+     */
+    private static final long COLLECTING_MILLISECONDS_PER_GATEWAY = 2;
+
     private final ControlLog mLog;
     private final MillisecondClock mClock;
     private final MillisecondClock mWall;
     private final Consumer<QuarantineNotice> mOnNotice;
     private final CrashAnalysis mAnalysis = new CrashAnalysis();
     private final Map<PartCombination, Long> mInForceSinceMilliseconds = new HashMap<>();
+    private final Set<String> mReporters = new HashSet<>();
+    private boolean mCollecting;
     private final Set<PartCombination> mProposed = new HashSet<>();
     private Context mContext;
     private Leadership mLeadership = Leadership.unknown();
@@ -87,7 +95,13 @@
     @Override
     public Future<?> start() {
         mContext = context;
-        vertx.setPeriodic(TICK_MILLISECONDS, id -> decide());
+        vertx.setPeriodic(
+                TICK_MILLISECONDS,
+                id -> {
+                    if (!mCollecting) {
+                        decide();
+                    }
+                });
         return Future.succeededFuture();
     }
 
@@ -100,6 +114,7 @@
                     if (!continues) {
                         mAnalysis.clearReports(mClock.nowMilliseconds());
                         mProposed.clear();
+                        mReporters.clear();
                         decide();
                         sendNotice();
                     }
@@ -127,9 +142,22 @@
 
     private void addEvidence(RouterIdentity gateway, CrashEvidence evidence) {
         if (mLeadership.leads()) {
-            mAnalysis.add(
-                    gateway.vm() + "#" + gateway.incarnation(), evidence, mClock.nowMilliseconds());
-            decide();
+            String reporter = gateway.vm() + "#" + gateway.incarnation();
+            mAnalysis.add(reporter, evidence, mClock.nowMilliseconds());
+            mReporters.add(reporter);
+            decideSoon();
+        }
+    }
+
+    private void decideSoon() {
+        if (!mCollecting) {
+            mCollecting = true;
+            vertx.setTimer(
+                    mReporters.size() * COLLECTING_MILLISECONDS_PER_GATEWAY,
+                    id -> {
+                        mCollecting = false;
+                        decide();
+                    });
         }
     }
 
--- a/control/src/test/java/org/skylarkbend/control/quarantine/QuarantineTaskTest.java
+++ b/control/src/test/java/org/skylarkbend/control/quarantine/QuarantineTaskTest.java
@@ -33,6 +33,7 @@
 /** Tests what control tells the gateways about quarantines, and when it imposes and lifts them. */
 public class QuarantineTaskTest {
     private static final long WAIT_LIMIT_SECONDS = 30;
+    private static final int GATEWAYS = 69;
     private static final PromptPart PART = new PromptPart("m", "p");
     private static final PartCombination COMBINATION = PartCombination.of(List.of(PART));
     private static final RouterIdentity GATEWAY = new RouterIdentity(ObjectName.of("front"), 1);
@@ -117,6 +118,33 @@
         assertThat(mNotices.poll(500, TimeUnit.MILLISECONDS)).isNull();
     }
 
+    /**
+     * Guards against a leader that is held up for longer than an election by the reports of many
+     * gateways on many crashes at once, each of which was answered to all of them.
+     */
+    @Test
+    public void theReportsOfManyGatewaysOnTheSameCrashesAreAnsweredTogether() throws Exception {
+        lead(1);
+        nextNotice();
+        for (int i = 0; i < GATEWAYS; i++) {
+            RouterIdentity gateway = new RouterIdentity(ObjectName.of("front-" + i), 1);
+            SuspectCall call = new SuspectCall("c" + i, List.of(new PromptPart("m", "p" + i)));
+            CrashEvidence evidence =
+                    new CrashEvidence(
+                            List.of(new EndpointCrash("e1", 100, List.of(call))),
+                            Map.of(),
+                            Map.of("m", 20L));
+            mTask.postEvidence(gateway, QuarantineCodec.encodeEvidence(evidence));
+        }
+        int notices = 0;
+        for (QuarantineNotice notice = nextNotice();
+                notice != null;
+                notice = mNotices.poll(500, TimeUnit.MILLISECONDS)) {
+            notices++;
+        }
+        assertThat(notices).isLessThan(GATEWAYS / 3);
+    }
+
     private void lead(long term) {
         mTask.post(new Leadership(true, term, Optional.empty(), 0));
     }
