Leave out endpoints that were tried in one place

Found in a reading of the whole change: the choice with and without drawing each left out the tried endpoints, and the tests built the same work four times.

--- a/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EndpointSelector.java
+++ b/gateway/src/main/java/org/skylarkbend/gateway/endpoints/EndpointSelector.java
@@ -219,14 +219,13 @@
             PriorAttempts priorAttempts,
             Predicate<EndpointLoad> isHome,
             ToDoubleFunction<EndpointLoad> cost) {
-        if (!mShared.contains(service)) {
-            return cheapest(candidates, priorAttempts, cost);
-        }
         List<EndpointLoad> untried =
                 candidates.stream()
                         .filter(load -> !priorAttempts.incarnations().contains(load.incarnation()))
                         .toList();
-        return mSampledChoice.of(untried, isHome, cost, PromptCost.FULL_COST);
+        return mShared.contains(service)
+                ? mSampledChoice.of(untried, isHome, cost, PromptCost.FULL_COST)
+                : cheapest(untried, cost);
     }
 
     /** Records that a call was sent to an endpoint, with the number of prompt tokens to process. */
@@ -430,16 +429,11 @@
     }
 
     private Optional<EndpointLoad> cheapest(
-            List<EndpointLoad> candidates,
-            PriorAttempts priorAttempts,
-            ToDoubleFunction<EndpointLoad> cost) {
+            List<EndpointLoad> candidates, ToDoubleFunction<EndpointLoad> cost) {
         EndpointLoad best = null;
         double bestCost = Double.POSITIVE_INFINITY;
         int ties = 0;
         for (EndpointLoad load : candidates) {
-            if (priorAttempts.incarnations().contains(load.incarnation())) {
-                continue;
-            }
             double loadCost = cost.applyAsDouble(load);
             ties = loadCost == bestCost ? ties + 1 : 1;
             if (loadCost < bestCost || loadCost == bestCost && mRandom.getAsDouble() * ties < 1) {
--- a/gateway/src/test/java/org/skylarkbend/gateway/endpoints/SharedPoolsTest.java
+++ b/gateway/src/test/java/org/skylarkbend/gateway/endpoints/SharedPoolsTest.java
@@ -70,12 +70,7 @@
     /** Guards against gateways that all send to the one engine which looked idle to them. */
     @Test
     public void promptsWithoutHomeSpreadOverEnginesAlthoughOneLooksIdle() {
-        mWork =
-                mEngines.stream()
-                        .skip(1)
-                        .collect(
-                                Collectors.toMap(
-                                        Endpoint::incarnation, engine -> new EndpointWork(500, 1)));
+        mWork = atAllButTheFirst(new EndpointWork(500, 1));
         assertThat(chosen("")).as("no endpoint reports a time of work").containsExactly("e0");
         mSelector.reported(mEngines.get(0), USUAL, 10);
         assertThat(chosen("")).hasSize(ENGINES);
@@ -84,12 +79,7 @@
     /** Guards against many gateways that all send to the engine which an old sum shows as idle. */
     @Test
     public void promptsOfManyGatewaysSpreadOverEnginesThatDoNotReportTheirMachines() {
-        mWork =
-                mEngines.stream()
-                        .skip(1)
-                        .collect(
-                                Collectors.toMap(
-                                        Endpoint::incarnation, engine -> new EndpointWork(500, 1)));
+        mWork = atAllButTheFirst(new EndpointWork(500, 1));
         mSelector.gatewaysCounted(8);
         assertThat(chosen("")).as("sums of few gateways are current").containsExactly("e0");
         mSelector.gatewaysCounted(69);
@@ -101,12 +91,7 @@
     /** Guards against calls without a prompt that many gateways all send to one endpoint. */
     @Test
     public void callsWithoutPromptOfManyGatewaysSpreadOverEndpoints() {
-        Map<String, EndpointWork> work =
-                mEngines.stream()
-                        .skip(1)
-                        .collect(
-                                Collectors.toMap(
-                                        Endpoint::incarnation, engine -> new EndpointWork(0, 1)));
+        Map<String, EndpointWork> work = atAllButTheFirst(new EndpointWork(0, 1));
         mSelector.gatewaysCounted(69);
         mSelector.otherWorkChanged(work, 10);
         Set<String> chosen = new HashSet<>();
@@ -159,12 +144,7 @@
     @Test
     public void aPromptWithAnAbsurdLengthOfItsAnswerAvoidsAnEngineThatFailed() {
         Endpoint failed = mEngines.get(0);
-        Map<String, EndpointWork> work =
-                mEngines.stream()
-                        .skip(1)
-                        .collect(
-                                Collectors.toMap(
-                                        Endpoint::incarnation, engine -> new EndpointWork(0, 1)));
+        Map<String, EndpointWork> work = atAllButTheFirst(new EndpointWork(0, 1));
         mSelector.gatewaysCounted(69);
         mSelector.otherWorkChanged(work, 10);
         mSelector.failed(failed, 10);
@@ -176,6 +156,12 @@
         }
     }
 
+    private Map<String, EndpointWork> atAllButTheFirst(EndpointWork work) {
+        return mEngines.stream()
+                .skip(1)
+                .collect(Collectors.toMap(Endpoint::incarnation, engine -> work));
+    }
+
     private Set<String> chosen(String sharedPart) {
         return chosenAt(sharedPart, 20);
     }
